--- /dev/null
+++ b/src/coordination/retries/iattemptledger.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "state/ids.h"
+
+namespace ivyspar {
+
+/// Attempts left for one call and all calls below it. Conservation: what was granted to the ledger
+/// equals what was spent here, plus what is out with callees, plus what is left, plus what was
+/// lost.
+class IAttemptLedger
+{
+public:
+    virtual ~IAttemptLedger() = default;
+
+    virtual AttemptCount left() const = 0;
+    /// Spends one attempt and takes a grant for the callee out of the rest, at most `wanted` and
+    /// leaving one for a retry here if possible. False when nothing is left to spend.
+    virtual bool spend(AttemptCount wanted, AttemptCount &granted) = 0;
+    /// The callee's answer brought back part of its grant. Never more than is out is accepted.
+    virtual void giveBack(AttemptCount granted, AttemptCount unspent) = 0;
+    /// Spent by this ledger and by callees that answered. A grant whose answer is lost stays out
+    /// for good: it is never given back.
+    virtual AttemptCount spent() const = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/retries/internal/attemptledger.cpp
@@ -0,0 +1,46 @@
+#include "coordination/retries/internal/attemptledger.h"
+
+#include <algorithm>
+
+namespace ivyspar {
+
+AttemptLedger::AttemptLedger(AttemptCount granted)
+    : m_granted(granted.value())
+    , m_left(granted.value())
+{
+}
+
+AttemptCount AttemptLedger::left() const
+{
+    return AttemptCount(m_left);
+}
+
+bool AttemptLedger::spend(AttemptCount wanted, AttemptCount &granted)
+{
+    if (m_left == 0) {
+        return false;
+    }
+    --m_left;
+    const std::uint32_t reserve = m_left > 0 ? 1 : 0;
+    const std::uint32_t grant = std::min(wanted.value(), m_left - reserve);
+    m_left -= grant;
+    m_out += grant;
+    granted = AttemptCount(grant);
+    return true;
+}
+
+void AttemptLedger::giveBack(AttemptCount granted, AttemptCount unspent)
+{
+    const std::uint32_t out = std::min(granted.value(), m_out);
+    // A callee that returns more than it was granted must not create attempts.
+    const std::uint32_t back = std::min(unspent.value(), out);
+    m_out -= out;
+    m_left += back;
+}
+
+AttemptCount AttemptLedger::spent() const
+{
+    return AttemptCount(m_granted - m_left - m_out);
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/retries/internal/attemptledger.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "coordination/retries/iattemptledger.h"
+
+namespace ivyspar {
+
+class AttemptLedger : public IAttemptLedger
+{
+public:
+    explicit AttemptLedger(AttemptCount granted);
+
+    AttemptCount left() const override;
+    bool spend(AttemptCount wanted, AttemptCount &granted) override;
+    void giveBack(AttemptCount granted, AttemptCount unspent) override;
+    AttemptCount spent() const override;
+
+private:
+    std::uint32_t m_granted = 0;
+    std::uint32_t m_left = 0;
+    /// Grants of callees that have not answered.
+    std::uint32_t m_out = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/retries/iretrypolicy.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "state/configuration.h"
+#include "state/ids.h"
+#include "state/irandom.h"
+#include "state/outcome.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+struct RetryQuestion
+{
+    ServiceName service;
+    Verdict verdict;
+    Repetition repetition = Repetition::Never;
+    /// Attempts made of this call at this hop so far.
+    std::uint32_t attempts = 1;
+    Duration remaining{ 0 };
+    /// The failure came from a call below the upstream: only the hop next to it retries.
+    bool isFromBelow = false;
+};
+
+/// Decides on retries and hedges of an entry. Plain object.
+class IRetryPolicy
+{
+public:
+    virtual ~IRetryPolicy() = default;
+
+    virtual bool shouldRetry(TimePoint now, const RetryQuestion &question) = 0;
+    /// A first attempt succeeded: earns the service a share of a retry token.
+    virtual void onSuccess(TimePoint now, const ServiceName &service, Duration latency) = 0;
+    /// After which time a second attempt may be sent in parallel; zero when none may.
+    virtual Duration hedgeDelay(TimePoint now, const RuleSpec &rule) = 0;
+    /// Takes a token of the hedging share. False when the share is used up.
+    virtual bool takeHedge(TimePoint now, const ServiceName &service) = 0;
+    /// When a refused caller is to come back, jittered so that callers spread.
+    virtual Duration retryAfter(TimePoint now, const ServiceName &service, IRandom &random) = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/state/http.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ivyspar {
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+struct HttpRequest
+{
+    std::string method;
+    /// Path and query.
+    std::string target;
+    std::vector<HttpHeader> headers;
+    std::string body;
+};
+
+struct HttpResponse
+{
+    std::uint16_t status = 200;
+    std::vector<HttpHeader> headers;
+    std::string body;
+};
+
+/// The value of the first header of that name (compared without case), or nullptr.
+const std::string *findHeader(const std::vector<HttpHeader> &headers, const std::string &name);
+/// Removes all headers of that name (compared without case).
+void removeHeader(std::vector<HttpHeader> &headers, const std::string &name);
+/// Compares header names, without case.
+bool isSameHeader(const std::string &a, const std::string &b);
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/state/ids.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "state/strongtype.h"
+
+namespace ivyspar {
+
+using ServiceName = StrongType<std::string, struct ServiceNameTag>;
+/// Name of a failure domain.
+using DomainName = StrongType<std::string, struct DomainNameTag>;
+using RegionName = StrongType<std::string, struct RegionNameTag>;
+/// Name of a request class, as the rules define it.
+using ClassName = StrongType<std::string, struct ClassNameTag>;
+using RuleName = StrongType<std::string, struct RuleNameTag>;
+
+/// A daemon's name: stays the same over restarts of the process on that host.
+using DaemonId = StrongType<std::string, struct DaemonIdTag>;
+/// One run of a daemon's process. Larger is newer; taken from the wall clock at start (in µs).
+using Incarnation = StrongType<std::uint64_t, struct IncarnationTag>;
+
+/// Identifies a caller's request over the whole call tree and all its attempts.
+using RootId = StrongType<std::uint64_t, struct RootIdTag>;
+/// One attempt on one peer link; not reused while in flight.
+using StreamId = StrongType<std::uint64_t, struct StreamIdTag>;
+/// One open connection between two daemons, local to this process.
+using LinkId = StrongType<std::uint64_t, struct LinkIdTag>;
+/// A call that runs, or waits to run, at the gate of this host.
+using CallId = StrongType<std::uint64_t, struct CallIdTag>;
+
+/// A caller's idempotency key.
+using IdempotencyKey = StrongType<std::string, struct IdempotencyKeyTag>;
+
+/// Version of the configuration; starts at 1 and only grows. 0 means none yet.
+using ConfigurationVersion = StrongType<std::uint64_t, struct ConfigurationVersionTag>;
+/// Position of a record in a stream of the platform's log.
+using LogOffset = StrongType<std::uint64_t, struct LogOffsetTag>;
+using StreamName = StrongType<std::string, struct StreamNameTag>;
+
+/// Importance of a class: 0 is refused first, 100 last.
+using Priority = StrongType<std::uint8_t, struct PriorityTag>;
+/// Order in which calls are admitted under overload; larger is admitted first. See rank.h.
+using Rank = StrongType<std::uint32_t, struct RankTag>;
+/// Number of calls between this call and the caller's request, which has depth 0.
+using Depth = StrongType<std::uint8_t, struct DepthTag>;
+/// Attempts that a call, with all calls below it, may still spend.
+using AttemptCount = StrongType<std::uint32_t, struct AttemptCountTag>;
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/ieventloop.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "state/ids.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+using TimerId = StrongType<std::uint64_t, struct TimerIdTag>;
+
+/// One thread's event loop: fibers on one io_context. Except for `post` and `stop`, all functions
+/// are called on the loop's own thread. A fiber stays on its thread.
+class IEventLoop
+{
+public:
+    virtual ~IEventLoop() = default;
+
+    /// Starts a fiber.
+    virtual void spawn(std::function<void()> task) = 0;
+    /// From any thread: runs `task` as a plain callback on the loop's thread. It must not suspend.
+    virtual void post(std::function<void()> task) = 0;
+    /// Suspends the calling fiber.
+    virtual void sleepFor(Duration duration) = 0;
+    virtual TimePoint now() const = 0;
+    /// Runs `task` as a plain callback after `delay`. It must not suspend.
+    virtual TimerId callLater(Duration delay, std::function<void()> task) = 0;
+    virtual void cancelTimer(TimerId id) = 0;
+
+    /// Runs until `stop`.
+    virtual void run() = 0;
+    /// From any thread.
+    virtual void stop() = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/ihttpclient.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <functional>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "state/endpoint.h"
+#include "state/http.h"
+#include "state/result.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+enum class HttpFailureStage {
+    NotSent, ///< Proof that no byte of the request left.
+    MaybeSent, ///< Something left; the server may have acted.
+};
+
+enum class HttpFailureCause {
+    Connect,
+    Timeout,
+    Cancelled,
+    Broken, ///< The connection ended, or the answer was cut off or malformed.
+    NoConnection, ///< The connection limit of this endpoint is reached.
+};
+
+struct HttpFailure
+{
+    HttpFailureStage stage = HttpFailureStage::MaybeSent;
+    HttpFailureCause cause = HttpFailureCause::Broken;
+    std::string text;
+};
+
+using HttpResult = tl::expected<HttpResponse, HttpFailure>;
+
+/// Ends one exchange from outside: its connection is closed and it fails with `Cancelled`.
+class HttpCancellation
+    : public boost::intrusive_ref_counter<HttpCancellation, boost::thread_unsafe_counter>
+{
+public:
+    void cancel();
+    bool isCancelled() const { return m_isCancelled; }
+    /// For the client: what `cancel` runs. An empty function removes it.
+    void setAction(std::function<void()> action);
+
+private:
+    bool m_isCancelled = false;
+    std::function<void()> m_action;
+};
+using HttpCancellationPtr = boost::intrusive_ptr<HttpCancellation>;
+
+struct HttpClientLimits
+{
+    /// Connections to one endpoint, open or opening.
+    std::size_t connectionsPerEndpoint = 64;
+    std::size_t headerBytes = 64 * 1024;
+    std::size_t bodyBytes = 1024 * 1024;
+    Duration connectTimeout = std::chrono::seconds(1);
+    /// An unused connection is closed after this time.
+    Duration idleTimeout = std::chrono::seconds(30);
+};
+
+/// Keeps connections open for reuse. A reused connection that the server has closed before a byte
+/// was written is replaced by a fresh one.
+class IHttpClient
+{
+public:
+    virtual ~IHttpClient() = default;
+
+    /// Suspends the calling fiber for `timeout` at most. `cancellation` may be null.
+    virtual HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request,
+                                Duration timeout, HttpCancellationPtr cancellation) = 0;
+    virtual void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) = 0;
+    /// Opens connections in advance, up to `connections` idle ones.
+    virtual void warm(const Endpoint &endpoint, std::size_t connections) = 0;
+};
+
+} // namespace ivyspar
