Gate, router and retry policy: first working versions

The daemon needs implementations of the three decisions under overload to be wired. Each comes from a factory (admission/gatefactory.h, routing/routerfactory.h, retries/retrypolicyfactory.h) whose options name every policy and can switch it off, so that each can be measured for what it is worth.

No interface changed.

--- /dev/null
+++ b/src/coordination/admission/internal/aimdlimit.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "coordination/admission/iconcurrencylimit.h"
+#include "coordination/admission/internal/limitrange.h"
+
+namespace ivyspar {
+
+/// Additive increase, multiplicative decrease. Only an upstream that refuses for want of capacity
+/// or lets calls time out lowers the limit; a long service time alone does not.
+class AimdLimit : public IConcurrencyLimit
+{
+public:
+    AimdLimit(double initialShare, double minimalShare);
+
+    void onSample(TimePoint now, const LimitSample &sample) override;
+    void setCeiling(std::uint32_t ceiling) override;
+    std::uint32_t limit() const override;
+
+private:
+    void grow(const LimitSample &sample);
+    void shrink(TimePoint now, Duration serviceTime);
+
+    LimitRange m_range;
+    bool m_isWarm = false;
+    TimePoint m_nextDecrease;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/internal/floorcontrol.cpp
@@ -0,0 +1,130 @@
+#include "coordination/admission/internal/floorcontrol.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace ivyspar {
+
+namespace {
+constexpr unsigned BUCKET_SHIFT = 16;
+constexpr double BUCKET_WIDTH = 1U << BUCKET_SHIFT;
+/// A bucket that shows less than this share of itself tells nothing of its rate.
+constexpr double SMALLEST_VISIBLE_SHARE = 0.05;
+constexpr double RATE_WEIGHT = 0.5;
+/// A bucket with fewer arrivals per window is forgotten.
+constexpr double FORGOTTEN_RATE = 0.01;
+/// The floor opens by this share of the volume in the first quiet window, twice that in the next.
+constexpr double OPENING = 0.05;
+} // namespace
+
+FloorControl::FloorControl(const FloorOptions &options)
+    : m_options(options)
+{
+}
+
+void FloorControl::onArrival(Rank rank)
+{
+    if (rank < m_floor) {
+        return;
+    }
+    ++m_buckets[rank.value() >> BUCKET_SHIFT].arrivals;
+}
+
+double FloorControl::visibleShare(std::uint32_t bucket) const
+{
+    const std::uint32_t floorBucket = m_floor.value() >> BUCKET_SHIFT;
+    if (bucket != floorBucket) {
+        return bucket > floorBucket ? 1.0 : 0.0;
+    }
+    const std::uint32_t hidden = m_floor.value() & ((1U << BUCKET_SHIFT) - 1);
+    return 1.0 - hidden / BUCKET_WIDTH;
+}
+
+void FloorControl::advance(TimePoint now, Duration serviceTime)
+{
+    // A window shorter than the service time would see bursts of starts and take the gaps between
+    // them for a lack of capacity.
+    const Duration length = std::max(m_options.window, serviceTime);
+    if (!m_isRunning) {
+        m_isRunning = true;
+        m_windowEnd = now + length;
+        return;
+    }
+    if (now < m_windowEnd) {
+        return;
+    }
+    // Windows in which nothing was asked of the gate count as quiet, so that it opens in time.
+    const auto missed =
+        std::min<std::int64_t>((now - m_windowEnd) / length, m_options.quietWindows);
+    endWindow();
+    for (std::int64_t i = 0; i < missed && m_floor.value() > 0; ++i) {
+        endWindow();
+    }
+    m_windowEnd = now + length;
+}
+
+void FloorControl::endWindow()
+{
+    updateRates();
+    m_startRate += RATE_WEIGHT * (m_started - m_startRate);
+    const double allowed = m_options.margin * m_started;
+    if (m_excess > allowed) {
+        m_quiet = 0;
+        const double volume = std::max(m_startRate, 1.0) * (1 + m_options.margin);
+        m_floor = std::max(m_floor, floorForVolume(volume));
+    } else if (m_floor.value() > 0 && m_excess <= allowed / 2) {
+        const double opening = OPENING * std::exp2(m_quiet);
+        ++m_quiet;
+        const double volume = std::max(volumeAboveFloor(), 1.0) * (1 + opening);
+        const bool isOpen = m_quiet >= m_options.quietWindows;
+        m_floor = isOpen ? Rank() : std::min(m_floor, floorForVolume(volume));
+    }
+    m_started = 0;
+    m_excess = 0;
+}
+
+void FloorControl::updateRates()
+{
+    for (auto i = m_buckets.begin(); i != m_buckets.end();) {
+        Bucket &bucket = i->second;
+        const double visible = visibleShare(i->first);
+        if (visible >= SMALLEST_VISIBLE_SHARE) {
+            bucket.rate += RATE_WEIGHT * (bucket.arrivals / visible - bucket.rate);
+        }
+        bucket.arrivals = 0;
+        const bool isGone = visible >= 1 && bucket.rate < FORGOTTEN_RATE;
+        i = isGone ? m_buckets.erase(i) : std::next(i);
+    }
+}
+
+double FloorControl::volumeAboveFloor() const
+{
+    double volume = 0;
+    for (const auto &[key, bucket] : m_buckets) {
+        volume += bucket.rate * visibleShare(key);
+    }
+    return volume;
+}
+
+Rank FloorControl::floorForVolume(double volume) const
+{
+    double left = volume;
+    for (auto i = m_buckets.rbegin(); i != m_buckets.rend(); ++i) {
+        const double rate = i->second.rate;
+        if (rate > left) {
+            const auto hidden = static_cast<std::uint32_t>((1 - left / rate) * (BUCKET_WIDTH - 1));
+            return Rank((i->first << BUCKET_SHIFT) | hidden);
+        }
+        left -= rate;
+    }
+    return Rank();
+}
+
+TimePoint FloorControl::nextChange() const
+{
+    const bool isIdle = m_floor.value() == 0 && m_excess == 0;
+    return isIdle ? TimePoint::max() : m_windowEnd;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/internal/floorcontrol.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "state/ids.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+struct FloorOptions
+{
+    double margin = 0.1;
+    Duration window{ 0 };
+    std::uint32_t quietWindows = 1;
+};
+
+/// Finds the rank below which entries are to refuse calls, so that what still arrives is slightly
+/// more than the gate can start. Works on a histogram of arrivals by priority and depth; within one
+/// of these buckets ranks are hashes and thus spread evenly.
+class FloorControl
+{
+public:
+    explicit FloorControl(const FloorOptions &options);
+
+    void onArrival(Rank rank);
+    void onStart() { ++m_started; }
+    /// A call was refused for want of capacity.
+    void onExcess() { ++m_excess; }
+
+    /// Ends the window if it is over. A window lasts at least `serviceTime`.
+    void advance(TimePoint now, Duration serviceTime);
+    /// When `advance` may change the floor next; `TimePoint::max()` if it is 0 and nothing came.
+    TimePoint nextChange() const;
+    Rank floor() const { return m_floor; }
+
+private:
+    struct Bucket
+    {
+        /// Arrivals at or above the floor in this window.
+        std::uint32_t arrivals = 0;
+        /// Arrivals per window, those that entries refused included.
+        double rate = 0;
+    };
+
+    double visibleShare(std::uint32_t bucket) const;
+    void endWindow();
+    void updateRates();
+    double volumeAboveFloor() const;
+    Rank floorForVolume(double volume) const;
+
+    FloorOptions m_options;
+    /// By the upper bits of the rank.
+    std::map<std::uint32_t, Bucket> m_buckets;
+    Rank m_floor;
+    TimePoint m_windowEnd;
+    bool m_isRunning = false;
+    std::uint32_t m_started = 0;
+    std::uint32_t m_excess = 0;
+    double m_startRate = 0;
+    std::uint32_t m_quiet = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/internal/gate.cpp
@@ -0,0 +1,268 @@
+#include "coordination/admission/internal/gate.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "coordination/admission/internal/aimdlimit.h"
+#include "coordination/admission/internal/fixedlimit.h"
+#include "coordination/admission/internal/gradientlimit.h"
+
+namespace ivyspar {
+
+namespace {
+
+/// Weight of one sample in the mean service time.
+constexpr double SERVICE_TIME_WEIGHT = 0.05;
+
+std::unique_ptr<IConcurrencyLimit> makeLimit(const GateOptions &options)
+{
+    switch (options.limit) {
+    case LimitKind::Aimd:
+        return std::make_unique<AimdLimit>(options.initialShare, options.minimalShare);
+    case LimitKind::Gradient:
+        return std::make_unique<GradientLimit>(options.initialShare, options.minimalShare);
+    case LimitKind::Fixed:
+        break;
+    }
+    return std::make_unique<FixedLimit>();
+}
+
+/// Spreads ids evenly over [0, 1); the same id always gives the same number.
+double spread(CallId id)
+{
+    const std::uint64_t mixed = id.value() * 0x9E3779B97F4A7C15ULL;
+    return static_cast<double>(mixed >> 11) * 0x1.0p-53;
+}
+
+std::uint32_t ceilingOf(std::uint32_t slots, std::uint32_t connections)
+{
+    return std::min(slots, connections);
+}
+
+} // namespace
+
+std::unique_ptr<IGate> makeGate(const GateOptions &options)
+{
+    return std::make_unique<Gate>(options);
+}
+
+Gate::Gate(const GateOptions &options)
+    : m_options(options)
+    , m_limit(makeLimit(options))
+    , m_queue(options.order)
+    , m_floor({ options.floorMargin, options.floorWindow, options.floorQuietWindows })
+    , m_ceiling(ceilingOf(options.slots, options.connections))
+    , m_serviceTime(static_cast<double>(options.assumedServiceTime.count()))
+{
+    m_limit->setCeiling(m_ceiling);
+}
+
+GateActions Gate::offer(TimePoint now, const GateRequest &request)
+{
+    GateActions actions;
+    advance(now, actions);
+    if (m_isDraining) {
+        refuse(request.id, Reason::Draining, actions);
+        return actions;
+    }
+    if (m_ceiling == 0) {
+        refuse(request.id, Reason::NoServer, actions);
+        return actions;
+    }
+    if (request.deadline <= now) {
+        refuse(request.id, Reason::DeadlineExceeded, actions);
+        return actions;
+    }
+    if (now > latestStart(request.deadline)) {
+        refuse(request.id, Reason::Doomed, actions);
+        return actions;
+    }
+    m_floor.onArrival(request.rank);
+    m_queue.push(request);
+    startWaiting(actions);
+    dropExcess(actions);
+    return actions;
+}
+
+GateActions Gate::finish(TimePoint now, CallId id, CallResult result, Duration serviceTime)
+{
+    GateActions actions;
+    const std::uint32_t inFlight = occupied();
+    if (m_running.erase(id) == 0) {
+        return actions;
+    }
+    learn(now, result, serviceTime, inFlight);
+    if (result == CallResult::TimedOut) {
+        hold(now, m_options.timedOutHold);
+    }
+    if (result == CallResult::Cancelled) {
+        hold(now, m_options.cancelledHold);
+    }
+    advance(now, actions);
+    startWaiting(actions);
+    return actions;
+}
+
+// The upstream may go on with a call that was given up. If its slot were reused at once, calls
+// would queue inside the upstream, where they are neither ordered nor dropped, and time out in
+// turn. One more service time covers the usual rest; the bound keeps a hung upstream from taking
+// all slots for good.
+void Gate::hold(TimePoint now, double share)
+{
+    const Duration wanted(std::llround(share * m_serviceTime));
+    if (wanted.count() > 0) {
+        m_held.push(now + std::min(wanted, m_options.longestHold));
+    }
+}
+
+void Gate::learn(TimePoint now, CallResult result, Duration serviceTime, std::uint32_t inFlight)
+{
+    m_limit->onSample(now, { result, serviceTime, inFlight });
+    // Errors and refusals can be fast and cancelled calls are cut short: neither tells how long
+    // the work takes.
+    if (result == CallResult::Success || result == CallResult::TimedOut) {
+        const auto time = static_cast<double>(serviceTime.count());
+        m_serviceTime += SERVICE_TIME_WEIGHT * (time - m_serviceTime);
+    }
+}
+
+CancelEffect Gate::cancel(TimePoint /*now*/, CallId id)
+{
+    if (m_queue.remove(id)) {
+        return CancelEffect::NotStarted;
+    }
+    return m_running.count(id) > 0 ? CancelEffect::Started : CancelEffect::Unknown;
+}
+
+GateActions Gate::tick(TimePoint now)
+{
+    GateActions actions;
+    advance(now, actions);
+    startWaiting(actions);
+    return actions;
+}
+
+void Gate::advance(TimePoint now, GateActions &actions)
+{
+    while (!m_held.empty() && m_held.top() <= now) {
+        m_held.pop();
+    }
+    dropDoomed(now, actions);
+    if (m_options.hasFloor) {
+        m_floor.advance(now, Duration(std::llround(m_serviceTime)));
+    }
+}
+
+void Gate::dropDoomed(TimePoint now, GateActions &actions)
+{
+    while (!m_queue.isEmpty() && now > latestStart(m_queue.earliestDeadline())) {
+        const GateRequest doomed = m_queue.popEarliest();
+        const bool isOver = doomed.deadline <= now;
+        refuse(doomed.id, isOver ? Reason::DeadlineExceeded : Reason::Doomed, actions);
+        m_floor.onExcess();
+    }
+}
+
+void Gate::dropExcess(GateActions &actions)
+{
+    while (m_options.isQueueBounded && m_queue.size() > longestQueue()) {
+        refuse(m_queue.popLast().id, Reason::QueueFull, actions);
+        m_floor.onExcess();
+    }
+}
+
+void Gate::startWaiting(GateActions &actions)
+{
+    while (!m_queue.isEmpty() && hasFreeSlot()) {
+        start(m_queue.popFirst().id, actions);
+    }
+}
+
+void Gate::start(CallId id, GateActions &actions)
+{
+    m_running.insert(id);
+    m_floor.onStart();
+    actions.push_back({ GateVerb::Start, id, {} });
+}
+
+void Gate::refuse(CallId id, Reason reason, GateActions &actions)
+{
+    const auto shortest = static_cast<double>(m_options.retryAfter.count());
+    const Duration retryAfter(std::llround(shortest * (1 + spread(id))));
+    actions.push_back({ GateVerb::Refuse, id, { Outcome::NotRun, reason, retryAfter } });
+}
+
+bool Gate::hasFreeSlot() const
+{
+    return occupied() < m_limit->limit();
+}
+
+std::uint32_t Gate::occupied() const
+{
+    return static_cast<std::uint32_t>(m_running.size() + m_held.size());
+}
+
+// A queue of `queueWait × limit` calls is worked off in `queueWait` service times.
+std::size_t Gate::longestQueue() const
+{
+    const double bound = m_options.queueWait * m_limit->limit();
+    return std::max<std::size_t>(m_options.minimalQueue, std::lround(bound));
+}
+
+// The last moment at which a start can still meet the deadline. With nothing running there is no
+// fresh measurement: the call is then let through whatever the mean says, or a mean that a slow
+// spell left behind would refuse all calls for good.
+TimePoint Gate::latestStart(TimePoint deadline) const
+{
+    if (!m_options.isDoomedDropped || m_running.empty()) {
+        return deadline;
+    }
+    return deadline - Duration(std::llround(m_options.doomedShare * m_serviceTime));
+}
+
+TimePoint Gate::nextTick() const
+{
+    TimePoint next = m_options.hasFloor ? m_floor.nextChange() : TimePoint::max();
+    if (!m_queue.isEmpty()) {
+        next = std::min(next, latestStart(m_queue.earliestDeadline()) + Duration(1));
+    }
+    if (!m_held.empty()) {
+        next = std::min(next, m_held.top());
+    }
+    return next;
+}
+
+GateActions Gate::setCapacity(TimePoint now, std::uint32_t slots, std::uint32_t connections)
+{
+    GateActions actions;
+    m_ceiling = ceilingOf(slots, connections);
+    m_limit->setCeiling(m_ceiling);
+    advance(now, actions);
+    startWaiting(actions);
+    if (m_ceiling > 0) {
+        dropExcess(actions);
+        return actions;
+    }
+    while (!m_queue.isEmpty()) {
+        refuse(m_queue.popLast().id, Reason::NoServer, actions);
+    }
+    return actions;
+}
+
+void Gate::setDraining(bool draining)
+{
+    m_isDraining = draining;
+}
+
+LoadReport Gate::load(TimePoint /*now*/) const
+{
+    LoadReport report;
+    report.inFlight = occupied();
+    report.queued = static_cast<std::uint32_t>(m_queue.size());
+    report.limit = m_limit->limit();
+    report.floor = m_options.hasFloor ? m_floor.floor() : Rank();
+    report.draining = m_isDraining;
+    return report;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/internal/gate.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <unordered_set>
+#include <vector>
+
+#include "coordination/admission/gatefactory.h"
+#include "coordination/admission/iconcurrencylimit.h"
+#include "coordination/admission/igate.h"
+#include "coordination/admission/internal/floorcontrol.h"
+#include "coordination/admission/internal/rankqueue.h"
+
+namespace ivyspar {
+
+class Gate : public IGate
+{
+public:
+    explicit Gate(const GateOptions &options);
+
+    GateActions offer(TimePoint now, const GateRequest &request) override;
+    GateActions finish(TimePoint now, CallId id, CallResult result, Duration serviceTime) override;
+    CancelEffect cancel(TimePoint now, CallId id) override;
+    GateActions tick(TimePoint now) override;
+    TimePoint nextTick() const override;
+    GateActions setCapacity(TimePoint now, std::uint32_t slots, std::uint32_t connections) override;
+    void setDraining(bool draining) override;
+    LoadReport load(TimePoint now) const override;
+
+private:
+    /// Times at which slots of abandoned calls become free, earliest first.
+    using Releases = std::priority_queue<TimePoint, std::vector<TimePoint>, std::greater<>>;
+
+    void advance(TimePoint now, GateActions &actions);
+    void dropDoomed(TimePoint now, GateActions &actions);
+    void dropExcess(GateActions &actions);
+    void startWaiting(GateActions &actions);
+    void start(CallId id, GateActions &actions);
+    void refuse(CallId id, Reason reason, GateActions &actions);
+    bool hasFreeSlot() const;
+    std::uint32_t occupied() const;
+    std::size_t longestQueue() const;
+    TimePoint latestStart(TimePoint deadline) const;
+    void hold(TimePoint now, double share);
+    void learn(TimePoint now, CallResult result, Duration serviceTime, std::uint32_t inFlight);
+
+    GateOptions m_options;
+    std::unique_ptr<IConcurrencyLimit> m_limit;
+    RankQueue m_queue;
+    FloorControl m_floor;
+    std::unordered_set<CallId> m_running;
+    Releases m_held;
+    std::uint32_t m_ceiling = 0;
+    bool m_isDraining = false;
+    /// Mean service time, in µs.
+    double m_serviceTime = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -0,0 +1,147 @@
+#include "coordination/retries/internal/retrypolicy.h"
+
+#include <algorithm>
+
+namespace ivyspar {
+
+namespace {
+
+/// Weight of one call in the share of refused calls.
+constexpr double REFUSED_WEIGHT = 0.02;
+constexpr double LARGEST_REFUSED_SHARE = 0.99;
+constexpr double MEDIAN = 0.5;
+
+/// Whether another server, or the same a moment later, may take a call that was not run.
+bool canPassElsewhere(Reason reason)
+{
+    switch (reason) {
+    case Reason::QueueFull:
+    case Reason::Draining:
+    case Reason::ConnectFailed:
+    case Reason::UpstreamRefused:
+    case Reason::LinkLost:
+    case Reason::ShuttingDown:
+        return true;
+    default:
+        // The others stay true for the whole request (deadline, budget, key) or for the whole
+        // service (floor, no server): a retry would only add load.
+        return false;
+    }
+}
+
+bool mayRepeat(const RetryQuestion &question)
+{
+    switch (question.verdict.outcome) {
+    case Outcome::NotRun:
+        return canPassElsewhere(question.verdict.reason);
+    case Outcome::Unknown:
+        return question.repetition == Repetition::Idempotent
+            && question.verdict.reason != Reason::Cancelled
+            && question.verdict.reason != Reason::DeadlineExceeded;
+    case Outcome::Answered:
+        break;
+    }
+    return false;
+}
+
+} // namespace
+
+std::unique_ptr<IRetryPolicy> makeRetryPolicy(const RetryOptions &options)
+{
+    return std::make_unique<RetryPolicy>(options);
+}
+
+RetryPolicy::Service::Service(const RetryOptions &options)
+    : retries(options.initialRetries)
+    , latencies(options.window)
+{
+}
+
+RetryPolicy::RetryPolicy(const RetryOptions &options)
+    : m_options(options)
+{
+}
+
+RetryPolicy::Service &RetryPolicy::serviceOf(const ServiceName &name)
+{
+    return m_services.try_emplace(name, m_options).first->second;
+}
+
+bool RetryPolicy::isWorthwhile(const RetryQuestion &question) const
+{
+    if (!m_options.hasRetries || question.attempts >= m_options.attempts) {
+        return false;
+    }
+    // If each of n hops made three attempts, the last service would see 3ⁿ of them.
+    if (question.isFromBelow && m_options.isNextHopOnly) {
+        return false;
+    }
+    return mayRepeat(question);
+}
+
+bool RetryPolicy::shouldRetry(TimePoint /*now*/, const RetryQuestion &question)
+{
+    if (!isWorthwhile(question)) {
+        return false;
+    }
+    Service &service = serviceOf(question.service);
+    if (question.remaining <= service.latencies.quantile(MEDIAN)) {
+        return false;
+    }
+    if (!m_options.hasRetryTokens) {
+        return true;
+    }
+    if (service.retries < 1) {
+        return false;
+    }
+    service.retries -= 1;
+    return true;
+}
+
+void RetryPolicy::onSuccess(TimePoint now, const ServiceName &service, Duration latency)
+{
+    Service &known = serviceOf(service);
+    known.retries = std::min(known.retries + m_options.retryShare, m_options.mostRetries);
+    known.hedges = std::min(known.hedges + m_options.hedgeShare, m_options.mostHedges);
+    known.refusedShare *= 1 - REFUSED_WEIGHT;
+    known.latencies.add(now, latency);
+}
+
+Duration RetryPolicy::hedgeDelay(TimePoint /*now*/, const RuleSpec &rule)
+{
+    if (!m_options.hasHedging || !rule.hedge || rule.repetition != Repetition::Idempotent) {
+        return Duration(0);
+    }
+    const Service &service = serviceOf(rule.service);
+    if (service.latencies.count() < m_options.hedgeSamples) {
+        return Duration(0);
+    }
+    return std::max(m_options.shortestHedgeDelay,
+                    service.latencies.quantile(m_options.hedgeQuantile));
+}
+
+bool RetryPolicy::takeHedge(TimePoint /*now*/, const ServiceName &service)
+{
+    Service &known = serviceOf(service);
+    // Under overload all calls are late: hedges would add load and help none.
+    if (known.refusedShare > m_options.hedgeRefusals || known.hedges < 1) {
+        return false;
+    }
+    known.hedges -= 1;
+    return true;
+}
+
+Duration RetryPolicy::retryAfter(TimePoint /*now*/, const ServiceName &service, IRandom &random)
+{
+    Service &known = serviceOf(service);
+    known.refusedShare += REFUSED_WEIGHT * (1 - known.refusedShare);
+    // With a share r refused, 1 / (1 - r) times the capacity arrives: when callers come back over
+    // that many times the shortest spread, they come at about the rate that can be served.
+    const double excess = 1 / (1 - std::min(known.refusedShare, LARGEST_REFUSED_SHARE));
+    const auto shortest = static_cast<double>(m_options.retryAfter.count());
+    const auto longest = static_cast<double>(m_options.longestRetryAfter.count());
+    const double mean = std::min(shortest * excess, longest);
+    return Duration(static_cast<Duration::rep>(mean * (0.5 + random.unit())));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/retries/internal/retrypolicy.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "coordination/retries/internal/latencywindow.h"
+#include "coordination/retries/iretrypolicy.h"
+#include "coordination/retries/retrypolicyfactory.h"
+
+namespace ivyspar {
+
+class RetryPolicy : public IRetryPolicy
+{
+public:
+    explicit RetryPolicy(const RetryOptions &options);
+
+    bool shouldRetry(TimePoint now, const RetryQuestion &question) override;
+    void onSuccess(TimePoint now, const ServiceName &service, Duration latency) override;
+    Duration hedgeDelay(TimePoint now, const RuleSpec &rule) override;
+    bool takeHedge(TimePoint now, const ServiceName &service) override;
+    Duration retryAfter(TimePoint now, const ServiceName &service, IRandom &random) override;
+
+private:
+    struct Service
+    {
+        explicit Service(const RetryOptions &options);
+
+        double retries = 0;
+        double hedges = 0;
+        /// Recent share of calls that were refused.
+        double refusedShare = 0;
+        LatencyWindow latencies;
+    };
+
+    Service &serviceOf(const ServiceName &name);
+    bool isWorthwhile(const RetryQuestion &question) const;
+
+    RetryOptions m_options;
+    std::unordered_map<ServiceName, Service> m_services;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/retries/retrypolicyfactory.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "coordination/retries/iretrypolicy.h"
+
+namespace ivyspar {
+
+/// Settings of a retry policy. Each policy can be switched off to measure what it is worth.
+struct RetryOptions
+{
+    /// Off: no retry at all.
+    bool hasRetries = true;
+    /// Off: retries are not bounded by the share below.
+    bool hasRetryTokens = true;
+    /// Off: each hop retries, whoever failed.
+    bool isNextHopOnly = true;
+    bool hasHedging = true;
+
+    /// Attempts of one call at this hop, the first included.
+    std::uint32_t attempts = 3;
+    /// Retries per success.
+    double retryShare = 0.1;
+    /// Retries that a service has saved up at first, and at most.
+    double initialRetries = 3;
+    double mostRetries = 10;
+
+    /// Hedges per success, and how many may be saved up.
+    double hedgeShare = 0.05;
+    double mostHedges = 5;
+    double hedgeQuantile = 0.95;
+    /// Latencies needed before the quantile is believed.
+    std::uint32_t hedgeSamples = 50;
+    Duration shortestHedgeDelay = std::chrono::milliseconds(1);
+    /// No hedges while a larger share of the service's calls is refused.
+    double hedgeRefusals = 0.02;
+    /// Latencies are remembered for one to two windows.
+    Duration window = std::chrono::seconds(5);
+
+    /// Refused callers are spread around this time (by half of it) when few are refused …
+    Duration retryAfter = std::chrono::milliseconds(200);
+    /// … and around this time at most, however many are.
+    Duration longestRetryAfter = std::chrono::seconds(5);
+};
+
+std::unique_ptr<IRetryPolicy> makeRetryPolicy(const RetryOptions &options);
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/routing/internal/router.cpp
@@ -0,0 +1,256 @@
+#include "coordination/routing/internal/router.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+/// Weight of one answer in the latency of a service.
+constexpr double LATENCY_WEIGHT = 0.02;
+} // namespace
+
+std::unique_ptr<IRouter> makeRouter(const RouterOptions &options)
+{
+    return std::make_unique<Router>(options);
+}
+
+Router::Router(const RouterOptions &options)
+    : m_options(options)
+{
+}
+
+void Router::setMembers(TimePoint now, const std::vector<Member> &members)
+{
+    std::set<std::pair<ServiceName, DaemonId>> present;
+    std::set<ServiceName> known;
+    for (const auto &[name, service] : m_services) {
+        known.insert(name);
+    }
+    for (const Member &member : members) {
+        for (const UpstreamInfo &upstream : member.upstreams) {
+            present.insert({ upstream.service, member.id });
+            addServer(now, member, upstream, known.count(upstream.service) == 0);
+        }
+    }
+    for (auto service = m_services.begin(); service != m_services.end();) {
+        auto &servers = service->second.servers;
+        for (auto i = servers.begin(); i != servers.end();) {
+            i = present.count({ service->first, i->first }) > 0 ? std::next(i) : servers.erase(i);
+        }
+        indexServers(service->second);
+        service = servers.empty() ? m_services.erase(service) : std::next(service);
+    }
+}
+
+void Router::addServer(TimePoint now, const Member &member, const UpstreamInfo &upstream,
+                       bool isServiceNew)
+{
+    auto &servers = m_services[upstream.service].servers;
+    const auto found = servers.find(member.id);
+    if (found != servers.end() && !found->second.update(member, upstream)) {
+        return;
+    }
+    // The servers found together with their service were there before this entry learned of them.
+    const TimePoint warmSince = isServiceNew ? now - m_options.slowStart : now;
+    servers.insert_or_assign(member.id, Server(member, upstream, warmSince));
+}
+
+void Router::indexServers(Service &service) const
+{
+    service.own.clear();
+    service.foreign.clear();
+    for (auto &[daemon, server] : service.servers) {
+        const bool isOwn = !m_options.isOwnDomainFirst || server.domain() == m_options.domain;
+        (isOwn ? service.own : service.foreign).push_back(&server);
+    }
+}
+
+Server *Router::find(const ServiceName &service, const DaemonId &daemon)
+{
+    const auto table = m_services.find(service);
+    if (table == m_services.end()) {
+        return nullptr;
+    }
+    const auto server = table->second.servers.find(daemon);
+    return server == table->second.servers.end() ? nullptr : &server->second;
+}
+
+RouteChoice Router::choose(TimePoint now, const RouteRequest &request, IRandom &random)
+{
+    RouteChoice choice;
+    const auto found = m_services.find(request.service);
+    if (found == m_services.end()) {
+        choice.reason = Reason::NoServer;
+        return choice;
+    }
+    const Query query{ now, request, found->second, random };
+    pick(query, &Router::isUsable, choice);
+    if (choice.daemon.value().empty()) {
+        // Servers taken out for their errors are better than no server: otherwise a fault seen on
+        // all of them would end the service until the last ejection is over.
+        pick(query, &Router::isLastResort, choice);
+    }
+    return choice.daemon.value().empty() ? refusal(query) : choice;
+}
+
+void Router::pick(const Query &query, Filter filter, RouteChoice &choice) const
+{
+    const double typical = query.service.latency;
+    const Server *own = better(query, query.service.own, filter, choice);
+    if (own != nullptr && !own->isSaturated(query.now, typical, m_options)) {
+        choice.daemon = own->daemon();
+        choice.why = choice.candidates.size() > 1 ? "less-loaded" : "only-one";
+        return;
+    }
+    const Server *foreign = better(query, query.service.foreign, filter, choice);
+    if (own == nullptr && foreign == nullptr) {
+        return;
+    }
+    const bool isSpilled = own == nullptr
+        || (foreign != nullptr
+            && foreign->score(query.now, typical, m_options)
+                < own->score(query.now, typical, m_options));
+    choice.daemon = isSpilled ? foreign->daemon() : own->daemon();
+    choice.why = isSpilled ? "spill" : "least-bad";
+}
+
+/// The better of two servers, or nullptr when none passes the filter.
+const Server *Router::better(const Query &query, const std::vector<Server *> &servers,
+                             Filter filter, RouteChoice &choice) const
+{
+    const double typical = query.service.latency;
+    const Server *first = next(query, servers, filter, nullptr);
+    if (first == nullptr) {
+        return nullptr;
+    }
+    const double firstScore = first->score(query.now, typical, m_options);
+    choice.candidates.push_back({ first->daemon(), firstScore });
+    const Server *second = m_options.hasTwoChoices ? next(query, servers, filter, first) : nullptr;
+    if (second == nullptr) {
+        return first;
+    }
+    const double secondScore = second->score(query.now, typical, m_options);
+    choice.candidates.push_back({ second->daemon(), secondScore });
+    return secondScore < firstScore ? second : first;
+}
+
+/// From a random place on, the first server that passes the filter and is not `other`.
+const Server *Router::next(const Query &query, const std::vector<Server *> &servers, Filter filter,
+                           const Server *other) const
+{
+    if (servers.empty()) {
+        return nullptr;
+    }
+    const std::size_t start = query.random.below(servers.size());
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const Server *server = servers[(start + i) % servers.size()];
+        if (server != other && (this->*filter)(query, *server)) {
+            return server;
+        }
+    }
+    return nullptr;
+}
+
+bool Router::isExcluded(const Query &query, const Server &server) const
+{
+    const auto &excluded = query.request.excluded;
+    return std::find(excluded.begin(), excluded.end(), server.daemon()) != excluded.end();
+}
+
+bool Router::isUsable(const Query &query, const Server &server) const
+{
+    return isLastResort(query, server) && !server.isEjected(query.now)
+        && server.hasRoomOnProbation();
+}
+
+bool Router::isLastResort(const Query &query, const Server &server) const
+{
+    return !server.isDraining() && !isExcluded(query, server)
+        && server.floor(query.now, m_options) <= query.request.rank;
+}
+
+RouteChoice Router::refusal(const Query &query) const
+{
+    RouteChoice choice;
+    choice.reason = Reason::NoServer;
+    for (const auto &[daemon, server] : query.service.servers) {
+        if (server.isDraining()) {
+            choice.reason = Reason::Draining;
+        }
+        if (!server.isDraining() && server.floor(query.now, m_options) > query.request.rank) {
+            choice.reason = Reason::BelowFloor;
+            break;
+        }
+    }
+    const double spread = 1 + query.random.unit();
+    choice.retryAfter = std::chrono::duration_cast<Duration>(m_options.retryAfter * spread);
+    return choice;
+}
+
+void Router::onSent(TimePoint /*now*/, const ServiceName &service, const DaemonId &daemon)
+{
+    if (Server *server = find(service, daemon)) {
+        server->onSent();
+    }
+}
+
+void Router::onEnd(TimePoint now, const ServiceName &service, const DaemonId &daemon,
+                   RouteFeedback feedback, Duration latency)
+{
+    Server *server = find(service, daemon);
+    if (server == nullptr) {
+        return;
+    }
+    server->onEnd(now, feedback, latency, m_options);
+    Service &table = m_services.at(service);
+    if (feedback == RouteFeedback::Answered) {
+        const auto time = static_cast<double>(latency.count());
+        const double mean = table.latency;
+        table.latency = mean <= 0 ? time : mean + LATENCY_WEIGHT * (time - mean);
+    }
+    if (m_options.hasErrorPenalty && server->isBroken(m_options) && mayEject(now, table)) {
+        server->eject(now, m_options);
+    }
+}
+
+bool Router::mayEject(TimePoint now, const Service &service) const
+{
+    std::size_t out = 1;
+    for (const auto &[daemon, server] : service.servers) {
+        out += server.isEjected(now) ? 1 : 0;
+    }
+    return static_cast<double>(out)
+        <= m_options.ejectedShare * static_cast<double>(service.servers.size());
+}
+
+void Router::onLoad(TimePoint now, const ServiceName &service, const DaemonId &daemon,
+                    const LoadReport &load)
+{
+    if (Server *server = find(service, daemon)) {
+        server->onLoad(now, load);
+    }
+}
+
+Rank Router::floor(TimePoint now, const ServiceName &service) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return Rank();
+    }
+    // A call that one of the servers would take must not be refused: the lowest floor counts.
+    bool isAny = false;
+    Rank lowest;
+    for (const auto &[daemon, server] : found->second.servers) {
+        if (server.isDraining() || server.isEjected(now)) {
+            continue;
+        }
+        const Rank floor = server.floor(now, m_options);
+        lowest = isAny ? std::min(lowest, floor) : floor;
+        isAny = true;
+    }
+    return lowest;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/routing/internal/router.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/routing/internal/server.h"
+#include "coordination/routing/irouter.h"
+#include "coordination/routing/routerfactory.h"
+
+namespace ivyspar {
+
+class Router : public IRouter
+{
+public:
+    explicit Router(const RouterOptions &options);
+
+    void setMembers(TimePoint now, const std::vector<Member> &members) override;
+    RouteChoice choose(TimePoint now, const RouteRequest &request, IRandom &random) override;
+    void onSent(TimePoint now, const ServiceName &service, const DaemonId &daemon) override;
+    void onEnd(TimePoint now, const ServiceName &service, const DaemonId &daemon,
+               RouteFeedback feedback, Duration latency) override;
+    void onLoad(TimePoint now, const ServiceName &service, const DaemonId &daemon,
+                const LoadReport &load) override;
+    Rank floor(TimePoint now, const ServiceName &service) const override;
+
+private:
+    struct Service
+    {
+        std::unordered_map<DaemonId, Server> servers;
+        /// Point into `servers`.
+        std::vector<Server *> own;
+        std::vector<Server *> foreign;
+        /// Mean latency of all answers, in µs.
+        double latency = 0;
+    };
+    /// What a choice is made for.
+    struct Query
+    {
+        TimePoint now;
+        const RouteRequest &request;
+        const Service &service;
+        IRandom &random;
+    };
+    using Filter = bool (Router::*)(const Query &, const Server &) const;
+
+    void addServer(TimePoint now, const Member &member, const UpstreamInfo &upstream,
+                   bool isServiceNew);
+    void indexServers(Service &service) const;
+    Server *find(const ServiceName &service, const DaemonId &daemon);
+    bool mayEject(TimePoint now, const Service &service) const;
+
+    bool isExcluded(const Query &query, const Server &server) const;
+    bool isUsable(const Query &query, const Server &server) const;
+    bool isLastResort(const Query &query, const Server &server) const;
+    const Server *next(const Query &query, const std::vector<Server *> &servers, Filter filter,
+                       const Server *other) const;
+    const Server *better(const Query &query, const std::vector<Server *> &servers, Filter filter,
+                         RouteChoice &choice) const;
+    void pick(const Query &query, Filter filter, RouteChoice &choice) const;
+    RouteChoice refusal(const Query &query) const;
+
+    RouterOptions m_options;
+    std::unordered_map<ServiceName, Service> m_services;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/routing/internal/server.cpp
@@ -0,0 +1,197 @@
+#include "coordination/routing/internal/server.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr double LATENCY_WEIGHT = 0.1;
+constexpr double ERROR_WEIGHT = 0.1;
+/// How much worse a server looks if all its calls fail.
+constexpr double ERROR_PENALTY = 20;
+constexpr double SMALLEST_LATENCY_RATIO = 0.5;
+constexpr double LARGEST_LATENCY_RATIO = 20;
+/// A report of more load than this multiple of the limit is not believed.
+constexpr double LARGEST_UTILIZATION = 4;
+constexpr std::uint32_t UNREACHABLE_STRIKES = 2;
+
+/// Falls from 1 to 0 while `age` goes from 0 to `life`.
+double remainder(Duration age, Duration life)
+{
+    return std::clamp(1 - static_cast<double>(age.count()) / static_cast<double>(life.count()), 0.0,
+                      1.0);
+}
+
+std::uint32_t strikesOf(RouteFeedback feedback)
+{
+    switch (feedback) {
+    case RouteFeedback::Unreachable:
+        return UNREACHABLE_STRIKES;
+    case RouteFeedback::UpstreamError:
+    case RouteFeedback::TimedOut:
+        return 1;
+    default:
+        return 0;
+    }
+}
+
+/// How bad an end is for the share of errors. A refusal is not the server's fault, but one that
+/// refuses while its reports show room must not stay attractive.
+double errorOf(RouteFeedback feedback)
+{
+    return feedback == RouteFeedback::Refused ? 0.5 : (strikesOf(feedback) > 0 ? 1.0 : 0.0);
+}
+
+} // namespace
+
+Server::Server(const Member &member, const UpstreamInfo &upstream, TimePoint warmSince)
+    : m_daemon(member.id)
+    , m_incarnation(member.incarnation)
+    , m_warmSince(warmSince)
+{
+    update(member, upstream);
+}
+
+bool Server::update(const Member &member, const UpstreamInfo &upstream)
+{
+    const bool isRestarted = m_incarnation < member.incarnation;
+    const bool isNewer = isRestarted || m_counter < member.counter;
+    m_incarnation = member.incarnation;
+    m_domain = member.domain;
+    m_slots = std::max(1U, std::min(upstream.slots, upstream.connections));
+    m_isLeaving = member.leaving || upstream.draining;
+    // Answers tell of draining before the member record does. A record that was written later
+    // takes it back; otherwise a restarted upstream would never be asked again.
+    if (isNewer) {
+        m_isDraining = false;
+        m_counter = member.counter;
+    }
+    return isRestarted;
+}
+
+bool Server::isBroken(const RouterOptions &options) const
+{
+    return m_strikes >= (isOnProbation() ? 1 : options.ejectAfter);
+}
+
+void Server::onEnd(TimePoint now, RouteFeedback feedback, Duration latency,
+                   const RouterOptions &options)
+{
+    if (m_outstanding > 0) {
+        --m_outstanding;
+    }
+    if (feedback == RouteFeedback::Cancelled) {
+        return;
+    }
+    if (feedback == RouteFeedback::Draining) {
+        m_isDraining = true;
+        return;
+    }
+    m_errorShare = errorShare(now, options);
+    m_errorShare += ERROR_WEIGHT * (errorOf(feedback) - m_errorShare);
+    m_strikes += strikesOf(feedback);
+    m_endedAt = now;
+    if (feedback == RouteFeedback::Answered) {
+        m_strikes = 0;
+        m_ejections = 0;
+    }
+    // Errors and refusals may be fast: only work done, or given up, tells how slow the server is.
+    if (feedback == RouteFeedback::Answered || feedback == RouteFeedback::TimedOut) {
+        const auto time = static_cast<double>(latency.count());
+        m_latency = m_latency <= 0 ? time : m_latency + LATENCY_WEIGHT * (time - m_latency);
+    }
+}
+
+void Server::onLoad(TimePoint now, const LoadReport &load)
+{
+    m_hasReport = true;
+    m_report = load;
+    m_reportedAt = now;
+    m_outstandingAtReport = m_outstanding;
+    m_isDraining = load.draining;
+}
+
+void Server::eject(TimePoint now, const RouterOptions &options)
+{
+    const Duration wanted = options.ejection * (1U << std::min(m_ejections, 10U));
+    m_ejectedUntil = now + std::min(wanted, options.longestEjection);
+    ++m_ejections;
+    m_strikes = 0;
+}
+
+double Server::reportWeight(TimePoint now, const RouterOptions &options) const
+{
+    return m_hasReport ? remainder(now - m_reportedAt, options.reportLife) : 0;
+}
+
+double Server::freshness(TimePoint now, const RouterOptions &options) const
+{
+    return remainder(now - m_endedAt, options.memory);
+}
+
+double Server::capacity(TimePoint now, const RouterOptions &options) const
+{
+    double limit = m_slots;
+    if (m_hasReport && m_report.limit > 0) {
+        limit = std::min<double>(m_slots, m_report.limit);
+    }
+    if (!options.hasSlowStart) {
+        return limit;
+    }
+    const double cold = remainder(now - m_warmSince, options.slowStart);
+    return std::max(1.0, limit * (1 - cold * (1 - options.coldShare)));
+}
+
+double Server::utilization(TimePoint now, const RouterOptions &options) const
+{
+    const double reported = m_report.inFlight + m_report.queued;
+    if (!options.trustsOwnView) {
+        return reported / capacity(now, options);
+    }
+    // What others sent there is known from reports only; the own calls are known exactly.
+    const double others = std::max(0.0, reported - m_outstandingAtReport);
+    const double calls = m_outstanding + reportWeight(now, options) * others;
+    return std::min(calls / capacity(now, options), LARGEST_UTILIZATION);
+}
+
+double Server::latencyRatio(TimePoint now, double typical, const RouterOptions &options) const
+{
+    if (!options.trustsOwnView || m_latency <= 0 || typical <= 0) {
+        return 1;
+    }
+    const double ratio = 1 + (m_latency / typical - 1) * freshness(now, options);
+    return std::clamp(ratio, SMALLEST_LATENCY_RATIO, LARGEST_LATENCY_RATIO);
+}
+
+double Server::errorShare(TimePoint now, const RouterOptions &options) const
+{
+    return options.hasErrorPenalty ? m_errorShare * freshness(now, options) : 0;
+}
+
+double Server::score(TimePoint now, double typical, const RouterOptions &options) const
+{
+    const double load = utilization(now, options) + 1 / capacity(now, options);
+    return load * latencyRatio(now, typical, options)
+        * (1 + ERROR_PENALTY * errorShare(now, options));
+}
+
+bool Server::isSaturated(TimePoint now, double typical, const RouterOptions &options) const
+{
+    return utilization(now, options) >= options.spillLevel
+        || latencyRatio(now, typical, options) > options.spillLatency
+        || errorShare(now, options) > options.spillErrors;
+}
+
+Rank Server::floor(TimePoint now, const RouterOptions &options) const
+{
+    if (!m_hasReport || !options.hasFloor) {
+        return Rank();
+    }
+    const Duration old = std::max(Duration(0), now - m_reportedAt - options.floorHold);
+    const double level = m_report.floor.value() * remainder(old, options.floorDecay);
+    return Rank(static_cast<std::uint32_t>(level));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/routing/internal/server.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+
+#include "coordination/routing/irouter.h"
+#include "coordination/routing/routerfactory.h"
+
+namespace ivyspar {
+
+/// What an entry knows of one server: its reports, and what its own calls there went through.
+class Server
+{
+public:
+    Server(const Member &member, const UpstreamInfo &upstream, TimePoint warmSince);
+
+    /// A newer record of the same server. True if the daemon restarted.
+    bool update(const Member &member, const UpstreamInfo &upstream);
+
+    const DaemonId &daemon() const { return m_daemon; }
+    const DomainName &domain() const { return m_domain; }
+    std::uint32_t outstanding() const { return m_outstanding; }
+    bool isDraining() const { return m_isLeaving || m_isDraining; }
+    bool isEjected(TimePoint now) const { return now < m_ejectedUntil; }
+    /// Was ejected and has not answered since.
+    bool isOnProbation() const { return m_ejections > 0; }
+    bool hasRoomOnProbation() const { return !isOnProbation() || m_outstanding == 0; }
+    bool isBroken(const RouterOptions &options) const;
+
+    void onSent() { ++m_outstanding; }
+    void onEnd(TimePoint now, RouteFeedback feedback, Duration latency,
+               const RouterOptions &options);
+    void onLoad(TimePoint now, const LoadReport &load);
+    void eject(TimePoint now, const RouterOptions &options);
+
+    /// Calls there, over what it can take; 1 is full.
+    double utilization(TimePoint now, const RouterOptions &options) const;
+    /// Latency over that of the whole service, `typical` in µs; 1 if unknown.
+    double latencyRatio(TimePoint now, double typical, const RouterOptions &options) const;
+    /// Recent share of errors.
+    double errorShare(TimePoint now, const RouterOptions &options) const;
+    /// What a further call there costs, lower is better.
+    double score(TimePoint now, double typical, const RouterOptions &options) const;
+    bool isSaturated(TimePoint now, double typical, const RouterOptions &options) const;
+    /// The last reported floor, lowered with its age.
+    Rank floor(TimePoint now, const RouterOptions &options) const;
+
+private:
+    double capacity(TimePoint now, const RouterOptions &options) const;
+    double reportWeight(TimePoint now, const RouterOptions &options) const;
+    double freshness(TimePoint now, const RouterOptions &options) const;
+
+    DaemonId m_daemon;
+    DomainName m_domain;
+    Incarnation m_incarnation;
+    std::uint64_t m_counter = 0;
+    std::uint32_t m_slots = 0;
+    /// As its member record says.
+    bool m_isLeaving = false;
+    /// As its answers say.
+    bool m_isDraining = false;
+    TimePoint m_warmSince;
+
+    std::uint32_t m_outstanding = 0;
+    bool m_hasReport = false;
+    LoadReport m_report;
+    TimePoint m_reportedAt;
+    /// Own calls that the report includes.
+    std::uint32_t m_outstandingAtReport = 0;
+
+    /// Mean latency of answers, in µs; 0 while unknown.
+    double m_latency = 0;
+    double m_errorShare = 0;
+    TimePoint m_endedAt;
+    std::uint32_t m_strikes = 0;
+    std::uint32_t m_ejections = 0;
+    TimePoint m_ejectedUntil;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/routing/routerfactory.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "coordination/routing/irouter.h"
+
+namespace ivyspar {
+
+/// Settings of a router. Each policy can be switched off to measure what it is worth.
+struct RouterOptions
+{
+    /// The failure domain of this host.
+    DomainName domain;
+
+    /// Off: one random server instead of the better of two.
+    bool hasTwoChoices = true;
+    /// Off: servers of all failure domains are equal.
+    bool isOwnDomainFirst = true;
+    /// Off: a server that newly appears gets its full share at once.
+    bool hasSlowStart = true;
+    /// Off: errors neither make a server less attractive nor take it out.
+    bool hasErrorPenalty = true;
+    /// Off: latency and the entry's own calls do not count, only load reports.
+    bool trustsOwnView = true;
+    /// Off: no call is refused early.
+    bool hasFloor = true;
+
+    /// A server of the own failure domain that is busier than this share spills.
+    double spillLevel = 0.9;
+    /// As `spillLevel`, for its latency as a multiple of the service's.
+    double spillLatency = 2.5;
+    /// As `spillLevel`, for its share of errors.
+    double spillErrors = 0.3;
+
+    /// A load report counts less with age and no longer after this time.
+    Duration reportLife = std::chrono::seconds(1);
+    /// A floor is believed for this time …
+    Duration floorHold = std::chrono::milliseconds(500);
+    /// … and then falls to 0 within this time.
+    Duration floorDecay = std::chrono::seconds(1);
+    /// Without answers a server's latency and errors are forgotten in this time.
+    Duration memory = std::chrono::seconds(5);
+
+    Duration slowStart = std::chrono::seconds(5);
+    /// Share of its capacity that a cold server counts with at first.
+    double coldShare = 0.1;
+
+    /// Errors in a row that take a server out.
+    std::uint32_t ejectAfter = 5;
+    Duration ejection = std::chrono::seconds(1);
+    Duration longestEjection = std::chrono::seconds(16);
+    /// At most this share of a service's servers is out.
+    double ejectedShare = 0.5;
+
+    /// Refused callers are spread over [shortest, 2 × shortest).
+    Duration retryAfter = std::chrono::milliseconds(200);
+};
+
+std::unique_ptr<IRouter> makeRouter(const RouterOptions &options);
+
+} // namespace ivyspar
