--- a/src/coordination/admission/gatefactory.h
+++ b/src/coordination/admission/gatefactory.h
@@ -11,6 +11,7 @@
     Fixed, ///< The announced capacity itself.
     Aimd,
     Gradient,
+    Probing, ///< Lowered where this costs no throughput.
 };
 
 enum class QueueOrder {
@@ -26,7 +27,7 @@
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
 
-    LimitKind limit = LimitKind::Aimd;
+    LimitKind limit = LimitKind::Probing;
     /// Share of the announced capacity that a cold gate starts with.
     double initialShare = 0.5;
     /// The limit never falls below this share of the announced capacity.
@@ -34,7 +35,7 @@
 
     QueueOrder order = QueueOrder::Rank;
     /// Longest expected wait, as a multiple of the service time.
-    double queueWait = 0.5;
+    double queueWait = 1.0;
     /// Calls that may wait however small the limit is.
     std::uint32_t minimalQueue = 4;
     /// No bound on the queue: the plain queue that overload control replaces.
@@ -50,10 +51,10 @@
     /// Shortest time between two changes of the floor.
     Duration floorWindow = std::chrono::milliseconds(50);
     /// The floor opens fully after this many windows without a refusal for want of capacity.
-    std::uint32_t floorQuietWindows = 8;
+    std::uint32_t floorQuietWindows = 5;
 
     /// For how long a call that timed out keeps its slot, as a multiple of the service time.
-    double timedOutHold = 1.0;
+    double timedOutHold = 0.25;
     /// As `timedOutHold`, for a call that was cancelled after its start.
     double cancelledHold = 0.25;
     /// Upper bound of both.
--- a/src/coordination/admission/internal/floorcontrol.cpp
+++ b/src/coordination/admission/internal/floorcontrol.cpp
@@ -15,7 +15,7 @@
 /// A bucket with fewer arrivals per window is forgotten.
 constexpr double FORGOTTEN_RATE = 0.01;
 /// The floor opens by this share of the volume in the first quiet window, twice that in the next.
-constexpr double OPENING = 0.05;
+constexpr double OPENING = 0.1;
 } // namespace
 
 FloorControl::FloorControl(const FloorOptions &options)
@@ -41,11 +41,9 @@
     return 1.0 - hidden / BUCKET_WIDTH;
 }
 
-void FloorControl::advance(TimePoint now, Duration serviceTime)
+void FloorControl::advance(TimePoint now)
 {
-    // A window shorter than the service time would see bursts of starts and take the gaps between
-    // them for a lack of capacity.
-    const Duration length = std::max(m_options.window, serviceTime);
+    const Duration length = m_options.window;
     if (!m_isRunning) {
         m_isRunning = true;
         m_windowEnd = now + length;
@@ -68,22 +66,47 @@
 {
     updateRates();
     m_startRate += RATE_WEIGHT * (m_started - m_startRate);
-    const double allowed = m_options.margin * m_started;
-    if (m_excess > allowed) {
+    const double margin = this->margin();
+    const bool isExcess = m_excess > margin * m_started;
+    if (isExcess && !m_wasIdle) {
         m_quiet = 0;
-        const double volume = std::max(m_startRate, 1.0) * (1 + m_options.margin);
+        const double volume = std::max(m_startRate, 1.0) * (1 + margin);
         m_floor = std::max(m_floor, floorForVolume(volume));
-    } else if (m_floor.value() > 0 && m_excess <= allowed / 2) {
-        const double opening = OPENING * std::exp2(m_quiet);
-        ++m_quiet;
-        const double volume = std::max(volumeAboveFloor(), 1.0) * (1 + opening);
-        const bool isOpen = m_quiet >= m_options.quietWindows;
-        m_floor = isOpen ? Rank() : std::min(m_floor, floorForVolume(volume));
+    } else if (!isExcess && m_wasIdle) {
+        open();
     }
+    // Otherwise a queue stands but nearly nothing is refused: all capacity is used, the floor is
+    // right. Opening it here would let it swing between too much and too little.
+    m_wasIdle = m_isIdle;
     m_started = 0;
     m_excess = 0;
 }
 
+// The number of arrivals in a window varies by about its root. With a smaller margin a gate with
+// few slots would stand idle in every other window.
+double FloorControl::margin() const
+{
+    return std::max(m_options.margin, 1 / std::sqrt(std::max(m_startRate, 1.0)));
+}
+
+void FloorControl::open()
+{
+    if (m_floor.value() == 0) {
+        return;
+    }
+    const double opening = OPENING * std::exp2(m_quiet);
+    ++m_quiet;
+    const double volume = std::max(volumeAboveFloor(), 1.0) * (1 + opening);
+    const bool isOpen = m_quiet >= m_options.quietWindows;
+    m_floor = isOpen ? Rank() : std::min(m_floor, floorForVolume(volume));
+}
+
+void FloorControl::setIdle(bool isIdle)
+{
+    m_isIdle = isIdle;
+    m_wasIdle = m_wasIdle || isIdle;
+}
+
 void FloorControl::updateRates()
 {
     for (auto i = m_buckets.begin(); i != m_buckets.end();) {
--- a/src/coordination/admission/internal/floorcontrol.h
+++ b/src/coordination/admission/internal/floorcontrol.h
@@ -28,8 +28,10 @@
     /// A call was refused for want of capacity.
     void onExcess() { ++m_excess; }
 
-    /// Ends the window if it is over. A window lasts at least `serviceTime`.
-    void advance(TimePoint now, Duration serviceTime);
+    /// Whether a slot is free and nothing waits.
+    void setIdle(bool isIdle);
+    /// Ends the window if it is over.
+    void advance(TimePoint now);
     /// When `advance` may change the floor next; `TimePoint::max()` if it is 0 and nothing came.
     TimePoint nextChange() const;
     Rank floor() const { return m_floor; }
@@ -45,6 +47,8 @@
 
     double visibleShare(std::uint32_t bucket) const;
     void endWindow();
+    double margin() const;
+    void open();
     void updateRates();
     double volumeAboveFloor() const;
     Rank floorForVolume(double volume) const;
@@ -58,6 +62,9 @@
     std::uint32_t m_started = 0;
     std::uint32_t m_excess = 0;
     double m_startRate = 0;
+    bool m_isIdle = true;
+    bool m_wasIdle = true;
+    /// Steps of opening since the last excess.
     std::uint32_t m_quiet = 0;
 };
 
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -6,6 +6,7 @@
 #include "coordination/admission/internal/aimdlimit.h"
 #include "coordination/admission/internal/fixedlimit.h"
 #include "coordination/admission/internal/gradientlimit.h"
+#include "coordination/admission/internal/probinglimit.h"
 
 namespace ivyspar {
 
@@ -21,6 +22,8 @@
         return std::make_unique<AimdLimit>(options.initialShare, options.minimalShare);
     case LimitKind::Gradient:
         return std::make_unique<GradientLimit>(options.initialShare, options.minimalShare);
+    case LimitKind::Probing:
+        return std::make_unique<ProbingLimit>(options.initialShare, options.minimalShare);
     case LimitKind::Fixed:
         break;
     }
@@ -149,7 +152,7 @@
     }
     dropDoomed(now, actions);
     if (m_options.hasFloor) {
-        m_floor.advance(now, Duration(std::llround(m_serviceTime)));
+        m_floor.advance(now);
     }
 }
 
@@ -176,6 +179,7 @@
     while (!m_queue.isEmpty() && hasFreeSlot()) {
         start(m_queue.popFirst().id, actions);
     }
+    m_floor.setIdle(m_queue.isEmpty() && hasFreeSlot());
 }
 
 void Gate::start(CallId id, GateActions &actions)
--- /dev/null
+++ b/src/coordination/admission/internal/probinglimit.cpp
@@ -0,0 +1,165 @@
+#include "coordination/admission/internal/probinglimit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+/// Calls in an epoch: at least this number, and this number of rounds.
+constexpr std::uint32_t EPOCH_CALLS = 100;
+constexpr double EPOCH_ROUNDS = 2;
+constexpr double LOWER = 0.8;
+constexpr double HIGHER = 1.25;
+/// A lower limit is kept if at least this share of the throughput is left …
+constexpr double KEPT_THROUGHPUT = 0.97;
+/// … and a higher one if the throughput grows by this factor.
+constexpr double GAINED_THROUGHPUT = 1.05;
+/// Service times beyond this multiple of the fastest are long.
+constexpr double SLOW = 1.5;
+constexpr double FORGETTING = 1.005;
+constexpr double RECENT_WEIGHT = 0.1;
+constexpr double SATURATED_SHARE = 0.8;
+constexpr double USED_SHARE = 0.5;
+constexpr double OVERLOADED_DECREASE = 0.9;
+/// Growth per round of calls, as a share of the limit, once the gate is warm.
+constexpr double INCREASE = 0.05;
+constexpr std::uint32_t LONGEST_PAUSE = 32;
+} // namespace
+
+ProbingLimit::ProbingLimit(double initialShare, double minimalShare)
+    : m_range(initialShare, minimalShare)
+{
+}
+
+void ProbingLimit::onSample(TimePoint now, const LimitSample &sample)
+{
+    if (sample.result == CallResult::Overloaded) {
+        onOverloaded(now, sample);
+        return;
+    }
+    const bool isSuccess = sample.result == CallResult::Success;
+    if (!isSuccess && sample.result != CallResult::TimedOut) {
+        return;
+    }
+    const auto time = static_cast<double>(sample.serviceTime.count());
+    m_recent = m_recent <= 0 ? time : m_recent + RECENT_WEIGHT * (time - m_recent);
+    if (isSuccess && m_phase == Phase::Steady) {
+        grow(sample);
+    }
+    if (m_settling > 0) {
+        --m_settling;
+        m_epoch = Epoch();
+        m_epoch.start = now;
+        return;
+    }
+    ++m_epoch.ended;
+    m_epoch.succeeded += isSuccess ? 1 : 0;
+    m_epoch.serviceTime += time;
+    m_epoch.inFlight += sample.inFlight;
+    if (m_epoch.ended >= std::max<double>(EPOCH_CALLS, EPOCH_ROUNDS * m_range.value())) {
+        endEpoch(now);
+    }
+}
+
+void ProbingLimit::onOverloaded(TimePoint now, const LimitSample &sample)
+{
+    m_isCold = false;
+    // Refusals of one moment tell of one overload: without this pause they would take the limit
+    // to its lowest value at once.
+    if (now < m_nextDecrease) {
+        return;
+    }
+    const Duration round(std::llround(m_recent));
+    m_nextDecrease = now + std::max(round, sample.serviceTime);
+    m_phase = Phase::Steady;
+    changeTo(m_range.value() * OVERLOADED_DECREASE);
+}
+
+bool ProbingLimit::isSlow() const
+{
+    return m_fastest > 0 && m_recent > SLOW * m_fastest;
+}
+
+void ProbingLimit::grow(const LimitSample &sample)
+{
+    if (isSlow() || sample.inFlight < USED_SHARE * m_range.value()) {
+        return;
+    }
+    // A cold gate doubles in each round of calls until the first sign of overload.
+    m_range.set(m_range.value() + (m_isCold ? 1.0 : INCREASE));
+}
+
+void ProbingLimit::endEpoch(TimePoint now)
+{
+    const auto length =
+        static_cast<double>(std::max<Duration::rep>(1, (now - m_epoch.start).count()));
+    const double throughput = m_epoch.succeeded / length;
+    const double mean = m_epoch.serviceTime / m_epoch.ended;
+    const bool isSaturated = m_epoch.inFlight >= SATURATED_SHARE * m_range.value() * m_epoch.ended;
+    m_fastest = m_fastest <= 0 ? mean : std::min(m_fastest * FORGETTING, mean);
+    m_epoch = Epoch();
+    m_epoch.start = now;
+    if (m_phase != Phase::Steady) {
+        judge(throughput);
+        return;
+    }
+    // An epoch in which calls became slow is a mixture and gives no throughput to compare with.
+    const bool wasSlow = std::exchange(m_wasSlow, isSlow());
+    if (!isSaturated || !wasSlow || !isSlow()) {
+        return;
+    }
+    m_isCold = false;
+    if (m_pause > 0) {
+        --m_pause;
+        return;
+    }
+    tryNext(throughput);
+}
+
+void ProbingLimit::tryNext(double throughput)
+{
+    m_throughputBefore = throughput;
+    m_limitBefore = m_range.value();
+    m_phase = m_isHigherNext ? Phase::Higher : Phase::Lower;
+    changeTo(m_limitBefore * (m_isHigherNext ? HIGHER : LOWER));
+    if (m_range.value() == m_limitBefore) {
+        m_phase = Phase::Steady;
+        m_isHigherNext = !m_isHigherNext;
+    }
+}
+
+void ProbingLimit::judge(double throughput)
+{
+    const double needed = m_phase == Phase::Lower ? KEPT_THROUGHPUT : GAINED_THROUGHPUT;
+    const bool isKept = throughput >= needed * m_throughputBefore;
+    m_phase = Phase::Steady;
+    if (isKept) {
+        m_nextPause = FIRST_PAUSE;
+        tryNext(throughput);
+        return;
+    }
+    m_isHigherNext = !m_isHigherNext;
+    m_pause = m_nextPause;
+    m_nextPause = std::min(2 * m_nextPause, LONGEST_PAUSE);
+    changeTo(m_limitBefore);
+}
+
+void ProbingLimit::changeTo(double limit)
+{
+    m_settling = m_range.limit();
+    m_range.set(limit);
+}
+
+void ProbingLimit::setCeiling(std::uint32_t ceiling)
+{
+    m_range.setCeiling(ceiling);
+}
+
+std::uint32_t ProbingLimit::limit() const
+{
+    return m_range.limit();
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/internal/probinglimit.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+
+#include "coordination/admission/iconcurrencylimit.h"
+#include "coordination/admission/internal/limitrange.h"
+
+namespace ivyspar {
+
+/// Lowers the limit only where this costs no throughput. Long service times alone do not tell
+/// whether calls slow each other down or whether the work became slower for another reason; in the
+/// second case a lower limit only loses throughput. So while service times are long, a lower limit
+/// is tried for a round of calls and kept if as many calls succeed as before.
+class ProbingLimit : public IConcurrencyLimit
+{
+public:
+    ProbingLimit(double initialShare, double minimalShare);
+
+    void onSample(TimePoint now, const LimitSample &sample) override;
+    void setCeiling(std::uint32_t ceiling) override;
+    std::uint32_t limit() const override;
+
+private:
+    static constexpr std::uint32_t FIRST_PAUSE = 4;
+
+    enum class Phase {
+        Steady,
+        Lower, ///< A lower limit is on trial.
+        Higher, ///< A higher limit is on trial.
+    };
+    /// Calls that ended under one limit.
+    struct Epoch
+    {
+        TimePoint start;
+        std::uint32_t ended = 0;
+        std::uint32_t succeeded = 0;
+        double serviceTime = 0;
+        double inFlight = 0;
+    };
+
+    void onOverloaded(TimePoint now, const LimitSample &sample);
+    void grow(const LimitSample &sample);
+    void endEpoch(TimePoint now);
+    void judge(double throughput);
+    void tryNext(double throughput);
+    void changeTo(double limit);
+    bool isSlow() const;
+
+    LimitRange m_range;
+    Phase m_phase = Phase::Steady;
+    Epoch m_epoch;
+    /// Calls started under the previous limit that are still to end.
+    std::uint32_t m_settling = 0;
+    /// Lowest mean service time of an epoch, in µs; slowly forgotten. 0 while unknown.
+    double m_fastest = 0;
+    /// Recent service time, in µs.
+    double m_recent = 0;
+    double m_throughputBefore = 0;
+    double m_limitBefore = 0;
+    bool m_wasSlow = false;
+    bool m_isCold = true;
+    bool m_isHigherNext = false;
+    /// Epochs until the next trial, and their number after the next one that fails.
+    std::uint32_t m_pause = 0;
+    std::uint32_t m_nextPause = FIRST_PAUSE;
+    TimePoint m_nextDecrease;
+};
+
+} // namespace ivyspar
--- a/src/coordination/admission/internal/rankqueue.cpp
+++ b/src/coordination/admission/internal/rankqueue.cpp
@@ -9,66 +9,63 @@
 {
 }
 
-RankQueue::OrderKey RankQueue::keyOf(const GateRequest &request)
+RankQueue::OrderKey RankQueue::orderOf(const GateRequest &request)
 {
     const std::int64_t arrival = ++m_arrivals;
     switch (m_order) {
     case QueueOrder::Fifo:
-        return { 0, -arrival, request.id.value() };
+        return { 0, -arrival };
     case QueueOrder::Newest:
-        return { priorityOf(request.rank).value(), arrival, request.id.value() };
+        return { priorityOf(request.rank).value(), arrival };
     case QueueOrder::Rank:
         break;
     }
-    return { request.rank.value(), arrival, request.id.value() };
+    return { request.rank.value(), arrival };
 }
 
 void RankQueue::push(const GateRequest &request)
 {
-    const OrderKey key = keyOf(request);
-    const std::uint64_t id = request.id.value();
-    m_byOrder.insert(key);
-    m_byDeadline.insert({ request.deadline, id });
-    m_byId.insert({ id, Waiting{ request, key } });
+    const auto [place, isNew] = m_calls.try_emplace(request.id);
+    if (!isNew) {
+        return;
+    }
+    Waiting &call = place->second;
+    call.request = request;
+    call.order = orderOf(request);
+    m_byOrder.insert(call);
+    m_byDeadline.insert(call);
 }
 
-GateRequest RankQueue::take(std::uint64_t id)
+GateRequest RankQueue::take(const Waiting &call)
 {
-    const auto found = m_byId.find(id);
-    const Waiting waiting = found->second;
-    m_byOrder.erase(waiting.key);
-    m_byDeadline.erase({ waiting.request.deadline, id });
-    m_byId.erase(found);
-    return waiting.request;
+    const GateRequest request = call.request;
+    m_calls.erase(request.id);
+    return request;
 }
 
 GateRequest RankQueue::popFirst()
 {
-    return take(std::get<2>(*m_byOrder.rbegin()));
+    return take(*m_byOrder.rbegin());
 }
 
 GateRequest RankQueue::popLast()
 {
-    return take(std::get<2>(*m_byOrder.begin()));
+    return take(*m_byOrder.begin());
 }
 
 GateRequest RankQueue::popEarliest()
 {
-    return take(m_byDeadline.begin()->second);
+    return take(*m_byDeadline.begin());
 }
 
 TimePoint RankQueue::earliestDeadline() const
 {
-    return m_byDeadline.empty() ? TimePoint::max() : m_byDeadline.begin()->first;
+    return m_byDeadline.empty() ? TimePoint::max() : m_byDeadline.begin()->request.deadline;
 }
 
 bool RankQueue::remove(CallId id)
 {
-    if (m_byId.count(id.value()) == 0) {
-        return false;
-    }
-    take(id.value());
-    return true;
+    return m_calls.erase(id) > 0;
 }
 
 } // namespace ivyspar
--- a/src/coordination/admission/internal/rankqueue.h
+++ b/src/coordination/admission/internal/rankqueue.h
@@ -2,10 +2,11 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <set>
 #include <tuple>
 #include <unordered_map>
 
+#include <boost/intrusive/set.hpp>
+
 #include "coordination/admission/gatefactory.h"
 #include "coordination/admission/igate.h"
 
@@ -17,8 +18,8 @@
 public:
     explicit RankQueue(QueueOrder order);
 
-    bool isEmpty() const { return m_byId.empty(); }
-    std::size_t size() const { return m_byId.size(); }
+    bool isEmpty() const { return m_calls.empty(); }
+    std::size_t size() const { return m_calls.size(); }
 
     void push(const GateRequest &request);
     /// Removes the call to be started next. The queue must not be empty.
@@ -27,27 +28,53 @@
     GateRequest popLast();
     /// Removes the call with the earliest deadline. The queue must not be empty.
     GateRequest popEarliest();
+    /// `TimePoint::max()` when the queue is empty.
     TimePoint earliestDeadline() const;
+    /// False if the call does not wait.
     bool remove(CallId id);
 
 private:
-    /// Importance, order of arrival and id; the last in the set is started first.
-    using OrderKey = std::tuple<std::uint32_t, std::int64_t, std::uint64_t>;
-    using DeadlineKey = std::pair<TimePoint, std::uint64_t>;
-    struct Waiting
+    using Unlinking = boost::intrusive::link_mode<boost::intrusive::auto_unlink>;
+    using OrderHook =
+        boost::intrusive::set_base_hook<boost::intrusive::tag<struct ByOrder>, Unlinking>;
+    using DeadlineHook =
+        boost::intrusive::set_base_hook<boost::intrusive::tag<struct ByDeadline>, Unlinking>;
+    /// Importance and order of arrival; the largest is started first.
+    using OrderKey = std::tuple<std::uint32_t, std::int64_t>;
+
+    /// Leaves both orders when it is destroyed.
+    struct Waiting : OrderHook, DeadlineHook
     {
         GateRequest request;
-        OrderKey key;
+        OrderKey order;
+    };
+    struct OrderOf
+    {
+        using type = OrderKey; // NOLINT(readability-identifier-naming): asked for by the library.
+        type operator()(const Waiting &call) const { return call.order; }
+    };
+    struct DeadlineOf
+    {
+        using type = TimePoint; // NOLINT(readability-identifier-naming): asked for by the library.
+        type operator()(const Waiting &call) const { return call.request.deadline; }
     };
+    using OrderSet = boost::intrusive::multiset<Waiting, boost::intrusive::base_hook<OrderHook>,
+                                                boost::intrusive::key_of_value<OrderOf>,
+                                                boost::intrusive::constant_time_size<false>>;
+    using DeadlineSet =
+        boost::intrusive::multiset<Waiting, boost::intrusive::base_hook<DeadlineHook>,
+                                   boost::intrusive::key_of_value<DeadlineOf>,
+                                   boost::intrusive::constant_time_size<false>>;
 
-    OrderKey keyOf(const GateRequest &request);
-    GateRequest take(std::uint64_t id);
+    OrderKey orderOf(const GateRequest &request);
+    GateRequest take(const Waiting &call);
 
     QueueOrder m_order;
     std::int64_t m_arrivals = 0;
-    std::unordered_map<std::uint64_t, Waiting> m_byId;
-    std::set<OrderKey> m_byOrder;
-    std::set<DeadlineKey> m_byDeadline;
+    // Destroyed after the calls, which unlink themselves.
+    OrderSet m_byOrder;
+    DeadlineSet m_byDeadline;
+    std::unordered_map<CallId, Waiting> m_calls;
 };
 
 } // namespace ivyspar
