--- /dev/null
+++ b/src/app/internal/entryservice.cpp
@@ -0,0 +1,338 @@
+#include "app/internal/entryservice.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "app/internal/verdictresponse.h"
+#include "protocol/headers.h"
+#include "state/rank.h"
+#include "transport/oneshot.h"
+
+namespace ivyspar {
+
+namespace {
+
+/// Waiting ends by the call's own deadline; this only bounds a broken invariant.
+constexpr Duration WAIT_MARGIN = std::chrono::seconds(10);
+
+Verdict notRun(Reason reason)
+{
+    return Verdict{ Outcome::NotRun, reason, Duration::zero() };
+}
+
+/// A whole number in a header; `fallback` without the header. False on anything else.
+bool readNumber(const HttpRequest &request, const char *name, std::uint64_t fallback,
+                std::uint64_t &number)
+{
+    number = fallback;
+    const std::string *text = findHeader(request.headers, name);
+    if (!text) {
+        return true;
+    }
+    const char *last = text->data() + text->size();
+    const auto [end, error] = std::from_chars(text->data(), last, number);
+    return error == std::errc() && end == last && !text->empty();
+}
+
+/// Splits `/service/path?query` into the service and what its upstream receives.
+bool splitTarget(const std::string &target, std::string &service, std::string &rest)
+{
+    if (target.empty() || target.front() != '/') {
+        return false;
+    }
+    const auto end = target.find_first_of("/?", 1);
+    service = target.substr(1, end == std::string::npos ? std::string::npos : end - 1);
+    rest = end == std::string::npos ? "/" : target.substr(end);
+    if (rest.front() != '/') {
+        rest.insert(rest.begin(), '/');
+    }
+    return !service.empty();
+}
+
+/// What only concerns ivyspar does not go to the upstream as the caller wrote it.
+void removeOwnHeaders(std::vector<HttpHeader> &headers)
+{
+    for (const char *name : { headers::DEADLINE_MS, headers::ATTEMPT, headers::TICKET,
+                              headers::CONTEXT, headers::OUTCOME, headers::REASON }) {
+        removeHeader(headers, name);
+    }
+}
+
+} // namespace
+
+/// One request from its arrival to the end of its last attempt, which may come after its answer.
+struct EntryService::Run : boost::intrusive_ref_counter<Run, boost::thread_unsafe_counter>
+{
+    Run(IEventLoop &loop, EntryPolicies policies, Incoming terms, EntryCallTerms callTerms)
+        : incoming(std::move(terms))
+        , call(policies, incoming.ledger->ledger, std::move(callTerms))
+        , done(loop)
+    {
+    }
+
+    Incoming incoming;
+    EntryCall call;
+    std::vector<StreamId> streams;
+    OneShot<Verdict> done;
+    HttpResponse response;
+    Verdict verdict;
+    TimerId timer;
+    TimePoint timerAt = TimePoint::max();
+};
+
+EntryService::EntryService(IEventLoop &loop, EntryPolicies policies, ICallSender &sender,
+                           IGateService &gates, EntryOptions options)
+    : m_loop(loop)
+    , m_policies(policies)
+    , m_sender(sender)
+    , m_gates(gates)
+    , m_options(options)
+{
+}
+
+HttpResponse EntryService::handleCaller(IHttpExchange &exchange)
+{
+    if (m_isDraining) {
+        return refuse(RootId(m_policies.random.next()), notRun(Reason::ShuttingDown));
+    }
+    return serve(exchange, false);
+}
+
+HttpResponse EntryService::handleUpstream(IHttpExchange &exchange)
+{
+    return serve(exchange, true);
+}
+
+HttpResponse EntryService::serve(IHttpExchange &exchange, bool isFromUpstream)
+{
+    if (m_requestCount >= m_options.maxRequests) {
+        return refuse(RootId(m_policies.random.next()), notRun(Reason::QueueFull));
+    }
+    auto incoming = readRequest(exchange.request(), isFromUpstream);
+    if (!incoming) {
+        return incoming.error();
+    }
+    ++m_requestCount;
+    HttpResponse response = runRequest(exchange, std::move(*incoming));
+    --m_requestCount;
+    return response;
+}
+
+tl::expected<EntryService::Incoming, HttpResponse>
+EntryService::readRequest(const HttpRequest &request, bool isFromUpstream)
+{
+    auto incoming = readTarget(request);
+    if (!incoming) {
+        return incoming;
+    }
+    if (!readCallerTerms(request, *incoming)) {
+        return Refusal(refuse(incoming->root, notRun(Reason::BadRequest)));
+    }
+    incoming->priority = incoming->rule.priority;
+    if (isFromUpstream) {
+        applyContext(request, *incoming);
+    } else if (incoming->callerAttempt > incoming->rule.callerAttempts) {
+        // Past the bound the answer is final: without it a client that retries for ever would make
+        // the number of attempts for one tap unbounded.
+        return Refusal(refuse(incoming->root, notRun(Reason::CallerAttempts)));
+    }
+    if (!incoming->ledger) {
+        incoming->ledger = new CallLedger(incoming->rule.attempts);
+    }
+    return incoming;
+}
+
+tl::expected<EntryService::Incoming, HttpResponse>
+EntryService::readTarget(const HttpRequest &request)
+{
+    Incoming incoming;
+    const std::string *requestId = findHeader(request.headers, headers::REQUEST_ID);
+    if (!requestId || !parseRootId(*requestId, incoming.root)) {
+        incoming.root = RootId(m_policies.random.next());
+    }
+    if (!m_configuration) {
+        return Refusal(refuse(incoming.root, notRun(Reason::NoConfiguration)));
+    }
+    std::string service;
+    incoming.request = request;
+    if (!splitTarget(request.target, service, incoming.request.target)) {
+        return Refusal(refuse(incoming.root, notRun(Reason::BadRequest)));
+    }
+    incoming.service = ServiceName(service);
+    const std::string path = incoming.request.target.substr(0, incoming.request.target.find('?'));
+    const RuleSpec *rule = findRule(m_configuration->rules, incoming.service, request.method, path);
+    if (!rule) {
+        return Refusal(refuse(incoming.root, notRun(Reason::NoRule)));
+    }
+    incoming.rule = *rule;
+    removeOwnHeaders(incoming.request.headers);
+    return incoming;
+}
+
+Ret EntryService::readCallerTerms(const HttpRequest &request, Incoming &incoming)
+{
+    const auto waitMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(incoming.rule.wait).count();
+    std::uint64_t deadlineMs = 0;
+    std::uint64_t attempt = 0;
+    if (!readNumber(request, headers::DEADLINE_MS, static_cast<std::uint64_t>(waitMs),
+                    deadlineMs)) {
+        return makeError(ErrorCode::InvalidArgument, "the deadline is not a number");
+    }
+    if (!readNumber(request, headers::ATTEMPT, 1, attempt) || attempt == 0
+        || attempt > UINT32_MAX) {
+        return makeError(ErrorCode::InvalidArgument, "the attempt is not a number from 1");
+    }
+    incoming.callerAttempt = static_cast<std::uint32_t>(attempt);
+    const auto wait = std::min<std::uint64_t>(deadlineMs, static_cast<std::uint64_t>(waitMs));
+    incoming.deadline = m_loop.now() + std::chrono::milliseconds(wait);
+
+    if (incoming.rule.repetition != Repetition::Once) {
+        return {};
+    }
+    const std::string *key = findHeader(request.headers, headers::IDEMPOTENCY_KEY);
+    const std::string *ticket = findHeader(request.headers, headers::TICKET);
+    if (key && (key->empty() || key->size() > m_options.maxKeyBytes)) {
+        return makeError(ErrorCode::InvalidArgument, "the idempotency key is empty or too long");
+    }
+    if (key || ticket) {
+        incoming.once = OnceTerms{ IdempotencyKey(key ? *key : std::string()),
+                                   incoming.rule.keyLifetime, ticket ? *ticket : std::string() };
+    }
+    return {};
+}
+
+void EntryService::applyContext(const HttpRequest &request, Incoming &incoming)
+{
+    const std::string *token = findHeader(request.headers, headers::CONTEXT);
+    const auto context = token ? m_gates.findContext(*token) : std::nullopt;
+    if (!context) {
+        // Nothing ties this call to a request's budget: one attempt, or a hop that drops the header
+        // would start a fresh budget at each level and attempts would multiply with depth.
+        incoming.isSingleAttempt = true;
+        incoming.ledger = new CallLedger(AttemptCount(1));
+        return;
+    }
+    incoming.root = context->root;
+    incoming.priority = context->priority;
+    incoming.depth = Depth(static_cast<std::uint8_t>(std::min(context->depth.value() + 1, 255)));
+    incoming.deadline = std::min(incoming.deadline, context->deadline);
+    incoming.ledger = context->ledger;
+}
+
+HttpResponse EntryService::runRequest(IHttpExchange &exchange, Incoming incoming)
+{
+    EntryCallTerms terms;
+    terms.rule = incoming.rule;
+    terms.rank = makeRank(incoming.priority, incoming.depth, incoming.root);
+    terms.deadline = incoming.deadline;
+    terms.isSingleAttempt = incoming.isSingleAttempt;
+    const RunPtr run = new Run(m_loop, m_policies, std::move(incoming), std::move(terms));
+
+    exchange.onDisconnect([this, run] { perform(run, run->call.onCallerGone(m_loop.now())); });
+    perform(run, run->call.start(m_loop.now()));
+    const auto left = std::chrono::duration_cast<Duration>(run->incoming.deadline - m_loop.now());
+    const auto verdict = run->done.wait(std::max(left, Duration::zero()) + WAIT_MARGIN);
+    exchange.onDisconnect({});
+    run->verdict = verdict.value_or(Verdict{ Outcome::Unknown, Reason::Timeout, Duration::zero() });
+    return compose(*run);
+}
+
+void EntryService::perform(const RunPtr &run, const EntryActions &actions)
+{
+    for (const EntryAction &action : actions) {
+        switch (action.verb) {
+        case EntryVerb::Send:
+            sendAttempt(run, action);
+            break;
+        case EntryVerb::Cancel:
+            m_sender.cancel(run->streams.at(action.attempt.value()));
+            break;
+        case EntryVerb::Finish:
+            run->done.set(action.verdict);
+            break;
+        }
+    }
+    armTimer(run);
+}
+
+void EntryService::sendAttempt(const RunPtr &run, const EntryAction &action)
+{
+    const Incoming &incoming = run->incoming;
+    CallMessage call;
+    call.root = incoming.root;
+    call.service = incoming.service;
+    call.rule = incoming.rule.name;
+    call.rank = makeRank(incoming.priority, incoming.depth, incoming.root);
+    call.depth = incoming.depth;
+    call.remaining = std::chrono::duration_cast<Duration>(incoming.deadline - m_loop.now());
+    call.granted = action.granted;
+    call.once = incoming.once;
+    call.request = incoming.request;
+
+    const std::size_t index = action.attempt.value();
+    run->streams.resize(std::max(run->streams.size(), index + 1));
+    const AttemptIndex attempt = action.attempt;
+    run->streams[index] =
+        m_sender.send(action.target, std::move(call), [this, run, attempt](AttemptAnswer answer) {
+            onAnswer(run, attempt, std::move(answer));
+        });
+}
+
+void EntryService::onAnswer(const RunPtr &run, AttemptIndex attempt, AttemptAnswer answer)
+{
+    AttemptEnd end;
+    end.verdict = answer.message.verdict;
+    end.unspent = answer.message.unspent;
+    end.load = answer.message.load;
+    end.hasLoad = answer.isFromDaemon;
+    end.status = answer.message.response.status;
+    end.holder = answer.message.holder;
+    const bool isWanted = !run->call.isFinished();
+    const EntryActions actions = run->call.onEnd(m_loop.now(), attempt, end);
+    if (isWanted && end.verdict.outcome == Outcome::Answered) {
+        run->response = std::move(answer.message.response);
+    }
+    perform(run, actions);
+}
+
+void EntryService::armTimer(const RunPtr &run)
+{
+    const TimePoint next = run->call.nextTimer();
+    if (next == run->timerAt) {
+        return;
+    }
+    m_loop.cancelTimer(run->timer);
+    run->timerAt = next;
+    if (next == TimePoint::max()) {
+        return;
+    }
+    const auto delay =
+        std::max(std::chrono::duration_cast<Duration>(next - m_loop.now()), Duration::zero());
+    run->timer = m_loop.callLater(delay, [this, run] {
+        run->timerAt = TimePoint::max();
+        perform(run, run->call.onTimer(m_loop.now()));
+    });
+}
+
+HttpResponse EntryService::refuse(RootId root, const Verdict &verdict) const
+{
+    return makeVerdictResponse(root, verdict, 0);
+}
+
+HttpResponse EntryService::compose(const Run &run) const
+{
+    if (run.verdict.outcome != Outcome::Answered) {
+        return makeVerdictResponse(run.incoming.root, run.verdict, run.call.attempts());
+    }
+    HttpResponse response = run.response;
+    response.headers.push_back({ headers::OUTCOME, toText(Outcome::Answered) });
+    response.headers.push_back({ headers::REQUEST_ID, toText(run.incoming.root) });
+    response.headers.push_back({ headers::ATTEMPTS, std::to_string(run.call.attempts()) });
+    return response;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/entryservice.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include "app/internal/icallsender.h"
+#include "app/internal/igateservice.h"
+#include "coordination/calls/internal/entrycall.h"
+#include "state/configuration.h"
+#include "transport/ieventloop.h"
+#include "transport/ihttpserver.h"
+
+namespace ivyspar {
+
+struct EntryOptions
+{
+    /// Requests that may be in work here at a time.
+    std::size_t maxRequests = 20000;
+    /// Longest `Idempotency-Key` in bytes.
+    std::size_t maxKeyBytes = 200;
+};
+
+/// Takes requests of callers, and calls of the upstreams on this host, and sees each to its answer.
+/// Traffic thread only.
+class EntryService
+{
+public:
+    EntryService(IEventLoop &loop, EntryPolicies policies, ICallSender &sender, IGateService &gates,
+                 EntryOptions options);
+
+    void setConfiguration(ConfigurationPtr configuration)
+    {
+        m_configuration = std::move(configuration);
+    }
+    /// Refuses new requests of callers from now on; calls of upstreams for running requests go on.
+    void startDraining() { m_isDraining = true; }
+    std::size_t requestCount() const { return m_requestCount; }
+
+    /// A caller's request. Runs in the connection's fiber.
+    HttpResponse handleCaller(IHttpExchange &exchange);
+    /// A call that an upstream on this host makes.
+    HttpResponse handleUpstream(IHttpExchange &exchange);
+
+private:
+    /// A request as it came in, checked.
+    struct Incoming
+    {
+        ServiceName service;
+        /// What the upstream receives.
+        HttpRequest request;
+        RootId root;
+        RuleSpec rule;
+        Priority priority;
+        Depth depth;
+        TimePoint deadline;
+        CallLedgerPtr ledger;
+        std::optional<OnceTerms> once;
+        bool isSingleAttempt = false;
+        std::uint32_t callerAttempt = 1;
+    };
+    struct Run;
+    using RunPtr = boost::intrusive_ptr<Run>;
+    /// A request that is answered without being routed.
+    using Refusal = tl::unexpected<HttpResponse>;
+
+    tl::expected<Incoming, HttpResponse> readRequest(const HttpRequest &request,
+                                                     bool isFromUpstream);
+    tl::expected<Incoming, HttpResponse> readTarget(const HttpRequest &request);
+    Ret readCallerTerms(const HttpRequest &request, Incoming &incoming);
+    void applyContext(const HttpRequest &request, Incoming &incoming);
+    HttpResponse serve(IHttpExchange &exchange, bool isFromUpstream);
+    HttpResponse runRequest(IHttpExchange &exchange, Incoming incoming);
+    void perform(const RunPtr &run, const EntryActions &actions);
+    void sendAttempt(const RunPtr &run, const EntryAction &action);
+    void onAnswer(const RunPtr &run, AttemptIndex attempt, AttemptAnswer answer);
+    void armTimer(const RunPtr &run);
+    HttpResponse refuse(RootId root, const Verdict &verdict) const;
+    HttpResponse compose(const Run &run) const;
+
+    IEventLoop &m_loop;
+    EntryPolicies m_policies;
+    ICallSender &m_sender;
+    IGateService &m_gates;
+    EntryOptions m_options;
+    ConfigurationPtr m_configuration;
+    std::size_t m_requestCount = 0;
+    bool m_isDraining = false;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/gateservice.cpp
@@ -0,0 +1,404 @@
+#include "app/internal/gateservice.h"
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+#include <utility>
+
+#include "protocol/headers.h"
+#include "state/rank.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
+constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
+constexpr char NOT_RUN[] = "not-run";
+
+std::string toToken(CallId id)
+{
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016" PRIx64, id.value());
+    return text;
+}
+
+std::optional<CallId> fromToken(const std::string &token)
+{
+    constexpr std::size_t TOKEN_SIZE = 16;
+    constexpr char HEX[] = "0123456789abcdef";
+    if (token.size() != TOKEN_SIZE || token.find_first_not_of(HEX) != std::string::npos) {
+        return std::nullopt;
+    }
+    return CallId(std::strtoull(token.c_str(), nullptr, 16));
+}
+
+/// An upstream passes on headers of the inner calls that it made. Taken at face value they would
+/// tell the caller that its own request was not run, although it ran.
+void removeInnerHeaders(std::vector<HttpHeader> &headers)
+{
+    for (const char *name :
+         { headers::OUTCOME, headers::REASON, headers::ATTEMPTS, headers::RETRY_AFTER_MS,
+           headers::REQUEST_ID, headers::UPSTREAM_OUTCOME, headers::CONTEXT }) {
+        removeHeader(headers, name);
+    }
+}
+
+bool isRefusedByUpstream(const HttpResponse &response)
+{
+    const std::string *outcome = findHeader(response.headers, headers::UPSTREAM_OUTCOME);
+    return response.status == SERVICE_UNAVAILABLE && outcome && *outcome == NOT_RUN;
+}
+
+Reason reasonOf(const HttpFailure &failure)
+{
+    switch (failure.cause) {
+    case HttpFailureCause::Connect:
+        return Reason::ConnectFailed;
+    case HttpFailureCause::Timeout:
+        return Reason::Timeout;
+    case HttpFailureCause::Cancelled:
+        return Reason::Cancelled;
+    case HttpFailureCause::Broken:
+        return Reason::BrokenAnswer;
+    case HttpFailureCause::NoConnection:
+        return Reason::QueueFull;
+    }
+    return Reason::BrokenAnswer;
+}
+
+CallResult resultOf(const HttpFailure &failure)
+{
+    switch (failure.cause) {
+    case HttpFailureCause::Timeout:
+        return CallResult::TimedOut;
+    case HttpFailureCause::Cancelled:
+        return CallResult::Cancelled;
+    default:
+        return CallResult::Failure;
+    }
+}
+
+} // namespace
+
+GateService::GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, GateMaker makeGate,
+                         GateServiceOptions options)
+    : m_loop(loop)
+    , m_client(client)
+    , m_random(random)
+    , m_makeGate(std::move(makeGate))
+    , m_options(options)
+{
+    m_silenceTimer =
+        m_loop.callLater(m_options.heartbeatTimeout / 2, [this] { dropSilentUpstreams(); });
+}
+
+GateService::~GateService()
+{
+    m_loop.cancelTimer(m_silenceTimer);
+    for (const auto &[service, upstream] : m_upstreams) {
+        m_loop.cancelTimer(upstream.tickTimer);
+    }
+}
+
+void GateService::announce(const Announcement &announcement)
+{
+    const TimePoint now = m_loop.now();
+    const ServiceName &service = announcement.info.service;
+    const bool isNew = m_upstreams.count(service) == 0;
+    Upstream &upstream = m_upstreams[service];
+    const UpstreamInfo before = upstream.announcement.info;
+    upstream.announcement = announcement;
+    upstream.heardAt = now;
+    if (isNew) {
+        upstream.gate = m_makeGate(announcement.info);
+    }
+    const bool isChanged = isNew || before.slots != announcement.info.slots
+        || before.connections != announcement.info.connections
+        || before.draining != announcement.info.draining;
+    if (!isChanged) {
+        return;
+    }
+    m_client.setConnectionLimit(announcement.endpoint, announcement.info.connections);
+    upstream.gate->setDraining(announcement.info.draining || m_isDraining);
+    perform(
+        service,
+        upstream.gate->setCapacity(now, announcement.info.slots, announcement.info.connections));
+    reportUpstreams();
+}
+
+void GateService::startDraining()
+{
+    m_isDraining = true;
+    for (auto &[service, upstream] : m_upstreams) {
+        upstream.gate->setDraining(true);
+    }
+}
+
+std::vector<std::pair<ServiceName, LoadReport>> GateService::loads() const
+{
+    std::vector<std::pair<ServiceName, LoadReport>> loads;
+    for (const auto &[service, upstream] : m_upstreams) {
+        loads.emplace_back(service, upstream.gate->load(m_loop.now()));
+    }
+    return loads;
+}
+
+CallId GateService::handle(CallMessage message, Reply reply)
+{
+    const TimePoint now = m_loop.now();
+    const CallId id = newCallId();
+    Call &call = m_calls[id];
+    call.reply = std::move(reply);
+    call.ledger = new CallLedger(message.granted);
+    call.deadline = now + message.remaining;
+    call.message = std::move(message);
+
+    const ServiceName service = call.message.service;
+    if (m_calls.size() > m_options.maxCalls) {
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::QueueFull, Duration::zero() });
+        return id;
+    }
+    if (m_isDraining) {
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::Draining, Duration::zero() });
+        return id;
+    }
+    Upstream *upstream = findUpstream(service);
+    if (!upstream) {
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() });
+        return id;
+    }
+    perform(service,
+            upstream->gate->offer(now, GateRequest{ id, call.message.rank, call.deadline }));
+    return id;
+}
+
+void GateService::cancel(CallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() || found->second.isCancelled) {
+        return;
+    }
+    Call &call = found->second;
+    Upstream *upstream = findUpstream(call.message.service);
+    if (upstream && upstream->gate->cancel(m_loop.now(), id) == CancelEffect::NotStarted) {
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
+        return;
+    }
+    call.isCancelled = true;
+    // A call that must run at most once goes on: its result is kept for the caller's next attempt.
+    if (call.cancellation && m_options.cancelUpstream && !call.message.once) {
+        call.cancellation->cancel();
+    }
+}
+
+std::optional<CallContext> GateService::findContext(const std::string &token) const
+{
+    const auto id = fromToken(token);
+    const auto found = id ? m_calls.find(*id) : m_calls.end();
+    if (found == m_calls.end() || !found->second.cancellation) {
+        return std::nullopt;
+    }
+    const Call &call = found->second;
+    CallContext context;
+    context.root = call.message.root;
+    context.priority = priorityOf(call.message.rank);
+    context.depth = call.message.depth;
+    context.deadline = call.deadline;
+    context.ledger = call.ledger;
+    return context;
+}
+
+LoadReport GateService::load(const ServiceName &service) const
+{
+    const auto found = m_upstreams.find(service);
+    LoadReport report;
+    if (found != m_upstreams.end()) {
+        report = found->second.gate->load(m_loop.now());
+    }
+    report.draining = report.draining || m_isDraining || found == m_upstreams.end();
+    return report;
+}
+
+GateService::Upstream *GateService::findUpstream(const ServiceName &service)
+{
+    const auto found = m_upstreams.find(service);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+CallId GateService::newCallId()
+{
+    CallId id;
+    do {
+        id = CallId(m_random.next());
+    } while (id == CallId() || m_calls.count(id) > 0);
+    return id;
+}
+
+void GateService::perform(const ServiceName &service, const GateActions &actions)
+{
+    for (const GateAction &action : actions) {
+        if (action.verb == GateVerb::Start) {
+            startCall(service, action.id);
+        } else {
+            refuseCall(action.id, action.verdict);
+        }
+    }
+    armTick(service);
+}
+
+void GateService::startCall(const ServiceName &service, CallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    found->second.cancellation = new HttpCancellation;
+    m_loop.spawn([this, service, id] { runCall(service, id); });
+}
+
+void GateService::runCall(const ServiceName &service, CallId id)
+{
+    const auto found = m_calls.find(id);
+    Upstream *upstream = findUpstream(service);
+    if (found == m_calls.end() || !upstream) {
+        return;
+    }
+    const TimePoint startedAt = m_loop.now();
+    const Endpoint endpoint = upstream->announcement.endpoint;
+    RunEnd end = exchange(endpoint, id, found->second);
+
+    const TimePoint now = m_loop.now();
+    const auto serviceTime = std::chrono::duration_cast<Duration>(now - startedAt);
+    GateActions next;
+    if (Upstream *gateOwner = findUpstream(service)) {
+        next = gateOwner->gate->finish(now, id, end.result, serviceTime);
+    }
+    AnswerMessage answer;
+    answer.verdict = end.verdict;
+    answer.response = std::move(end.response);
+    answer.serviceTime = serviceTime;
+    endCall(id, std::move(answer));
+    perform(service, next);
+}
+
+GateService::RunEnd GateService::exchange(const Endpoint &endpoint, CallId id, const Call &call)
+{
+    HttpRequest request = call.message.request;
+    request.headers.push_back({ headers::CONTEXT, toToken(id) });
+    const auto remaining = std::chrono::duration_cast<Duration>(call.deadline - m_loop.now());
+    const auto remainingMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    request.headers.push_back(
+        { headers::DEADLINE_MS, std::to_string(std::max<long long>(0, remainingMs)) });
+
+    const HttpCancellationPtr cancellation = call.cancellation;
+    HttpResult result = m_client.exchange(endpoint, request, remaining, cancellation);
+    RunEnd end;
+    if (!result) {
+        const bool isProven = result.error().stage == HttpFailureStage::NotSent;
+        end.verdict.outcome = isProven ? Outcome::NotRun : Outcome::Unknown;
+        end.verdict.reason = reasonOf(result.error());
+        end.result = resultOf(result.error());
+        return end;
+    }
+    if (isRefusedByUpstream(*result)) {
+        end.verdict.outcome = Outcome::NotRun;
+        end.verdict.reason = Reason::UpstreamRefused;
+        end.result = CallResult::Overloaded;
+        return end;
+    }
+    end.verdict.outcome = Outcome::Answered;
+    end.result = result->status >= FIRST_SERVER_ERROR ? CallResult::Failure : CallResult::Success;
+    end.response = std::move(*result);
+    removeInnerHeaders(end.response.headers);
+    return end;
+}
+
+void GateService::refuseCall(CallId id, const Verdict &verdict)
+{
+    AnswerMessage answer;
+    answer.verdict = verdict;
+    endCall(id, std::move(answer));
+}
+
+void GateService::endCall(CallId id, AnswerMessage answer)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const Call call = std::move(found->second);
+    m_calls.erase(found);
+    answer.stream = call.message.stream;
+    answer.unspent = call.ledger->ledger.close();
+    answer.load = load(call.message.service);
+    call.reply(std::move(answer));
+}
+
+void GateService::armTick(const ServiceName &service)
+{
+    Upstream *upstream = findUpstream(service);
+    if (!upstream) {
+        return;
+    }
+    const TimePoint next = upstream->gate->nextTick();
+    if (next == upstream->tickAt) {
+        return;
+    }
+    m_loop.cancelTimer(upstream->tickTimer);
+    upstream->tickAt = next;
+    if (next == TimePoint::max()) {
+        return;
+    }
+    const auto delay = std::chrono::duration_cast<Duration>(next - m_loop.now());
+    upstream->tickTimer =
+        m_loop.callLater(std::max(delay, Duration::zero()), [this, service] { tick(service); });
+}
+
+void GateService::tick(const ServiceName &service)
+{
+    Upstream *upstream = findUpstream(service);
+    if (!upstream) {
+        return;
+    }
+    upstream->tickAt = TimePoint::max();
+    perform(service, upstream->gate->tick(m_loop.now()));
+}
+
+void GateService::dropSilentUpstreams()
+{
+    const TimePoint oldest = m_loop.now() - m_options.heartbeatTimeout;
+    bool isChanged = false;
+    for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
+        // Calls that run there keep their gate: its counts must outlive a missed heartbeat.
+        const LoadReport load = it->second.gate->load(m_loop.now());
+        const bool isIdle = load.inFlight == 0 && load.queued == 0;
+        if (it->second.heardAt < oldest && isIdle) {
+            m_loop.cancelTimer(it->second.tickTimer);
+            it = m_upstreams.erase(it);
+            isChanged = true;
+        } else {
+            ++it;
+        }
+    }
+    if (isChanged) {
+        reportUpstreams();
+    }
+    m_silenceTimer =
+        m_loop.callLater(m_options.heartbeatTimeout / 2, [this] { dropSilentUpstreams(); });
+}
+
+void GateService::reportUpstreams()
+{
+    if (!m_onUpstreams) {
+        return;
+    }
+    std::vector<UpstreamInfo> infos;
+    for (const auto &[service, upstream] : m_upstreams) {
+        infos.push_back(upstream.announcement.info);
+    }
+    m_onUpstreams(std::move(infos));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/igateservice.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "app/internal/callledger.h"
+#include "protocol/messages.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+/// What a call that runs on this host hands to the calls that its upstream makes.
+struct CallContext
+{
+    RootId root;
+    Priority priority;
+    Depth depth;
+    TimePoint deadline;
+    CallLedgerPtr ledger;
+};
+
+/// Runs calls on the upstreams of this host, through their gates.
+class IGateService
+{
+public:
+    using Reply = std::function<void(AnswerMessage)>;
+
+    virtual ~IGateService() = default;
+
+    /// `reply` runs exactly once, possibly before this function returns.
+    virtual CallId handle(CallMessage call, Reply reply) = 0;
+    virtual void cancel(CallId call) = 0;
+    /// The running call to which an upstream's context token belongs.
+    virtual std::optional<CallContext> findContext(const std::string &token) const = 0;
+    virtual LoadReport load(const ServiceName &service) const = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -0,0 +1,291 @@
+#include "coordination/calls/internal/entrycall.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
+
+RouteFeedback feedbackOf(const AttemptEnd &end)
+{
+    switch (end.verdict.outcome) {
+    case Outcome::Answered:
+        return end.status >= FIRST_SERVER_ERROR ? RouteFeedback::UpstreamError
+                                                : RouteFeedback::Answered;
+    case Outcome::NotRun:
+        break;
+    case Outcome::Unknown:
+        return end.verdict.reason == Reason::BrokenAnswer ? RouteFeedback::UpstreamError
+            : end.verdict.reason == Reason::LinkLost      ? RouteFeedback::Unreachable
+                                                          : RouteFeedback::TimedOut;
+    }
+    switch (end.verdict.reason) {
+    case Reason::Draining:
+    case Reason::ShuttingDown:
+    case Reason::NoServer:
+        return RouteFeedback::Draining;
+    case Reason::ConnectFailed:
+        return end.hasLoad ? RouteFeedback::UpstreamError : RouteFeedback::Unreachable;
+    case Reason::Cancelled:
+        return RouteFeedback::Cancelled;
+    default:
+        return RouteFeedback::Refused;
+    }
+}
+
+} // namespace
+
+EntryCall::EntryCall(EntryPolicies policies, IAttemptLedger &ledger, EntryCallTerms terms)
+    : m_policies(policies)
+    , m_ledger(ledger)
+    , m_terms(std::move(terms))
+{
+}
+
+EntryActions EntryCall::start(TimePoint now)
+{
+    const ServiceName &service = m_terms.rule.service;
+    if (now >= m_terms.deadline) {
+        return refuse(now, Reason::DeadlineExceeded, Duration::zero());
+    }
+    if (m_terms.rank < m_policies.router.floor(now, service)) {
+        return refuse(now, Reason::BelowFloor,
+                      m_policies.retries.retryAfter(now, service, m_policies.random));
+    }
+    Verdict failure;
+    auto action = sendNext(now, failure);
+    if (!action) {
+        return refuse(now, failure.reason, failure.retryAfter);
+    }
+    armHedge(now);
+    return { *action };
+}
+
+EntryActions EntryCall::onEnd(TimePoint now, AttemptIndex index, const AttemptEnd &end)
+{
+    Attempt &attempt = m_attempts.at(index.value());
+    if (!attempt.isOpen) {
+        return {};
+    }
+    settle(now, attempt, end);
+    if (m_isFinished) {
+        return {};
+    }
+    if (end.verdict.outcome == Outcome::Answered) {
+        if (!attempt.isHedge && index.value() == 0 && end.status < FIRST_SERVER_ERROR) {
+            m_policies.retries.onSuccess(
+                now, m_terms.rule.service,
+                std::chrono::duration_cast<Duration>(now - attempt.sentAt));
+        }
+        return finish(now, index, end.verdict);
+    }
+    if (end.verdict.outcome == Outcome::Unknown) {
+        m_mayHaveRun = true;
+    }
+    return followUp(now, index, end);
+}
+
+EntryActions EntryCall::followUp(TimePoint now, AttemptIndex index, const AttemptEnd &end)
+{
+    if (!end.holder.value().empty() && !m_isRedirected) {
+        return redirectTo(now, end.holder);
+    }
+    if (mayRetry(now, end.verdict)) {
+        Verdict failure;
+        if (auto action = sendNext(now, failure)) {
+            return { *action };
+        }
+    }
+    if (hasOpenAttempt()) {
+        return {};
+    }
+    return finish(now, index, end.verdict);
+}
+
+EntryActions EntryCall::redirectTo(TimePoint now, const DaemonId &holder)
+{
+    m_isRedirected = true;
+    if (auto action = launch(now, holder, "key-holder")) {
+        return { *action };
+    }
+    return finish(now, AttemptIndex(0),
+                  Verdict{ Outcome::Unknown, Reason::BudgetSpent, Duration::zero() });
+}
+
+EntryActions EntryCall::onTimer(TimePoint now)
+{
+    if (m_isFinished) {
+        return {};
+    }
+    if (now >= m_terms.deadline) {
+        // What is open may have started; without the gate's word nothing else can be said.
+        const Outcome outcome =
+            hasOpenAttempt() || m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+        return finish(now, AttemptIndex(0), Verdict{ outcome, Reason::Timeout, Duration::zero() });
+    }
+    if (!m_hedgeAt || now < *m_hedgeAt) {
+        return {};
+    }
+    m_hedgeAt.reset();
+    if (!m_policies.retries.takeHedge(now, m_terms.rule.service)) {
+        return {};
+    }
+    Verdict failure;
+    auto action = sendNext(now, failure);
+    if (!action) {
+        return {};
+    }
+    m_attempts.back().isHedge = true;
+    action->why = "hedge";
+    return { *action };
+}
+
+EntryActions EntryCall::onCallerGone(TimePoint now)
+{
+    if (m_isFinished) {
+        return {};
+    }
+    return finish(now, AttemptIndex(0),
+                  Verdict{ Outcome::Unknown, Reason::Cancelled, Duration::zero() });
+}
+
+TimePoint EntryCall::nextTimer() const
+{
+    if (m_isFinished) {
+        return TimePoint::max();
+    }
+    return m_hedgeAt ? std::min(*m_hedgeAt, m_terms.deadline) : m_terms.deadline;
+}
+
+std::uint32_t EntryCall::attempts() const
+{
+    return static_cast<std::uint32_t>(m_attempts.size());
+}
+
+EntryActions EntryCall::refuse(TimePoint now, Reason reason, Duration retryAfter)
+{
+    return finish(now, AttemptIndex(0), Verdict{ Outcome::NotRun, reason, retryAfter });
+}
+
+EntryActions EntryCall::finish(TimePoint now, AttemptIndex index, Verdict verdict)
+{
+    m_isFinished = true;
+    m_hedgeAt.reset();
+    EntryActions actions;
+    for (std::uint32_t i = 0; i < m_attempts.size(); ++i) {
+        if (m_attempts[i].isOpen) {
+            actions.push_back(EntryAction{
+                EntryVerb::Cancel, AttemptIndex(i), m_attempts[i].target, {}, {}, "" });
+        }
+    }
+    // A refusal of the last attempt does not undo that an earlier one may have run: without this
+    // the caller would be told "not run" of a request that ran.
+    if (verdict.outcome == Outcome::NotRun && (m_mayHaveRun || hasOpenAttempt())) {
+        verdict.outcome = Outcome::Unknown;
+    }
+    const bool canComeBack =
+        verdict.outcome == Outcome::NotRun && verdict.reason != Reason::BudgetSpent;
+    if (canComeBack && verdict.retryAfter == Duration::zero()) {
+        verdict.retryAfter =
+            m_policies.retries.retryAfter(now, m_terms.rule.service, m_policies.random);
+    }
+    EntryAction end;
+    end.verb = EntryVerb::Finish;
+    end.attempt = index;
+    end.verdict = verdict;
+    actions.push_back(end);
+    return actions;
+}
+
+std::optional<EntryAction> EntryCall::sendNext(TimePoint now, Verdict &failure)
+{
+    if (m_ledger.left().value() == 0) {
+        failure.reason = Reason::BudgetSpent;
+        return std::nullopt;
+    }
+    if (!m_terms.pinned.value().empty()) {
+        if (!m_tried.empty()) {
+            failure.reason = Reason::NoServer;
+            return std::nullopt;
+        }
+        return launch(now, m_terms.pinned, "ticket");
+    }
+    const RouteRequest request{ m_terms.rule.service, m_terms.rank, m_tried };
+    const RouteChoice choice = m_policies.router.choose(now, request, m_policies.random);
+    if (choice.daemon.value().empty()) {
+        failure.reason = choice.reason;
+        failure.retryAfter = choice.retryAfter;
+        return std::nullopt;
+    }
+    return launch(now, choice.daemon, choice.why);
+}
+
+std::optional<EntryAction> EntryCall::launch(TimePoint now, const DaemonId &target, const char *why)
+{
+    const std::uint32_t below = m_terms.rule.attempts.value();
+    const AttemptCount wanted(m_terms.isSingleAttempt || below == 0 ? 0 : below - 1);
+    AttemptCount granted;
+    if (!m_ledger.spend(wanted, granted)) {
+        return std::nullopt;
+    }
+    m_tried.push_back(target);
+    m_attempts.push_back(Attempt{ target, granted, now, true, false });
+    m_policies.router.onSent(now, m_terms.rule.service, target);
+    EntryAction action;
+    action.verb = EntryVerb::Send;
+    action.attempt = AttemptIndex(static_cast<std::uint32_t>(m_attempts.size() - 1));
+    action.target = target;
+    action.granted = granted;
+    action.why = why;
+    return action;
+}
+
+bool EntryCall::mayRetry(TimePoint now, const Verdict &verdict)
+{
+    if (m_terms.isSingleAttempt || now >= m_terms.deadline) {
+        return false;
+    }
+    RetryQuestion question;
+    question.service = m_terms.rule.service;
+    question.verdict = verdict;
+    question.repetition = m_terms.rule.repetition;
+    question.attempts = attempts();
+    question.remaining = std::chrono::duration_cast<Duration>(m_terms.deadline - now);
+    return m_policies.retries.shouldRetry(now, question);
+}
+
+void EntryCall::settle(TimePoint now, Attempt &attempt, const AttemptEnd &end)
+{
+    attempt.isOpen = false;
+    m_ledger.giveBack(attempt.granted, end.unspent);
+    const ServiceName &service = m_terms.rule.service;
+    const auto latency = std::chrono::duration_cast<Duration>(now - attempt.sentAt);
+    const bool isOwnCancel = m_isFinished && end.verdict.outcome != Outcome::Answered;
+    m_policies.router.onEnd(now, service, attempt.target,
+                            isOwnCancel ? RouteFeedback::Cancelled : feedbackOf(end), latency);
+    if (end.hasLoad) {
+        m_policies.router.onLoad(now, service, attempt.target, end.load);
+    }
+}
+
+void EntryCall::armHedge(TimePoint now)
+{
+    if (m_terms.isSingleAttempt || m_terms.rule.repetition != Repetition::Idempotent) {
+        return;
+    }
+    const Duration delay = m_policies.retries.hedgeDelay(now, m_terms.rule);
+    if (delay > Duration::zero()) {
+        m_hedgeAt = now + delay;
+    }
+}
+
+bool EntryCall::hasOpenAttempt() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(),
+                       [](const Attempt &a) { return a.isOpen; });
+}
+
+} // namespace ivyspar
--- a/src/coordination/retries/iattemptledger.h
+++ b/src/coordination/retries/iattemptledger.h
@@ -21,6 +21,9 @@
     /// Spent by this ledger and by callees that answered. A grant whose answer is lost stays out
     /// for good: it is never given back.
     virtual AttemptCount spent() const = 0;
+    /// Ends the ledger and returns what is left. From then on nothing is left here, and what comes
+    /// back is lost: the caller of this call was already told how much was unspent.
+    virtual AttemptCount close() = 0;
 };
 
 } // namespace ivyspar
--- a/src/coordination/retries/internal/attemptledger.cpp
+++ b/src/coordination/retries/internal/attemptledger.cpp
@@ -31,6 +31,9 @@
 
 void AttemptLedger::giveBack(AttemptCount granted, AttemptCount unspent)
 {
+    if (m_isClosed) {
+        return;
+    }
     const std::uint32_t out = std::min(granted.value(), m_out);
     // A callee that returns more than it was granted must not create attempts.
     const std::uint32_t back = std::min(unspent.value(), out);
@@ -43,4 +46,12 @@
     return AttemptCount(m_granted - m_left - m_out);
 }
 
+AttemptCount AttemptLedger::close()
+{
+    const AttemptCount unspent(m_left);
+    m_left = 0;
+    m_isClosed = true;
+    return unspent;
+}
+
 } // namespace ivyspar
--- a/src/coordination/retries/internal/attemptledger.h
+++ b/src/coordination/retries/internal/attemptledger.h
@@ -13,12 +13,14 @@
     bool spend(AttemptCount wanted, AttemptCount &granted) override;
     void giveBack(AttemptCount granted, AttemptCount unspent) override;
     AttemptCount spent() const override;
+    AttemptCount close() override;
 
 private:
     std::uint32_t m_granted = 0;
     std::uint32_t m_left = 0;
     /// Grants of callees that have not answered.
     std::uint32_t m_out = 0;
+    bool m_isClosed = false;
 };
 
 } // namespace ivyspar
