--- /dev/null
+++ b/src/coordination/calls/tests/entrycalltest.cpp
@@ -0,0 +1,208 @@
+#include "coordination/calls/internal/entrycall.h"
+
+#include <memory>
+
+#include "coordination/calls/tests/mocks/fakeretrypolicy.h"
+#include "coordination/calls/tests/mocks/fakerouter.h"
+#include "coordination/retries/internal/attemptledger.h"
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::milliseconds;
+
+namespace {
+
+const DaemonId FIRST("first");
+const DaemonId SECOND("second");
+
+AttemptEnd endWith(Outcome outcome, Reason reason, std::uint32_t unspent)
+{
+    AttemptEnd end;
+    end.verdict = Verdict{ outcome, reason, Duration::zero() };
+    end.unspent = AttemptCount(unspent);
+    end.status = outcome == Outcome::Answered ? 200 : 0;
+    return end;
+}
+
+const EntryAction *findAction(const EntryActions &actions, EntryVerb verb)
+{
+    for (const EntryAction &action : actions) {
+        if (action.verb == verb) {
+            return &action;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST_GROUP(EntryCall)
+{
+    FakeRouter router;
+    FakeRetryPolicy retries;
+    SeededRandom random{ 1 };
+    AttemptLedger ledger{ AttemptCount(9) };
+    EntryCallTerms terms;
+    TimePoint now{ milliseconds(1000) };
+
+    void setup() override
+    {
+        router.daemons = { FIRST, SECOND };
+        terms.rule.service = ServiceName("cassa");
+        terms.rule.attempts = AttemptCount(9);
+        terms.rule.repetition = Repetition::Never;
+        terms.rank = Rank(100);
+        terms.deadline = now + milliseconds(500);
+    }
+
+    EntryCall makeCall()
+    {
+        return EntryCall(EntryPolicies{ router, retries, random }, ledger, terms);
+    }
+};
+
+TEST(EntryCall, AnswerOfTheFirstAttemptIsTheCallersAnswer)
+{
+    EntryCall call = makeCall();
+    const EntryActions sent = call.start(now);
+    CHECK(findAction(sent, EntryVerb::Send)->target == FIRST);
+    const EntryActions ended =
+        call.onEnd(now, AttemptIndex(0), endWith(Outcome::Answered, Reason::None, 3));
+    CHECK(findAction(ended, EntryVerb::Finish)->verdict.outcome == Outcome::Answered);
+    CHECK(call.isFinished());
+    CHECK_EQUAL(1, retries.successes);
+}
+
+// The first gate refuses, so nothing ran; the call goes to another server.
+TEST(EntryCall, RefusedAttemptIsSentElsewhere)
+{
+    EntryCall call = makeCall();
+    call.start(now);
+    const EntryActions next =
+        call.onEnd(now, AttemptIndex(0), endWith(Outcome::NotRun, Reason::QueueFull, 7));
+    CHECK(findAction(next, EntryVerb::Send)->target == SECOND);
+}
+
+// The link is lost after a call that must not be repeated was sent. The caller hears "unknown": a
+// second attempt could run it twice, and "not run" could be a lie.
+TEST(EntryCall, AttemptThatMayHaveRunIsNotRepeated)
+{
+    EntryCall call = makeCall();
+    call.start(now);
+    const EntryActions ended =
+        call.onEnd(now, AttemptIndex(0), endWith(Outcome::Unknown, Reason::LinkLost, 0));
+    CHECK(findAction(ended, EntryVerb::Send) == nullptr);
+    CHECK(findAction(ended, EntryVerb::Finish)->verdict.outcome == Outcome::Unknown);
+}
+
+// A lookup's first attempt is lost, its second is refused. The refusal says nothing of the first,
+// which may have run: the caller must not hear "not run".
+TEST(EntryCall, RefusalAfterALostAttemptIsUnknown)
+{
+    terms.rule.repetition = Repetition::Idempotent;
+    EntryCall call = makeCall();
+    call.start(now);
+    call.onEnd(now, AttemptIndex(0), endWith(Outcome::Unknown, Reason::LinkLost, 0));
+    const EntryActions ended =
+        call.onEnd(now, AttemptIndex(1), endWith(Outcome::NotRun, Reason::QueueFull, 0));
+    CHECK(findAction(ended, EntryVerb::Finish)->verdict.outcome == Outcome::Unknown);
+}
+
+// No answer comes by the deadline. The caller is answered then, and the attempt is cancelled.
+TEST(EntryCall, DeadlineEndsAnOpenAttemptAsUnknown)
+{
+    EntryCall call = makeCall();
+    call.start(now);
+    CHECK(call.nextTimer() == terms.deadline);
+    const EntryActions ended = call.onTimer(terms.deadline);
+    CHECK(findAction(ended, EntryVerb::Cancel) != nullptr);
+    CHECK(findAction(ended, EntryVerb::Finish)->verdict.outcome == Outcome::Unknown);
+    CHECK(findAction(ended, EntryVerb::Finish)->verdict.reason == Reason::Timeout);
+}
+
+TEST(EntryCall, RankBelowTheFloorIsRefusedBeforeAnythingIsSpent)
+{
+    router.lowest = Rank(101);
+    EntryCall call = makeCall();
+    const EntryActions ended = call.start(now);
+    const EntryAction *finish = findAction(ended, EntryVerb::Finish);
+    CHECK(finish->verdict.outcome == Outcome::NotRun);
+    CHECK(finish->verdict.reason == Reason::BelowFloor);
+    CHECK(finish->verdict.retryAfter == retries.comeBack);
+    CHECK_EQUAL(0, router.sent);
+    CHECK(ledger.left() == AttemptCount(9));
+}
+
+TEST(EntryCall, SpentBudgetIsRefusedWithoutInvitingBack)
+{
+    AttemptCount granted;
+    while (ledger.spend(AttemptCount(100), granted)) { }
+    EntryCall call = makeCall();
+    const EntryActions ended = call.start(now);
+    const EntryAction *finish = findAction(ended, EntryVerb::Finish);
+    CHECK(finish->verdict.reason == Reason::BudgetSpent);
+    CHECK(finish->verdict.retryAfter == Duration::zero());
+}
+
+// A slow lookup is hedged. The second attempt answers first; the first one is cancelled, and its
+// late end changes nothing for the caller but frees its place in the router's counts.
+TEST(EntryCall, HedgeWinsAndTheLoserIsCancelled)
+{
+    terms.rule.repetition = Repetition::Idempotent;
+    retries.hedgeAfter = milliseconds(20);
+    EntryCall call = makeCall();
+    call.start(now);
+    const EntryActions hedged = call.onTimer(now + milliseconds(20));
+    CHECK(findAction(hedged, EntryVerb::Send)->target == SECOND);
+    const EntryActions ended = call.onEnd(now + milliseconds(25), AttemptIndex(1),
+                                          endWith(Outcome::Answered, Reason::None, 0));
+    CHECK(findAction(ended, EntryVerb::Cancel)->attempt == AttemptIndex(0));
+    CHECK(findAction(ended, EntryVerb::Finish)->attempt == AttemptIndex(1));
+    CHECK(call.onEnd(now + milliseconds(30), AttemptIndex(0),
+                     endWith(Outcome::Unknown, Reason::Cancelled, 0))
+              .empty());
+    CHECK(router.ends.back().second == RouteFeedback::Cancelled);
+}
+
+TEST(EntryCall, CallsThatMayNotBeRepeatedAreNotHedged)
+{
+    retries.hedgeAfter = milliseconds(20);
+    EntryCall call = makeCall();
+    call.start(now);
+    CHECK(call.nextTimer() == terms.deadline);
+}
+
+// Another daemon keeps the key's result: the call follows to it once, and only once.
+TEST(EntryCall, FollowsTheKeyToItsHolderOnce)
+{
+    EntryCall call = makeCall();
+    call.start(now);
+    AttemptEnd busy = endWith(Outcome::NotRun, Reason::KeyBusy, 7);
+    busy.holder = DaemonId("holder");
+    retries.mayRetry = false;
+    const EntryActions next = call.onEnd(now, AttemptIndex(0), busy);
+    CHECK(findAction(next, EntryVerb::Send)->target == DaemonId("holder"));
+    const EntryActions ended = call.onEnd(now, AttemptIndex(1), busy);
+    CHECK(findAction(ended, EntryVerb::Finish) != nullptr);
+}
+
+TEST(EntryCall, CallWithoutContextIsTriedOnce)
+{
+    terms.isSingleAttempt = true;
+    EntryCall call = makeCall();
+    CHECK(findAction(call.start(now), EntryVerb::Send)->granted == AttemptCount(0));
+    const EntryActions ended =
+        call.onEnd(now, AttemptIndex(0), endWith(Outcome::NotRun, Reason::QueueFull, 0));
+    CHECK(findAction(ended, EntryVerb::Send) == nullptr);
+    CHECK(findAction(ended, EntryVerb::Finish)->verdict.outcome == Outcome::NotRun);
+}
+
+TEST(EntryCall, CallerThatLeavesCancelsWhatIsOpen)
+{
+    EntryCall call = makeCall();
+    call.start(now);
+    CHECK(findAction(call.onCallerGone(now), EntryVerb::Cancel)->attempt == AttemptIndex(0));
+    CHECK(call.isFinished());
+}
--- /dev/null
+++ b/src/coordination/calls/tests/mocks/fakeretrypolicy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "coordination/retries/iretrypolicy.h"
+
+namespace ivyspar {
+
+/// Retries whatever may be repeated at all; hedges after `hedgeAfter` when that is not zero.
+class FakeRetryPolicy : public IRetryPolicy
+{
+public:
+    bool mayRetry = true;
+    Duration hedgeAfter{ 0 };
+    Duration comeBack = std::chrono::milliseconds(40);
+    int successes = 0;
+
+    bool shouldRetry(TimePoint /*now*/, const RetryQuestion &question) override
+    {
+        const bool isSafe = question.verdict.outcome == Outcome::NotRun
+            || question.repetition == Repetition::Idempotent;
+        return mayRetry && isSafe;
+    }
+    void onSuccess(TimePoint /*now*/, const ServiceName & /*service*/,
+                   Duration /*latency*/) override
+    {
+        ++successes;
+    }
+    Duration hedgeDelay(TimePoint /*now*/, const RuleSpec & /*rule*/) override
+    {
+        return hedgeAfter;
+    }
+    bool takeHedge(TimePoint /*now*/, const ServiceName & /*service*/) override { return true; }
+    Duration retryAfter(TimePoint /*now*/, const ServiceName & /*service*/,
+                        IRandom & /*random*/) override
+    {
+        return comeBack;
+    }
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/calls/tests/mocks/fakerouter.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/routing/irouter.h"
+
+namespace ivyspar {
+
+/// Offers its daemons in order, without those excluded, and records what it is told.
+class FakeRouter : public IRouter
+{
+public:
+    std::vector<DaemonId> daemons;
+    Rank lowest;
+    std::vector<std::pair<DaemonId, RouteFeedback>> ends;
+    int sent = 0;
+
+    void setMembers(TimePoint /*now*/, const std::vector<Member> & /*members*/) override { }
+
+    RouteChoice choose(TimePoint /*now*/, const RouteRequest &request,
+                       IRandom & /*random*/) override
+    {
+        RouteChoice choice;
+        choice.reason = Reason::NoServer;
+        for (const DaemonId &daemon : daemons) {
+            if (std::count(request.excluded.begin(), request.excluded.end(), daemon) == 0) {
+                choice.daemon = daemon;
+                choice.reason = Reason::None;
+                break;
+            }
+        }
+        return choice;
+    }
+
+    void onSent(TimePoint /*now*/, const ServiceName & /*service*/,
+                const DaemonId & /*daemon*/) override
+    {
+        ++sent;
+    }
+
+    void onEnd(TimePoint /*now*/, const ServiceName & /*service*/, const DaemonId &daemon,
+               RouteFeedback feedback, Duration /*latency*/) override
+    {
+        ends.emplace_back(daemon, feedback);
+    }
+
+    void onLoad(TimePoint /*now*/, const ServiceName & /*service*/, const DaemonId & /*daemon*/,
+                const LoadReport & /*load*/) override
+    {
+    }
+
+    Rank floor(TimePoint /*now*/, const ServiceName & /*service*/) const override { return lowest; }
+};
+
+} // namespace ivyspar
