--- /dev/null
+++ b/src/app/internal/flags.cpp
@@ -0,0 +1,41 @@
+#include "app/internal/flags.h"
+
+#include <gflags/gflags.h>
+
+// NOLINTBEGIN(readability-identifier-naming): gflags makes these names.
+DEFINE_string(daemon_id, "", "Name of this daemon; unique, and the same after a restart.");
+DEFINE_string(domain, "", "Failure domain of this host, as the inventory names it.");
+DEFINE_string(region, "", "Region of this host; if set, the inventory must agree.");
+DEFINE_string(caller_listen, "127.0.0.1:7400", "IP:PORT for callers. Port 0 takes a free one.");
+DEFINE_string(operator_listen, "127.0.0.1:7401",
+              "IP:PORT for operators: /healthz, /status, /metrics.");
+DEFINE_bool(allow_remote_operator, false,
+            "Lets --operator_listen be other than loopback. The interface asks for no password.");
+DEFINE_string(upstream_listen, "127.0.0.1:7402",
+              "IP:PORT for the upstream of this host: announcements and its outbound calls.");
+DEFINE_bool(allow_remote_upstream, false,
+            "Lets --upstream_listen be other than loopback, for an upstream in a container.");
+DEFINE_string(peer_listen, "127.0.0.1:7403", "IP:PORT for other daemons.");
+DEFINE_string(peer_advertise, "",
+              "IP:PORT at which other daemons reach this one, if not --peer_listen.");
+DEFINE_string(seeds, "", "IP:PORT,... of daemons to join by while the log is down.");
+DEFINE_string(log_endpoints, "", "IP:PORT,... of the platform's log.");
+DEFINE_string(inventory, "", "Inventory file (TOML).");
+DEFINE_string(rules, "", "Rules file (TOML).");
+DEFINE_string(heartbeat_timeout, "3s",
+              "An upstream silent for this long gets no new work (100ms to 1min).");
+DEFINE_string(drain_timeout, "30s",
+              "Longest time for requests in flight to end at a planned stop (up to 1h).");
+DEFINE_uint64(max_connections, 4000, "Connections that callers may have open.");
+DEFINE_uint64(max_header_bytes, 16384, "Bytes of the headers of one request.");
+DEFINE_uint64(max_body_bytes, 1048576, "Bytes of the body of one request or answer.");
+DEFINE_uint64(max_in_flight, 10000, "Requests of callers worked on at a time.");
+DEFINE_string(log_level, "info", "trace, debug, info, warn, error or off.");
+DEFINE_string(decision_log, "",
+              "File for a line on each routing or placement decision; - is standard output.");
+DEFINE_string(ready_file, "",
+              "File that gets the endpoints listened on, as JSON, once all are open.");
+DEFINE_string(ablate, "",
+              "Policies to switch off for measurements, not for production: admission, rank, "
+              "floor, doomed, budget, retry-tokens, routing, hedging, cancel.");
+// NOLINTEND(readability-identifier-naming)
--- /dev/null
+++ b/src/app/internal/settingvalues.cpp
@@ -0,0 +1,132 @@
+#include "app/internal/settingvalues.h"
+
+#include <algorithm>
+#include <cctype>
+#include <sstream>
+
+#include "app/internal/flagset.h"
+#include "state/durationtext.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::size_t MAX_NAME = 64;
+
+bool isNameCharacter(unsigned char c)
+{
+    return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
+}
+
+} // namespace
+
+SettingValues::SettingValues(std::vector<std::string> &errors)
+    : m_errors(errors)
+{
+}
+
+std::string SettingValues::name(const std::string &flag, const std::string &text)
+{
+    if (text.empty()) {
+        fail(flag, "must be set");
+    } else if (text.size() > MAX_NAME || !std::all_of(text.begin(), text.end(), isNameCharacter)) {
+        fail(flag, '"' + text + "\" is not a name of at most 64 letters, digits, '.', '_' and '-'");
+    }
+    return text;
+}
+
+Endpoint SettingValues::listenEndpoint(const std::string &flag, const std::string &text)
+{
+    const RetVal<Endpoint> endpoint = Endpoint::parse(text);
+    if (!endpoint) {
+        fail(flag, endpoint.error().text);
+        return {};
+    }
+    return *endpoint;
+}
+
+Endpoint SettingValues::remoteEndpoint(const std::string &flag, const std::string &text)
+{
+    Endpoint endpoint = listenEndpoint(flag, text);
+    if (endpoint.address.empty()) {
+        return endpoint;
+    }
+    if (endpoint.port == 0) {
+        fail(flag, "port 0 in \"" + text + "\" cannot be connected to");
+    }
+    if (isWildcard(endpoint)) {
+        fail(flag, '"' + text + "\" stands for all addresses and cannot be connected to");
+    }
+    return endpoint;
+}
+
+std::vector<Endpoint> SettingValues::remoteEndpoints(const std::string &flag,
+                                                     const std::string &text)
+{
+    std::vector<Endpoint> endpoints;
+    for (const std::string &part : splitList(text)) {
+        const Endpoint endpoint = remoteEndpoint(flag, part);
+        if (std::count(endpoints.begin(), endpoints.end(), endpoint) > 0
+            && !endpoint.address.empty()) {
+            fail(flag, '"' + part + "\" is listed more than once");
+        }
+        endpoints.push_back(endpoint);
+    }
+    return endpoints;
+}
+
+Duration SettingValues::duration(const std::string &flag, const std::string &text, Duration least,
+                                 Duration greatest)
+{
+    const RetVal<Duration> duration = parseDuration(text);
+    if (!duration) {
+        fail(flag, duration.error().text);
+        return Duration::zero();
+    }
+    if (*duration < least || *duration > greatest) {
+        fail(flag, '"' + text + "\" is not within " + toText(least) + " to " + toText(greatest));
+    }
+    return *duration;
+}
+
+std::size_t SettingValues::count(const std::string &flag, std::uint64_t value, std::uint64_t least,
+                                 std::uint64_t greatest)
+{
+    if (value < least || value > greatest) {
+        fail(flag,
+             std::to_string(value) + " is not within " + std::to_string(least) + " to "
+                 + std::to_string(greatest));
+    }
+    return value;
+}
+
+void SettingValues::fail(const std::string &flag, const std::string &problem)
+{
+    m_errors.push_back(FlagSet::label(flag) + ": " + problem);
+}
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    std::string part;
+    while (std::getline(stream, part, ',')) {
+        parts.push_back(part);
+    }
+    if (!text.empty() && text.back() == ',') {
+        parts.emplace_back();
+    }
+    return parts;
+}
+
+bool isLoopback(const Endpoint &endpoint)
+{
+    return endpoint.address.rfind("127.", 0) == 0 || endpoint.address == "::1";
+}
+
+bool isWildcard(const Endpoint &endpoint)
+{
+    return endpoint.address == "0.0.0.0" || endpoint.address == "::";
+}
+
+} // namespace ivyspar
