Add the event loop: fibers on one io_context

Cause: modules need fibers that block in the io_context of their thread. The main fiber runs the ready fibers, then one event; it blocks only when no fiber other than the dispatcher is ready. Boost.Fiber's round_robin was ruled out: it counts the dispatcher, so the loop would never block. Timers share one asio timer, which is not moved when a timeout is cancelled.

--- /dev/null
+++ b/src/transport/internal/eventloop.cpp
@@ -0,0 +1,210 @@
+#include "transport/internal/eventloop.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include "transport/internal/fiberwaiter.h"
+#include "transport/transportfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+/// Tells asio that one thread runs the loop; posting from others stays safe.
+constexpr int ONE_THREAD = 1;
+constexpr Duration LONGEST_DELAY = std::chrono::hours(24 * 365);
+constexpr int END_ROUNDS = 1000;
+
+/// An exception that reached a task's end is a broken invariant of that task; the other fibers and
+/// connections of the thread go on.
+void runGuarded(const std::function<void()> &task)
+{
+    try {
+        task();
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "ivyspar: a task ended by an exception: %s\n", error.what());
+    }
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+    : m_io(ONE_THREAD)
+    , m_work(boost::asio::make_work_guard(m_io))
+    , m_timer(m_io)
+    , m_scheduler(new FiberScheduler(this))
+    , m_stacks(new StackPool)
+{
+}
+
+EventLoop::~EventLoop()
+{
+    endFibers();
+    m_scheduler->detachLoop();
+}
+
+/// The algorithm is installed late, so that a loop may be made on one thread and run on another.
+void EventLoop::bindToThread()
+{
+    if (m_thread == std::this_thread::get_id()) {
+        return;
+    }
+    if (m_thread != std::thread::id()) {
+        std::fputs("ivyspar: an event loop was used on two threads\n", stderr);
+        std::abort();
+    }
+    m_thread = std::this_thread::get_id();
+    boost::fibers::context::active()->get_scheduler()->set_algo(m_scheduler);
+}
+
+void EventLoop::spawn(std::function<void()> task)
+{
+    bindToThread();
+    ++m_fiberCount;
+    auto body = [this, task = std::move(task)]() mutable {
+        runGuarded(task);
+        task = {};
+        --m_fiberCount;
+    };
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, PooledStack(m_stacks),
+                         std::move(body))
+        .detach();
+}
+
+void EventLoop::post(std::function<void()> task)
+{
+    boost::asio::post(m_io, [task = std::move(task)] { runGuarded(task); });
+}
+
+void EventLoop::sleepFor(Duration duration)
+{
+    bindToThread();
+    FiberWaiter waiter;
+    callLater(duration, [&waiter] { waiter.wake(); });
+    waiter.wait();
+}
+
+TimePoint EventLoop::now() const
+{
+    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceEpoch));
+}
+
+TimerId EventLoop::callLater(Duration delay, std::function<void()> task)
+{
+    const Duration bounded = std::clamp(delay, Duration::zero(), LONGEST_DELAY);
+    const TimerId id = m_timers.add(now() + bounded, std::move(task));
+    armTimer();
+    return id;
+}
+
+void EventLoop::cancelTimer(TimerId id)
+{
+    m_timers.cancel(id);
+}
+
+void EventLoop::armTimer()
+{
+    const TimePoint next = m_timers.nextTime();
+    if (next >= m_armedFor) {
+        return;
+    }
+    m_armedFor = next;
+    m_timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            onTimer();
+        }
+    });
+}
+
+void EventLoop::onTimer()
+{
+    m_armedFor = TimePoint::max();
+    const TimePoint time = now();
+    while (const auto task = m_timers.takeDue(time)) {
+        runGuarded(task);
+    }
+    armTimer();
+}
+
+void EventLoop::run()
+{
+    bindToThread();
+    m_isStopped = false;
+    while (!m_isStopped) {
+        runOnce();
+    }
+}
+
+void EventLoop::stop()
+{
+    boost::asio::post(m_io, [this] { m_isStopped = true; });
+}
+
+/// Runs every fiber that is ready now once, then one event. Events get their turn also while
+/// fibers keep each other ready.
+void EventLoop::runOnce()
+{
+    if (m_scheduler->readyCount() > 0) {
+        boost::this_fiber::yield();
+    }
+    runEvent(m_scheduler->readyCount() == 0);
+}
+
+void EventLoop::runEvent(bool isBlocking)
+{
+    try {
+        if (isBlocking) {
+            m_io.run_one();
+        } else {
+            m_io.poll_one();
+        }
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "ivyspar: a callback ended by an exception: %s\n", error.what());
+    }
+}
+
+void EventLoop::waitForEvent(std::chrono::steady_clock::time_point time) noexcept
+{
+    try {
+        if (time == std::chrono::steady_clock::time_point::max()) {
+            m_io.run_one();
+        } else {
+            m_io.run_one_until(time);
+        }
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "ivyspar: a callback ended by an exception: %s\n", error.what());
+    }
+}
+
+/// Boost.Fiber waits at the thread's end until all its fibers have ended. Those that wait for a
+/// timeout get it early here; otherwise the process would hang for as long as they sleep.
+void EventLoop::endFibers()
+{
+    if (m_thread != std::this_thread::get_id()) {
+        return;
+    }
+    for (int round = 0; round < END_ROUNDS && m_fiberCount > 0; ++round) {
+        if (const auto task = m_timers.takeDue(TimePoint::max())) {
+            runGuarded(task);
+        }
+        boost::this_fiber::yield();
+        m_io.poll();
+    }
+}
+
+std::unique_ptr<IEventLoop> makeEventLoop()
+{
+    return std::make_unique<EventLoop>();
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/eventloop.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include "transport/ieventloop.h"
+#include "transport/internal/fiberscheduler.h"
+#include "transport/internal/stackpool.h"
+#include "transport/internal/timerqueue.h"
+
+namespace ivyspar {
+
+/// Runs the ready fibers of a thread; when none is ready, blocks in the io_context until an event
+/// wakes one. There is no polling: an idle loop takes no processor time.
+///
+/// Callbacks of the io_context run on the stack of the thread's main fiber and must not suspend.
+class EventLoop : public IEventLoop
+{
+public:
+    EventLoop();
+    ~EventLoop() override;
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    void spawn(std::function<void()> task) override;
+    void post(std::function<void()> task) override;
+    void sleepFor(Duration duration) override;
+    TimePoint now() const override;
+    TimerId callLater(Duration delay, std::function<void()> task) override;
+    void cancelTimer(TimerId id) override;
+    void run() override;
+    void stop() override;
+
+    boost::asio::io_context &ioContext() { return m_io; }
+    /// For FiberScheduler: runs one event, waits for it until `time` at most.
+    void waitForEvent(std::chrono::steady_clock::time_point time) noexcept;
+
+private:
+    void bindToThread();
+    void runOnce();
+    void runEvent(bool isBlocking);
+    void armTimer();
+    void onTimer();
+    void endFibers();
+
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::steady_timer m_timer;
+    /// When `m_timer` fires. It is left as it is when the first task is cancelled: one wake-up too
+    /// many costs less than a system call for each timeout that does not happen.
+    TimePoint m_armedFor = TimePoint::max();
+    TimerQueue m_timers;
+    boost::intrusive_ptr<FiberScheduler> m_scheduler;
+    boost::intrusive_ptr<StackPool> m_stacks;
+    std::thread::id m_thread;
+    std::size_t m_fiberCount = 0;
+    bool m_isStopped = false;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/timerqueue.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "state/time.h"
+#include "transport/ieventloop.h"
+
+namespace ivyspar {
+
+/// Tasks in order of time; tasks of the same time keep their order of arrival. Ids are not reused
+/// before 2^32 further timers.
+class TimerQueue
+{
+public:
+    using Task = std::function<void()>;
+
+    TimerId add(TimePoint time, Task task);
+    void cancel(TimerId id);
+    /// Removes and returns the first task that is due, or an empty function.
+    Task takeDue(TimePoint now);
+    /// The time of the first task, or TimePoint::max().
+    TimePoint nextTime();
+
+private:
+    struct Slot
+    {
+        Task task;
+        std::uint32_t generation = 1;
+    };
+    struct Entry
+    {
+        TimePoint time;
+        std::uint64_t order;
+        TimerId id;
+    };
+
+    static bool isLater(const Entry &a, const Entry &b);
+    Slot *find(TimerId id);
+    Task release(TimerId id);
+    void dropCancelled();
+    void compact();
+
+    std::vector<Slot> m_slots;
+    std::vector<std::uint32_t> m_freeSlots;
+    /// A heap with the earliest entry in front. Entries of cancelled tasks stay until they come to
+    /// the front or outnumber the others.
+    std::vector<Entry> m_heap;
+    std::uint64_t m_order = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/tests/eventlooptest.cpp
@@ -0,0 +1,149 @@
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "transport/oneshot.h"
+#include "transport/transportfactory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+TEST_GROUP(EventLoop)
+{
+    std::unique_ptr<IEventLoop> m_loop = makeEventLoop();
+
+    void runTask(std::function<void()> task)
+    {
+        m_loop->spawn([this, task = std::move(task)] {
+            task();
+            m_loop->stop();
+        });
+        m_loop->run();
+    }
+};
+
+TEST(EventLoop, TimersRunInOrderOfTime)
+{
+    std::string order;
+    m_loop->callLater(milliseconds(3), [&] { order += 'c'; });
+    m_loop->callLater(milliseconds(1), [&] { order += 'a'; });
+    const TimerId cancelled = m_loop->callLater(milliseconds(2), [&] { order += 'x'; });
+    m_loop->callLater(milliseconds(2), [&] { order += 'b'; });
+    m_loop->cancelTimer(cancelled);
+    m_loop->callLater(milliseconds(4), [&] { m_loop->stop(); });
+    m_loop->run();
+    STRCMP_EQUAL("abc", order.c_str());
+}
+
+TEST(EventLoop, AnIdOfATimerThatRanCancelsNoOther)
+{
+    bool hasRun = false;
+    runTask([&] {
+        const TimerId first = m_loop->callLater(Duration::zero(), [] {});
+        m_loop->sleepFor(milliseconds(1));
+        m_loop->callLater(Duration::zero(), [&] { hasRun = true; });
+        m_loop->cancelTimer(first);
+        m_loop->sleepFor(milliseconds(1));
+    });
+    CHECK(hasRun);
+}
+
+TEST(EventLoop, SleepingFibersTakeTurns)
+{
+    std::string order;
+    m_loop->spawn([&] {
+        order += '1';
+        m_loop->sleepFor(milliseconds(2));
+        order += '3';
+        m_loop->stop();
+    });
+    m_loop->spawn([&] {
+        order += '2';
+        m_loop->sleepFor(milliseconds(1));
+        order += 'b';
+    });
+    m_loop->run();
+    STRCMP_EQUAL("12b3", order.c_str());
+}
+
+TEST(EventLoop, PostFromAnotherThreadWakesABlockedLoop)
+{
+    std::string order;
+    OneShot<int> value(*m_loop);
+    std::thread other([&] { m_loop->post([&] { value.set(7); }); });
+    int received = 0;
+    runTask([&] { received = value.wait(hours(1)).value_or(0); });
+    other.join();
+    CHECK_EQUAL(7, received);
+}
+
+TEST(EventLoop, OneShotTimesOutAndStillTakesALaterValue)
+{
+    OneShot<int> value(*m_loop);
+    bool isTimedOut = false;
+    int received = 0;
+    runTask([&] {
+        isTimedOut = !value.wait(milliseconds(1));
+        value.set(3);
+        value.set(4);
+        received = value.wait(hours(1)).value_or(0);
+    });
+    CHECK(isTimedOut);
+    CHECK_EQUAL(3, received);
+}
+
+TEST(EventLoop, AnExceptionEndsOnlyItsFiber)
+{
+    bool hasRun = false;
+    m_loop->spawn([] { throw std::runtime_error("expected by the test"); });
+    runTask([&] {
+        m_loop->sleepFor(milliseconds(1));
+        hasRun = true;
+    });
+    CHECK(hasRun);
+}
+
+TEST(EventLoop, TheMainFiberMayWaitOutsideOfRun)
+{
+    OneShot<int> value(*m_loop);
+    m_loop->spawn([&] {
+        m_loop->sleepFor(milliseconds(1));
+        value.set(5);
+    });
+    CHECK_EQUAL(5, value.wait(hours(1)).value_or(0));
+}
+
+/// A fiber sleeps for an hour when its loop is destroyed. Boost.Fiber joins all fibers when the
+/// thread ends, so without the early wake-up the thread would hang for that hour.
+TEST(EventLoop, DestructionEndsSleepingFibers)
+{
+    bool hasEnded = false;
+    std::thread thread([&] {
+        const auto loop = makeEventLoop();
+        loop->spawn([&] {
+            loop->sleepFor(hours(1));
+            hasEnded = true;
+        });
+        loop->spawn([&] { loop->stop(); });
+        loop->run();
+    });
+    thread.join();
+    CHECK(hasEnded);
+}
+
+TEST(EventLoop, ManyFibersReuseStacks)
+{
+    int ended = 0;
+    runTask([&] {
+        for (int round = 0; round < 20; ++round) {
+            for (int i = 0; i < 200; ++i) {
+                m_loop->spawn([&] { ++ended; });
+            }
+            m_loop->sleepFor(milliseconds(1));
+        }
+    });
+    CHECK_EQUAL(4000, ended);
+}
--- /dev/null
+++ b/src/transport/transportfactory.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <memory>
+
+#include "transport/ieventloop.h"
+#include "transport/ihttpclient.h"
+#include "transport/ihttpserver.h"
+#include "transport/ipeernetwork.h"
+
+namespace ivyspar {
+
+/// The loop binds to the thread that first calls `spawn`, `sleepFor` or `run`. Its fibers end
+/// before it and before that thread.
+std::unique_ptr<IEventLoop> makeEventLoop();
+
+// These take a loop of `makeEventLoop`, which outlives them, and are made, used and destroyed on
+// its thread (or before `run` and after it returned).
+std::unique_ptr<IHttpServer> makeHttpServer(IEventLoop &loop);
+std::unique_ptr<IHttpClient> makeHttpClient(IEventLoop &loop, const HttpClientLimits &limits);
+std::unique_ptr<IPeerNetwork> makePeerNetwork(IEventLoop &loop);
+
+} // namespace ivyspar
