--- /dev/null
+++ b/src/app/internal/announcementreader.cpp
@@ -0,0 +1,76 @@
+#include "app/internal/announcementreader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ivyspar {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t MAX_SLOTS = 1000000;
+
+tl::unexpected<Error> wrong(const std::string &text)
+{
+    return makeError(ErrorCode::InvalidArgument, text);
+}
+
+bool readCount(const Json &document, const char *key, std::uint32_t &count)
+{
+    const auto field = document.find(key);
+    if (field == document.end() || !field->is_number_unsigned()) {
+        return false;
+    }
+    const auto value = field->get<std::uint64_t>();
+    count = static_cast<std::uint32_t>(value);
+    return value >= 1 && value <= MAX_SLOTS;
+}
+
+bool readText(const Json &document, const char *key, std::string &text)
+{
+    const auto field = document.find(key);
+    if (field == document.end() || !field->is_string()) {
+        return false;
+    }
+    text = field->get<std::string>();
+    return !text.empty();
+}
+
+} // namespace
+
+RetVal<Announcement> readAnnouncement(const std::string &json)
+{
+    const Json document = Json::parse(json, nullptr, false);
+    if (!document.is_object()) {
+        return wrong("expected a JSON object");
+    }
+    Announcement announcement;
+    std::string service;
+    if (!readText(document, "service", service)) {
+        return wrong("\"service\" must be a non-empty string");
+    }
+    announcement.info.service = ServiceName(service);
+    std::string address;
+    if (!readText(document, "address", address)) {
+        return wrong("\"address\" must be a string, IP:PORT");
+    }
+    const auto endpoint = Endpoint::parse(address);
+    if (!endpoint) {
+        return wrong("\"address\": " + endpoint.error().text);
+    }
+    announcement.endpoint = *endpoint;
+    if (!readCount(document, "slots", announcement.info.slots)) {
+        return wrong("\"slots\" must be a whole number from 1 to 1000000");
+    }
+    if (!readCount(document, "connections", announcement.info.connections)) {
+        return wrong("\"connections\" must be a whole number from 1 to 1000000");
+    }
+    const auto draining = document.find("draining");
+    if (draining != document.end() && !draining->is_boolean()) {
+        return wrong("\"draining\" must be true or false");
+    }
+    announcement.info.draining = draining != document.end() && draining->get<bool>();
+    return announcement;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/trafficnode.cpp
@@ -0,0 +1,193 @@
+#include "app/internal/trafficnode.h"
+
+#include <random>
+#include <utility>
+
+#include "app/internal/announcementreader.h"
+#include "app/internal/policies.h"
+#include "protocol/internal/peercodec.h"
+#include "state/internal/seededrandom.h"
+#include "transport/transportfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr char ANNOUNCE_PATH[] = "/announce";
+constexpr Duration DRAIN_POLL = std::chrono::milliseconds(5);
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+HttpClientLimits makeClientLimits(const DaemonSettings &settings)
+{
+    HttpClientLimits limits;
+    limits.bodyBytes = settings.limits.bodyBytes;
+    return limits;
+}
+
+GateServiceOptions makeGateServiceOptions(const DaemonSettings &settings)
+{
+    GateServiceOptions options;
+    options.heartbeatTimeout = settings.heartbeatTimeout;
+    options.cancelUpstream = !settings.ablations.cancel;
+    return options;
+}
+
+EntryOptions makeEntryOptions(const DaemonSettings &settings)
+{
+    EntryOptions options;
+    options.maxRequests = settings.limits.inFlight;
+    return options;
+}
+
+HttpResponse makeText(std::uint16_t status, const std::string &text)
+{
+    return HttpResponse{ status, { { "Content-Type", "text/plain" } }, text + '\n' };
+}
+
+} // namespace
+
+TrafficNode::TrafficNode(IEventLoop &loop, const DaemonSettings &settings,
+                         const DaemonIdentity &self, TrafficEvents events)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_events(std::move(events))
+    , m_random(std::make_unique<SeededRandom>(randomSeed()))
+    , m_codec(std::make_unique<PeerCodec>())
+    , m_client(makeHttpClient(loop, makeClientLimits(settings)))
+    , m_network(makePeerNetwork(loop))
+    , m_router(makeRouter(makeRouterOptions(settings.ablations, settings.domain)))
+    , m_retries(makeRetryPolicy(makeRetryOptions(settings.ablations)))
+{
+    const auto makeLocalGate = [ablations = settings.ablations](const UpstreamInfo &info) {
+        GateOptions options = makeGateOptions(ablations);
+        options.slots = info.slots;
+        options.connections = info.connections;
+        return makeGate(options);
+    };
+    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, makeLocalGate,
+                                            makeGateServiceOptions(settings));
+    m_gates->setOnUpstreams(m_events.onUpstreams);
+    m_peerCalls = std::make_unique<PeerCalls>(loop, *m_network, *m_codec, *m_gates, self);
+    m_peerCalls->setOnControl(m_events.onControl);
+    m_peerCalls->setOnUnreachable(m_events.onUnreachable);
+    m_entry =
+        std::make_unique<EntryService>(loop, EntryPolicies{ *m_router, *m_retries, *m_random },
+                                       *m_peerCalls, *m_gates, makeEntryOptions(settings));
+    m_callerServer = makeHttpServer(loop);
+    m_upstreamServer = makeHttpServer(loop);
+}
+
+TrafficNode::~TrafficNode() = default;
+
+HttpLimits TrafficNode::makeLimits() const
+{
+    HttpLimits limits;
+    limits.connections = m_settings.limits.connections;
+    limits.headerBytes = m_settings.limits.headerBytes;
+    limits.bodyBytes = m_settings.limits.bodyBytes;
+    return limits;
+}
+
+RetVal<BoundEndpoints> TrafficNode::listen()
+{
+    BoundEndpoints bound;
+    const auto peer = m_network->listen(m_settings.peerListen, PeerLimits());
+    if (!peer) {
+        return tl::unexpected<Error>(peer.error());
+    }
+    bound.peer = *peer;
+    const auto upstream = m_upstreamServer->listen(
+        m_settings.upstreamListen, makeLimits(),
+        [this](IHttpExchange &exchange) { return handleUpstream(exchange); });
+    if (!upstream) {
+        return tl::unexpected<Error>(upstream.error());
+    }
+    bound.upstream = *upstream;
+    const auto caller = m_callerServer->listen(
+        m_settings.callerListen, makeLimits(),
+        [this](IHttpExchange &exchange) { return m_entry->handleCaller(exchange); });
+    if (!caller) {
+        return tl::unexpected<Error>(caller.error());
+    }
+    bound.caller = *caller;
+    return bound;
+}
+
+void TrafficNode::setMembers(const std::vector<Member> &members)
+{
+    m_router->setMembers(m_loop.now(), members);
+    m_peerCalls->setMembers(members);
+}
+
+void TrafficNode::setConfiguration(const ConfigurationPtr &configuration)
+{
+    m_entry->setConfiguration(configuration);
+}
+
+void TrafficNode::sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload)
+{
+    m_peerCalls->sendControl(target, endpoint, std::move(payload));
+}
+
+TrafficStatus TrafficNode::status() const
+{
+    TrafficStatus status;
+    status.gates = m_gates->loads();
+    status.requests = m_entry->requestCount();
+    status.calls = m_gates->callCount();
+    status.links = m_network->linkCount();
+    status.callerConnections = m_callerServer->connectionCount();
+    return status;
+}
+
+void TrafficNode::startDraining()
+{
+    m_gates->startDraining();
+    m_entry->startDraining();
+}
+
+bool TrafficNode::drain(Duration timeout)
+{
+    const TimePoint end = m_loop.now() + timeout;
+    const auto left = [&] { return std::chrono::duration_cast<Duration>(end - m_loop.now()); };
+    m_callerServer->drain(timeout);
+    // Calls that other daemons sent here run on, and so do the calls that they make from here.
+    while (m_gates->callCount() + m_entry->requestCount() > 0 && left() > Duration::zero()) {
+        m_loop.sleepFor(DRAIN_POLL);
+    }
+    const bool isDone = m_gates->callCount() + m_entry->requestCount() == 0;
+    m_upstreamServer->drain(std::max(left(), DRAIN_POLL));
+    m_network->shutdown(std::max(left(), DRAIN_POLL));
+    return isDone;
+}
+
+HttpResponse TrafficNode::handleUpstream(IHttpExchange &exchange)
+{
+    if (exchange.request().target == ANNOUNCE_PATH) {
+        return handleAnnouncement(exchange.request());
+    }
+    return m_entry->handleUpstream(exchange);
+}
+
+HttpResponse TrafficNode::handleAnnouncement(const HttpRequest &request)
+{
+    constexpr std::uint16_t NO_CONTENT = 204;
+    constexpr std::uint16_t BAD_REQUEST = 400;
+    constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
+    if (request.method != "PUT") {
+        return makeText(METHOD_NOT_ALLOWED, "announcements are PUT");
+    }
+    const auto announcement = readAnnouncement(request.body);
+    if (!announcement) {
+        return makeText(BAD_REQUEST, announcement.error().text);
+    }
+    m_gates->announce(*announcement);
+    return HttpResponse{ NO_CONTENT, {}, {} };
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/trafficnode.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "app/internal/entryservice.h"
+#include "app/internal/gateservice.h"
+#include "app/internal/peercalls.h"
+#include "app/settings.h"
+#include "state/configuration.h"
+#include "state/member.h"
+#include "transport/ieventloop.h"
+#include "transport/ihttpclient.h"
+#include "transport/ihttpserver.h"
+#include "transport/ipeernetwork.h"
+
+namespace ivyspar {
+
+/// The endpoints that a daemon got.
+struct BoundEndpoints
+{
+    Endpoint caller;
+    Endpoint upstream;
+    Endpoint peer;
+    Endpoint operators;
+};
+
+/// What the traffic thread tells the rest of the daemon. Called on the traffic thread.
+struct TrafficEvents
+{
+    std::function<void(std::vector<UpstreamInfo>)> onUpstreams;
+    std::function<void(ControlMessage)> onControl;
+    std::function<void(DaemonId)> onUnreachable;
+};
+
+/// Figures of the traffic thread for `/status`.
+struct TrafficStatus
+{
+    std::vector<std::pair<ServiceName, LoadReport>> gates;
+    std::size_t requests = 0;
+    std::size_t calls = 0;
+    std::size_t links = 0;
+    std::size_t callerConnections = 0;
+};
+
+/// All that the traffic thread owns: listeners for callers, upstreams and peers, and the services
+/// behind them. Made, used and destroyed on the traffic thread.
+class TrafficNode
+{
+public:
+    TrafficNode(IEventLoop &loop, const DaemonSettings &settings, const DaemonIdentity &self,
+                TrafficEvents events);
+    ~TrafficNode();
+
+    /// Opens the listeners.
+    RetVal<BoundEndpoints> listen();
+    void setMembers(const std::vector<Member> &members);
+    void setConfiguration(const ConfigurationPtr &configuration);
+    void sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload);
+    TrafficStatus status() const;
+    /// New calls are refused from now on; those in flight go on.
+    void startDraining();
+    /// Ends what is in flight and closes all listeners; suspends for `timeout` at most. False when
+    /// something was still in flight then.
+    bool drain(Duration timeout);
+
+private:
+    HttpLimits makeLimits() const;
+    HttpResponse handleUpstream(IHttpExchange &exchange);
+    HttpResponse handleAnnouncement(const HttpRequest &request);
+
+    IEventLoop &m_loop;
+    DaemonSettings m_settings;
+    TrafficEvents m_events;
+    std::unique_ptr<IRandom> m_random;
+    std::unique_ptr<IPeerCodec> m_codec;
+    std::unique_ptr<IHttpClient> m_client;
+    std::unique_ptr<IPeerNetwork> m_network;
+    std::unique_ptr<IRouter> m_router;
+    std::unique_ptr<IRetryPolicy> m_retries;
+    std::unique_ptr<GateService> m_gates;
+    std::unique_ptr<PeerCalls> m_peerCalls;
+    std::unique_ptr<EntryService> m_entry;
+    std::unique_ptr<IHttpServer> m_callerServer;
+    std::unique_ptr<IHttpServer> m_upstreamServer;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/standins/upstream/upstreamcommand.cpp
@@ -0,0 +1,153 @@
+#include "standins/upstream/upstreamcommand.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "standins/options.h"
+#include "standins/signals.h"
+#include "standins/upstream/upstreamserver.h"
+#include "state/internal/seededrandom.h"
+#include "transport/transportfactory.h"
+
+namespace ivyspar::lab {
+
+namespace {
+
+using Json = nlohmann::json;
+using Servers = std::vector<std::unique_ptr<UpstreamServer>>;
+
+constexpr int EXIT_FAILURE_AT_START = 1;
+constexpr Duration STOP_TIMEOUT = std::chrono::seconds(1);
+
+/// `name,service,slots,connections,IP:PORT`
+UpstreamSpec parseSpec(const std::string &text)
+{
+    std::istringstream fields(text);
+    UpstreamSpec spec;
+    std::string slots;
+    std::string connections;
+    std::string daemon;
+    std::getline(fields, spec.name, ',');
+    std::getline(fields, spec.service, ',');
+    std::getline(fields, slots, ',');
+    std::getline(fields, connections, ',');
+    std::getline(fields, daemon, ',');
+    spec.slots = static_cast<std::uint32_t>(std::strtoul(slots.c_str(), nullptr, 10));
+    spec.connections = static_cast<std::uint32_t>(std::strtoul(connections.c_str(), nullptr, 10));
+    spec.daemon = Endpoint::parse(daemon).value_or(Endpoint{});
+    return spec;
+}
+
+UpstreamBehaviour parseBehaviour(const std::string &text, UpstreamBehaviour behaviour)
+{
+    const Json document = Json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return behaviour;
+    }
+    behaviour.slowdown = document.value("slowdown", behaviour.slowdown);
+    behaviour.failShare = document.value("failShare", behaviour.failShare);
+    behaviour.announcedSlots = document.value("announcedSlots", behaviour.announcedSlots);
+    behaviour.queueBound = document.value("queueBound", behaviour.queueBound);
+    behaviour.isDraining = document.value("draining", behaviour.isDraining);
+    behaviour.isSilent = document.value("silent", behaviour.isSilent);
+    behaviour.isContextDropped = document.value("contextDropped", behaviour.isContextDropped);
+    return behaviour;
+}
+
+HttpResponse listExecutions(const Servers &servers)
+{
+    HttpResponse response;
+    for (const auto &server : servers) {
+        for (const Execution &execution : server->executions()) {
+            response.body += execution.service + ' ' + execution.token + '\n';
+        }
+    }
+    return response;
+}
+
+HttpResponse handleControl(const HttpRequest &request, const Servers &servers)
+{
+    if (request.method == "GET" && request.target == "/executions") {
+        return listExecutions(servers);
+    }
+    const std::string mark = "/behaviour";
+    if (request.method != "POST" || request.target.rfind(mark, 0) != 0) {
+        return HttpResponse{ 404, {}, "no such control\n" };
+    }
+    const std::string query = "?server=";
+    const auto at = request.target.find(query);
+    const std::string name =
+        at == std::string::npos ? "" : request.target.substr(at + query.size());
+    for (const auto &server : servers) {
+        // A prefix names all servers of a service.
+        if (server->spec().name.rfind(name, 0) == 0) {
+            server->setBehaviour(parseBehaviour(request.body, server->behaviour()));
+        }
+    }
+    return HttpResponse{ 204, {}, {} };
+}
+
+} // namespace
+
+int runUpstreams(int argc, char **argv)
+{
+    const Options options(argc, argv);
+    blockStopSignals();
+    const CallGraph graph = makeDeploymentGraph(options.text("graph", "tallowood"));
+    const auto loop = makeEventLoop();
+    SeededRandom random(static_cast<std::uint64_t>(options.number("seed", 1)));
+    Servers servers;
+    const auto control = makeHttpServer(*loop);
+    int exitCode = 0;
+    loop->spawn([&] {
+        Json ready;
+        for (const std::string &text : options.texts("server")) {
+            servers.push_back(
+                std::make_unique<UpstreamServer>(*loop, random, graph, parseSpec(text)));
+            UpstreamBehaviour behaviour;
+            behaviour.coldStart =
+                std::chrono::milliseconds(static_cast<long>(options.number("cold_ms", 0)));
+            behaviour.queueBound = static_cast<std::uint32_t>(options.number("queue_bound", 0));
+            servers.back()->setBehaviour(behaviour);
+            const auto endpoint = servers.back()->start(Endpoint{ "127.0.0.1", 0 });
+            if (!endpoint) {
+                std::fprintf(stderr, "upstream: %s\n", endpoint.error().text.c_str());
+                exitCode = EXIT_FAILURE_AT_START;
+                loop->stop();
+                return;
+            }
+            ready[servers.back()->spec().name] = endpoint->text();
+        }
+        const auto bound =
+            control->listen(Endpoint{ "127.0.0.1", 0 }, HttpLimits{}, [&](IHttpExchange &exchange) {
+                return handleControl(exchange.request(), servers);
+            });
+        ready["control"] = bound ? bound->text() : "";
+        std::ofstream(options.text("ready_file", "/dev/stdout")) << ready.dump() << '\n';
+    });
+    std::thread waiter([&] {
+        waitForStopSignal();
+        loop->post([&] {
+            loop->spawn([&] {
+                control->drain(STOP_TIMEOUT);
+                for (const auto &server : servers) {
+                    server->stop(STOP_TIMEOUT);
+                }
+                loop->stop();
+            });
+        });
+    });
+    loop->run();
+    stopWaiting(waiter);
+    servers.clear();
+    return exitCode;
+}
+
+} // namespace ivyspar::lab
--- /dev/null
+++ b/standins/upstream/upstreamserver.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "standins/graph/callgraph.h"
+#include "state/irandom.h"
+#include "transport/ieventloop.h"
+#include "transport/ihttpclient.h"
+#include "transport/ihttpserver.h"
+#include "transport/oneshot.h"
+
+namespace ivyspar::lab {
+
+struct UpstreamSpec
+{
+    std::string name;
+    std::string service;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 1;
+    /// Where the daemon of its host takes announcements and calls.
+    Endpoint daemon;
+};
+
+/// How a server behaves; changed while it runs to provoke failures.
+struct UpstreamBehaviour
+{
+    /// Factor on all service times.
+    double slowdown = 1;
+    /// Share of requests that are answered 500 at once, without work.
+    double failShare = 0;
+    /// Announces slots that it does not have.
+    std::uint32_t announcedSlots = 0;
+    /// Requests that may wait for a slot before more are refused as not run; 0 is no bound.
+    std::uint32_t queueBound = 0;
+    /// For this long after its start every request takes `coldFactor` times as long.
+    Duration coldStart{ 0 };
+    double coldFactor = 5;
+    bool isDraining = false;
+    /// Stops announcing itself.
+    bool isSilent = false;
+    /// Drops the context header on the calls that it makes.
+    bool isContextDropped = false;
+};
+
+/// One start of work on a request.
+struct Execution
+{
+    std::string token;
+    std::string service;
+};
+
+/// Stand-in for a server of the operators: works with a limited number of slots, queues what comes
+/// on top, makes calls through its host's daemon and announces itself there.
+class UpstreamServer
+{
+public:
+    UpstreamServer(IEventLoop &loop, IRandom &random, const CallGraph &graph, UpstreamSpec spec);
+    ~UpstreamServer();
+
+    RetVal<Endpoint> start(const Endpoint &listen);
+    void stop(Duration timeout);
+    const UpstreamSpec &spec() const { return m_spec; }
+    void setBehaviour(const UpstreamBehaviour &behaviour) { m_behaviour = behaviour; }
+    const UpstreamBehaviour &behaviour() const { return m_behaviour; }
+    const std::vector<Execution> &executions() const { return m_executions; }
+
+private:
+    struct Work;
+
+    HttpResponse handle(IHttpExchange &exchange);
+    bool takeSlot(Work &work);
+    void freeSlot();
+    HttpResponse work(const GraphNode &node, const std::string &token, Work &work);
+    HttpResponse callBelow(const GraphCall &call, const std::string &token, Work &work);
+    void announceForever();
+    void announce();
+    double factor() const;
+
+    IEventLoop &m_loop;
+    IRandom &m_random;
+    const CallGraph &m_graph;
+    UpstreamSpec m_spec;
+    UpstreamBehaviour m_behaviour;
+    std::unique_ptr<IHttpServer> m_server;
+    std::unique_ptr<IHttpClient> m_client;
+    Endpoint m_endpoint;
+    TimePoint m_startedAt;
+    std::uint32_t m_busy = 0;
+    std::deque<OneShot<bool> *> m_waiting;
+    std::vector<Execution> m_executions;
+    bool m_isStopped = false;
+};
+
+} // namespace ivyspar::lab
