--- a/src/protocol/iconfigurationreader.h
+++ b/src/protocol/iconfigurationreader.h
@@ -12,7 +12,7 @@
 {
     std::string file;
     std::uint32_t line = 0; ///< From 1; 0 when the whole file is meant.
-    std::string key; ///< Dotted, such as `service[2].slots`.
+    std::string key; ///< Dotted, such as `service[2].slots`, counted from 1; may be empty.
     std::string problem;
     std::string expected; ///< What would be right.
 
--- a/src/protocol/internal/fileproblem.cpp
+++ b/src/protocol/internal/fileproblem.cpp
@@ -4,8 +4,9 @@
 
 std::string FileProblem::text() const
 {
-    return file + ':' + std::to_string(line) + ": " + key + ": " + problem + "; expected "
-        + expected;
+    const std::string where = file + ':' + std::to_string(line) + ": ";
+    const std::string what = key.empty() ? problem : key + ": " + problem;
+    return where + what + "; expected " + expected;
 }
 
 } // namespace ivyspar
--- /dev/null
+++ b/src/protocol/internal/rulesreader.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "protocol/internal/tomltable.h"
+#include "state/configuration.h"
+
+namespace ivyspar {
+
+/// Takes rules out of their TOML document.
+class RulesReader
+{
+public:
+    /// `services` may be null when the inventory could not be read: they are not checked then.
+    RulesReader(FileProblems &problems, const UniqueNames *services);
+
+    Rules read(const toml::table &document);
+
+private:
+    ClassSpec readClass(TomlTable &table);
+    RuleSpec readRule(TomlTable &table, const std::vector<ClassSpec> &classes);
+    void readMatch(TomlTable &table, RuleSpec &rule);
+    void readClassOf(TomlTable &table, const std::vector<ClassSpec> &classes, RuleSpec &rule);
+    void readBudget(TomlTable &table, RuleSpec &rule);
+    void readRepetition(TomlTable &table, RuleSpec &rule);
+    void readKeyLifetime(TomlTable &table, RuleSpec &rule);
+    void checkOverlap(TomlTable &table, const RuleSpec &rule);
+
+    FileProblems &m_problems;
+    const UniqueNames *m_services;
+    UniqueNames m_classes;
+    UniqueNames m_names;
+    std::map<std::uint32_t, std::uint32_t> m_linesOfPriorities;
+    std::map<std::string, std::uint32_t> m_linesOfMatches;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/protocol/internal/tomltable.cpp
@@ -0,0 +1,252 @@
+#include "protocol/internal/tomltable.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "state/durationtext.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::size_t MAX_NAME = 64;
+const char NAME_EXPECTED[] = "a text of 1 to 64 letters, digits, '.', '_' and '-'";
+
+bool isNameCharacter(unsigned char c)
+{
+    return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
+}
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= MAX_NAME
+        && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
+std::string expectedText(NumberRange range)
+{
+    return "a whole number from " + std::to_string(range.least) + " to "
+        + std::to_string(range.greatest);
+}
+
+std::string expectedText(const DurationRange &range)
+{
+    return "a text with a unit (us, ms, s, min, h) from \"" + toText(range.least) + "\" to \""
+        + toText(range.greatest) + '"';
+}
+
+std::uint32_t lineOf(const toml::node &node)
+{
+    return node.source().begin.line;
+}
+
+} // namespace
+
+void FileProblems::add(std::uint32_t line, const std::string &key, const std::string &problem,
+                       const std::string &expected)
+{
+    problems.push_back({ file, line, key, problem, expected });
+}
+
+TomlTable::TomlTable(const toml::table &table, std::string path, FileProblems &problems)
+    : m_table(table)
+    , m_path(std::move(path))
+    , m_problems(problems)
+{
+}
+
+std::optional<std::string> TomlTable::name(const char *key)
+{
+    const toml::node *node = takeRequired(key, NAME_EXPECTED);
+    if (!node) {
+        return std::nullopt;
+    }
+    auto text = node->value_exact<std::string>();
+    if (!text || !isName(*text)) {
+        fail(key, "is not a name", NAME_EXPECTED);
+        return std::nullopt;
+    }
+    return text;
+}
+
+std::optional<std::string> TomlTable::optionalText(const char *key)
+{
+    const toml::node *node = take(key);
+    if (!node) {
+        return std::nullopt;
+    }
+    auto text = node->value_exact<std::string>();
+    if (!text) {
+        fail(key, "is not a text", "a text in quotes");
+    }
+    return text;
+}
+
+std::optional<std::uint32_t> TomlTable::number(const char *key, NumberRange range)
+{
+    const toml::node *node = takeRequired(key, expectedText(range));
+    return node ? toNumber(key, *node, range) : std::nullopt;
+}
+
+std::optional<std::uint32_t> TomlTable::optionalNumber(const char *key, NumberRange range)
+{
+    const toml::node *node = take(key);
+    return node ? toNumber(key, *node, range) : std::nullopt;
+}
+
+std::optional<std::uint32_t> TomlTable::toNumber(const char *key, const toml::node &node,
+                                                 NumberRange range)
+{
+    const auto value = node.value_exact<std::int64_t>();
+    if (!value) {
+        fail(key, "is not a whole number", expectedText(range));
+        return std::nullopt;
+    }
+    if (*value < range.least || *value > range.greatest) {
+        fail(key, std::to_string(*value) + " is out of range", expectedText(range));
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(*value);
+}
+
+std::optional<Duration> TomlTable::duration(const char *key, const DurationRange &range)
+{
+    const toml::node *node = takeRequired(key, expectedText(range));
+    return node ? toDuration(key, *node, range) : std::nullopt;
+}
+
+std::optional<Duration> TomlTable::optionalDuration(const char *key, const DurationRange &range)
+{
+    const toml::node *node = take(key);
+    return node ? toDuration(key, *node, range) : std::nullopt;
+}
+
+std::optional<Duration> TomlTable::toDuration(const char *key, const toml::node &node,
+                                              const DurationRange &range)
+{
+    if (node.is_number()) {
+        fail(key, "the unit is missing", expectedText(range));
+        return std::nullopt;
+    }
+    const auto text = node.value_exact<std::string>();
+    if (!text) {
+        fail(key, "is not a duration", expectedText(range));
+        return std::nullopt;
+    }
+    const RetVal<Duration> duration = parseDuration(*text);
+    if (!duration) {
+        fail(key, duration.error().text, expectedText(range));
+        return std::nullopt;
+    }
+    if (*duration < range.least || *duration > range.greatest) {
+        fail(key, '"' + *text + "\" is out of range", expectedText(range));
+        return std::nullopt;
+    }
+    return *duration;
+}
+
+bool TomlTable::flag(const char *key, bool otherwise)
+{
+    const toml::node *node = take(key);
+    if (!node) {
+        return otherwise;
+    }
+    const auto value = node->value_exact<bool>();
+    if (!value) {
+        fail(key, "is not a truth value", "true or false");
+    }
+    return value.value_or(otherwise);
+}
+
+std::vector<TomlTable> TomlTable::tables(const char *key)
+{
+    const std::string expected = std::string("at least one [[") + key + "]] table";
+    const toml::node *node = takeRequired(key, expected);
+    const toml::array *array = node ? node->as_array() : nullptr;
+    if (node && (!array || array->empty())) {
+        fail(key, "is not a list of tables", expected);
+    }
+    std::vector<TomlTable> tables;
+    if (!array) {
+        return tables;
+    }
+    for (std::size_t i = 0; i < array->size(); ++i) {
+        const std::string path = pathOf(key) + '[' + std::to_string(i + 1) + ']';
+        if (const toml::table *table = (*array)[i].as_table()) {
+            tables.emplace_back(*table, path, m_problems);
+        } else {
+            m_problems.add(lineOf((*array)[i]), path, "is not a table", expected);
+        }
+    }
+    return tables;
+}
+
+bool TomlTable::has(const char *key) const
+{
+    return m_table.contains(key);
+}
+
+std::uint32_t TomlTable::line(const char *key) const
+{
+    const toml::node *node = m_table.get(key);
+    return node ? lineOf(*node) : lineOf(m_table);
+}
+
+void TomlTable::fail(const char *key, const std::string &problem, const std::string &expected)
+{
+    m_problems.add(line(key), pathOf(key), problem, expected);
+}
+
+void TomlTable::failUnknownKeys()
+{
+    std::string expected = "one of";
+    for (const std::string &known : m_known) {
+        expected += ' ' + known;
+    }
+    for (const auto &[key, node] : m_table) {
+        const std::string name(key.str());
+        if (std::find(m_known.begin(), m_known.end(), name) == m_known.end()) {
+            m_problems.add(key.source().begin.line, pathOf(name), "unknown key", expected);
+        }
+    }
+}
+
+const toml::node *TomlTable::take(const char *key)
+{
+    m_known.emplace_back(key);
+    return m_table.get(key);
+}
+
+const toml::node *TomlTable::takeRequired(const char *key, const std::string &expected)
+{
+    const toml::node *node = take(key);
+    if (!node) {
+        fail(key, "is missing", expected);
+    }
+    return node;
+}
+
+std::string TomlTable::pathOf(const std::string &key) const
+{
+    return m_path.empty() ? key : m_path + '.' + key;
+}
+
+void UniqueNames::add(TomlTable &table, const char *key, const std::string &name)
+{
+    const auto [entry, isNew] = m_lines.emplace(name, table.line(key));
+    if (!isNew) {
+        table.fail(key, '"' + name + "\" is also defined in line " + std::to_string(entry->second),
+                   "a name that is used only once");
+    }
+}
+
+std::string UniqueNames::list() const
+{
+    std::string text = "one of";
+    for (const auto &[name, line] : m_lines) {
+        text += ' ' + name;
+    }
+    return text;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/protocol/internal/tomltable.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/iconfigurationreader.h"
+#include "protocol/internal/toml.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+/// Problems of one file.
+struct FileProblems
+{
+    std::string file;
+    std::vector<FileProblem> problems;
+
+    void add(std::uint32_t line, const std::string &key, const std::string &problem,
+             const std::string &expected);
+};
+
+struct NumberRange
+{
+    std::int64_t least;
+    std::int64_t greatest;
+};
+
+struct DurationRange
+{
+    Duration least;
+    Duration greatest;
+};
+
+/// Takes typed values out of one TOML table and reports what is wrong with them. A value that was
+/// reported is absent from the result.
+class TomlTable
+{
+public:
+    /// `path` is the table's own dotted key; empty for the whole file.
+    TomlTable(const toml::table &table, std::string path, FileProblems &problems);
+
+    /// Required; one to 64 letters, digits, `.`, `_` and `-`.
+    std::optional<std::string> name(const char *key);
+    std::optional<std::string> optionalText(const char *key);
+    std::optional<std::uint32_t> number(const char *key, NumberRange range);
+    std::optional<std::uint32_t> optionalNumber(const char *key, NumberRange range);
+    std::optional<Duration> duration(const char *key, const DurationRange &range);
+    std::optional<Duration> optionalDuration(const char *key, const DurationRange &range);
+    bool flag(const char *key, bool otherwise);
+    /// The tables of `[[key]]`, at least one.
+    std::vector<TomlTable> tables(const char *key);
+
+    bool has(const char *key) const;
+    /// Line of the value, or of the table when it has no such key.
+    std::uint32_t line(const char *key) const;
+    /// Reports a problem with the value of `key`.
+    void fail(const char *key, const std::string &problem, const std::string &expected);
+    /// Reports all keys that no function asked for.
+    void failUnknownKeys();
+
+private:
+    const toml::node *take(const char *key);
+    const toml::node *takeRequired(const char *key, const std::string &expected);
+    std::string pathOf(const std::string &key) const;
+    std::optional<std::uint32_t> toNumber(const char *key, const toml::node &node,
+                                          NumberRange range);
+    std::optional<Duration> toDuration(const char *key, const toml::node &node,
+                                       const DurationRange &range);
+
+    const toml::table &m_table;
+    std::string m_path;
+    FileProblems &m_problems;
+    std::vector<std::string> m_known;
+};
+
+/// Names that may appear only once in a file.
+class UniqueNames
+{
+public:
+    /// Reports the name if it is there already.
+    void add(TomlTable &table, const char *key, const std::string &name);
+    /// Without any name all are taken as known, as their absence is a problem of its own.
+    bool isKnown(const std::string &name) const
+    {
+        return m_lines.empty() || m_lines.count(name) > 0;
+    }
+    /// All names, for the text of problems.
+    std::string list() const;
+
+private:
+    std::map<std::string, std::uint32_t> m_lines;
+};
+
+} // namespace ivyspar
