--- /dev/null
+++ b/src/coordination/configuration/internal/configurationfold.cpp
@@ -0,0 +1,227 @@
+#include "coordination/configuration/internal/configurationfold.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/configuration/configurationdigest.h"
+#include "coordination/configuration/configurationfoldfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+/// Bound on the texts of unjudged changes. Past it the oldest are given up, and a later snapshot
+/// is needed before records can be judged.
+constexpr std::size_t MAX_PENDING_BYTES = 16 * 1024 * 1024;
+/// Bound on verdicts that nobody takes.
+constexpr std::size_t MAX_LATE_VERDICTS = 10000;
+
+LogOffset after(LogOffset offset)
+{
+    return LogOffset(offset.value() + 1);
+}
+
+std::size_t sizeOf(const ConfigurationRecord &record)
+{
+    return sizeof(record) + record.changeId.size() + record.inventory.size() + record.rules.size();
+}
+
+bool isIntact(const ConfigurationRecord &record)
+{
+    return record.digest == configurationDigest(record.inventory, record.rules);
+}
+
+AcceptedConfiguration acceptedFrom(const ConfigurationRecord &record, ConfigurationVersion version,
+                                   LogOffset offset)
+{
+    AcceptedConfiguration accepted;
+    accepted.version = version;
+    accepted.changeId = record.changeId;
+    accepted.digest = record.digest;
+    accepted.inventory = record.inventory;
+    accepted.rules = record.rules;
+    accepted.offset = offset;
+    return accepted;
+}
+
+} // namespace
+
+ConfigurationFold::ConfigurationFold()
+{
+    m_log.position = m_next;
+}
+
+FoldVerdict ConfigurationFold::apply(LogOffset offset, const ConfigurationRecord &record)
+{
+    if (!advanceTo(offset)) {
+        return FoldVerdict::Duplicate;
+    }
+    if (!isIntact(record)) {
+        return FoldVerdict::Malformed;
+    }
+    if (record.kind == ConfigurationRecord::Kind::Snapshot) {
+        return useSnapshot(offset, record);
+    }
+    if (!m_isJudging) {
+        keepPending(offset, record);
+        return FoldVerdict::Unjudged;
+    }
+    return judgeChange(offset, record);
+}
+
+void ConfigurationFold::skip(LogOffset offset)
+{
+    advanceTo(offset);
+}
+
+bool ConfigurationFold::adopt(const AcceptedConfiguration &accepted)
+{
+    const bool isIntactText =
+        accepted.digest == configurationDigest(accepted.inventory, accepted.rules);
+    if (accepted.version.value() == 0 || !isIntactText) {
+        return false;
+    }
+    const ConfigurationVersion before = m_held.version;
+    if (!m_isJudging && accepted.position && *accepted.position >= m_start) {
+        startJudging(accepted, *accepted.position);
+    }
+    AcceptedConfiguration learned = accepted;
+    learned.offset.reset();
+    hold(learned);
+    return m_held.version > before;
+}
+
+std::vector<LateVerdict> ConfigurationFold::takeLateVerdicts()
+{
+    return std::exchange(m_late, {});
+}
+
+const AcceptedConfiguration *ConfigurationFold::current() const
+{
+    return m_held.version.value() > 0 ? &m_held : nullptr;
+}
+
+const AcceptedConfiguration *ConfigurationFold::judged() const
+{
+    return m_isJudging ? &m_log : nullptr;
+}
+
+/// False for an offset that was read before.
+bool ConfigurationFold::advanceTo(LogOffset offset)
+{
+    if (offset < m_next) {
+        return false;
+    }
+    if (offset > m_next) {
+        loseHistory(offset);
+    }
+    // A position that a peer vouches for may lie behind this offset.
+    if (offset < m_next) {
+        return false;
+    }
+    m_next = after(offset);
+    m_log.position = m_next;
+    return true;
+}
+
+/// Records before `start` were forgotten unread. One of them may have been an accepted change: a
+/// fold that judged on would accept a change that all others refuse, for good. So nothing is judged
+/// until a snapshot or a peer tells the version at a position that was read.
+void ConfigurationFold::loseHistory(LogOffset start)
+{
+    m_isJudging = false;
+    m_start = start;
+    m_pending.clear();
+    m_pendingBytes = 0;
+    if (m_held.position && *m_held.position >= start) {
+        startJudging(AcceptedConfiguration(m_held), *m_held.position);
+    }
+}
+
+void ConfigurationFold::keepPending(LogOffset offset, const ConfigurationRecord &record)
+{
+    m_pending.push_back({ offset, record });
+    m_pendingBytes += sizeOf(record);
+    while (m_pendingBytes > MAX_PENDING_BYTES) {
+        m_pendingBytes -= sizeOf(m_pending.front().record);
+        m_start = after(m_pending.front().offset);
+        m_pending.pop_front();
+    }
+}
+
+FoldVerdict ConfigurationFold::judgeChange(LogOffset offset, const ConfigurationRecord &record)
+{
+    if (record.base != m_log.version) {
+        return FoldVerdict::Conflict;
+    }
+    m_log = acceptedFrom(record, ConfigurationVersion(m_log.version.value() + 1), offset);
+    m_log.position = m_next;
+    hold(m_log);
+    return FoldVerdict::Accepted;
+}
+
+/// While records are judged, a snapshot tells nothing new, as its author judged the same stream.
+/// Its version may be outdated: the author had read only up to `position`, and changes may lie
+/// between there and the snapshot. A fold that took the version at the snapshot's own offset would
+/// undo them and accept a change of a loser.
+FoldVerdict ConfigurationFold::useSnapshot(LogOffset offset, const ConfigurationRecord &record)
+{
+    if (record.position > offset || record.base.value() == 0) {
+        return FoldVerdict::Malformed;
+    }
+    AcceptedConfiguration snapshot = acceptedFrom(record, record.base, offset);
+    snapshot.position = record.position;
+    const ConfigurationVersion before = m_held.version;
+    if (!m_isJudging && record.position >= m_start) {
+        startJudging(snapshot, record.position);
+    }
+    hold(snapshot);
+    if (m_isJudging && record.base == m_log.version) {
+        m_log.offset = offset;
+    }
+    m_anchor = std::max(m_anchor, record.position);
+    return m_held.version > before ? FoldVerdict::Accepted : FoldVerdict::Duplicate;
+}
+
+/// `at` was the current version just before `position`, which is not before `m_start`.
+void ConfigurationFold::startJudging(const AcceptedConfiguration &at, LogOffset position)
+{
+    m_isJudging = true;
+    m_log = at;
+    m_next = std::max(m_next, position);
+    m_log.position = m_next;
+    hold(m_log);
+    const std::deque<PendingRecord> pending = std::exchange(m_pending, {});
+    m_pendingBytes = 0;
+    for (const PendingRecord &each : pending) {
+        if (each.offset < position) {
+            continue;
+        }
+        const FoldVerdict verdict = judgeChange(each.offset, each.record);
+        if (m_late.size() < MAX_LATE_VERDICTS) {
+            m_late.push_back({ each.offset, each.record.changeId, verdict, m_log.version });
+        }
+    }
+}
+
+/// Versions only grow. Of two texts of one version that of the log counts.
+void ConfigurationFold::hold(const AcceptedConfiguration &accepted)
+{
+    if (accepted.version < m_held.version) {
+        return;
+    }
+    const bool isNewer = accepted.version > m_held.version;
+    const std::optional<LogOffset> position =
+        isNewer ? accepted.position : std::max(accepted.position, m_held.position);
+    if (isNewer || accepted.offset) {
+        m_held = accepted;
+    }
+    m_held.position = position;
+}
+
+std::unique_ptr<IConfigurationFold> makeConfigurationFold()
+{
+    return std::make_unique<ConfigurationFold>();
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/configuration/internal/configurationfold.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <deque>
+
+#include "coordination/configuration/iconfigurationfold.h"
+
+namespace ivyspar {
+
+class ConfigurationFold : public IConfigurationFold
+{
+public:
+    ConfigurationFold();
+
+    FoldVerdict apply(LogOffset offset, const ConfigurationRecord &record) override;
+    void skip(LogOffset offset) override;
+    bool adopt(const AcceptedConfiguration &accepted) override;
+    std::vector<LateVerdict> takeLateVerdicts() override;
+
+    const AcceptedConfiguration *current() const override;
+    const AcceptedConfiguration *judged() const override;
+    LogOffset nextOffset() const override { return m_next; }
+    LogOffset anchor() const override { return m_anchor; }
+
+private:
+    struct PendingRecord
+    {
+        LogOffset offset;
+        ConfigurationRecord record;
+    };
+
+    bool advanceTo(LogOffset offset);
+    void loseHistory(LogOffset start);
+    void keepPending(LogOffset offset, const ConfigurationRecord &record);
+    FoldVerdict judgeChange(LogOffset offset, const ConfigurationRecord &record);
+    FoldVerdict useSnapshot(LogOffset offset, const ConfigurationRecord &record);
+    void startJudging(const AcceptedConfiguration &at, LogOffset position);
+    void hold(const AcceptedConfiguration &accepted);
+
+    /// What the log says just before `m_next`. Meaningless while `m_isJudging` is false.
+    AcceptedConfiguration m_log;
+    bool m_isJudging = true;
+    /// While not judging: records from here on were seen without a gap.
+    LogOffset m_start;
+    LogOffset m_next;
+    LogOffset m_anchor;
+    /// Changes read while not judging, to be judged once a checkpoint is found.
+    std::deque<PendingRecord> m_pending;
+    std::size_t m_pendingBytes = 0;
+    std::vector<LateVerdict> m_late;
+    AcceptedConfiguration m_held;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/configuration/tests/configurationfoldtest.cpp
@@ -0,0 +1,358 @@
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+#include <rapidcheck.h>
+
+#include "coordination/configuration/configurationdigest.h"
+#include "coordination/configuration/configurationfoldfactory.h"
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+constexpr std::uint64_t SEED = 20261202;
+
+ConfigurationRecord makeChange(std::uint64_t base, const std::string &id)
+{
+    ConfigurationRecord record;
+    record.changeId = id;
+    record.base = ConfigurationVersion(base);
+    record.inventory = "inventory of " + id;
+    record.rules = "rules of " + id;
+    record.digest = configurationDigest(record.inventory, record.rules);
+    return record;
+}
+
+ConfigurationRecord makeSnapshot(const AcceptedConfiguration &of, std::uint64_t position)
+{
+    ConfigurationRecord record;
+    record.kind = ConfigurationRecord::Kind::Snapshot;
+    record.changeId = of.changeId;
+    record.base = of.version;
+    record.digest = of.digest;
+    record.inventory = of.inventory;
+    record.rules = of.rules;
+    record.position = LogOffset(position);
+    return record;
+}
+
+/// A stream with the truth about it: what was current before each offset, by reading all of it.
+struct Stream
+{
+    std::vector<ConfigurationRecord> records;
+    std::vector<AcceptedConfiguration> before = { {} };
+    std::vector<FoldVerdict> verdicts;
+
+    std::uint64_t end() const { return records.size(); }
+
+    void add(const ConfigurationRecord &record)
+    {
+        AcceptedConfiguration next = before.back();
+        const bool isIntact = record.digest == configurationDigest(record.inventory, record.rules);
+        const bool isAccepted = isIntact && record.kind == ConfigurationRecord::Kind::Change
+            && record.base == next.version;
+        if (isAccepted) {
+            next = { ConfigurationVersion(next.version.value() + 1),
+                     record.changeId,
+                     record.digest,
+                     record.inventory,
+                     record.rules,
+                     {},
+                     {} };
+        }
+        records.push_back(record);
+        before.push_back(next);
+        verdicts.push_back(!isIntact        ? FoldVerdict::Malformed
+                               : isAccepted ? FoldVerdict::Accepted
+                                            : FoldVerdict::Conflict);
+    }
+};
+
+/// Operators with right, outdated and premature bases, snapshots by authors that lag, damage.
+Stream makeStream(IRandom &random, std::size_t length)
+{
+    Stream stream;
+    while (stream.records.size() < length) {
+        const std::uint64_t current = stream.before.back().version.value();
+        const std::string id = std::to_string(stream.end());
+        const std::uint64_t kind = random.below(10);
+        if (kind < 4) {
+            stream.add(makeChange(current, id));
+        } else if (kind < 6) {
+            stream.add(makeChange(random.below(current + 3), id));
+        } else if (kind < 7) {
+            stream.add(makeChange(current, id));
+            stream.records.back().digest ^= 1;
+            stream.before.back() = stream.before[stream.end() - 1];
+            stream.verdicts.back() = FoldVerdict::Malformed;
+        } else if (current > 0) {
+            const std::uint64_t lag = random.below(std::min<std::uint64_t>(stream.end(), 4) + 1);
+            const std::uint64_t position = stream.end() - lag;
+            if (stream.before[position].version.value() > 0) {
+                stream.add(makeSnapshot(stream.before[position], position));
+            }
+        }
+    }
+    return stream;
+}
+
+/// One daemon's fold, checked against the truth after each step.
+class Reader
+{
+public:
+    Reader(const Stream &stream, std::unique_ptr<IConfigurationFold> fold)
+        : m_stream(stream)
+        , m_fold(std::move(fold))
+    {
+    }
+
+    void read(std::uint64_t offset)
+    {
+        const FoldVerdict verdict = m_fold->apply(LogOffset(offset), m_stream.records[offset]);
+        const bool isChange = m_stream.records[offset].kind == ConfigurationRecord::Kind::Change;
+        const bool isSilent =
+            verdict == FoldVerdict::Unjudged || verdict == FoldVerdict::Duplicate || !isChange;
+        require(isSilent || verdict == m_stream.verdicts[offset], "verdict");
+        for (const LateVerdict &late : m_fold->takeLateVerdicts()) {
+            require(late.verdict == m_stream.verdicts[late.offset.value()], "late verdict");
+        }
+        check();
+    }
+
+    /// From a peer that had read up to `position`.
+    void learn(std::uint64_t position, bool isPositionKnown)
+    {
+        AcceptedConfiguration accepted = m_stream.before[position];
+        if (isPositionKnown) {
+            accepted.position = LogOffset(position);
+        }
+        m_fold->adopt(accepted);
+        check();
+    }
+
+    std::uint64_t next() const { return m_fold->nextOffset().value(); }
+    const IConfigurationFold &fold() const { return *m_fold; }
+    const std::string &violation() const { return m_violation; }
+
+private:
+    void require(bool holds, const std::string &what)
+    {
+        if (!holds && m_violation.empty()) {
+            m_violation = what + " before offset " + std::to_string(next());
+        }
+    }
+
+    void check()
+    {
+        const AcceptedConfiguration *judged = m_fold->judged();
+        require(!judged || judged->version == m_stream.before[next()].version, "judged version");
+        require(!judged || judged->digest == m_stream.before[next()].digest, "judged text");
+        const AcceptedConfiguration *current = m_fold->current();
+        const ConfigurationVersion held = current ? current->version : ConfigurationVersion();
+        require(held >= m_lastHeld, "held version reverts");
+        require(held <= m_stream.before.back().version, "held version was never accepted");
+        require(!judged || judged->version <= held, "held version is behind the log");
+        for (const AcceptedConfiguration &each : m_stream.before) {
+            require(each.version != held || held.value() == 0 || each.digest == current->digest,
+                    "held text");
+        }
+        m_lastHeld = held;
+    }
+
+    const Stream &m_stream;
+    std::unique_ptr<IConfigurationFold> m_fold;
+    ConfigurationVersion m_lastHeld;
+    std::string m_violation;
+};
+
+using MakeFold = std::function<std::unique_ptr<IConfigurationFold>()>;
+
+/// Reads a random stream from a random start with replays, gaps and peers of any age. Returns the
+/// first thing that went wrong, or an empty text.
+std::string findViolation(std::uint64_t seed, const MakeFold &makeFold)
+{
+    SeededRandom random(seed);
+    const Stream stream = makeStream(random, 5 + random.below(40));
+    Reader reader(stream, makeFold());
+    std::uint64_t first = random.below(2) * random.below(stream.end());
+    for (int step = 0; step < 120; ++step) {
+        const std::uint64_t kind = random.below(12);
+        if (kind == 0) {
+            reader.learn(random.below(stream.end() + 1), random.below(2) == 0);
+        } else if (kind == 1) {
+            first += random.below(std::min<std::uint64_t>(stream.end() - first, 4) + 1);
+        } else if (kind == 2 && first < stream.end()) {
+            reader.read(first + random.below(stream.end() - first) / 2);
+        } else if (std::max(first, reader.next()) < stream.end()) {
+            reader.read(std::max(first, reader.next()));
+        }
+    }
+    return reader.violation();
+}
+
+bool holdsFor(const MakeFold &makeFold)
+{
+    rc::detail::TestMetadata metadata;
+    metadata.id = "ConfigurationFold";
+    rc::detail::TestParams params;
+    params.seed = SEED;
+    params.maxSuccess = 2000;
+    const auto property = [&makeFold](std::uint64_t seed) {
+        const std::string violation = findViolation(seed, makeFold);
+        RC_ASSERT(violation == "");
+    };
+    const auto result = rc::detail::checkTestable(property, metadata, params);
+    const bool holds = result.is<rc::detail::SuccessResult>();
+    if (!holds) {
+        rc::detail::printResultMessage(result, std::cerr);
+    }
+    return holds;
+}
+
+/// What one would write at first: one version for both judging and holding.
+class NaiveFold : public IConfigurationFold
+{
+public:
+    FoldVerdict apply(LogOffset offset, const ConfigurationRecord &record) override
+    {
+        m_next = std::max(m_next, LogOffset(offset.value() + 1));
+        const bool isSnapshot = record.kind == ConfigurationRecord::Kind::Snapshot;
+        const bool isNext =
+            isSnapshot ? record.base > m_held.version : record.base == m_held.version;
+        if (!isNext || record.digest != configurationDigest(record.inventory, record.rules)) {
+            return isNext ? FoldVerdict::Malformed : FoldVerdict::Conflict;
+        }
+        m_held = { ConfigurationVersion(record.base.value() + (isSnapshot ? 0 : 1)),
+                   record.changeId,
+                   record.digest,
+                   record.inventory,
+                   record.rules,
+                   {},
+                   {} };
+        return FoldVerdict::Accepted;
+    }
+    void skip(LogOffset) override { }
+    bool adopt(const AcceptedConfiguration &accepted) override
+    {
+        if (accepted.version <= m_held.version) {
+            return false;
+        }
+        m_held = accepted;
+        return true;
+    }
+    std::vector<LateVerdict> takeLateVerdicts() override { return {}; }
+    const AcceptedConfiguration *current() const override { return &m_held; }
+    const AcceptedConfiguration *judged() const override { return nullptr; }
+    LogOffset nextOffset() const override { return m_next; }
+    LogOffset anchor() const override { return {}; }
+
+private:
+    AcceptedConfiguration m_held;
+    LogOffset m_next;
+};
+
+} // namespace
+
+TEST_GROUP(ConfigurationFold)
+{
+    std::unique_ptr<IConfigurationFold> m_fold = makeConfigurationFold();
+
+    FoldVerdict apply(std::uint64_t offset, const ConfigurationRecord &record)
+    {
+        return m_fold->apply(LogOffset(offset), record);
+    }
+    std::uint64_t version() const
+    {
+        return m_fold->current() ? m_fold->current()->version.value() : 0;
+    }
+    AcceptedConfiguration acceptedAs(std::uint64_t number, const std::string &id) const
+    {
+        const ConfigurationRecord record = makeChange(0, id);
+        return {
+            ConfigurationVersion(number), id, record.digest, record.inventory, record.rules, {}, {}
+        };
+    }
+};
+
+TEST(ConfigurationFold, OneOfRacingOperatorsWins)
+{
+    CHECK(apply(0, makeChange(0, "a")) == FoldVerdict::Accepted);
+    CHECK(apply(1, makeChange(1, "b")) == FoldVerdict::Accepted);
+    CHECK(apply(2, makeChange(1, "c")) == FoldVerdict::Conflict);
+    CHECK(apply(3, makeChange(9, "d")) == FoldVerdict::Conflict);
+    STRCMP_EQUAL("b", m_fold->current()->changeId.c_str());
+    CHECK_EQUAL(2, version());
+}
+
+TEST(ConfigurationFold, DamagedTextChangesNothing)
+{
+    ConfigurationRecord record = makeChange(0, "a");
+    record.rules += "x";
+    CHECK(apply(0, record) == FoldVerdict::Malformed);
+    CHECK_EQUAL(0, version());
+}
+
+// The operator sees a change refused that was based on the version in force.
+// 1. This daemon learns version 5 from a peer, before it has read the log that far.
+// 2. A change that names base 5 lies in the log before version 5 came to be, and lost there.
+// If the daemon judged by what it holds, it alone would make that change version 6.
+TEST(ConfigurationFold, PeersVersionDoesNotJudgeOlderRecords)
+{
+    apply(0, makeChange(0, "a"));
+    CHECK(m_fold->adopt(acceptedAs(5, "peer")));
+    CHECK(apply(1, makeChange(5, "premature")) == FoldVerdict::Conflict);
+    CHECK(apply(2, makeChange(1, "b")) == FoldVerdict::Accepted);
+    CHECK_EQUAL(5, version());
+}
+
+// A fresh host starts after retention took the beginning. A snapshot that lies behind a change was
+// written by a daemon that had not read the change. Taking it at face value would undo the change.
+TEST(ConfigurationFold, OutdatedSnapshotCountsFromItsPosition)
+{
+    CHECK(apply(7, makeChange(3, "d")) == FoldVerdict::Unjudged);
+    const ConfigurationRecord snapshot = makeSnapshot(acceptedAs(3, "c"), 7);
+    CHECK(apply(8, snapshot) == FoldVerdict::Accepted);
+    CHECK_EQUAL(4, version());
+    const std::vector<LateVerdict> late = m_fold->takeLateVerdicts();
+    CHECK_EQUAL(1, late.size());
+    CHECK(late[0].verdict == FoldVerdict::Accepted);
+    CHECK(apply(9, makeChange(3, "e")) == FoldVerdict::Conflict);
+}
+
+TEST(ConfigurationFold, SnapshotOfForgottenPositionIsHeldButDoesNotJudge)
+{
+    CHECK(apply(8, makeSnapshot(acceptedAs(3, "c"), 7)) == FoldVerdict::Accepted);
+    CHECK_EQUAL(3, version());
+    CHECK(m_fold->judged() == nullptr);
+    CHECK(apply(9, makeChange(3, "e")) == FoldVerdict::Unjudged);
+}
+
+// A fresh host while the log is down: it has the version and the position from a peer. When the log
+// is back, its first records were forgotten, but the position lies behind them.
+TEST(ConfigurationFold, PeersPositionBridgesForgottenRecords)
+{
+    AcceptedConfiguration fromPeer = acceptedAs(4, "d");
+    fromPeer.position = LogOffset(20);
+    CHECK(m_fold->adopt(fromPeer));
+    CHECK(apply(20, makeChange(4, "e")) == FoldVerdict::Accepted);
+    CHECK_EQUAL(5, version());
+}
+
+TEST(ConfigurationFold, AgreesWithTheWholeStreamFromAnyStart)
+{
+    CHECK(holdsFor(makeConfigurationFold));
+}
+
+TEST(ConfigurationFold, NaiveFoldIsCaught)
+{
+    std::size_t caught = 0;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        caught += findViolation(seed, [] { return std::make_unique<NaiveFold>(); }).empty() ? 0 : 1;
+    }
+    CHECK(caught > 0);
+}
--- a/src/transport/ilogservice.h
+++ b/src/transport/ilogservice.h
@@ -36,8 +36,10 @@
     /// `Unknown` it may have been.
     virtual RetVal<LogOffset> append(const StreamName &stream, const std::string &payload) = 0;
     /// An empty page means that nothing newer is known. May be stale, but never out of order.
-    virtual RetVal<LogPage> read(const StreamName &stream, LogOffset from,
-                                 std::uint32_t maxRecords) = 0;
+    /// `wait`: when nothing is there yet, the log may hold the answer back for this long. A log
+    /// that cannot do so answers at once.
+    virtual RetVal<LogPage> read(const StreamName &stream, LogOffset from, std::uint32_t maxRecords,
+                                 Duration wait) = 0;
 };
 
 } // namespace ivyspar
