--- a/standins/deployment/childprocess.cpp
+++ b/standins/deployment/childprocess.cpp
@@ -48,7 +48,16 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int error = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argv.data(), environ);
+    // A starter that blocks its stop signals must not pass that on.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    const int error =
+        posix_spawn(&m_pid, program.c_str(), &actions, &attributes, argv.data(), environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         std::fprintf(stderr, "cannot start %s: error %d\n", program.c_str(), error);
