--- /dev/null
+++ b/src/transport/internal/httpclientexchange.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include <boost/intrusive/list_hook.hpp>
+
+#include "transport/ihttpclient.h"
+#include "transport/internal/httppool.h"
+#include "transport/internal/tcpstream.h"
+
+namespace ivyspar {
+
+class HttpClientCore;
+class HttpResponseParser;
+
+/// One request and its answer; lives on the stack of the calling fiber.
+class HttpClientExchange : public boost::intrusive::list_base_hook<
+                               boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    HttpClientExchange(HttpClientCore &client, HttpPoolPtr pool, const Endpoint &endpoint,
+                       const HttpRequest &request);
+
+    HttpResult run(Duration timeout, HttpCancellationPtr cancellation);
+    /// Ends the exchange from outside by closing its connection.
+    void abort(HttpFailureCause cause);
+
+private:
+    HttpResult runWithTimeout(Duration timeout);
+    HttpResult runOnConnection();
+    HttpResult runOnNewConnection();
+    HttpResult sendAndReceive();
+    HttpResult receive();
+    /// One answer, which may be an interim one. Sets `m_isReusable`.
+    HttpResult receiveOne();
+    bool mayUseFreshConnection(const HttpResult &result) const;
+    HttpResult fail(HttpFailureCause cause, std::string text) const;
+    void releaseConnection();
+
+    HttpClientCore &m_client;
+    HttpPoolPtr m_pool;
+    const Endpoint &m_endpoint;
+    const HttpRequest &m_request;
+    std::string m_head;
+    TcpStreamPtr m_stream;
+    std::optional<HttpFailureCause> m_abortCause;
+    /// Bytes of the request that the kernel took.
+    std::size_t m_sentBytes = 0;
+    bool m_isReusable = false;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/httpconnection.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <functional>
+#include <string_view>
+
+#include <boost/intrusive/list_hook.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "transport/ieventloop.h"
+#include "transport/ihttpserver.h"
+#include "transport/internal/httpfields.h"
+#include "transport/internal/tcpstream.h"
+
+namespace ivyspar {
+
+class HttpRequestParser;
+class HttpServerCore;
+
+/// One client's connection; `serve` is its fiber.
+class HttpConnection
+    : public boost::intrusive_ref_counter<HttpConnection, boost::thread_unsafe_counter>,
+      public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>>,
+      private IHttpExchange
+{
+public:
+    HttpConnection(boost::intrusive_ptr<HttpServerCore> server, TcpStreamPtr stream);
+    ~HttpConnection() override;
+
+    /// Answers requests until the connection ends.
+    void serve();
+    /// Answers 503 without reading a request.
+    void refuse();
+    /// Ends a connection on which no part of a request has arrived.
+    void closeIfIdle();
+    /// Ends the connection at once and forgets the disconnect callback.
+    void abort();
+
+private:
+    enum class State {
+        Idle,
+        Receiving,
+        Handling,
+        Done,
+    };
+    enum class Received {
+        Request,
+        Refused, ///< Answered with an error; the connection is to end.
+        Closed,
+    };
+
+    // IHttpExchange
+    const HttpRequest &request() const override { return m_request; }
+    void onDisconnect(std::function<void()> callback) override;
+
+    bool serveOne();
+    Received receive();
+    Received receiveRest(HttpRequestParser &parser);
+    Received refuseInput(std::uint16_t status);
+    Received onInputEnd();
+    HttpResponse handle();
+    bool respond(const HttpResponse &response);
+    bool write(std::string_view head, std::string_view body);
+    void sendContinue();
+    void lingeringClose();
+    void onReadWhileHandling();
+    void notifyDisconnect();
+    void startTimer(Duration duration);
+    void stopTimer();
+    bool isDisconnected() const { return static_cast<bool>(m_stream->readError()); }
+
+    boost::intrusive_ptr<HttpServerCore> m_server;
+    TcpStreamPtr m_stream;
+    State m_state = State::Idle;
+    HttpRequest m_request;
+    ResponseFraming m_framing;
+    std::function<void()> m_onDisconnect;
+    TimerId m_timer;
+    bool m_isTimedOut = false;
+};
+using HttpConnectionPtr = boost::intrusive_ptr<HttpConnection>;
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/httpparser.cpp
@@ -0,0 +1,262 @@
+#include "transport/internal/httpparser.h"
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "transport/internal/httpfields.h"
+
+namespace ivyspar {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+using ErrorCode = boost::system::error_code;
+
+/// A length that a message claims is only reserved up to this; the rest grows with what arrives.
+constexpr std::uint64_t MAX_RESERVED_BYTES = 64 * 1024;
+
+/// What requests and responses have in common. Writes into `headers` and `body`.
+template <bool isRequest> class MessageParser : public http::basic_parser<isRequest>
+{
+public:
+    MessageParser(const HttpParseLimits &limits, std::vector<HttpHeader> &headers,
+                  std::string &body)
+        : m_limits(limits)
+        , m_headers(headers)
+        , m_body(body)
+    {
+        this->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+        this->body_limit(limits.bodyBytes);
+        this->eager(true);
+    }
+
+    HttpParseStatus parse(std::string_view input, std::size_t &consumed)
+    {
+        consumed = 0;
+        ErrorCode error;
+        while (!error && !this->is_done() && consumed < input.size()) {
+            const bool wasInHeader = !this->is_header_done();
+            const auto rest = input.substr(consumed);
+            const std::size_t count =
+                this->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+            consumed += count;
+            m_headerBytes += wasInHeader ? count : 0;
+        }
+        return status(error, input.size() - consumed);
+    }
+
+    bool expectsContinue() const { return m_expectsContinue && this->is_header_done(); }
+
+private:
+    HttpParseStatus status(const ErrorCode &error, std::size_t leftBytes) const
+    {
+        if (error == http::error::header_limit) {
+            return HttpParseStatus::HeaderTooLarge;
+        }
+        if (error == http::error::body_limit) {
+            return HttpParseStatus::BodyTooLarge;
+        }
+        if (error && error != http::error::need_more) {
+            return HttpParseStatus::Malformed;
+        }
+        // Beast consumes field by field and compares only the rest with its limit, so a header
+        // that arrives in pieces could grow without end.
+        if (!this->is_header_done()) {
+            const bool fits = m_headerBytes + leftBytes <= m_limits.headerBytes;
+            return fits ? HttpParseStatus::NeedMore : HttpParseStatus::HeaderTooLarge;
+        }
+        if (this->is_done()) {
+            return HttpParseStatus::Done;
+        }
+        // A body that ends with the connection looks the same when the sender died in the middle:
+        // half an answer would be passed on as whole.
+        if (this->need_eof()) {
+            return HttpParseStatus::Malformed;
+        }
+        // Chunk extensions and trailers are kept in the input until they are complete.
+        return leftBytes <= m_limits.headerBytes ? HttpParseStatus::NeedMore
+                                                 : HttpParseStatus::Malformed;
+    }
+
+    void on_field_impl(http::field field, string_view name, string_view value,
+                       ErrorCode &error) override // NOLINT
+    {
+        // A trailer must not pass for a header field that was checked before the body.
+        if (this->is_header_done()) {
+            return;
+        }
+        if (field == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked")) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
+        if (field == http::field::expect && boost::beast::iequals(value, "100-continue")) {
+            m_expectsContinue = true;
+        }
+        if (field == http::field::connection) {
+            m_connection.append(m_connection.empty() ? "" : ",").append(value.data(), value.size());
+        }
+        if (!isConnectionField({ name.data(), name.size() })) {
+            m_headers.push_back(
+                { std::string(name.data(), name.size()), std::string(value.data(), value.size()) });
+        }
+    }
+
+    void on_header_impl(ErrorCode & /*error*/) override // NOLINT
+    {
+        removeNamedFields(m_headers, m_connection);
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length,
+                           ErrorCode & /*error*/) override // NOLINT
+    {
+        m_body.reserve(std::min(length.value_or(0), MAX_RESERVED_BYTES));
+    }
+
+    std::size_t on_body_impl(string_view body, ErrorCode & /*error*/) override // NOLINT
+    {
+        m_body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                              ErrorCode & /*error*/) override // NOLINT
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view body,
+                                   ErrorCode & /*error*/) override // NOLINT
+    {
+        m_body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_finish_impl(ErrorCode & /*error*/) override // NOLINT
+    {
+    }
+
+    HttpParseLimits m_limits;
+    std::vector<HttpHeader> &m_headers;
+    std::string &m_body;
+    std::string m_connection;
+    std::size_t m_headerBytes = 0;
+    bool m_expectsContinue = false;
+};
+
+/// Bases, so that they exist before the parser that refers to their parts.
+struct RequestHolder
+{
+    HttpRequest m_request;
+};
+
+struct ResponseHolder
+{
+    HttpResponse m_response;
+};
+
+} // namespace
+
+struct HttpRequestParser::Private : RequestHolder, MessageParser<true>
+{
+    explicit Private(const HttpParseLimits &limits)
+        : MessageParser<true>(limits, m_request.headers, m_request.body)
+    {
+    }
+
+    void on_request_impl(http::verb /*verb*/, string_view method, string_view target, int version,
+                         ErrorCode & /*error*/) override // NOLINT
+    {
+        m_request.method.assign(method.data(), method.size());
+        m_request.target.assign(target.data(), target.size());
+        m_version = version;
+    }
+
+    void on_response_impl(int /*status*/, string_view /*reason*/, int /*version*/,
+                          ErrorCode & /*error*/) override // NOLINT
+    {
+    }
+
+    int m_version = 0;
+};
+
+HttpRequestParser::HttpRequestParser(const HttpParseLimits &limits)
+    : m_p(std::make_unique<Private>(limits))
+{
+}
+
+HttpRequestParser::~HttpRequestParser() = default;
+
+HttpParseStatus HttpRequestParser::put(std::string_view input, std::size_t &consumed)
+{
+    return m_p->parse(input, consumed);
+}
+
+bool HttpRequestParser::expectsContinue() const
+{
+    return m_p->expectsContinue();
+}
+
+bool HttpRequestParser::isKeepAlive() const
+{
+    return m_p->keep_alive();
+}
+
+bool HttpRequestParser::isVersion10() const
+{
+    constexpr int VERSION_10 = 10;
+    return m_p->m_version == VERSION_10;
+}
+
+HttpRequest &HttpRequestParser::request()
+{
+    return m_p->m_request;
+}
+
+struct HttpResponseParser::Private : ResponseHolder, MessageParser<false>
+{
+    Private(const HttpParseLimits &limits, bool hasBody)
+        : MessageParser<false>(limits, m_response.headers, m_response.body)
+    {
+        skip(!hasBody);
+    }
+
+    void on_request_impl(http::verb /*verb*/, string_view /*method*/, string_view /*target*/,
+                         int /*version*/, ErrorCode & /*error*/) override // NOLINT
+    {
+    }
+
+    void on_response_impl(int status, string_view /*reason*/, int /*version*/,
+                          ErrorCode & /*error*/) override // NOLINT
+    {
+        m_response.status = static_cast<std::uint16_t>(status);
+    }
+};
+
+HttpResponseParser::HttpResponseParser(const HttpParseLimits &limits, bool hasBody)
+    : m_p(std::make_unique<Private>(limits, hasBody))
+{
+}
+
+HttpResponseParser::~HttpResponseParser() = default;
+
+HttpParseStatus HttpResponseParser::put(std::string_view input, std::size_t &consumed)
+{
+    return m_p->parse(input, consumed);
+}
+
+bool HttpResponseParser::isKeepAlive() const
+{
+    return m_p->keep_alive();
+}
+
+HttpResponse &HttpResponseParser::response()
+{
+    return m_p->m_response;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/httppool.cpp
@@ -0,0 +1,62 @@
+#include "transport/internal/httppool.h"
+
+#include <utility>
+
+namespace ivyspar {
+
+bool HttpPool::reserve()
+{
+    if (m_connectionCount >= m_limit) {
+        return false;
+    }
+    ++m_connectionCount;
+    return true;
+}
+
+void HttpPool::discard(const TcpStreamPtr &stream)
+{
+    stream->close();
+    --m_connectionCount;
+}
+
+/// A server may have closed a connection while it was unused; a request written to it would be
+/// lost with nothing known of its fate. An end that has arrived is seen here, before any byte.
+TcpStreamPtr HttpPool::takeIdle()
+{
+    while (!m_idle.empty()) {
+        const TcpStreamPtr stream = std::move(m_idle.back().stream);
+        m_idle.pop_back();
+        if (stream->isQuiet()) {
+            return stream;
+        }
+        discard(stream);
+    }
+    return {};
+}
+
+void HttpPool::putIdle(TcpStreamPtr stream, TimePoint now)
+{
+    if (m_connectionCount > m_limit) {
+        discard(stream);
+        return;
+    }
+    m_idle.push_back({ std::move(stream), now });
+}
+
+void HttpPool::closeIdleSince(TimePoint time)
+{
+    auto end = m_idle.begin();
+    while (end != m_idle.end() && end->since <= time) {
+        discard(end->stream);
+        ++end;
+    }
+    m_idle.erase(m_idle.begin(), end);
+}
+
+void HttpPool::setLimit(std::size_t limit)
+{
+    m_limit = limit;
+    m_hasOwnLimit = true;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/httpserver.cpp
@@ -0,0 +1,192 @@
+#include "transport/internal/httpserver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "transport/transportfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// Refusals that may wait for their client at a time; past them connections are just closed.
+constexpr std::size_t MAX_REFUSALS = 64;
+/// Connections that may wait for their client's end at a time, so that clients which cause errors
+/// cannot hold more than this on top of the connection limit.
+constexpr std::size_t MAX_LINGERING = 256;
+constexpr Duration ACCEPT_RETRY_DELAY = std::chrono::milliseconds(50);
+/// How long a drain leaves idle connections open, at most.
+constexpr Duration DRAIN_GRACE = std::chrono::milliseconds(200);
+
+} // namespace
+
+HttpServerCore::HttpServerCore(EventLoop &loop)
+    : m_loop(loop)
+    , m_acceptor(loop.ioContext())
+{
+}
+
+RetVal<Endpoint> HttpServerCore::listen(const Endpoint &endpoint, const HttpLimits &limits,
+                                        HttpHandler handler)
+{
+    if (m_acceptor.is_open()) {
+        return makeError(ErrorCode::Conflict, "the server listens already");
+    }
+    const auto result = openAcceptor(m_acceptor, endpoint);
+    if (result) {
+        m_limits = limits;
+        m_handler = std::move(handler);
+        startAccept();
+    }
+    return result;
+}
+
+void HttpServerCore::startAccept()
+{
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    m_acceptor.async_accept(
+        [core = HttpServerCorePtr(this)](const auto &error, tcp::socket socket) {
+            core->onAccept(error, std::move(socket));
+        });
+}
+
+/// When the process has no descriptor left, every accept fails at once although the client stays
+/// in the queue: without a pause the loop would spin until another connection ends.
+void HttpServerCore::onAccept(const boost::system::error_code &error, tcp::socket socket)
+{
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    if (error) {
+        m_loop.callLater(ACCEPT_RETRY_DELAY,
+                         [core = HttpServerCorePtr(this)] { core->startAccept(); });
+        return;
+    }
+    addConnection(std::move(socket));
+    startAccept();
+}
+
+void HttpServerCore::addConnection(tcp::socket socket)
+{
+    const bool isRefused = m_connectionCount >= m_limits.connections;
+    if (isRefused && m_refusalCount >= MAX_REFUSALS) {
+        return;
+    }
+    ++(isRefused ? m_refusalCount : m_connectionCount);
+    const HttpConnectionPtr connection(
+        new HttpConnection(this, TcpStreamPtr(new TcpStream(std::move(socket)))));
+    m_connections.push_back(*connection);
+    m_loop.spawn([this, connection, isRefused] {
+        if (!isRefused) {
+            connection->serve();
+            return;
+        }
+        connection->refuse();
+        --m_refusalCount;
+    });
+}
+
+/// Clients whose connection waits in the queue would be reset by closing the listener.
+void HttpServerCore::acceptWaiting()
+{
+    boost::system::error_code error;
+    while (!error) {
+        tcp::socket socket(m_loop.ioContext());
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            addConnection(std::move(socket));
+        }
+    }
+}
+
+/// A request may be on its way on a connection that looks idle; closing that at once would leave
+/// its client without an answer. So idle connections first get some time, in which a request is
+/// answered with `Connection: close`.
+void HttpServerCore::drain(Duration timeout)
+{
+    const HttpServerCorePtr self(this);
+    m_isDraining = true;
+    if (m_acceptor.is_open()) {
+        acceptWaiting();
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+    }
+    const TimerId grace =
+        m_loop.callLater(std::min(timeout / 2, DRAIN_GRACE), [this] { closeIdleConnections(); });
+    const TimerId end = m_loop.callLater(timeout, [this] { m_drainWaiter.wake(); });
+    if (m_connectionCount > 0) {
+        m_drainWaiter.wait();
+    }
+    m_loop.cancelTimer(grace);
+    m_loop.cancelTimer(end);
+}
+
+void HttpServerCore::closeIdleConnections()
+{
+    for (auto &connection : m_connections) {
+        connection.closeIfIdle();
+    }
+}
+
+void HttpServerCore::abort()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (auto &connection : m_connections) {
+        connection.abort();
+    }
+}
+
+void HttpServerCore::onConnectionDone()
+{
+    --m_connectionCount;
+    if (m_isDraining && m_connectionCount == 0) {
+        m_drainWaiter.wake();
+    }
+}
+
+bool HttpServerCore::beginLinger()
+{
+    if (m_lingerCount >= MAX_LINGERING) {
+        return false;
+    }
+    ++m_lingerCount;
+    return true;
+}
+
+HttpServer::HttpServer(EventLoop &loop)
+    : m_core(new HttpServerCore(loop))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_core->abort();
+}
+
+RetVal<Endpoint> HttpServer::listen(const Endpoint &endpoint, const HttpLimits &limits,
+                                    HttpHandler handler)
+{
+    return m_core->listen(endpoint, limits, std::move(handler));
+}
+
+void HttpServer::drain(Duration timeout)
+{
+    m_core->drain(timeout);
+}
+
+std::size_t HttpServer::connectionCount() const
+{
+    return m_core->connectionCount();
+}
+
+std::unique_ptr<IHttpServer> makeHttpServer(IEventLoop &loop)
+{
+    return std::make_unique<HttpServer>(static_cast<EventLoop &>(loop));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/httpserver.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "transport/ihttpserver.h"
+#include "transport/internal/eventloop.h"
+#include "transport/internal/fiberwaiter.h"
+#include "transport/internal/httpconnection.h"
+
+namespace ivyspar {
+
+/// What the connections of a server share. Lives until the last of their fibers has ended, which
+/// may be after the server was destroyed.
+class HttpServerCore
+    : public boost::intrusive_ref_counter<HttpServerCore, boost::thread_unsafe_counter>
+{
+public:
+    explicit HttpServerCore(EventLoop &loop);
+
+    RetVal<Endpoint> listen(const Endpoint &endpoint, const HttpLimits &limits,
+                            HttpHandler handler);
+    void drain(Duration timeout);
+    /// Ends everything at once.
+    void abort();
+
+    EventLoop &loop() { return m_loop; }
+    const HttpLimits &limits() const { return m_limits; }
+    const HttpHandler &handler() const { return m_handler; }
+    bool isDraining() const { return m_isDraining; }
+    std::size_t connectionCount() const { return m_connectionCount; }
+    /// A connection has sent its last answer, or broke.
+    void onConnectionDone();
+    /// Whether one more connection may wait for its client's end.
+    bool beginLinger();
+    void endLinger() { --m_lingerCount; }
+
+private:
+    friend class HttpConnection;
+    using ConnectionList =
+        boost::intrusive::list<HttpConnection, boost::intrusive::constant_time_size<false>>;
+
+    void startAccept();
+    void onAccept(const boost::system::error_code &error, boost::asio::ip::tcp::socket socket);
+    void acceptWaiting();
+    void addConnection(boost::asio::ip::tcp::socket socket);
+    void closeIdleConnections();
+
+    EventLoop &m_loop;
+    HttpLimits m_limits;
+    HttpHandler m_handler;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    ConnectionList m_connections;
+    /// Connections that are served; the list also has those that only wait for their end.
+    std::size_t m_connectionCount = 0;
+    std::size_t m_refusalCount = 0;
+    std::size_t m_lingerCount = 0;
+    bool m_isDraining = false;
+    FiberWaiter m_drainWaiter;
+};
+using HttpServerCorePtr = boost::intrusive_ptr<HttpServerCore>;
+
+class HttpServer : public IHttpServer
+{
+public:
+    explicit HttpServer(EventLoop &loop);
+    ~HttpServer() override;
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    RetVal<Endpoint> listen(const Endpoint &endpoint, const HttpLimits &limits,
+                            HttpHandler handler) override;
+    void drain(Duration timeout) override;
+    std::size_t connectionCount() const override;
+
+private:
+    HttpServerCorePtr m_core;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/internal/tcpstream.cpp
@@ -0,0 +1,225 @@
+#include "transport/internal/tcpstream.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+
+namespace ivyspar {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// Takes the usual request in one read; it is what an idle connection keeps.
+constexpr std::size_t CHUNK_BYTES = 4096;
+/// An emptied input buffer above this is given back.
+constexpr std::size_t KEPT_INPUT_BYTES = 4 * CHUNK_BYTES;
+
+} // namespace
+
+TcpStream::TcpStream(tcp::socket socket)
+    : m_socket(std::move(socket))
+{
+    if (m_socket.is_open()) {
+        ErrorCode ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        m_socket.non_blocking(true, ignored);
+    }
+}
+
+TcpStream::ErrorCode TcpStream::connect(const tcp::endpoint &endpoint)
+{
+    ErrorCode result = asio::error::would_block;
+    m_socket.async_connect(endpoint, [self = TcpStreamPtr(this), &result](const ErrorCode &error) {
+        result = error;
+        self->m_writer.wake();
+    });
+    m_writer.wait();
+    if (result) {
+        return result;
+    }
+    // Without a listener, a connect to a port of the ephemeral range of the same host can meet
+    // itself: the request would come back as its own answer.
+    ErrorCode ignored;
+    if (m_socket.local_endpoint(ignored) == endpoint) {
+        close();
+        return asio::error::connection_refused;
+    }
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, result);
+    return result;
+}
+
+TcpStream::ErrorCode TcpStream::read()
+{
+    startRead();
+    if (m_isReading) {
+        m_reader.wait();
+        return m_lastReadError;
+    }
+    return m_readError;
+}
+
+void TcpStream::startRead()
+{
+    if (m_isReading || m_readError) {
+        return;
+    }
+    if (!m_chunk) {
+        m_chunk = std::make_unique<char[]>(CHUNK_BYTES);
+    }
+    m_isReading = true;
+    m_socket.async_read_some(
+        asio::buffer(m_chunk.get(), CHUNK_BYTES),
+        [self = TcpStreamPtr(this)](const ErrorCode &error, std::size_t count) {
+            self->onRead(error, count);
+        });
+}
+
+void TcpStream::onRead(const ErrorCode &error, std::size_t count)
+{
+    m_isReading = false;
+    m_lastReadError = error;
+    if (error != asio::error::operation_aborted) {
+        m_readError = error;
+    }
+    m_input.append(m_chunk.get(), count);
+    if (m_onRead) {
+        m_onRead();
+    }
+    m_reader.wake();
+}
+
+void TcpStream::consume(std::size_t count)
+{
+    m_consumed += count;
+    if (m_consumed < m_input.size()) {
+        return;
+    }
+    m_consumed = 0;
+    m_input.clear();
+    if (m_input.capacity() > KEPT_INPUT_BYTES) {
+        m_input.shrink_to_fit();
+    }
+}
+
+/// Writes at once and suspends only when the kernel's buffer is full: a write that goes through
+/// the loop would cost another turn of it.
+TcpStream::ErrorCode TcpStream::write(std::string_view head, std::string_view body,
+                                      std::size_t &written)
+{
+    written = 0;
+    while (!head.empty() || !body.empty()) {
+        const std::array<asio::const_buffer, 2> buffers{ asio::buffer(head.data(), head.size()),
+                                                         asio::buffer(body.data(), body.size()) };
+        ErrorCode error;
+        const std::size_t count = m_socket.write_some(buffers, error);
+        if (error == asio::error::would_block) {
+            error = waitWritable();
+        }
+        if (error) {
+            return error;
+        }
+        written += count;
+        const std::size_t ofHead = std::min(count, head.size());
+        head.remove_prefix(ofHead);
+        body.remove_prefix(count - ofHead);
+    }
+    return {};
+}
+
+TcpStream::ErrorCode TcpStream::waitWritable()
+{
+    m_socket.async_wait(tcp::socket::wait_write,
+                        [self = TcpStreamPtr(this)](const ErrorCode &error) {
+                            self->m_writeError = error;
+                            self->m_writer.wake();
+                        });
+    m_writer.wait();
+    return m_writeError;
+}
+
+bool TcpStream::isQuiet()
+{
+    if (!m_socket.is_open() || m_isReading || !input().empty()) {
+        return false;
+    }
+    char byte = 0;
+    const auto result = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void TcpStream::cancel()
+{
+    ErrorCode ignored;
+    m_socket.cancel(ignored);
+}
+
+void TcpStream::close()
+{
+    ErrorCode ignored;
+    m_socket.close(ignored);
+}
+
+void TcpStream::shutdownSend()
+{
+    ErrorCode ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+std::size_t TcpStream::available()
+{
+    ErrorCode ignored;
+    return m_socket.available(ignored);
+}
+
+RetVal<tcp::endpoint> toTcpEndpoint(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        return makeError(ErrorCode::InvalidArgument,
+                         '"' + endpoint.address + "\" is not an IP number");
+    }
+    return tcp::endpoint(address, endpoint.port);
+}
+
+Endpoint fromTcpEndpoint(const tcp::endpoint &endpoint)
+{
+    return Endpoint{ endpoint.address().to_string(), endpoint.port() };
+}
+
+RetVal<Endpoint> openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint)
+{
+    const auto target = toTcpEndpoint(endpoint);
+    if (!target) {
+        return tl::unexpected<Error>(target.error());
+    }
+    boost::system::error_code error;
+    acceptor.open(target->protocol(), error);
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(*target, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        return makeError(ErrorCode::Unavailable,
+                         "cannot listen on " + endpoint.text() + ": " + error.message());
+    }
+    acceptor.non_blocking(true, error);
+    return fromTcpEndpoint(acceptor.local_endpoint(error));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/transport/tests/httpclienttest.cpp
@@ -0,0 +1,459 @@
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "transport/tests/looprunner.h"
+#include "transport/tests/rawsocket.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Endpoint ANY_PORT{ "127.0.0.1", 0 };
+const std::string HEAD_END = "\r\n\r\n";
+
+/// An upstream that the test writes byte by byte, on a thread of its own.
+class ScriptedServer
+{
+public:
+    ScriptedServer()
+        : m_listener(RawSocket::listenOn(ANY_PORT))
+    {
+    }
+    ~ScriptedServer() { join(); }
+
+    Endpoint endpoint() const { return m_listener.localEndpoint(); }
+    void run(std::function<void(RawSocket &listener)> script)
+    {
+        m_thread = std::thread([this, script = std::move(script)] { script(m_listener); });
+    }
+    void join()
+    {
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+    void stopListening() { m_listener.close(); }
+
+private:
+    RawSocket m_listener;
+    std::thread m_thread;
+};
+
+std::string makeAnswer(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + HEAD_END + body;
+}
+
+HttpRequest makeGet(const std::string &target)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = target;
+    return request;
+}
+
+} // namespace
+
+TEST_GROUP(HttpClient)
+{
+    LoopRunner m_runner;
+    HttpClientLimits m_limits;
+    std::unique_ptr<IHttpClient> m_client;
+    ScriptedServer m_server;
+    Endpoint m_endpoint = m_server.endpoint();
+    HttpCancellationPtr m_cancellation;
+
+    void makeClient()
+    {
+        m_runner.run([&] { m_client = makeHttpClient(m_runner.loop(), m_limits); });
+    }
+
+    void teardown() override
+    {
+        m_runner.run([&] { m_client.reset(); });
+    }
+
+    HttpResult exchange(const HttpRequest &request, Duration timeout = seconds(20))
+    {
+        if (!m_client) {
+            makeClient();
+        }
+        HttpResult result;
+        m_runner.run(
+            [&] { result = m_client->exchange(m_endpoint, request, timeout, m_cancellation); });
+        return result;
+    }
+
+    /// The result when the server answers with `bytes` and ends the connection.
+    HttpResult resultOf(const std::string &bytes, const std::string &method = "GET")
+    {
+        ScriptedServer server;
+        m_endpoint = server.endpoint();
+        server.run([&](RawSocket &listener) {
+            RawSocket peer = listener.accept();
+            peer.readUntil(HEAD_END);
+            peer.send(bytes);
+        });
+        HttpRequest request = makeGet("/");
+        request.method = method;
+        return exchange(request);
+    }
+
+    void checkFailure(const HttpResult &result, HttpFailureStage stage, HttpFailureCause cause,
+                      const char *text = "")
+    {
+        CHECK_FALSE_TEXT(result.has_value(), text);
+        CHECK_TRUE_TEXT(result.error().stage == stage, text);
+        CHECK_TRUE_TEXT(result.error().cause == cause, text);
+    }
+};
+
+TEST(HttpClient, ReusesAConnection)
+{
+    m_server.run([](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        while (!peer.readUntil(HEAD_END).empty()) {
+            peer.send(makeAnswer("hello"));
+        }
+    });
+    for (int i = 0; i < 3; ++i) {
+        const HttpResult result = exchange(makeGet("/"));
+        CHECK(result.has_value());
+        CHECK_EQUAL(200, result->status);
+        STRCMP_EQUAL("hello", result->body.c_str());
+    }
+    m_runner.run([&] { m_client.reset(); });
+}
+
+TEST(HttpClient, WritesARequestWithItsOwnFraming)
+{
+    std::string received;
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        received = peer.readUntil("body");
+        peer.send("HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\nConnection: X-Hop\r\n"
+                  "X-Hop: 1\r\nKeep-Alive: 5\r\nX-End: 2\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    });
+    HttpRequest request = makeGet("/x?y");
+    request.method = "POST";
+    request.body = "body";
+    request.headers = { { "X-A", "1" },
+                        { "Connection", "close" },
+                        { "Transfer-Encoding", "chunked" },
+                        { "Content-Length", "77" },
+                        { "Proxy-Authorization", "p" } };
+    const HttpResult result = exchange(request);
+    STRCMP_EQUAL(("POST /x?y HTTP/1.1\r\nHost: " + m_endpoint.text()
+                  + "\r\nX-A: 1\r\nContent-Length: 4\r\n\r\nbody")
+                     .c_str(),
+                 received.c_str());
+    CHECK(result.has_value());
+    CHECK_EQUAL(201, result->status);
+    STRCMP_EQUAL("abc", result->body.c_str());
+    CHECK_EQUAL(1, result->headers.size());
+    STRCMP_EQUAL("X-End", result->headers.front().name.c_str());
+}
+
+TEST(HttpClient, RefusesARequestThatCannotBeWrittenSafely)
+{
+    HttpRequest request = makeGet("/");
+    request.headers = { { "X", "a\r\nEvil: 1" } };
+    checkFailure(exchange(request), HttpFailureStage::NotSent, HttpFailureCause::Broken);
+    checkFailure(exchange(makeGet("/ HTTP/1.1\r\nEvil: 1")), HttpFailureStage::NotSent,
+                 HttpFailureCause::Broken);
+    checkFailure(exchange(makeGet("")), HttpFailureStage::NotSent, HttpFailureCause::Broken);
+}
+
+TEST(HttpClient, AnswersWithoutBodyAreWhole)
+{
+    const HttpResult head = resultOf("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", "HEAD");
+    CHECK(head.has_value());
+    CHECK_EQUAL(0, head->body.size());
+    CHECK_EQUAL(204, resultOf("HTTP/1.1 204 No Content\r\n\r\n")->status);
+    CHECK_EQUAL(304, resultOf("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n")->status);
+}
+
+TEST(HttpClient, SkipsInterimAnswers)
+{
+    const HttpResult result =
+        resultOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + makeAnswer("x"));
+    CHECK(result.has_value());
+    STRCMP_EQUAL("x", result->body.c_str());
+}
+
+/// The server takes the request and its answer ends early, breaks the protocol, or has no end that
+/// could be told from a crash. The request may have run, and no part of the answer is passed on.
+TEST(HttpClient, ABrokenAnswerIsNeverPassedAsWhole)
+{
+    m_limits.bodyBytes = 1000;
+    m_limits.headerBytes = 1000;
+    const std::string big(3000, 'x');
+    for (const std::string &bytes :
+         { std::string(), std::string("HTTP/1.1 200"), std::string("HTTP/1.1 200 OK\r\nA: b\r\n"),
+           std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd"),
+           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"),
+           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc"),
+           std::string("HTTP/1.1 200 OK\r\n\r\nuntil the end"),
+           std::string("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"),
+           std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+           std::string("garbage\r\n\r\n"), makeAnswer(big),
+           "HTTP/1.1 200 OK\r\nA: " + big + HEAD_END }) {
+        checkFailure(resultOf(bytes), HttpFailureStage::MaybeSent, HttpFailureCause::Broken,
+                     bytes.c_str());
+    }
+}
+
+TEST(HttpClient, ARefusedConnectIsProofThatNothingWasSent)
+{
+    m_server.stopListening();
+    checkFailure(exchange(makeGet("/")), HttpFailureStage::NotSent, HttpFailureCause::Connect);
+    m_endpoint.address = "no-number";
+    checkFailure(exchange(makeGet("/")), HttpFailureStage::NotSent, HttpFailureCause::Connect);
+}
+
+TEST(HttpClient, AResetAfterTheRequestProvesNothing)
+{
+    m_server.run([](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.reset();
+    });
+    checkFailure(exchange(makeGet("/")), HttpFailureStage::MaybeSent, HttpFailureCause::Broken);
+}
+
+/// The server closes the connection after its first answer, without saying so. The client sees
+/// the end before it writes the second request, and sends it on a fresh connection.
+TEST(HttpClient, ReplacesAConnectionThatTheServerClosed)
+{
+    std::promise<void> isClosed;
+    m_server.run([&](RawSocket &listener) {
+        {
+            RawSocket peer = listener.accept();
+            peer.readUntil(HEAD_END);
+            peer.send(makeAnswer("first"));
+        }
+        isClosed.set_value();
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.send(makeAnswer("second"));
+    });
+    STRCMP_EQUAL("first", exchange(makeGet("/1"))->body.c_str());
+    isClosed.get_future().wait();
+    STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+}
+
+/// After its answer the server sends more than it was asked for. Taken as the next answer, it
+/// would give a caller somebody else's answer; the connection must not be used again.
+TEST(HttpClient, NeverTakesBytesFromBeforeItsRequestAsTheAnswer)
+{
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.send(makeAnswer("first") + makeAnswer("unasked"));
+        RawSocket next = listener.accept();
+        next.readUntil(HEAD_END);
+        next.send(makeAnswer("second"));
+    });
+    STRCMP_EQUAL("first", exchange(makeGet("/1"))->body.c_str());
+    STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+}
+
+TEST(HttpClient, DoesNotReuseAConnectionThatTheServerWillClose)
+{
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        RawSocket next = listener.accept();
+        next.readUntil(HEAD_END);
+        next.send(makeAnswer("second"));
+    });
+    CHECK(exchange(makeGet("/1")).has_value());
+    STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+}
+
+/// The answer comes after the timeout. The exchange fails as MaybeSent, its connection is closed,
+/// and the late answer can't be taken for that of the next request.
+TEST(HttpClient, ALateAnswerGoesNowhere)
+{
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.readToEnd();
+        peer.send(makeAnswer("late"));
+        RawSocket next = listener.accept();
+        next.readUntil(HEAD_END);
+        next.send(makeAnswer("second"));
+    });
+    checkFailure(exchange(makeGet("/1"), milliseconds(20)), HttpFailureStage::MaybeSent,
+                 HttpFailureCause::Timeout);
+    STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+}
+
+TEST(HttpClient, CancellationClosesTheConnection)
+{
+    std::promise<void> isReceived;
+    std::string rest = "not read";
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        isReceived.set_value();
+        rest = peer.readToEnd();
+    });
+    makeClient();
+    HttpResult result;
+    m_runner.run([&] { m_cancellation = HttpCancellationPtr(new HttpCancellation); });
+    auto done = m_runner.start(
+        [&] { result = m_client->exchange(m_endpoint, makeGet("/"), hours(1), m_cancellation); });
+    isReceived.get_future().wait();
+    m_runner.run([&] { m_cancellation->cancel(); });
+    done.wait();
+    checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Cancelled);
+    m_server.join();
+    STRCMP_EQUAL("", rest.c_str());
+    checkFailure(exchange(makeGet("/")), HttpFailureStage::NotSent, HttpFailureCause::Cancelled);
+}
+
+/// The server takes nothing, so a large request gets stuck half written. Cancelling it then is no
+/// proof: the part that left may have been enough.
+TEST(HttpClient, ACancelledHalfRequestMayHaveBeenSent)
+{
+    std::promise<void> isReceived;
+    std::promise<void> mayEnd;
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        isReceived.set_value();
+        mayEnd.get_future().wait();
+    });
+    makeClient();
+    HttpRequest request = makeGet("/");
+    request.method = "POST";
+    request.body.assign(64 * 1024 * 1024, 'x');
+    HttpResult result;
+    m_runner.run([&] { m_cancellation = HttpCancellationPtr(new HttpCancellation); });
+    auto done = m_runner.start(
+        [&] { result = m_client->exchange(m_endpoint, request, hours(1), m_cancellation); });
+    isReceived.get_future().wait();
+    m_runner.run([&] { m_cancellation->cancel(); });
+    done.wait();
+    checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Cancelled);
+    mayEnd.set_value();
+}
+
+TEST(HttpClient, KeepsTheLimitOfAnEndpoint)
+{
+    std::promise<void> isReceived;
+    std::promise<void> mayAnswer;
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        isReceived.set_value();
+        mayAnswer.get_future().wait();
+        peer.send(makeAnswer("a"));
+        peer.readUntil(HEAD_END);
+        peer.send(makeAnswer("b"));
+    });
+    makeClient();
+    m_runner.run([&] { m_client->setConnectionLimit(m_endpoint, 1); });
+    HttpResult first;
+    auto done = m_runner.start(
+        [&] { first = m_client->exchange(m_endpoint, makeGet("/1"), seconds(20), {}); });
+    isReceived.get_future().wait();
+    checkFailure(exchange(makeGet("/2")), HttpFailureStage::NotSent,
+                 HttpFailureCause::NoConnection);
+    mayAnswer.set_value();
+    done.wait();
+    STRCMP_EQUAL("a", first->body.c_str());
+    STRCMP_EQUAL("b", exchange(makeGet("/3"))->body.c_str());
+}
+
+TEST(HttpClient, WarmConnectionsAreUsed)
+{
+    std::promise<void> isAccepted;
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        isAccepted.set_value();
+        peer.readUntil(HEAD_END);
+        peer.send(makeAnswer("warm"));
+    });
+    makeClient();
+    m_runner.run([&] {
+        m_client->setConnectionLimit(m_endpoint, 1);
+        m_client->warm(m_endpoint, 5);
+    });
+    isAccepted.get_future().wait();
+    // The limit is 1: while the warm connection is still opening there is none to use.
+    HttpResult result = exchange(makeGet("/"));
+    while (!result && result.error().cause == HttpFailureCause::NoConnection) {
+        result = exchange(makeGet("/"));
+    }
+    STRCMP_EQUAL("warm", result->body.c_str());
+}
+
+TEST(HttpClient, UnusedConnectionsAreClosed)
+{
+    m_limits.idleTimeout = milliseconds(10);
+    std::string rest = "not read";
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.send(makeAnswer("a"));
+        rest = peer.readToEnd();
+    });
+    CHECK(exchange(makeGet("/")).has_value());
+    m_server.join();
+    STRCMP_EQUAL("", rest.c_str());
+}
+
+/// The client is destroyed while a request is out: its caller is told so, with the right stage.
+TEST(HttpClient, DestructionEndsExchanges)
+{
+    std::promise<void> isReceived;
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        isReceived.set_value();
+        peer.readToEnd();
+    });
+    makeClient();
+    HttpResult result;
+    auto done = m_runner.start(
+        [&] { result = m_client->exchange(m_endpoint, makeGet("/"), hours(1), {}); });
+    isReceived.get_future().wait();
+    m_runner.run([&] { m_client.reset(); });
+    done.wait();
+    checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Cancelled);
+}
+
+/// The server refuses a body by its length, answers at once and drops what still comes. The
+/// client gets that answer although it could not know it while it was writing.
+TEST(HttpClient, TakesAnAnswerThatComesBeforeTheWholeRequest)
+{
+    std::unique_ptr<IHttpServer> server;
+    HttpLimits limits;
+    limits.bodyBytes = 1000;
+    m_runner.run([&] {
+        server = makeHttpServer(m_runner.loop());
+        m_endpoint =
+            server->listen(ANY_PORT, limits, [](IHttpExchange &) { return HttpResponse(); })
+                .value();
+    });
+    HttpRequest request = makeGet("/");
+    request.method = "POST";
+    request.body.assign(1024 * 1024, 'x');
+    const HttpResult result = exchange(request);
+    m_runner.run([&] { server.reset(); });
+    CHECK(result.has_value());
+    CHECK_EQUAL(413, result->status);
+}
--- /dev/null
+++ b/src/transport/tests/httpservertest.cpp
@@ -0,0 +1,476 @@
+#include <atomic>
+#include <string>
+
+#include "transport/oneshot.h"
+#include "transport/tests/looprunner.h"
+#include "transport/tests/rawsocket.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Endpoint ANY_PORT{ "127.0.0.1", 0 };
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string get(const std::string &target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+HttpResponse echo(const HttpRequest &request)
+{
+    HttpResponse response;
+    response.body = request.method + ' ' + request.target + ' ' + request.body;
+    for (const auto &header : request.headers) {
+        response.body += '|' + header.name + '=' + header.value;
+    }
+    return response;
+}
+
+} // namespace
+
+TEST_GROUP(HttpServer)
+{
+    LoopRunner m_runner;
+    std::unique_ptr<IHttpServer> m_server;
+    Endpoint m_endpoint;
+    HttpLimits m_limits;
+    std::unique_ptr<OneShot<int>> m_gate;
+
+    void listen(
+        HttpHandler handler = [](IHttpExchange &exchange) { return echo(exchange.request()); })
+    {
+        m_runner.run([&] {
+            m_gate = std::make_unique<OneShot<int>>(m_runner.loop());
+            m_server = makeHttpServer(m_runner.loop());
+            m_endpoint = m_server->listen(ANY_PORT, m_limits, handler).value();
+        });
+    }
+
+    void openGate()
+    {
+        m_runner.run([&] { m_gate->set(1); });
+    }
+
+    void teardown() override
+    {
+        m_runner.run([&] { m_server.reset(); });
+    }
+
+    RawSocket connect()
+    {
+        return RawSocket::connectTo(m_endpoint);
+    }
+
+    /// What a client gets that sends `request` and then only reads.
+    std::string answerTo(const std::string &request)
+    {
+        RawSocket client = connect();
+        client.send(request);
+        return client.readToEnd();
+    }
+
+    std::size_t connectionCount()
+    {
+        std::size_t count = 0;
+        m_runner.run([&] { count = m_server->connectionCount(); });
+        return count;
+    }
+};
+
+TEST(HttpServer, KeepsAConnectionForFurtherRequests)
+{
+    listen();
+    RawSocket client = connect();
+    for (const char *target : { "/one", "/two", "/three" }) {
+        client.send(get(target));
+        const std::string head = client.readUntil("\r\n\r\n");
+        CHECK(contains(head, "HTTP/1.1 200 OK\r\n"));
+        CHECK_FALSE(contains(head, "Connection"));
+        STRCMP_EQUAL((std::string("GET ") + target + " |Host=a").c_str(),
+                     client.readUntil("|Host=a").c_str());
+    }
+    CHECK_EQUAL(1, connectionCount());
+}
+
+TEST(HttpServer, AnswersPipelinedRequestsInOrder)
+{
+    listen();
+    const std::string last = "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n";
+    const std::string answers = answerTo(get("/1") + get("/2") + last);
+    const auto first = answers.find("GET /1");
+    const auto second = answers.find("GET /2");
+    const auto third = answers.find("GET /3");
+    CHECK(first < second);
+    CHECK(second < third);
+    CHECK(third != std::string::npos);
+}
+
+TEST(HttpServer, TakesBodiesWithLengthAndInChunks)
+{
+    listen();
+    CHECK(contains(answerTo("POST /a HTTP/1.1\r\nContent-Length: 5\r\nConnection: close\r\n\r\n"
+                            "hello"),
+                   "POST /a hello"));
+    CHECK(contains(answerTo("POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                            "Connection: close\r\n\r\n"
+                            "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer-Field: t\r\n\r\n"),
+                   "POST /b abcde"));
+}
+
+TEST(HttpServer, TakesARequestByteByByte)
+{
+    listen();
+    RawSocket client = connect();
+    for (const char c : std::string("POST /slow HTTP/1.1\r\nContent-Length: 3\r\n"
+                                    "Connection: close\r\n\r\nabc")) {
+        client.send(std::string(1, c));
+    }
+    CHECK(contains(client.readToEnd(), "POST /slow abc"));
+}
+
+TEST(HttpServer, HidesFieldsOfTheConnection)
+{
+    listen();
+    const std::string answer =
+        answerTo("GET / HTTP/1.1\r\nHost: a\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: t\r\n"
+                 "Keep-Alive: 3\r\nUpgrade: h2c\r\nProxy-Authorization: p\r\nX-End: 2\r\n\r\n");
+    CHECK(contains(answer, "GET / |Host=a|X-End=2"));
+    CHECK_EQUAL(answer.size() - 3, answer.find("d=2"));
+}
+
+TEST(HttpServer, DropsUnsafeAndConnectionFieldsOfAResponse)
+{
+    listen([](IHttpExchange &) {
+        HttpResponse response;
+        response.headers = { { "X-Good", "1" },
+                             { "X-Bad", "1\r\nSet-Cookie: evil" },
+                             { "Bad Name", "1" },
+                             { "Content-Length", "99" },
+                             { "Transfer-Encoding", "x" } };
+        response.body = "ok";
+        return response;
+    });
+    const std::string answer = answerTo("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    STRCMP_EQUAL("HTTP/1.1 200 OK\r\nX-Good: 1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
+                 answer.c_str());
+}
+
+TEST(HttpServer, HeadAndNoContentHaveNoBody)
+{
+    listen([](IHttpExchange &exchange) {
+        HttpResponse response = echo(exchange.request());
+        response.status = exchange.request().method == "DELETE" ? 204 : 200;
+        return response;
+    });
+    STRCMP_EQUAL("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\n",
+                 answerTo("HEAD /ab HTTP/1.1\r\nConnection: close\r\n\r\n").c_str());
+    STRCMP_EQUAL("HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n",
+                 answerTo("DELETE / HTTP/1.1\r\nConnection: close\r\n\r\n").c_str());
+}
+
+TEST(HttpServer, AsksForABodyThatTheClientHoldsBack)
+{
+    listen();
+    RawSocket client = connect();
+    client.send("POST /e HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n"
+                "Connection: close\r\n\r\n");
+    STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", client.readUntil("\r\n\r\n").c_str());
+    client.send("ab");
+    CHECK(contains(client.readToEnd(), "POST /e ab"));
+}
+
+/// Each client breaks one rule. It gets the status that names it and then the end of its
+/// connection, also while it still sends: the rest of its input is read before closing, as a
+/// reset could overtake the answer.
+TEST(HttpServer, RefusesInputPastTheLimits)
+{
+    m_limits.headerBytes = 1000;
+    m_limits.bodyBytes = 1000;
+    listen();
+    const std::string big(3000, 'x');
+    const std::string post = "POST / HTTP/1.1\r\n";
+    CHECK(contains(answerTo("GET /" + big + " HTTP/1.1\r\n\r\n"), "HTTP/1.1 431 "));
+    CHECK(contains(answerTo("GET / HTTP/1.1\r\nX: " + big + "\r\n\r\n"), "HTTP/1.1 431 "));
+    std::string manyFields = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 1000; ++i) {
+        manyFields += "X: y\r\n";
+    }
+    CHECK(contains(answerTo(manyFields), "HTTP/1.1 431 "));
+    CHECK(contains(answerTo(post + "Content-Length: 3000\r\n\r\n" + big), "HTTP/1.1 413 "));
+    CHECK(contains(answerTo(post + "Transfer-Encoding: chunked\r\n\r\nbb8\r\n" + big),
+                   "HTTP/1.1 413 "));
+    CHECK(contains(answerTo(post + "Transfer-Encoding: chunked\r\n\r\n1;" + big), "HTTP/1.1 400 "));
+    CHECK(contains(answerTo(post + "Transfer-Encoding: chunked\r\n\r\n0\r\nT: " + big),
+                   "HTTP/1.1 400 "));
+}
+
+/// A header that arrives field by field never has more than its last field in the input buffer.
+/// The limit must count what was already taken, or such a client fills the memory.
+TEST(HttpServer, CountsAHeaderThatArrivesInPieces)
+{
+    m_limits.headerBytes = 1000;
+    listen();
+    RawSocket client = connect();
+    client.send("GET / HTTP/1.1\r\n");
+    for (int i = 0; i < 300; ++i) {
+        if (!client.send("X-Field: y\r\n")) {
+            break;
+        }
+    }
+    CHECK(contains(client.readToEnd(), "HTTP/1.1 431 "));
+}
+
+TEST(HttpServer, RefusesMalformedRequests)
+{
+    listen();
+    for (const char *request :
+         { "nonsense\r\n\r\n", "GET / HTTP/3.0\r\n\r\n", "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+           "GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+           "POST / HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n",
+           "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+           "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+           "\x16\x03\x01\x02\x05\x01\xff\xfe garbage\r\n\r\n" }) {
+        CHECK_TRUE_TEXT(contains(answerTo(request), "HTTP/1.1 400 "), request);
+    }
+}
+
+/// A client sends half a request and then nothing. Its connection would be held for ever; it gets
+/// 408 and its connection ends, while another client is answered all the time.
+TEST(HttpServer, EndsSlowSenders)
+{
+    m_limits.receiveTimeout = milliseconds(50);
+    listen();
+    RawSocket other = connect();
+    CHECK(contains(answerTo("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"), "HTTP/1.1 408 "));
+    CHECK(contains(answerTo("GET / HT"), "HTTP/1.1 408 "));
+    other.send(get("/other"));
+    CHECK(contains(other.readUntil("|Host=a"), "GET /other"));
+}
+
+TEST(HttpServer, EndsIdleConnectionsWithoutAWord)
+{
+    m_limits.idleTimeout = milliseconds(20);
+    listen();
+    STRCMP_EQUAL("", answerTo("").c_str());
+}
+
+/// A client asks for a large answer and does not read it. When the kernel's buffers are full the
+/// server waits for the client, and ends the connection after the send timeout.
+TEST(HttpServer, EndsClientsThatDoNotTakeTheirAnswer)
+{
+    constexpr std::size_t BODY_BYTES = 64 * 1024 * 1024;
+    m_limits.sendTimeout = milliseconds(20);
+    listen([](IHttpExchange &) {
+        HttpResponse response;
+        response.body.assign(BODY_BYTES, 'x');
+        return response;
+    });
+    RawSocket client = connect();
+    client.send(get("/"));
+    CHECK(contains(client.readUntil("\r\n\r\n"), "200 OK"));
+    m_runner.run([&] {
+        while (m_server->connectionCount() > 0) {
+            m_runner.loop().sleepFor(milliseconds(1));
+        }
+    });
+    CHECK(client.readToEnd().size() < BODY_BYTES);
+}
+
+TEST(HttpServer, RefusesConnectionsPastTheLimit)
+{
+    m_limits.connections = 2;
+    listen();
+    RawSocket first = connect();
+    RawSocket second = connect();
+    first.send(get("/1"));
+    second.send(get("/2"));
+    first.readUntil("|Host=a");
+    second.readUntil("|Host=a");
+    CHECK(contains(answerTo(get("/3")), "HTTP/1.1 503 "));
+    first.send(get("/4"));
+    CHECK(contains(first.readUntil("|Host=a"), "GET /4"));
+}
+
+/// The client goes away while its request is worked on. The handler hears of it once and can
+/// cancel what it started.
+TEST(HttpServer, TellsAHandlerThatItsClientIsGone)
+{
+    std::atomic<int> calls = 0;
+    std::promise<void> isHandling;
+    std::promise<void> isNotified;
+    listen([&](IHttpExchange &exchange) {
+        exchange.onDisconnect([&] {
+            ++calls;
+            m_gate->set(1);
+        });
+        isHandling.set_value();
+        m_gate->wait(hours(1));
+        isNotified.set_value();
+        return HttpResponse();
+    });
+    RawSocket client = connect();
+    client.send(get("/"));
+    isHandling.get_future().wait();
+    client.close();
+    isNotified.get_future().wait();
+    CHECK_EQUAL(1, calls.load());
+}
+
+/// A pipelined request arrives while the first one is worked on. That is no disconnect; when the
+/// client then goes away, the handler still hears of it.
+TEST(HttpServer, APipelinedRequestIsNoDisconnect)
+{
+    std::atomic<int> calls = 0;
+    std::promise<void> isHandling;
+    listen([&](IHttpExchange &exchange) {
+        if (exchange.request().target == "/1") {
+            exchange.onDisconnect([&] { ++calls; });
+            isHandling.set_value();
+            m_gate->wait(hours(1));
+            exchange.onDisconnect({});
+        }
+        return echo(exchange.request());
+    });
+    RawSocket client = connect();
+    client.send(get("/1"));
+    isHandling.get_future().wait();
+    client.send(get("/2"));
+    openGate();
+    CHECK(contains(client.readUntil("|Host=a"), "GET /1"));
+    CHECK(contains(client.readUntil("|Host=a"), "GET /2"));
+    CHECK_EQUAL(0, calls.load());
+}
+
+TEST(HttpServer, DisconnectIsSeenBehindAPipelinedRequest)
+{
+    std::promise<void> isHandling;
+    std::promise<void> isNotified;
+    std::atomic<bool> isFirst = true;
+    listen([&](IHttpExchange &exchange) {
+        if (isFirst.exchange(false)) {
+            exchange.onDisconnect([&] { m_gate->set(1); });
+            isHandling.set_value();
+            m_gate->wait(hours(1));
+            isNotified.set_value();
+        }
+        return HttpResponse();
+    });
+    RawSocket client = connect();
+    client.send(get("/1"));
+    isHandling.get_future().wait();
+    client.send(get("/2"));
+    client.close();
+    isNotified.get_future().wait();
+}
+
+TEST(HttpServer, AnExceptionOfAHandlerBecomesAnAnswer)
+{
+    listen(
+        [](IHttpExchange &) -> HttpResponse { throw std::runtime_error("expected by the test"); });
+    CHECK(contains(answerTo(get("/")), "HTTP/1.1 500 "));
+}
+
+/// A planned stop while one request is worked on, one connection is idle and one has sent half a
+/// request. The request in work and the half one are answered whole with `Connection: close`; the
+/// idle connection ends; new connections are not accepted.
+TEST(HttpServer, DrainCutsOffNoRequest)
+{
+    std::promise<void> isHandling;
+    listen([&](IHttpExchange &exchange) {
+        if (exchange.request().target == "/working") {
+            isHandling.set_value();
+            m_gate->wait(hours(1));
+        }
+        return echo(exchange.request());
+    });
+    RawSocket working = connect();
+    RawSocket idle = connect();
+    RawSocket half = connect();
+    idle.send(get("/idle"));
+    idle.readUntil("|Host=a");
+    half.send("GET /half HT");
+    working.send(get("/working"));
+    isHandling.get_future().wait();
+    auto drained = m_runner.start([&] { m_server->drain(seconds(20)); });
+    STRCMP_EQUAL("", idle.readToEnd().c_str());
+    half.send("TP/1.1\r\nHost: a\r\n\r\n");
+    const std::string halfAnswer = half.readToEnd();
+    CHECK(contains(halfAnswer, "Connection: close\r\n"));
+    CHECK(contains(halfAnswer, "GET /half"));
+    openGate();
+    const std::string answer = working.readToEnd();
+    CHECK(contains(answer, "Connection: close\r\n"));
+    CHECK(contains(answer, "GET /working"));
+    drained.wait();
+    CHECK_EQUAL(0, connectionCount());
+    STRCMP_EQUAL("", connect().readToEnd().c_str());
+}
+
+TEST(HttpServer, DrainGivesUpAfterItsTimeout)
+{
+    std::promise<void> isHandling;
+    listen([&](IHttpExchange &) {
+        isHandling.set_value();
+        m_gate->wait(hours(1));
+        return HttpResponse();
+    });
+    RawSocket client = connect();
+    client.send(get("/"));
+    isHandling.get_future().wait();
+    m_runner.run([&] { m_server->drain(milliseconds(10)); });
+    CHECK_EQUAL(1, connectionCount());
+    openGate();
+    CHECK(contains(client.readToEnd(), "HTTP/1.1 200 OK"));
+}
+
+/// Many clients send random bytes while another one asks and gets its own answers.
+TEST(HttpServer, GarbageDisturbsNoOtherClient)
+{
+    listen();
+    RawSocket good = connect();
+    std::uint32_t state = 12345;
+    for (int round = 0; round < 200; ++round) {
+        RawSocket bad = connect();
+        std::string bytes;
+        for (int i = 0; i < 300; ++i) {
+            state = state * 1664525U + 1013904223U;
+            bytes += static_cast<char>(state >> 24);
+        }
+        bad.send(bytes);
+        if (round % 2 == 0) {
+            bad.reset();
+        }
+        const std::string target = '/' + std::to_string(round);
+        good.send(get(target));
+        CHECK(contains(good.readUntil("|Host=a"), "GET " + target + " |Host=a"));
+    }
+}
+
+TEST(HttpServer, ListensOnlyOnce)
+{
+    listen();
+    bool listensTwice = true;
+    bool takesUsedPort = true;
+    bool takesName = true;
+    m_runner.run([&] {
+        const auto other = makeHttpServer(m_runner.loop());
+        listensTwice = m_server->listen(ANY_PORT, m_limits, {}).has_value();
+        takesUsedPort = other->listen(m_endpoint, m_limits, {}).has_value();
+        takesName = other->listen(Endpoint{ "name", 0 }, m_limits, {}).has_value();
+    });
+    CHECK_FALSE(listensTwice);
+    CHECK_FALSE(takesUsedPort);
+    CHECK_FALSE(takesName);
+}
--- /dev/null
+++ b/src/transport/tests/looprunner.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <thread>
+
+#include "transport/transportfactory.h"
+
+namespace ivyspar {
+
+/// Runs an event loop on a thread of its own, for tests that talk to it with blocking sockets.
+class LoopRunner
+{
+public:
+    LoopRunner()
+        : m_loop(makeEventLoop())
+        , m_thread([this] { m_loop->run(); })
+    {
+    }
+
+    ~LoopRunner()
+    {
+        m_loop->stop();
+        m_thread.join();
+    }
+
+    LoopRunner(const LoopRunner &) = delete;
+    LoopRunner &operator=(const LoopRunner &) = delete;
+
+    IEventLoop &loop() { return *m_loop; }
+
+    /// Starts `task` in a fiber of the loop.
+    std::future<void> start(std::function<void()> task)
+    {
+        auto done = std::make_shared<std::promise<void>>();
+        auto future = done->get_future();
+        m_loop->post([this, task = std::move(task), done] {
+            m_loop->spawn([task, done] {
+                task();
+                done->set_value();
+            });
+        });
+        return future;
+    }
+
+    /// Runs `task` in a fiber of the loop and waits for its end.
+    void run(std::function<void()> task) { start(std::move(task)).wait(); }
+
+private:
+    std::unique_ptr<IEventLoop> m_loop;
+    std::thread m_thread;
+};
+
+} // namespace ivyspar
