--- /dev/null
+++ b/standins/log/inprocesshttpclient.cpp
@@ -0,0 +1,52 @@
+#include "standins/log/inprocesshttpclient.h"
+
+#include <memory>
+#include <utility>
+
+namespace ivyspar::lab {
+
+namespace {
+
+/// Lives until both the client's wait and the handler's fiber have ended.
+struct Exchange : IHttpExchange
+{
+    Exchange(IEventLoop &loop, const HttpRequest &request)
+        : m_request(request)
+        , m_response(loop)
+    {
+    }
+
+    const HttpRequest &request() const override { return m_request; }
+    void onDisconnect(std::function<void()> callback) override
+    {
+        m_onDisconnect = std::move(callback);
+    }
+
+    HttpRequest m_request;
+    std::function<void()> m_onDisconnect;
+    OneShot<HttpResponse> m_response;
+};
+
+} // namespace
+
+HttpResult InProcessHttpClient::exchange(const Endpoint & /*endpoint*/, const HttpRequest &request,
+                                         Duration timeout, HttpCancellationPtr /*cancellation*/)
+{
+    if (m_isCut) {
+        return tl::unexpected<HttpFailure>(
+            HttpFailure{ HttpFailureStage::NotSent, HttpFailureCause::Connect, "cut off" });
+    }
+    const auto exchange = std::make_shared<Exchange>(m_loop, request);
+    m_loop.spawn([exchange, handler = m_handler] { exchange->m_response.set(handler(*exchange)); });
+    std::optional<HttpResponse> response = exchange->m_response.wait(timeout);
+    if (response) {
+        return std::move(*response);
+    }
+    if (const auto onDisconnect = std::exchange(exchange->m_onDisconnect, {})) {
+        onDisconnect();
+    }
+    return tl::unexpected<HttpFailure>(
+        HttpFailure{ HttpFailureStage::MaybeSent, HttpFailureCause::Timeout, "timed out" });
+}
+
+} // namespace ivyspar::lab
