--- a/src/transport/internal/httplogservice.cpp
+++ b/src/transport/internal/httplogservice.cpp
@@ -40,8 +40,8 @@
     switch (response.status) {
     case STATUS_CREATED: {
         const Json body = Json::parse(response.body, nullptr, false);
-        const auto offset = body.is_object() ? unsignedField<std::uint64_t>(body, "offset")
-                                             : std::nullopt;
+        const auto offset =
+            body.is_object() ? unsignedField<std::uint64_t>(body, "offset") : std::nullopt;
         if (!offset) {
             return makeError(ErrorCode::Unknown, "the log's answer has no offset");
         }
--- a/standins/log/logserver.cpp
+++ b/standins/log/logserver.cpp
@@ -74,14 +74,12 @@
     if (found == std::string::npos) {
         return otherwise;
     }
-    const char *start = text.data() + found + name.size() + 2;
-    const char *end = std::min(text.data() + text.size(), text.data() + text.find('&', found + 1));
-    if (text.find('&', found + 1) == std::string::npos) {
-        end = text.data() + text.size();
-    }
+    const std::size_t start = found + name.size() + 2;
+    const std::size_t length = std::min(text.find('&', start), text.size()) - start;
+    const char *begin = text.data() + start;
     std::uint64_t value = 0;
-    const auto [stop, error] = std::from_chars(start, end, value);
-    return error == std::errc() && stop == end ? std::optional(value) : std::nullopt;
+    const auto [stop, error] = std::from_chars(begin, begin + length, value);
+    return error == std::errc() && stop == begin + length ? std::optional(value) : std::nullopt;
 }
 
 Json toJson(const LogPage &page)
@@ -181,8 +179,7 @@
         m_loop.sleepFor(m_core.faults().answerDelay);
     }
     while (true) {
-        ReadResult result =
-            m_core.read(stream, LogOffset(*from), maxRecords, client, m_loop.now());
+        ReadResult result = m_core.read(stream, LogOffset(*from), maxRecords, client, m_loop.now());
         if (result.kind == ReadResult::Kind::NoAnswer) {
             return stayAway(exchange);
         }
@@ -210,12 +207,11 @@
 {
     Json streams = Json::object();
     for (const auto &[name, statistics] : m_core.statistics()) {
-        streams[name.value()] = { { "appends", statistics.appends },
-                                  { "appended_bytes", statistics.appendedBytes },
-                                  { "reads", statistics.reads },
-                                  { "empty_reads", statistics.emptyReads },
-                                  { "read_bytes", statistics.readBytes },
-                                  { "throttled", statistics.throttled } };
+        streams[name.value()] = {
+            { "appends", statistics.appends },      { "appended_bytes", statistics.appendedBytes },
+            { "reads", statistics.reads },          { "empty_reads", statistics.emptyReads },
+            { "read_bytes", statistics.readBytes }, { "throttled", statistics.throttled }
+        };
     }
     return makeResponse(STATUS_OK, { { "streams", std::move(streams) } });
 }
