--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/controlnode.cpp
@@ -26,12 +26,13 @@
 
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
-    return HttpResponse { status, { { "Content-Type", type } }, std::move(body) };
+    return HttpResponse{ status, { { "Content-Type", type } }, std::move(body) };
 }
 
 } // namespace
 
-ControlNode::ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self, TrafficPort traffic)
+ControlNode::ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self,
+                         TrafficPort traffic)
     : m_loop(loop)
     , m_settings(settings)
     , m_traffic(std::move(traffic))
@@ -46,7 +47,9 @@
 ControlEvents ControlNode::makeControlEvents()
 {
     ControlEvents events;
-    events.onMembers = [this](std::vector<Member> members) { m_traffic.setMembers(std::move(members)); };
+    events.onMembers = [this](std::vector<Member> members) {
+        m_traffic.setMembers(std::move(members));
+    };
     events.send = m_traffic.send;
     events.onDuplicate = m_traffic.stopForDuplicate;
     return events;
@@ -56,8 +59,9 @@
 {
     HttpLimits limits;
     limits.connections = 64;
-    return m_operatorServer->listen(m_settings.operatorListen, limits,
-                                    [this](IHttpExchange &exchange) { return handleOperator(exchange); });
+    return m_operatorServer->listen(
+        m_settings.operatorListen, limits,
+        [this](IHttpExchange &exchange) { return handleOperator(exchange); });
 }
 
 void ControlNode::start()
@@ -132,7 +136,7 @@
         m_loop.post([answer, traffic = std::move(traffic)] { answer->set(traffic); });
     });
     DaemonStatus status;
-    status.traffic = answer->wait(STATUS_TIMEOUT).value_or(TrafficStatus {});
+    status.traffic = answer->wait(STATUS_TIMEOUT).value_or(TrafficStatus{});
     status.self = m_membership.self();
     status.isLeaving = m_isLeaving;
     status.configuration = m_configuration;
--- a/src/app/internal/controlnode.h
+++ b/src/app/internal/controlnode.h
@@ -35,7 +35,10 @@
     /// Opens the operators' listener.
     RetVal<Endpoint> listen();
     void start();
-    void setUpstreams(std::vector<UpstreamInfo> upstreams) { m_membership.setUpstreams(std::move(upstreams)); }
+    void setUpstreams(std::vector<UpstreamInfo> upstreams)
+    {
+        m_membership.setUpstreams(std::move(upstreams));
+    }
     void receive(const ControlMessage &message);
     void onUnreachable(const DaemonId &daemon) { m_membership.onUnreachable(daemon); }
     void startLeaving();
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -24,7 +24,8 @@
 Incarnation currentIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(now).count()));
+    return Incarnation(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(now).count()));
 }
 
 sigset_t stopSignals()
@@ -40,7 +41,7 @@
 
 Daemon::Daemon(DaemonSettings settings)
     : m_settings(std::move(settings))
-    , m_self { m_settings.id, currentIncarnation(), m_settings.domain }
+    , m_self{ m_settings.id, currentIncarnation(), m_settings.domain }
     , m_trafficLoop(makeEventLoop())
     , m_controlLoop(makeEventLoop())
 {
@@ -56,7 +57,8 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     RetVal<BoundEndpoints> bound = startTraffic();
-    RetVal<Endpoint> operators = bound ? startControl(*bound) : RetVal<Endpoint>(tl::unexpected<Error>(bound.error()));
+    RetVal<Endpoint> operators =
+        bound ? startControl(*bound) : RetVal<Endpoint>(tl::unexpected<Error>(bound.error()));
     if (!operators) {
         std::fprintf(stderr, "ivyspar: %s\n", operators.error().text.c_str());
         stopThreads();
@@ -91,7 +93,8 @@
 
 void Daemon::runTraffic(std::promise<RetVal<BoundEndpoints>> &started)
 {
-    m_traffic = std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_self, makeTrafficEvents());
+    m_traffic =
+        std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_self, makeTrafficEvents());
     started.set_value(m_traffic->listen());
     m_trafficLoop->run();
     m_traffic.reset();
@@ -99,7 +102,8 @@
 
 void Daemon::runControl(const BoundEndpoints &bound, std::promise<RetVal<Endpoint>> &started)
 {
-    m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, makeSelf(bound), makeTrafficPort());
+    m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, makeSelf(bound),
+                                              makeTrafficPort());
     const auto endpoint = m_control->listen();
     m_control->start();
     started.set_value(endpoint);
@@ -124,13 +128,17 @@
 {
     TrafficEvents events;
     events.onUpstreams = [this](std::vector<UpstreamInfo> upstreams) {
-        onControl([upstreams = std::move(upstreams)](ControlNode &control) { control.setUpstreams(upstreams); });
+        onControl([upstreams = std::move(upstreams)](ControlNode &control) {
+            control.setUpstreams(upstreams);
+        });
     };
     events.onControl = [this](ControlMessage message) {
-        onControl([message = std::move(message)](ControlNode &control) { control.receive(message); });
+        onControl(
+            [message = std::move(message)](ControlNode &control) { control.receive(message); });
     };
     events.onUnreachable = [this](DaemonId daemon) {
-        onControl([daemon = std::move(daemon)](ControlNode &control) { control.onUnreachable(daemon); });
+        onControl(
+            [daemon = std::move(daemon)](ControlNode &control) { control.onUnreachable(daemon); });
     };
     return events;
 }
@@ -139,7 +147,8 @@
 {
     TrafficPort port;
     port.setMembers = [this](std::vector<Member> members) {
-        onTraffic([members = std::move(members)](TrafficNode &traffic) { traffic.setMembers(members); });
+        onTraffic(
+            [members = std::move(members)](TrafficNode &traffic) { traffic.setMembers(members); });
     };
     port.setConfiguration = [this](ConfigurationPtr configuration) {
         onTraffic([configuration = std::move(configuration)](TrafficNode &traffic) {
@@ -153,10 +162,12 @@
         });
     };
     port.fetchStatus = [this](std::function<void(TrafficStatus)> callback) {
-        onTraffic([callback = std::move(callback)](TrafficNode &traffic) { callback(traffic.status()); });
+        onTraffic(
+            [callback = std::move(callback)](TrafficNode &traffic) { callback(traffic.status()); });
     };
     port.stopForDuplicate = [this] {
-        std::fprintf(stderr, "ivyspar: another daemon runs as %s; stopping\n", m_self.id.value().c_str());
+        std::fprintf(stderr, "ivyspar: another daemon runs as %s; stopping\n",
+                     m_self.id.value().c_str());
         m_isDuplicate = true;
         kill(getpid(), SIGTERM);
     };
@@ -226,10 +237,10 @@
     if (m_settings.readyFile.empty()) {
         return {};
     }
-    const nlohmann::json document { { "caller", bound.caller.text() },
-                                    { "upstream", bound.upstream.text() },
-                                    { "peer", bound.peer.text() },
-                                    { "operator", bound.operators.text() } };
+    const nlohmann::json document{ { "caller", bound.caller.text() },
+                                   { "upstream", bound.upstream.text() },
+                                   { "peer", bound.peer.text() },
+                                   { "operator", bound.operators.text() } };
     std::ofstream file(m_settings.readyFile);
     file << document.dump() << '\n';
     file.close();
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -48,7 +48,7 @@
     std::unique_ptr<ControlNode> m_control;
     std::thread m_trafficThread;
     std::thread m_controlThread;
-    std::atomic<bool> m_isDuplicate { false };
+    std::atomic<bool> m_isDuplicate{ false };
 };
 
 } // namespace ivyspar
--- a/src/app/internal/membershipdriver.cpp
+++ b/src/app/internal/membershipdriver.cpp
@@ -7,7 +7,8 @@
 
 namespace ivyspar {
 
-MembershipDriver::MembershipDriver(IEventLoop &loop, IRandom &random, Member self, ControlEvents events)
+MembershipDriver::MembershipDriver(IEventLoop &loop, IRandom &random, Member self,
+                                   ControlEvents events)
     : m_loop(loop)
     , m_random(random)
     , m_self(std::move(self))
--- a/src/app/internal/statusdocument.cpp
+++ b/src/app/internal/statusdocument.cpp
@@ -25,10 +25,10 @@
 
 Json makeUpstream(const UpstreamInfo &upstream)
 {
-    return Json { { "service", upstream.service.value() },
-                  { "slots", upstream.slots },
-                  { "connections", upstream.connections },
-                  { "draining", upstream.draining } };
+    return Json{ { "service", upstream.service.value() },
+                 { "slots", upstream.slots },
+                 { "connections", upstream.connections },
+                 { "draining", upstream.draining } };
 }
 
 Json makeMember(const MemberStatus &status)
@@ -38,20 +38,19 @@
     for (const UpstreamInfo &upstream : member.upstreams) {
         upstreams.push_back(makeUpstream(upstream));
     }
-    return Json { { "id", member.id.value() },
-                  { "incarnation", member.incarnation.value() },
-                  { "domain", member.domain.value() },
-                  { "peer", member.peerEndpoint.text() },
-                  { "health", toText(status.health) },
-                  { "leaving", member.leaving },
-                  { "upstreams", std::move(upstreams) } };
+    return Json{
+        { "id", member.id.value() },          { "incarnation", member.incarnation.value() },
+        { "domain", member.domain.value() },  { "peer", member.peerEndpoint.text() },
+        { "health", toText(status.health) },  { "leaving", member.leaving },
+        { "upstreams", std::move(upstreams) }
+    };
 }
 
 Json makeGate(const ServiceName &service, const LoadReport &load)
 {
-    return Json { { "service", service.value() },   { "in_flight", load.inFlight },
-                  { "queued", load.queued },        { "limit", load.limit },
-                  { "floor", load.floor.value() },  { "draining", load.draining } };
+    return Json{ { "service", service.value() },  { "in_flight", load.inFlight },
+                 { "queued", load.queued },       { "limit", load.limit },
+                 { "floor", load.floor.value() }, { "draining", load.draining } };
 }
 
 } // namespace
@@ -63,7 +62,8 @@
     document["incarnation"] = status.self.incarnation.value();
     document["domain"] = status.self.domain.value();
     document["leaving"] = status.isLeaving;
-    document["configuration_version"] = status.configuration ? status.configuration->version.value() : 0;
+    document["configuration_version"] =
+        status.configuration ? status.configuration->version.value() : 0;
     document["has_configuration"] = status.configuration != nullptr;
     document["members"] = Json::array();
     for (const MemberStatus &member : status.members) {
--- a/standins/demo/demo.cpp
+++ b/standins/demo/demo.cpp
@@ -27,10 +27,10 @@
 
 struct AddedTime
 {
-    Duration directP50 { 0 };
-    Duration directP99 { 0 };
-    Duration throughP50 { 0 };
-    Duration throughP99 { 0 };
+    Duration directP50{ 0 };
+    Duration directP99{ 0 };
+    Duration throughP50{ 0 };
+    Duration throughP99{ 0 };
 };
 
 std::vector<LoadRecord> runLoad(const CallGraph &graph, const LoadPlan &plan)
@@ -68,13 +68,16 @@
 {
     const auto setSlowdown = [&](const char *factor) {
         const std::string body = std::string("{\"slowdown\":") + factor + '}';
-        (void)exchangeBlocking(deployment.upstreamControl(), HttpRequest { "POST", "/behaviour", {}, body }, CONTROL_TIMEOUT);
+        (void)exchangeBlocking(deployment.upstreamControl(),
+                               HttpRequest{ "POST", "/behaviour", {}, body }, CONTROL_TIMEOUT);
     };
-    const auto leaf = std::find_if(graph.nodes.begin(), graph.nodes.end(),
-                                   [](const GraphNode &node) { return node.calls.empty() && node.call.method == "GET"; });
+    const auto leaf =
+        std::find_if(graph.nodes.begin(), graph.nodes.end(), [](const GraphNode &node) {
+            return node.calls.empty() && node.call.method == "GET";
+        });
     LoadPlan plan;
-    plan.kinds = { LoadKind { "probe", leaf->call, 1, false } };
-    plan.phases = { LoadPhase { std::chrono::seconds(3), MEASURED_RATE, "", 1 } };
+    plan.kinds = { LoadKind{ "probe", leaf->call, 1, false } };
+    plan.phases = { LoadPhase{ std::chrono::seconds(3), MEASURED_RATE, "", 1 } };
     plan.entries = deployment.callerEndpoints();
     setSlowdown("0");
     const auto through = latenciesOf(runLoad(graph, plan));
@@ -82,7 +85,8 @@
     plan.entries = deployment.upstreamEndpoints(leaf->call.service);
     const auto direct = latenciesOf(runLoad(graph, plan));
     setSlowdown("1");
-    return AddedTime { quantileOf(direct, 0.5), quantileOf(direct, 0.99), quantileOf(through, 0.5), quantileOf(through, 0.99) };
+    return AddedTime{ quantileOf(direct, 0.5), quantileOf(direct, 0.99), quantileOf(through, 0.5),
+                      quantileOf(through, 0.99) };
 }
 
 void printTable(const std::string &name, const LoadSummary &summary, const AddedTime &added)
@@ -99,11 +103,14 @@
     std::printf("  another request's answer    %8zu\n", summary.wrong);
     std::printf("  caller attempts, greatest   %8u\n", summary.maxCallerAttempts);
     std::printf("  entry attempts per request  %8.2f\n",
-                static_cast<double>(summary.entryAttempts) / static_cast<double>(std::max<std::size_t>(1, summary.requests)));
-    std::printf("  one call, direct            p50 %6.3f ms  p99 %6.3f ms\n", ms(added.directP50), ms(added.directP99));
-    std::printf("  one call, through daemons   p50 %6.3f ms  p99 %6.3f ms\n", ms(added.throughP50), ms(added.throughP99));
-    std::printf("  added per call              p50 %6.3f ms  p99 %6.3f ms\n", ms(added.throughP50 - added.directP50),
-                ms(added.throughP99 - added.directP99));
+                static_cast<double>(summary.entryAttempts)
+                    / static_cast<double>(std::max<std::size_t>(1, summary.requests)));
+    std::printf("  one call, direct            p50 %6.3f ms  p99 %6.3f ms\n", ms(added.directP50),
+                ms(added.directP99));
+    std::printf("  one call, through daemons   p50 %6.3f ms  p99 %6.3f ms\n", ms(added.throughP50),
+                ms(added.throughP99));
+    std::printf("  added per call              p50 %6.3f ms  p99 %6.3f ms\n",
+                ms(added.throughP50 - added.directP50), ms(added.throughP99 - added.directP99));
 }
 
 } // namespace
@@ -127,7 +134,8 @@
     deploymentOptions.binary = options.text("binary", "build/ivyspar");
     deploymentOptions.labBinary = options.text("lab", "build/ivyspar-lab");
     deploymentOptions.folder = folder;
-    deploymentOptions.inventoryFile = options.text("examples", "examples") + '/' + name + "/inventory.toml";
+    deploymentOptions.inventoryFile =
+        options.text("examples", "examples") + '/' + name + "/inventory.toml";
     deploymentOptions.rulesFile = options.text("examples", "examples") + '/' + name + "/rules.toml";
     int exitCode = 1;
     {
@@ -145,7 +153,7 @@
         } else {
             LoadPlan plan;
             plan.kinds = makeDeploymentKinds(name);
-            plan.phases = { LoadPhase { std::chrono::seconds(4), MEASURED_RATE, "", 1 } };
+            plan.phases = { LoadPhase{ std::chrono::seconds(4), MEASURED_RATE, "", 1 } };
             plan.callers.attempts = 1;
             plan.entries = deployment.callerEndpoints();
             const LoadSummary summary = summarize(runLoad(graph, plan), plan.kinds);
--- a/standins/demo/loadsummary.cpp
+++ b/standins/demo/loadsummary.cpp
@@ -42,7 +42,8 @@
         return Duration::zero();
     }
     const auto index = static_cast<std::size_t>(quantile * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
+                     values.end());
     return values[index];
 }
 
--- a/standins/deployment/blockinghttp.cpp
+++ b/standins/deployment/blockinghttp.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-RetVal<HttpResponse> exchangeBlocking(const Endpoint &endpoint, const HttpRequest &request, Duration timeout)
+RetVal<HttpResponse> exchangeBlocking(const Endpoint &endpoint, const HttpRequest &request,
+                                      Duration timeout)
 {
     std::optional<RetVal<HttpResponse>> answer;
     // A loop belongs to one thread for good, so each exchange has a short-lived one.
--- a/standins/deployment/deployment.cpp
+++ b/standins/deployment/deployment.cpp
@@ -22,7 +22,7 @@
 
 Endpoint endpointOf(const Json &ready, const char *key)
 {
-    return Endpoint::parse(ready.value(key, "")).value_or(Endpoint {});
+    return Endpoint::parse(ready.value(key, "")).value_or(Endpoint{});
 }
 
 } // namespace
@@ -60,7 +60,8 @@
 bool Deployment::startLog(std::string &error)
 {
     const std::string ready = m_options.folder + "/log.ready";
-    m_log = ChildProcess(m_options.labBinary, { "log", "--ready_file", ready }, m_options.folder + "/log.out");
+    m_log = ChildProcess(m_options.labBinary, { "log", "--ready_file", ready },
+                         m_options.folder + "/log.out");
     const Json document = Json::parse(waitForFile(ready, START_TIMEOUT), nullptr, false);
     if (!document.is_object()) {
         error = "the log stand-in did not start";
@@ -70,18 +71,19 @@
     return true;
 }
 
-std::vector<std::string> Deployment::makeDaemonFlags(const DeployedHost &host, const std::string &readyFile) const
+std::vector<std::string> Deployment::makeDaemonFlags(const DeployedHost &host,
+                                                     const std::string &readyFile) const
 {
-    std::vector<std::string> flags { "daemon",
-                                     "--daemon_id=" + host.name,
-                                     "--domain=" + host.domain,
-                                     "--caller_listen=127.0.0.1:0",
-                                     "--upstream_listen=127.0.0.1:0",
-                                     "--operator_listen=127.0.0.1:0",
-                                     "--peer_listen=127.0.0.1:0",
-                                     "--inventory=" + m_options.inventoryFile,
-                                     "--rules=" + m_options.rulesFile,
-                                     "--ready_file=" + readyFile };
+    std::vector<std::string> flags{ "daemon",
+                                    "--daemon_id=" + host.name,
+                                    "--domain=" + host.domain,
+                                    "--caller_listen=127.0.0.1:0",
+                                    "--upstream_listen=127.0.0.1:0",
+                                    "--operator_listen=127.0.0.1:0",
+                                    "--peer_listen=127.0.0.1:0",
+                                    "--inventory=" + m_options.inventoryFile,
+                                    "--rules=" + m_options.rulesFile,
+                                    "--ready_file=" + readyFile };
     if (m_options.hasLog) {
         flags.push_back("--log_endpoints=" + m_logEndpoint.text());
     }
@@ -97,7 +99,8 @@
 
 bool Deployment::startHost(DeployedHost &host, std::string &error)
 {
-    const std::string ready = m_options.folder + '/' + host.name + '.' + std::to_string(++m_starts) + ".ready";
+    const std::string ready =
+        m_options.folder + '/' + host.name + '.' + std::to_string(++m_starts) + ".ready";
     const std::string output = m_options.folder + '/' + host.name + ".out";
     host.process = ChildProcess(m_options.binary, makeDaemonFlags(host, ready), output);
     const Json document = Json::parse(waitForFile(ready, START_TIMEOUT), nullptr, false);
@@ -115,11 +118,13 @@
 bool Deployment::startUpstreams(std::string &error)
 {
     const std::string ready = m_options.folder + "/upstreams.ready";
-    std::vector<std::string> flags { "upstreams", "--graph", m_graph.deployment, "--ready_file", ready };
+    std::vector<std::string> flags{ "upstreams", "--graph", m_graph.deployment, "--ready_file",
+                                    ready };
     for (const DeployedHost &host : m_hosts) {
         for (const GraphService &service : m_graph.services) {
             if (service.name == host.service) {
-                flags.push_back("--server=" + host.name + ',' + service.name + ',' + std::to_string(service.slots) + ','
+                flags.push_back("--server=" + host.name + ',' + service.name + ','
+                                + std::to_string(service.slots) + ','
                                 + std::to_string(service.connections) + ',' + host.upstream.text());
             }
         }
@@ -197,14 +202,16 @@
 
 bool Deployment::isComplete(DeployedHost &host)
 {
-    const auto answer = exchangeBlocking(host.operators, HttpRequest { "GET", "/status", {}, {} }, STATUS_TIMEOUT);
+    const auto answer =
+        exchangeBlocking(host.operators, HttpRequest{ "GET", "/status", {}, {} }, STATUS_TIMEOUT);
     const Json status = answer ? Json::parse(answer->body, nullptr, false) : Json();
     if (!status.is_object()) {
         return false;
     }
     std::size_t serving = 0;
     for (const Json &member : status.value("members", Json::array())) {
-        const bool isServing = member.value("health", "") == "alive" && !member.value("upstreams", Json::array()).empty();
+        const bool isServing = member.value("health", "") == "alive"
+            && !member.value("upstreams", Json::array()).empty();
         serving += isServing ? 1 : 0;
     }
     const bool hasRules = status.value("has_configuration", false);
--- a/standins/deployment/deployment.h
+++ b/standins/deployment/deployment.h
@@ -71,7 +71,8 @@
 private:
     bool startLog(std::string &error);
     bool startUpstreams(std::string &error);
-    std::vector<std::string> makeDaemonFlags(const DeployedHost &host, const std::string &readyFile) const;
+    std::vector<std::string> makeDaemonFlags(const DeployedHost &host,
+                                             const std::string &readyFile) const;
     bool isComplete(DeployedHost &host);
 
     DeploymentOptions m_options;
@@ -83,7 +84,7 @@
     Endpoint m_upstreamControl;
     std::map<std::string, Endpoint> m_upstreamEndpoints;
     std::uint32_t m_starts = 0;
-    std::atomic<bool> m_isFinished { false };
+    std::atomic<bool> m_isFinished{ false };
 };
 
 } // namespace ivyspar::lab
