--- /dev/null
+++ b/src/app/daemon.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "app/settings.h"
+
+namespace ivyspar {
+
+/// Runs a daemon until SIGTERM or SIGINT and its drain. Returns the exit code: 0 after a planned
+/// stop, 1 when it could not start or had to stop.
+int runDaemon(const DaemonSettings &settings);
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/checkcommand.cpp
@@ -0,0 +1,73 @@
+#include <algorithm>
+#include <cstdio>
+
+#include "app/internal/commands.h"
+#include "app/internal/configurationfiles.h"
+#include "app/internal/flagset.h"
+
+namespace ivyspar {
+
+namespace {
+
+const char HELP[] = R"(Usage: ivyspar check INVENTORY RULES
+
+Checks an inventory and its rules (TOML, docs/CONFIGURATION.md) and prints every problem with file,
+line, key and what would be right. Exits with 0 and a summary when there is none, else with 2.
+
+Example:
+  ivyspar check examples/tallowood/inventory.toml examples/tallowood/rules.toml
+)";
+
+void printSummary(const Configuration &configuration)
+{
+    const Inventory &inventory = configuration.inventory;
+    const Rules &rules = configuration.rules;
+    std::printf("%s: %zu failure domains, %zu services, %zu servers, %zu classes, %zu rules: no "
+                "problems\n",
+                inventory.deployment.c_str(), inventory.domains.size(), inventory.services.size(),
+                inventory.servers.size(), rules.classes.size(), rules.rules.size());
+}
+
+/// Neither is wrong, as an operator may be half way through a change, but both are worth a look.
+void printNotes(const Configuration &configuration)
+{
+    const auto &rules = configuration.rules.rules;
+    const auto &servers = configuration.inventory.servers;
+    for (const ServiceSpec &service : configuration.inventory.services) {
+        const auto isOfService = [&](const auto &entry) { return entry.service == service.name; };
+        if (std::none_of(rules.begin(), rules.end(), isOfService)) {
+            std::printf("note: no rule for service %s: all its requests are refused\n",
+                        service.name.value().c_str());
+        }
+        if (std::none_of(servers.begin(), servers.end(), isOfService)) {
+            std::printf("note: service %s has no server\n", service.name.value().c_str());
+        }
+    }
+}
+
+} // namespace
+
+int runCheckCommand(const Arguments &arguments)
+{
+    const FlagSet noFlags({});
+    ParsedFlags parsed = noFlags.parse(arguments, processEnvironment);
+    if (parsed.isHelpWanted) {
+        std::fputs(HELP, stdout);
+        return 0;
+    }
+    if (parsed.operands.size() != 2) {
+        parsed.errors.emplace_back("expected two files: INVENTORY RULES");
+    }
+    if (!parsed.errors.empty()) {
+        return failUsage("check", parsed.errors);
+    }
+    const ConfigurationFiles files = loadConfiguration(parsed.operands[0], parsed.operands[1]);
+    if (!files.errors.empty()) {
+        return failUsage("check", files.errors);
+    }
+    printSummary(*files.configuration);
+    printNotes(*files.configuration);
+    return 0;
+}
+
+} // namespace ivyspar
--- a/src/app/internal/commandline.cpp
+++ b/src/app/internal/commandline.cpp
@@ -2,16 +2,112 @@
 
 #include <cstdio>
 
+#include "app/internal/commands.h"
+
 namespace ivyspar {
 
 namespace {
-constexpr int EXIT_USAGE = 2;
+
+struct Command
+{
+    const char *name;
+    int (*run)(const Arguments &arguments);
+};
+
+bool isHelpFlag(const std::string &argument)
+{
+    return argument == "--help" || argument == "-h";
+}
+
+int printVersion(const Arguments &arguments)
+{
+    if (!arguments.empty() && isHelpFlag(arguments.front())) {
+        std::puts("Usage: ivyspar version\n\nPrints the version of this program.");
+        return 0;
+    }
+    if (!arguments.empty()) {
+        return failUsage("version", { "unexpected argument \"" + arguments.front() + '"' });
+    }
+    std::puts("ivyspar " IVYSPAR_VERSION);
+    return 0;
+}
+
+int runHelp(const Arguments &arguments);
+
+constexpr Command COMMANDS[] = {
+    { "daemon", runDaemonCommand }, { "check", runCheckCommand }, { "publish", runPublishCommand },
+    { "status", runStatusCommand }, { "version", printVersion },  { "help", runHelp },
+    { "--version", printVersion },  { "--help", runHelp },        { "-h", runHelp },
+};
+
+const char HELP[] = R"(Usage: ivyspar COMMAND [flags] [files]
+
+Overload control for service call graphs: one daemon beside each upstream.
+
+Commands:
+  daemon   run the daemon of this host
+  check    find mistakes in an inventory and its rules
+  publish  bring a new version of inventory and rules into force
+  status   show what a daemon knows and does
+  version  print the version
+  help     print this, or the help of a command: ivyspar help daemon
+
+Every command explains its flags with --help. Exit codes: 0 success, 1 failure, 2 wrong usage.
+)";
+
+const Command *findCommand(const std::string &name)
+{
+    for (const Command &command : COMMANDS) {
+        if (name == command.name) {
+            return &command;
+        }
+    }
+    return nullptr;
+}
+
+int failUnknownCommand(const std::string &name)
+{
+    std::fprintf(stderr, "ivyspar: unknown command \"%s\"\n%s", name.c_str(), HELP);
+    return EXIT_USAGE;
+}
+
+int runHelp(const Arguments &arguments)
+{
+    if (arguments.empty() || isHelpFlag(arguments.front())) {
+        std::fputs(HELP, stdout);
+        return 0;
+    }
+    const Command *command = findCommand(arguments.front());
+    if (!command) {
+        return failUnknownCommand(arguments.front());
+    }
+    return command->run({ "--help" });
+}
+
 } // namespace
 
-int runCommandLine(int /*argc*/, char ** /*argv*/)
+int failUsage(const std::string &command, const std::vector<std::string> &errors)
 {
-    std::puts("ivyspar 0.1.0");
+    for (const std::string &error : errors) {
+        std::fprintf(stderr, "ivyspar %s: %s\n", command.c_str(), error.c_str());
+    }
+    std::fprintf(stderr, "ivyspar %s: %zu %s; see ivyspar %s --help\n", command.c_str(),
+                 errors.size(), errors.size() == 1 ? "error" : "errors", command.c_str());
     return EXIT_USAGE;
 }
 
+int runCommandLine(int argc, char **argv)
+{
+    const Arguments arguments(argv + (argc > 0 ? 1 : 0), argv + argc);
+    if (arguments.empty()) {
+        std::fputs(HELP, stderr);
+        return EXIT_USAGE;
+    }
+    const Command *command = findCommand(arguments.front());
+    if (!command) {
+        return failUnknownCommand(arguments.front());
+    }
+    return command->run(Arguments(arguments.begin() + 1, arguments.end()));
+}
+
 } // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/commands.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace ivyspar {
+
+using Arguments = std::vector<std::string>;
+
+constexpr int EXIT_RUNTIME = 1;
+constexpr int EXIT_USAGE = 2;
+
+/// The subcommands. Each takes the arguments after its name and returns the exit code.
+int runDaemonCommand(const Arguments &arguments);
+int runCheckCommand(const Arguments &arguments);
+int runPublishCommand(const Arguments &arguments);
+int runStatusCommand(const Arguments &arguments);
+
+/// Prints each error on a line of its own, then where help is to be found. Returns `EXIT_USAGE`.
+int failUsage(const std::string &command, const std::vector<std::string> &errors);
+
+} // namespace ivyspar
--- a/src/app/internal/daemonsettings.cpp
+++ b/src/app/internal/daemonsettings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "app/internal/configurationfiles.h"
 #include "app/internal/flags.h"
 #include "app/internal/settingvalues.h"
 
@@ -49,7 +50,8 @@
 {
 public:
     explicit Reader(std::vector<std::string> &errors)
-        : m_values(errors)
+        : m_errors(errors)
+        , m_values(errors)
     {
     }
 
@@ -212,12 +214,43 @@
 
     void checkFiles()
     {
-        if (m_settings.inventoryFile.empty() != m_settings.rulesFile.empty()) {
+        if (m_settings.inventoryFile.empty() && m_settings.rulesFile.empty()) {
+            return;
+        }
+        if (m_settings.inventoryFile.empty() || m_settings.rulesFile.empty()) {
             m_values.fail(m_settings.rulesFile.empty() ? "rules" : "inventory",
                           "must be set too: --inventory and --rules go together");
+            return;
+        }
+        ConfigurationFiles files =
+            loadConfiguration(m_settings.inventoryFile, m_settings.rulesFile);
+        m_errors.insert(m_errors.end(), files.errors.begin(), files.errors.end());
+        if (files.configuration) {
+            checkDomain(files.configuration->inventory);
+            m_settings.bootstrap = std::move(files.text);
         }
     }
 
+    void checkDomain(const Inventory &inventory)
+    {
+        const auto found = std::find_if(
+            inventory.domains.begin(), inventory.domains.end(),
+            [this](const DomainSpec &domain) { return domain.name == m_settings.domain; });
+        if (found == inventory.domains.end()) {
+            m_values.fail("domain",
+                          '"' + m_settings.domain.value() + "\" is not a failure domain of "
+                              + m_settings.inventoryFile);
+            return;
+        }
+        const RegionName &region = m_settings.region;
+        if (!region.value().empty() && region != found->region) {
+            m_values.fail("region",
+                          '"' + region.value() + "\" contradicts " + m_settings.inventoryFile
+                              + ", where the domain is in \"" + found->region.value() + '"');
+        }
+    }
+
+    std::vector<std::string> &m_errors;
     DaemonSettings m_settings;
     SettingValues m_values;
 };
@@ -262,6 +295,9 @@
     const ParsedFlags parsed = daemonFlags().parse(arguments, environment);
     result.isHelpWanted = parsed.isHelpWanted;
     result.errors = parsed.errors;
+    if (result.isHelpWanted) {
+        return result;
+    }
     for (const std::string &operand : parsed.operands) {
         result.errors.push_back("unexpected argument \"" + operand + '"');
     }
--- a/src/app/internal/flags.h
+++ b/src/app/internal/flags.h
@@ -27,3 +27,8 @@
 DECLARE_string(decision_log);
 DECLARE_string(ready_file);
 DECLARE_string(ablate);
+DECLARE_string(base);
+DECLARE_string(timeout);
+DECLARE_string(change_id);
+DECLARE_string(operator);
+DECLARE_bool(json);
--- /dev/null
+++ b/src/app/internal/operatorclient.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "state/endpoint.h"
+#include "state/result.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+/// GETs `target` from a daemon's operator endpoint and returns the body of its 200. Blocks for
+/// `timeout` at most. Fails with `Unavailable` on anything else.
+RetVal<std::string> fetchFromOperatorEndpoint(const Endpoint &endpoint, const std::string &target,
+                                              Duration timeout);
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/publishcommand.cpp
@@ -0,0 +1,42 @@
+#include <cstdio>
+
+#include "app/internal/commands.h"
+#include "app/internal/publishsettings.h"
+#include "app/publish.h"
+
+namespace ivyspar {
+
+namespace {
+
+const char HELP[] = R"(Usage: ivyspar publish --log_endpoints=IP:PORT,... [flags] INVENTORY RULES
+
+Checks both files, appends them to the platform's log as one change, and waits for the verdict. A
+change is accepted if the version that it is based on is still the current one: of two changes that
+race, one wins and the other is told so. Exits with 0 when the change was accepted, with 1 when it
+was not or when that could not be found out, and with 2 when files or flags are wrong.
+
+When the verdict could not be found out, repeat the command with the same --change_id: a change that
+is in the log already is found again and not appended twice.
+
+Example:
+  ivyspar publish --log_endpoints=10.0.9.1:9000 --base=7 inventory.toml rules.toml
+
+Flags:
+)";
+
+} // namespace
+
+int runPublishCommand(const Arguments &arguments)
+{
+    const auto result = readPublishSettings(arguments, processEnvironment);
+    if (result.isHelpWanted) {
+        std::printf("%s%s", HELP, publishFlags().help().c_str());
+        return 0;
+    }
+    if (!result.errors.empty()) {
+        return failUsage("publish", result.errors);
+    }
+    return runPublish(result.settings);
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/publishsettings.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "app/internal/flagset.h"
+
+namespace ivyspar {
+
+/// The flags of `ivyspar publish`.
+const FlagSet &publishFlags();
+
+} // namespace ivyspar
--- /dev/null
+++ b/tests/process/commandlinetest.cpp
@@ -0,0 +1,165 @@
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include <sys/wait.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+const std::string EXAMPLES = IVYSPAR_SOURCE_DIR "/examples/";
+const std::string TALLOWOOD =
+    EXAMPLES + "tallowood/inventory.toml " + EXAMPLES + "tallowood/rules.toml";
+
+struct Run
+{
+    int exitCode = -1;
+    /// Standard output and standard error.
+    std::string output;
+};
+
+Run runBinary(const std::string &arguments, const std::string &variables = "")
+{
+    const std::string command = variables + " " IVYSPAR_BINARY " " + arguments + " 2>&1 </dev/null";
+    Run result;
+    std::FILE *pipe = popen(command.c_str(), "r");
+    std::array<char, 4096> buffer{};
+    std::size_t size = 0;
+    while ((size = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0) {
+        result.output.append(buffer.data(), size);
+    }
+    const int status = pclose(pipe);
+    result.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return result;
+}
+
+/// Number of the first line with that text in an example file.
+std::string lineOf(const std::string &file, const std::string &text)
+{
+    std::ifstream stream(EXAMPLES + file);
+    std::string line;
+    int number = 1;
+    while (std::getline(stream, line) && line != text) {
+        ++number;
+    }
+    return std::to_string(number);
+}
+
+void checkRun(const Run &result, int exitCode, const std::string &expected)
+{
+    CHECK_EQUAL_TEXT(exitCode, result.exitCode, result.output.c_str());
+    STRCMP_CONTAINS(expected.c_str(), result.output.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(CommandLine){};
+
+TEST(CommandLine, HelpIsThereForEveryCommand)
+{
+    checkRun(runBinary("--help"), 0, "Usage: ivyspar COMMAND");
+    checkRun(runBinary("help"), 0, "Usage: ivyspar COMMAND");
+    for (const std::string command : { "daemon", "check", "publish", "status", "version" }) {
+        checkRun(runBinary(command + " --help"), 0, "Usage: ivyspar " + command);
+        checkRun(runBinary("help " + command), 0, "Usage: ivyspar " + command);
+    }
+}
+
+TEST(CommandLine, HelpListsOnlyTheFlagsOfTheCommand)
+{
+    STRCMP_CONTAINS("--peer_listen  (IVYSPAR_PEER_LISTEN, default: 127.0.0.1:7403)",
+                    runBinary("daemon --help").output.c_str());
+    CHECK(runBinary("check --help").output.find("peer_listen") == std::string::npos);
+    CHECK(runBinary("status --help").output.find("log_endpoints") == std::string::npos);
+}
+
+TEST(CommandLine, WrongCommandsAreUsageErrors)
+{
+    checkRun(runBinary(""), 2, "Usage: ivyspar COMMAND");
+    checkRun(runBinary("deamon"), 2, "unknown command \"deamon\"");
+    checkRun(runBinary("help deamon"), 2, "unknown command");
+    checkRun(runBinary("help ''"), 2, "unknown command");
+    checkRun(runBinary("version now"), 2, "unexpected argument \"now\"");
+    checkRun(runBinary("version"), 0, "ivyspar 0.");
+}
+
+TEST(CommandLine, CheckPrintsASummary)
+{
+    checkRun(runBinary("check " + TALLOWOOD), 0,
+             "tallowood: 4 failure domains, 4 services, 16 servers, 6 classes, 10 rules: no "
+             "problems");
+    checkRun(runBinary("check " + EXAMPLES + "bottega/inventory.toml " + EXAMPLES
+                       + "bottega/rules.toml"),
+             0, "bottega: 3 failure domains, 4 services, 14 servers");
+}
+
+TEST(CommandLine, CheckPrintsEveryProblemWithItsPlace)
+{
+    // The rules of one deployment do not fit the services of the other.
+    const Run result = runBinary("check " + EXAMPLES + "bottega/inventory.toml " + EXAMPLES
+                                 + "tallowood/rules.toml");
+    checkRun(result, 2,
+             "tallowood/rules.toml:" + lineOf("tallowood/rules.toml", "service = \"spoilage-book\"")
+                 + ": rule[1].service: \"spoilage-book\" is not a service of the "
+                   "inventory; expected one of cassa catalogo magazzino scheda");
+    STRCMP_CONTAINS("rule[10].service: \"prep-planner\"", result.output.c_str());
+    STRCMP_CONTAINS("ivyspar check: 10 errors", result.output.c_str());
+}
+
+TEST(CommandLine, CheckSaysWhatItCannotRead)
+{
+    checkRun(runBinary("check"), 2, "expected two files: INVENTORY RULES");
+    checkRun(runBinary("check /none/a.toml /none/b.toml"), 2,
+             "/none/b.toml: No such file or directory");
+    checkRun(runBinary("check / /"), 2, "/: Is a directory");
+    checkRun(runBinary("check /dev/zero /dev/zero"), 2, "has more than 1048576 bytes");
+}
+
+TEST(CommandLine, DaemonRefusesWrongSettingsBeforeItStarts)
+{
+    const Run result = runBinary("daemon --typo --seeds=host:1 --max_in_flight=0");
+    checkRun(result, 2, "unknown flag --typo");
+    STRCMP_CONTAINS("--daemon_id (IVYSPAR_DAEMON_ID): must be set", result.output.c_str());
+    STRCMP_CONTAINS("\"host\" is not an IP number", result.output.c_str());
+    STRCMP_CONTAINS("--max_in_flight (IVYSPAR_MAX_IN_FLIGHT): 0 is not", result.output.c_str());
+    STRCMP_CONTAINS("ivyspar daemon: 5 errors", result.output.c_str());
+}
+
+TEST(CommandLine, VariablesSetFlags)
+{
+    checkRun(runBinary("daemon --domain=d --daemon_id=d1", "IVYSPAR_SEEDS=host:1"), 2,
+             "--seeds (IVYSPAR_SEEDS): \"host\" is not an IP number");
+    const Run result =
+        runBinary("daemon --domain=d --daemon_id=d1 --seeds=10.0.0.1:0", "IVYSPAR_SEEDS=host:1");
+    checkRun(result, 2, "port 0 in \"10.0.0.1:0\"");
+    CHECK(result.output.find("host") == std::string::npos);
+}
+
+TEST(CommandLine, DaemonRefusesFilesThatContradictItsSettings)
+{
+    const std::string files = " --inventory=" + EXAMPLES
+        + "bottega/inventory.toml --rules=" + EXAMPLES + "bottega/rules.toml";
+    checkRun(runBinary("daemon --daemon_id=d1 --domain=fortitude-hall" + files), 2,
+             "\"fortitude-hall\" is not a failure domain of ");
+    checkRun(runBinary("daemon --daemon_id=d1 --domain=sala-a --region=qld-south" + files), 2,
+             "where the domain is in \"milano\"");
+}
+
+TEST(CommandLine, PublishRefusesWrongFilesBeforeItConnects)
+{
+    checkRun(runBinary("publish --log_endpoints=127.0.0.1:1 /none/a.toml /none/b.toml"), 2,
+             "/none/a.toml: No such file");
+    checkRun(runBinary("publish " + TALLOWOOD), 2,
+             "--log_endpoints (IVYSPAR_LOG_ENDPOINTS): must be");
+    checkRun(runBinary("publish --log_endpoints=127.0.0.1:1 --base=latest " + TALLOWOOD), 2,
+             "\"latest\" is neither \"current\" nor the number of a version");
+}
+
+TEST(CommandLine, StatusFailsWhenNoDaemonAnswers)
+{
+    // Port 1 is privileged and not served on a test machine.
+    checkRun(runBinary("status --operator=127.0.0.1:1"), 1, "127.0.0.1:1: Connection refused");
+    checkRun(runBinary("status --operator=localhost:1"), 2, "\"localhost\" is not an IP number");
+}
