--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -5,11 +5,8 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "app/daemon.h"
 #include "transport/transportfactory.h"
 
@@ -56,7 +53,7 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
-    RetVal<BoundEndpoints> bound = startTraffic();
+    RetVal<ListeningEndpoints> bound = startTraffic();
     RetVal<Endpoint> operators =
         bound ? startControl(*bound) : RetVal<Endpoint>(tl::unexpected<Error>(bound.error()));
     if (!operators) {
@@ -65,7 +62,7 @@
         return EXIT_STOPPED;
     }
     bound->operators = *operators;
-    if (const Ret written = writeReadyFile(*bound); !written) {
+    if (const Ret written = writeReady(*bound); !written) {
         std::fprintf(stderr, "ivyspar: %s\n", written.error().text.c_str());
         stopThreads();
         return EXIT_STOPPED;
@@ -77,21 +74,21 @@
     return isDrained && !m_isDuplicate ? 0 : EXIT_STOPPED;
 }
 
-RetVal<BoundEndpoints> Daemon::startTraffic()
+RetVal<ListeningEndpoints> Daemon::startTraffic()
 {
-    std::promise<RetVal<BoundEndpoints>> started;
+    std::promise<RetVal<ListeningEndpoints>> started;
     m_trafficThread = std::thread([this, &started] { runTraffic(started); });
     return started.get_future().get();
 }
 
-RetVal<Endpoint> Daemon::startControl(const BoundEndpoints &bound)
+RetVal<Endpoint> Daemon::startControl(const ListeningEndpoints &bound)
 {
     std::promise<RetVal<Endpoint>> started;
     m_controlThread = std::thread([this, &bound, &started] { runControl(bound, started); });
     return started.get_future().get();
 }
 
-void Daemon::runTraffic(std::promise<RetVal<BoundEndpoints>> &started)
+void Daemon::runTraffic(std::promise<RetVal<ListeningEndpoints>> &started)
 {
     m_traffic =
         std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_self, makeTrafficEvents());
@@ -100,7 +97,7 @@
     m_traffic.reset();
 }
 
-void Daemon::runControl(const BoundEndpoints &bound, std::promise<RetVal<Endpoint>> &started)
+void Daemon::runControl(const ListeningEndpoints &bound, std::promise<RetVal<Endpoint>> &started)
 {
     m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, makeSelf(bound),
                                               makeTrafficPort());
@@ -111,7 +108,7 @@
     m_control.reset();
 }
 
-Member Daemon::makeSelf(const BoundEndpoints &bound) const
+Member Daemon::makeSelf(const ListeningEndpoints &bound) const
 {
     Member self;
     self.id = m_self.id;
@@ -232,22 +229,12 @@
     }
 }
 
-Ret Daemon::writeReadyFile(const BoundEndpoints &bound) const
+Ret Daemon::writeReady(const ListeningEndpoints &bound) const
 {
     if (m_settings.readyFile.empty()) {
         return {};
     }
-    const nlohmann::json document{ { "caller", bound.caller.text() },
-                                   { "upstream", bound.upstream.text() },
-                                   { "peer", bound.peer.text() },
-                                   { "operator", bound.operators.text() } };
-    std::ofstream file(m_settings.readyFile);
-    file << document.dump() << '\n';
-    file.close();
-    if (!file) {
-        return makeError(ErrorCode::InvalidArgument, "cannot write " + m_settings.readyFile);
-    }
-    return {};
+    return writeReadyFile(m_settings.readyFile, bound);
 }
 
 int runDaemon(const DaemonSettings &settings)
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -24,11 +24,11 @@
     int run();
 
 private:
-    RetVal<BoundEndpoints> startTraffic();
-    RetVal<Endpoint> startControl(const BoundEndpoints &bound);
-    void runTraffic(std::promise<RetVal<BoundEndpoints>> &started);
-    void runControl(const BoundEndpoints &bound, std::promise<RetVal<Endpoint>> &started);
-    Member makeSelf(const BoundEndpoints &bound) const;
+    RetVal<ListeningEndpoints> startTraffic();
+    RetVal<Endpoint> startControl(const ListeningEndpoints &bound);
+    void runTraffic(std::promise<RetVal<ListeningEndpoints>> &started);
+    void runControl(const ListeningEndpoints &bound, std::promise<RetVal<Endpoint>> &started);
+    Member makeSelf(const ListeningEndpoints &bound) const;
     TrafficEvents makeTrafficEvents();
     TrafficPort makeTrafficPort();
     void onTraffic(std::function<void(TrafficNode &)> task);
@@ -37,7 +37,7 @@
     static void runAndWait(IEventLoop &loop, const std::function<void()> &task);
     bool drain();
     void stopThreads();
-    Ret writeReadyFile(const BoundEndpoints &bound) const;
+    Ret writeReady(const ListeningEndpoints &bound) const;
 
     DaemonSettings m_settings;
     DaemonIdentity m_self;
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -93,9 +93,9 @@
     return limits;
 }
 
-RetVal<BoundEndpoints> TrafficNode::listen()
+RetVal<ListeningEndpoints> TrafficNode::listen()
 {
-    BoundEndpoints bound;
+    ListeningEndpoints bound;
     const auto peer = m_network->listen(m_settings.peerListen, PeerLimits());
     if (!peer) {
         return tl::unexpected<Error>(peer.error());
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -7,6 +7,7 @@
 #include "app/internal/entryservice.h"
 #include "app/internal/gateservice.h"
 #include "app/internal/peercalls.h"
+#include "app/readyfile.h"
 #include "app/settings.h"
 #include "state/configuration.h"
 #include "state/member.h"
@@ -17,15 +18,6 @@
 
 namespace ivyspar {
 
-/// The endpoints that a daemon got.
-struct BoundEndpoints
-{
-    Endpoint caller;
-    Endpoint upstream;
-    Endpoint peer;
-    Endpoint operators;
-};
-
 /// What the traffic thread tells the rest of the daemon. Called on the traffic thread.
 struct TrafficEvents
 {
@@ -54,7 +46,7 @@
     ~TrafficNode();
 
     /// Opens the listeners.
-    RetVal<BoundEndpoints> listen();
+    RetVal<ListeningEndpoints> listen();
     void setMembers(const std::vector<Member> &members);
     void setConfiguration(const ConfigurationPtr &configuration);
     void sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload);
