--- a/src/app/internal/entryservice.cpp
+++ b/src/app/internal/entryservice.cpp
@@ -134,7 +134,8 @@
     incoming->priority = incoming->rule.priority;
     if (isFromUpstream) {
         applyContext(request, *incoming);
-    } else if (incoming->callerAttempt > incoming->rule.callerAttempts) {
+    } else if (m_options.hasSharedBudget
+               && incoming->callerAttempt > incoming->rule.callerAttempts) {
         // Past the bound the answer is final: without it a client that retries for ever would make
         // the number of attempts for one tap unbounded.
         return Refusal(refuse(incoming->root, notRun(Reason::CallerAttempts)));
@@ -220,7 +221,9 @@
     incoming.priority = context->priority;
     incoming.depth = Depth(static_cast<std::uint8_t>(std::min(context->depth.value() + 1, 255)));
     incoming.deadline = std::min(incoming.deadline, context->deadline);
-    incoming.ledger = context->ledger;
+    if (m_options.hasSharedBudget) {
+        incoming.ledger = context->ledger;
+    }
 }
 
 HttpResponse EntryService::runRequest(IHttpExchange &exchange, Incoming incoming)
--- a/src/app/internal/entryservice.h
+++ b/src/app/internal/entryservice.h
@@ -21,6 +21,8 @@
     std::size_t maxRequests = 20000;
     /// Longest `Idempotency-Key` in bytes.
     std::size_t maxKeyBytes = 200;
+    /// Off, for measurements: each call of an upstream starts a budget of its own.
+    bool hasSharedBudget = true;
 };
 
 /// Takes requests of callers, and calls of the upstreams on this host, and sees each to its answer.
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -41,6 +41,7 @@
 {
     EntryOptions options;
     options.maxRequests = settings.limits.inFlight;
+    options.hasSharedBudget = !settings.ablations.budget;
     return options;
 }
 
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -75,6 +75,12 @@
         return {};
     }
     if (end.verdict.outcome == Outcome::Answered) {
+        if (end.status >= FIRST_SERVER_ERROR && mayRetry(now, end.verdict, true)) {
+            Verdict failure;
+            if (auto action = sendNext(now, failure)) {
+                return { *action };
+            }
+        }
         if (!attempt.isHedge && index.value() == 0 && end.status < FIRST_SERVER_ERROR) {
             m_policies.retries.onSuccess(
                 now, m_terms.rule.service,
@@ -93,7 +99,7 @@
     if (!end.holder.value().empty() && !m_isRedirected) {
         return redirectTo(now, end.holder);
     }
-    if (mayRetry(now, end.verdict)) {
+    if (mayRetry(now, end.verdict, false)) {
         Verdict failure;
         if (auto action = sendNext(now, failure)) {
             return { *action };
@@ -243,7 +249,7 @@
     return action;
 }
 
-bool EntryCall::mayRetry(TimePoint now, const Verdict &verdict)
+bool EntryCall::mayRetry(TimePoint now, const Verdict &verdict, bool isFromBelow)
 {
     if (m_terms.isSingleAttempt || now >= m_terms.deadline) {
         return false;
@@ -253,6 +259,7 @@
     question.verdict = verdict;
     question.repetition = m_terms.rule.repetition;
     question.attempts = attempts();
+    question.isFromBelow = isFromBelow;
     question.remaining = std::chrono::duration_cast<Duration>(m_terms.deadline - now);
     return m_policies.retries.shouldRetry(now, question);
 }
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -60,7 +60,8 @@
     EntryActions followUp(TimePoint now, AttemptIndex attempt, const AttemptEnd &end);
     EntryActions redirectTo(TimePoint now, const DaemonId &holder);
     std::optional<EntryAction> launch(TimePoint now, const DaemonId &target, const char *why);
-    bool mayRetry(TimePoint now, const Verdict &verdict);
+    /// `isFromBelow`: the upstream answered with an error of its own or of a call that it made.
+    bool mayRetry(TimePoint now, const Verdict &verdict, bool isFromBelow);
     void settle(TimePoint now, Attempt &attempt, const AttemptEnd &end);
     void armHedge(TimePoint now);
     bool hasOpenAttempt() const;
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -16,6 +16,7 @@
 {
     switch (reason) {
     case Reason::QueueFull:
+    case Reason::NoServer: // Said by a daemon whose upstream has gone.
     case Reason::Draining:
     case Reason::ConnectFailed:
     case Reason::UpstreamRefused:
@@ -39,7 +40,8 @@
             && question.verdict.reason != Reason::Cancelled
             && question.verdict.reason != Reason::DeadlineExceeded;
     case Outcome::Answered:
-        break;
+        // An upstream's error is its answer. Only the baseline without "next hop only" gets here.
+        return question.isFromBelow && question.repetition == Repetition::Idempotent;
     }
     return false;
 }
--- a/standins/demo/demo.cpp
+++ b/standins/demo/demo.cpp
@@ -13,9 +13,9 @@
 #include "standins/deployment/blockinghttp.h"
 #include "standins/deployment/deployment.h"
 #include "standins/load/deploymentload.h"
+#include "standins/load/loadrunner.h"
 #include "standins/options.h"
 #include "standins/signals.h"
-#include "transport/transportfactory.h"
 
 namespace ivyspar::lab {
 
@@ -33,25 +33,6 @@
     Duration throughP99{ 0 };
 };
 
-std::vector<LoadRecord> runLoad(const CallGraph &graph, const LoadPlan &plan)
-{
-    std::vector<LoadRecord> records;
-    std::thread worker([&] {
-        const auto loop = makeEventLoop();
-        {
-            LoadGenerator generator(*loop, graph, plan);
-            loop->spawn([&] {
-                generator.run();
-                loop->stop();
-            });
-            loop->run();
-            records = generator.records();
-        }
-    });
-    worker.join();
-    return records;
-}
-
 std::vector<Duration> latenciesOf(const std::vector<LoadRecord> &records)
 {
     std::vector<Duration> latencies;
@@ -80,10 +61,10 @@
     plan.phases = { LoadPhase{ std::chrono::seconds(3), MEASURED_RATE, "", 1 } };
     plan.entries = deployment.callerEndpoints();
     setSlowdown("0");
-    const auto through = latenciesOf(runLoad(graph, plan));
+    const auto through = latenciesOf(runLoad(graph, plan, 1));
     plan.isDirect = true;
     plan.entries = deployment.upstreamEndpoints(leaf->call.service);
-    const auto direct = latenciesOf(runLoad(graph, plan));
+    const auto direct = latenciesOf(runLoad(graph, plan, 1));
     setSlowdown("1");
     return AddedTime{ quantileOf(direct, 0.5), quantileOf(direct, 0.99), quantileOf(through, 0.5),
                       quantileOf(through, 0.99) };
@@ -156,7 +137,7 @@
             plan.phases = { LoadPhase{ std::chrono::seconds(4), MEASURED_RATE, "", 1 } };
             plan.callers.attempts = 1;
             plan.entries = deployment.callerEndpoints();
-            const LoadSummary summary = summarize(runLoad(graph, plan), plan.kinds);
+            const LoadSummary summary = summarize(runLoad(graph, plan, 1), plan.kinds);
             const AddedTime added = measureAddedTime(deployment, graph);
             printTable(name, summary, added);
             exitCode = summary.completed == summary.requests && summary.requests > 0 ? 0 : 1;
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <string>
 
+#include "bench/overloadbench.h"
 #include "standins/demo/demo.h"
 #include "standins/upstream/upstreamcommand.h"
 
@@ -21,6 +22,7 @@
 
 constexpr Command COMMANDS[] = {
     { "upstreams", runUpstreams, "stand-in servers" },
+    { "bench", runOverloadBench, "the overload experiments" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
 
--- a/standins/upstream/upstreamcommand.cpp
+++ b/standins/upstream/upstreamcommand.cpp
@@ -77,6 +77,12 @@
     if (request.method == "GET" && request.target == "/executions") {
         return listExecutions(servers);
     }
+    if (request.method == "POST" && request.target == "/reset") {
+        for (const auto &server : servers) {
+            server->forgetExecutions();
+        }
+        return HttpResponse{ 204, {}, {} };
+    }
     const std::string mark = "/behaviour";
     if (request.method != "POST" || request.target.rfind(mark, 0) != 0) {
         return HttpResponse{ 404, {}, "no such control\n" };
@@ -100,7 +106,11 @@
 {
     const Options options(argc, argv);
     blockStopSignals();
-    const CallGraph graph = makeDeploymentGraph(options.text("graph", "tallowood"));
+    CallGraph graph = makeDeploymentGraph(options.text("graph", "tallowood"));
+    for (GraphNode &node : graph.nodes) {
+        node.serviceTime =
+            std::chrono::duration_cast<Duration>(node.serviceTime * options.number("scale", 1));
+    }
     const auto loop = makeEventLoop();
     SeededRandom random(static_cast<std::uint64_t>(options.number("seed", 1)));
     Servers servers;
--- a/standins/upstream/upstreamserver.h
+++ b/standins/upstream/upstreamserver.h
@@ -67,6 +67,7 @@
     void setBehaviour(const UpstreamBehaviour &behaviour) { m_behaviour = behaviour; }
     const UpstreamBehaviour &behaviour() const { return m_behaviour; }
     const std::vector<Execution> &executions() const { return m_executions; }
+    void forgetExecutions() { m_executions.clear(); }
 
 private:
     struct Work;
