Decision log, log and metrics

log4cplus' asynchronous appender makes the writer of a line wait when its queue is full; a bounded queue with a counted drop stands before the appenders instead.

--- /dev/null
+++ b/src/app/internal/asynclogs.cpp
@@ -0,0 +1,155 @@
+#include "app/internal/asynclogs.h"
+
+#include <pthread.h>
+
+#include <csignal>
+
+#include <log4cplus/spi/loggingevent.h>
+
+#include "app/internal/decisiontext.h"
+
+namespace ivyspar {
+
+namespace {
+
+// One wake-up of the writer serves all lines of this time.
+constexpr std::chrono::milliseconds BATCH_TIME(20);
+
+log4cplus::LogLevel toLog4cplus(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Trace:
+        return log4cplus::TRACE_LOG_LEVEL;
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    case LogLevel::Off:
+        return log4cplus::OFF_LOG_LEVEL;
+    }
+    return log4cplus::OFF_LOG_LEVEL;
+}
+
+log4cplus::spi::InternalLoggingEvent makeEvent(LogLevel level, const std::string &text,
+                                               std::chrono::system_clock::time_point time)
+{
+    return { "ivyspar", toLog4cplus(level),
+             "",        {},
+             text,      "",
+             "",        std::chrono::time_point_cast<log4cplus::helpers::Time::duration>(time),
+             "",        0 };
+}
+
+/// A signal that this thread took would interrupt a write; the daemon's own threads handle them.
+class SignalBlock
+{
+public:
+    SignalBlock()
+    {
+        sigset_t all;
+        sigfillset(&all);
+        pthread_sigmask(SIG_SETMASK, &all, &m_previous);
+    }
+    ~SignalBlock() { pthread_sigmask(SIG_SETMASK, &m_previous, nullptr); }
+
+    SignalBlock(const SignalBlock &) = delete;
+    SignalBlock &operator=(const SignalBlock &) = delete;
+
+private:
+    sigset_t m_previous{};
+};
+
+} // namespace
+
+AsyncLogs::AsyncLogs(const LogSettings &settings, log4cplus::SharedAppenderPtr logAppender,
+                     log4cplus::SharedAppenderPtr decisionAppender, IMetrics &metrics)
+    : m_level(settings.level)
+    , m_capacity(settings.queueCapacity)
+    , m_logAppender(std::move(logAppender))
+    , m_decisionAppender(std::move(decisionAppender))
+    , m_metrics(metrics)
+{
+    const SignalBlock block;
+    m_writer = std::thread([this] { runWriter(); });
+}
+
+AsyncLogs::~AsyncLogs()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_wakeUp.notify_one();
+    m_writer.join();
+}
+
+void AsyncLogs::write(LogLevel level, std::string text)
+{
+    if (level < m_level || m_level == LogLevel::Off) {
+        return;
+    }
+    push({ std::chrono::system_clock::now(), LogLine{ level, std::move(text) } });
+}
+
+bool AsyncLogs::isEnabled() const
+{
+    return m_decisionAppender.get() != nullptr;
+}
+
+void AsyncLogs::write(Decision decision)
+{
+    if (isEnabled()) {
+        push({ std::chrono::system_clock::now(), std::move(decision) });
+    }
+}
+
+void AsyncLogs::push(LogEntry entry)
+{
+    bool isFirst = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_queue.size() >= m_capacity) {
+            m_metrics.add(Counter::LogLinesDropped);
+            return;
+        }
+        isFirst = m_queue.empty();
+        m_queue.push_back(std::move(entry));
+    }
+    if (isFirst) {
+        m_wakeUp.notify_one();
+    }
+}
+
+void AsyncLogs::runWriter()
+{
+    for (auto batch = takeBatch(); !batch.empty(); batch = takeBatch()) {
+        for (const LogEntry &entry : batch) {
+            append(entry);
+        }
+    }
+}
+
+/// Empty only when nothing will come any more.
+std::vector<LogEntry> AsyncLogs::takeBatch()
+{
+    std::unique_lock lock(m_mutex);
+    m_wakeUp.wait(lock, [this] { return m_isStopping || !m_queue.empty(); });
+    m_wakeUp.wait_for(lock, BATCH_TIME, [this] { return m_isStopping; });
+    return std::exchange(m_queue, {});
+}
+
+void AsyncLogs::append(const LogEntry &entry)
+{
+    if (const auto *line = std::get_if<LogLine>(&entry.content)) {
+        m_logAppender->doAppend(makeEvent(line->level, line->text, entry.time));
+        return;
+    }
+    const auto &decision = std::get<Decision>(entry.content);
+    m_decisionAppender->doAppend(makeEvent(LogLevel::Info, toText(decision), entry.time));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/asynclogs.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include <log4cplus/appender.h>
+
+#include "app/daemonlogs.h"
+
+namespace ivyspar {
+
+struct LogLine
+{
+    LogLevel level = LogLevel::Info;
+    std::string text;
+};
+
+/// A line that waits to be written.
+struct LogEntry
+{
+    std::chrono::system_clock::time_point time;
+    std::variant<LogLine, Decision> content;
+};
+
+/// log4cplus' own asynchronous appender makes the writer of a line wait when its queue is full: a
+/// stalled reader of the log would stop the traffic. This one drops and counts instead. The mutex
+/// is held only to move one entry or to swap two vectors, never while anything is written.
+class AsyncLogs : public IDaemonLogs, private ILog, private IDecisionLog
+{
+public:
+    /// `decisionAppender` may be null.
+    AsyncLogs(const LogSettings &settings, log4cplus::SharedAppenderPtr logAppender,
+              log4cplus::SharedAppenderPtr decisionAppender, IMetrics &metrics);
+    ~AsyncLogs() override;
+
+    AsyncLogs(const AsyncLogs &) = delete;
+    AsyncLogs &operator=(const AsyncLogs &) = delete;
+
+    ILog &log() override { return *this; }
+    IDecisionLog &decisions() override { return *this; }
+
+private:
+    void write(LogLevel level, std::string text) override;
+    bool isEnabled() const override;
+    void write(Decision decision) override;
+
+    void push(LogEntry entry);
+    void runWriter();
+    std::vector<LogEntry> takeBatch();
+    void append(const LogEntry &entry);
+
+    const LogLevel m_level;
+    const std::size_t m_capacity;
+    const log4cplus::SharedAppenderPtr m_logAppender;
+    const log4cplus::SharedAppenderPtr m_decisionAppender;
+    IMetrics &m_metrics;
+
+    std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    std::vector<LogEntry> m_queue;
+    bool m_isStopping = false;
+    std::thread m_writer;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/daemonlogs.cpp
@@ -0,0 +1,81 @@
+#include "app/daemonlogs.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+
+#include "app/internal/asynclogs.h"
+
+namespace ivyspar {
+
+namespace {
+
+const char STANDARD_OUTPUT[] = "-";
+const char LOG_PATTERN[] = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n";
+const char DECISION_PATTERN[] = "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n";
+
+log4cplus::SharedAppenderPtr withLayout(log4cplus::SharedAppenderPtr appender, const char *pattern)
+{
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    return appender;
+}
+
+log4cplus::SharedAppenderPtr makeConsole(bool isStandardError, const char *pattern)
+{
+    return withLayout(
+        log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(isStandardError, true)),
+        pattern);
+}
+
+/// log4cplus prints a message of its own and goes on when it cannot open a file.
+Ret checkWritable(const std::string &path)
+{
+    const std::ofstream stream(path, std::ios::app);
+    if (!stream) {
+        return makeError(ErrorCode::Unavailable, path + ": " + std::strerror(errno));
+    }
+    return {};
+}
+
+RetVal<log4cplus::SharedAppenderPtr> openDecisionLog(const std::string &target)
+{
+    if (target.empty()) {
+        return log4cplus::SharedAppenderPtr();
+    }
+    if (target == STANDARD_OUTPUT) {
+        return makeConsole(false, DECISION_PATTERN);
+    }
+    if (const Ret writable = checkWritable(target); !writable) {
+        return tl::unexpected(writable.error());
+    }
+    return withLayout(
+        log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(target, std::ios::app, true)),
+        DECISION_PATTERN);
+}
+
+void initialize()
+{
+    static const log4cplus::Initializer INITIALIZER;
+    // log4cplus starts four threads for appenders with its own queue, which are not used here.
+    log4cplus::setThreadPoolSize(0);
+}
+
+} // namespace
+
+RetVal<std::unique_ptr<IDaemonLogs>> openDaemonLogs(const LogSettings &settings, IMetrics &metrics)
+{
+    initialize();
+    const auto decisions = openDecisionLog(settings.decisionLog);
+    if (!decisions) {
+        return tl::unexpected(decisions.error());
+    }
+    return std::make_unique<AsyncLogs>(settings, makeConsole(true, LOG_PATTERN), *decisions,
+                                       metrics);
+}
+
+} // namespace ivyspar
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "app/ilog.h"
 #include "protocol/iconfigurationreader.h"
 #include "state/endpoint.h"
 #include "state/ids.h"
@@ -39,15 +40,6 @@
     bool cancel = false;
 };
 
-enum class LogLevel {
-    Trace,
-    Debug,
-    Info,
-    Warn,
-    Error,
-    Off,
-};
-
 /// Settings of one daemon. Port 0 in a listening endpoint takes a free port.
 struct DaemonSettings
 {
--- /dev/null
+++ b/src/app/tests/asynclogstest.cpp
@@ -0,0 +1,156 @@
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include <log4cplus/appender.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include "app/internal/asynclogs.h"
+#include "app/internal/decisiontext.h"
+#include "state/metricsfactory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+/// Keeps the lines; each waits until the appender is open.
+class StallingAppender : public log4cplus::Appender
+{
+public:
+    ~StallingAppender() override { destructorImpl(); }
+
+    void close() override { }
+    void open()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isOpen = true;
+        m_change.notify_all();
+    }
+    /// Waits until the writer holds a line that it cannot get rid of.
+    void waitForStall()
+    {
+        std::unique_lock lock(m_mutex);
+        m_change.wait(lock, [this] { return m_isStalled; });
+    }
+    const std::vector<std::string> &lines() const { return m_lines; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        std::unique_lock lock(m_mutex);
+        m_isStalled = true;
+        m_change.notify_all();
+        m_change.wait(lock, [this] { return m_isOpen; });
+        m_lines.push_back(event.getMessage());
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_change;
+    bool m_isOpen = false;
+    bool m_isStalled = false;
+    std::vector<std::string> m_lines;
+};
+
+Decision makeDecision(std::uint64_t root)
+{
+    Decision decision;
+    decision.root = RootId(root);
+    return decision;
+}
+
+} // namespace
+
+TEST_GROUP(AsyncLogs)
+{
+    std::unique_ptr<IMetrics> metrics = makeMetrics();
+    StallingAppender *lines = new StallingAppender;
+    log4cplus::SharedAppenderPtr appender{ lines };
+
+    std::unique_ptr<IDaemonLogs> open(std::size_t capacity, LogLevel level = LogLevel::Info)
+    {
+        LogSettings settings;
+        settings.queueCapacity = capacity;
+        settings.level = level;
+        return std::make_unique<AsyncLogs>(settings, appender, appender, *metrics);
+    }
+};
+
+TEST(AsyncLogs, EndWritesWhatWaits)
+{
+    lines->open();
+    auto logs = open(100);
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+        logs->decisions().write(makeDecision(i));
+    }
+    logs.reset();
+    CHECK_EQUAL(50U, lines->lines().size());
+    STRCMP_EQUAL("decision=route request=0000000000000032", lines->lines().back().c_str());
+}
+
+// The reader of the log stalls, as a full pipe does. Writers of lines go on at once, what does not
+// fit is counted, and the lines that fitted come out in order once the reader is back.
+TEST(AsyncLogs, StalledReaderStopsNobody)
+{
+    auto logs = open(10);
+    logs->decisions().write(makeDecision(1));
+    lines->waitForStall();
+    for (std::uint64_t i = 2; i <= 21; ++i) {
+        logs->decisions().write(makeDecision(i));
+    }
+    STRCMP_CONTAINS("ivyspar_log_lines_dropped_total 10", metrics->text().c_str());
+    lines->open();
+    logs.reset();
+    CHECK_EQUAL(11U, lines->lines().size());
+    STRCMP_EQUAL("decision=route request=000000000000000b", lines->lines().back().c_str());
+}
+
+TEST(AsyncLogs, LevelLeavesLinesOut)
+{
+    lines->open();
+    auto logs = open(10, LogLevel::Warn);
+    logs->log().info("no");
+    logs->log().warn("yes");
+    logs->log().error("yes too");
+    logs.reset();
+    CHECK_EQUAL(2U, lines->lines().size());
+    STRCMP_EQUAL("yes", lines->lines().front().c_str());
+}
+
+TEST(AsyncLogs, FileThatCannotBeOpenedIsAnError)
+{
+    LogSettings settings;
+    settings.decisionLog = "/none/decisions.log";
+    const auto logs = openDaemonLogs(settings, *metrics);
+    CHECK_FALSE(logs.has_value());
+    STRCMP_CONTAINS("/none/decisions.log: No such file", logs.error().text.c_str());
+}
+
+TEST_GROUP(DecisionText){};
+
+TEST(DecisionText, HoldsAllFields)
+{
+    Decision decision;
+    decision.kind = DecisionKind::Retry;
+    decision.root = RootId(0xab);
+    decision.service = ServiceName("cassa");
+    decision.rank = Rank(77);
+    decision.attempt = 2;
+    decision.candidates = { { DaemonId("d1"), 0.25 }, { DaemonId("d2"), 12 } };
+    decision.choice = "d1";
+    decision.reason = "less-loaded";
+    STRCMP_EQUAL("decision=retry request=00000000000000ab service=cassa rank=77 attempt=2 "
+                 "candidates=d1:0.25,d2:12 choice=d1 reason=less-loaded",
+                 toText(decision).c_str());
+}
+
+TEST(DecisionText, NamesCannotForgeLinesOrFields)
+{
+    Decision decision;
+    decision.kind = DecisionKind::Membership;
+    decision.choice = "d1\ndecision=route reason=x";
+    STRCMP_EQUAL("decision=membership choice=d1?decision=route?reason=x", toText(decision).c_str());
+}
--- /dev/null
+++ b/src/state/internal/metricnames.cpp
@@ -0,0 +1,80 @@
+#include "state/internal/metricnames.h"
+
+namespace ivyspar {
+
+namespace {
+
+// In the order of the enumerations.
+constexpr MetricName COUNTERS[] = {
+    { "ivyspar_attempts_total", "kind=\"first\"", "Attempts sent, by kind." },
+    { "ivyspar_attempts_total", "kind=\"retry\"", "" },
+    { "ivyspar_attempts_total", "kind=\"hedge\"", "" },
+    { "ivyspar_hedges_won_total", "", "Hedges that answered before the attempt they doubled." },
+    { "ivyspar_cancels_total", "", "Attempts that were cancelled." },
+    { "ivyspar_gate_calls_total", "verdict=\"started\"", "Calls at the gate, by verdict." },
+    { "ivyspar_gate_calls_total", "verdict=\"refused\"", "" },
+    { "ivyspar_claims_total", "result=\"won\"", "Claims of idempotency keys, by result." },
+    { "ivyspar_claims_total", "result=\"lost\"", "" },
+    { "ivyspar_claims_total", "result=\"unsettled\"", "" },
+    { "ivyspar_log_appends_total", "", "Appends to the platform's log." },
+    { "ivyspar_log_append_failures_total", "", "Appends that failed or had no answer." },
+    { "ivyspar_log_reads_total", "", "Reads of the platform's log." },
+    { "ivyspar_log_read_failures_total", "", "Reads that failed or had no answer." },
+    { "ivyspar_peer_frames_total", "direction=\"sent\"", "Frames on peer links, by direction." },
+    { "ivyspar_peer_frames_total", "direction=\"received\"", "" },
+    { "ivyspar_peer_frames_malformed_total", "", "Frames that could not be read." },
+    { "ivyspar_peer_bytes_total", "direction=\"sent\"", "Bytes on peer links, by direction." },
+    { "ivyspar_peer_bytes_total", "direction=\"received\"", "" },
+    { "ivyspar_peer_links_lost_total", "", "Peer links that ended unplanned." },
+    { "ivyspar_malformed_requests_total", "", "HTTP requests that could not be read." },
+    { "ivyspar_connections_refused_total", "", "Connections past the limit." },
+    { "ivyspar_configuration_records_total", "verdict=\"accepted\"",
+      "Records of the configuration stream, by verdict." },
+    { "ivyspar_configuration_records_total", "verdict=\"rejected\"", "" },
+    { "ivyspar_log_lines_dropped_total", "", "Lines of this daemon's logs that were dropped." },
+};
+
+constexpr MetricName GAUGES[] = {
+    { "ivyspar_requests_in_flight", "", "Requests of callers being worked on." },
+    { "ivyspar_gate_in_flight", "", "Calls that the upstream works on." },
+    { "ivyspar_gate_queued", "", "Calls that wait at the gate." },
+    { "ivyspar_gate_limit", "", "Concurrency limit of the gate." },
+    { "ivyspar_gate_floor_priority", "", "Lowest priority that the gate admits." },
+    { "ivyspar_caller_connections", "", "Open connections of callers." },
+    { "ivyspar_peer_links", "", "Open links to other daemons." },
+    { "ivyspar_members", "", "Daemons known to be alive, this one included." },
+    { "ivyspar_configuration_version", "", "Version in force; 0 for none." },
+    { "ivyspar_configuration_age_seconds", "", "Time since the version in force was learned." },
+};
+
+constexpr MetricName TIMINGS[] = {
+    { "ivyspar_request_duration_seconds", "", "From a caller's request to its answer." },
+    { "ivyspar_added_duration_seconds", "", "Time of a request outside its upstream." },
+    { "ivyspar_upstream_duration_seconds", "", "Time that the upstream took for a call." },
+    { "ivyspar_gate_wait_seconds", "", "Time that a call waited at the gate." },
+    { "ivyspar_log_append_duration_seconds", "", "Time of an append to the platform's log." },
+    { "ivyspar_log_read_duration_seconds", "", "Time of a read of the platform's log." },
+};
+
+static_assert(std::size(COUNTERS) == countOf<Counter>());
+static_assert(std::size(GAUGES) == countOf<Gauge>());
+static_assert(std::size(TIMINGS) == countOf<Timing>());
+
+} // namespace
+
+const MetricName &nameOf(Counter counter)
+{
+    return COUNTERS[static_cast<std::size_t>(counter)];
+}
+
+const MetricName &nameOf(Gauge gauge)
+{
+    return GAUGES[static_cast<std::size_t>(gauge)];
+}
+
+const MetricName &nameOf(Timing timing)
+{
+    return TIMINGS[static_cast<std::size_t>(timing)];
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/state/tests/mocks/recordingdecisionlog.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <vector>
+
+#include "state/idecisionlog.h"
+
+namespace ivyspar {
+
+/// Keeps the decisions for a test to look at.
+class RecordingDecisionLog : public IDecisionLog
+{
+public:
+    bool isEnabled() const override { return true; }
+    void write(Decision decision) override { m_decisions.push_back(std::move(decision)); }
+    const std::vector<Decision> &decisions() const { return m_decisions; }
+
+private:
+    std::vector<Decision> m_decisions;
+};
+
+} // namespace ivyspar
