--- /dev/null
+++ b/src/coordination/admission/internal/rankqueue.cpp
@@ -0,0 +1,71 @@
+#include "coordination/admission/internal/rankqueue.h"
+
+#include "state/rank.h"
+
+namespace ivyspar {
+
+RankQueue::RankQueue(QueueOrder order)
+    : m_order(order)
+{
+}
+
+RankQueue::OrderKey RankQueue::orderOf(const GateRequest &request)
+{
+    const std::int64_t arrival = ++m_arrivals;
+    switch (m_order) {
+    case QueueOrder::Fifo:
+        return { 0, -arrival };
+    case QueueOrder::Newest:
+        return { priorityOf(request.rank).value(), arrival };
+    case QueueOrder::Rank:
+        break;
+    }
+    return { request.rank.value(), arrival };
+}
+
+void RankQueue::push(const GateRequest &request)
+{
+    const auto [place, isNew] = m_calls.try_emplace(request.id);
+    if (!isNew) {
+        return;
+    }
+    Waiting &call = place->second;
+    call.request = request;
+    call.order = orderOf(request);
+    m_byOrder.insert(call);
+    m_byDeadline.insert(call);
+}
+
+GateRequest RankQueue::take(const Waiting &call)
+{
+    const GateRequest request = call.request;
+    m_calls.erase(request.id);
+    return request;
+}
+
+GateRequest RankQueue::popFirst()
+{
+    return take(*m_byOrder.rbegin());
+}
+
+GateRequest RankQueue::popLast()
+{
+    return take(*m_byOrder.begin());
+}
+
+GateRequest RankQueue::popEarliest()
+{
+    return take(*m_byDeadline.begin());
+}
+
+TimePoint RankQueue::earliestDeadline() const
+{
+    return m_byDeadline.empty() ? TimePoint::max() : m_byDeadline.begin()->request.deadline;
+}
+
+bool RankQueue::remove(CallId id)
+{
+    return m_calls.erase(id) > 0;
+}
+
+} // namespace ivyspar
