--- a/src/coordination/configuration/iconfigurationfold.h
+++ b/src/coordination/configuration/iconfigurationfold.h
@@ -15,13 +15,16 @@
     enum class Kind {
         Change, ///< A new version, accepted if `base` is the current version.
         Snapshot, ///< The current version again, before the log forgets it.
+        Restart, ///< An operator's new beginning, when no daemon and no record was left to tell the
+                 ///< version: accepted if its version is larger than the current one.
     };
 
     Kind kind = Kind::Change;
     /// Chosen by the publisher, to find its record again when the append's answer was lost. In a
     /// snapshot: the id of the change that made the version.
     std::string changeId;
-    /// For a change: the version that it is based on. For a snapshot: the version itself.
+    /// For a change: the version that it is based on. For a snapshot or restart: the version
+    /// itself.
     ConfigurationVersion base;
     /// Digest of `inventory` and `rules`, see configurationdigest.h.
     std::uint64_t digest = 0;
@@ -53,7 +56,7 @@
     std::optional<LogOffset> position;
 };
 
-/// A record's verdict that was found only after the record had been read.
+/// The verdict of a change that was found only after the record had been read.
 struct LateVerdict
 {
     LogOffset offset;
--- a/src/coordination/configuration/internal/configurationfold.cpp
+++ b/src/coordination/configuration/internal/configurationfold.cpp
@@ -59,8 +59,13 @@
     if (!isIntact(record)) {
         return FoldVerdict::Malformed;
     }
-    if (record.kind == ConfigurationRecord::Kind::Snapshot) {
-        return useSnapshot(offset, record);
+    switch (record.kind) {
+    case ConfigurationRecord::Kind::Snapshot:
+        return applySnapshot(offset, record);
+    case ConfigurationRecord::Kind::Restart:
+        return applyRestart(offset, record);
+    case ConfigurationRecord::Kind::Change:
+        break;
     }
     if (!m_isJudging) {
         keepPending(offset, record);
@@ -164,14 +169,14 @@
 /// Its version may be outdated: the author had read only up to `position`, and changes may lie
 /// between there and the snapshot. A fold that took the version at the snapshot's own offset would
 /// undo them and accept a change of a loser.
-FoldVerdict ConfigurationFold::useSnapshot(LogOffset offset, const ConfigurationRecord &record)
+FoldVerdict ConfigurationFold::applySnapshot(LogOffset offset, const ConfigurationRecord &record)
 {
     if (record.position > offset || record.base.value() == 0) {
         return FoldVerdict::Malformed;
     }
+    const ConfigurationVersion before = m_held.version;
     AcceptedConfiguration snapshot = acceptedFrom(record, record.base, offset);
     snapshot.position = record.position;
-    const ConfigurationVersion before = m_held.version;
     if (!m_isJudging && record.position >= m_start) {
         startJudging(snapshot, record.position);
     }
@@ -183,6 +188,22 @@
     return m_held.version > before ? FoldVerdict::Accepted : FoldVerdict::Duplicate;
 }
 
+/// Nothing is known to be left of what came before, so an unjudged stream is judged from here on.
+FoldVerdict ConfigurationFold::applyRestart(LogOffset offset, const ConfigurationRecord &record)
+{
+    if (m_isJudging && record.base <= m_log.version) {
+        return FoldVerdict::Conflict;
+    }
+    m_pending.clear();
+    m_pendingBytes = 0;
+    m_isJudging = true;
+    m_log = acceptedFrom(record, record.base, offset);
+    m_log.position = m_next;
+    hold(m_log);
+    m_anchor = std::max(m_anchor, offset);
+    return FoldVerdict::Accepted;
+}
+
 /// `at` was the current version just before `position`, which is not before `m_start`.
 void ConfigurationFold::startJudging(const AcceptedConfiguration &at, LogOffset position)
 {
--- a/src/coordination/configuration/internal/configurationfold.h
+++ b/src/coordination/configuration/internal/configurationfold.h
@@ -32,7 +32,8 @@
     void loseHistory(LogOffset start);
     void keepPending(LogOffset offset, const ConfigurationRecord &record);
     FoldVerdict judgeChange(LogOffset offset, const ConfigurationRecord &record);
-    FoldVerdict useSnapshot(LogOffset offset, const ConfigurationRecord &record);
+    FoldVerdict applySnapshot(LogOffset offset, const ConfigurationRecord &record);
+    FoldVerdict applyRestart(LogOffset offset, const ConfigurationRecord &record);
     void startJudging(const AcceptedConfiguration &at, LogOffset position);
     void hold(const AcceptedConfiguration &accepted);
 
--- /dev/null
+++ b/src/coordination/configuration/internal/pollschedule.cpp
@@ -0,0 +1,75 @@
+#include "coordination/configuration/internal/pollschedule.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace ivyspar {
+
+namespace {
+
+std::uint64_t weightOf(const DaemonId &daemon)
+{
+    return XXH3_64bits(daemon.value().data(), daemon.value().size());
+}
+
+/// From half to one and a half of `mean`.
+Duration spread(Duration mean, IRandom &random)
+{
+    const auto width = static_cast<std::uint64_t>(std::max<Duration::rep>(1, mean.count()));
+    return mean / 2 + Duration(static_cast<Duration::rep>(random.below(width)));
+}
+
+} // namespace
+
+bool isFastPoller(const DaemonId &self, const std::vector<DaemonId> &domainPeers,
+                  std::uint32_t fastPerDomain)
+{
+    const std::uint64_t own = weightOf(self);
+    const auto isBefore = [&](const DaemonId &peer) {
+        const std::uint64_t weight = weightOf(peer);
+        return weight > own || (weight == own && peer < self);
+    };
+    const auto before = std::count_if(domainPeers.begin(), domainPeers.end(), isBefore);
+    return before < static_cast<std::int64_t>(fastPerDomain);
+}
+
+PollSchedule::PollSchedule(const PollSettings &settings)
+    : m_settings(settings)
+{
+}
+
+Duration PollSchedule::wait() const
+{
+    return m_isFast && m_failures == 0 ? m_settings.longPoll : Duration::zero();
+}
+
+Duration PollSchedule::onPage(bool isEmpty, bool isAtEnd, Duration took, IRandom &random)
+{
+    m_failures = 0;
+    if (!isAtEnd) {
+        return Duration::zero();
+    }
+    if (!m_isFast) {
+        return spread(m_settings.slowInterval, random);
+    }
+    if (!isEmpty) {
+        return Duration::zero();
+    }
+    return std::max(Duration::zero(), m_settings.fastInterval - took);
+}
+
+/// Without the growing pause all daemons would press a log that is overloaded; without the spread
+/// they would all come back in the same moment when it recovers, and overload it again.
+Duration PollSchedule::onFailure(IRandom &random)
+{
+    constexpr std::uint32_t MAX_DOUBLINGS = 16;
+    const Duration backoff =
+        std::min(m_settings.maxBackoff,
+                 m_settings.firstBackoff * (1U << std::min(m_failures, MAX_DOUBLINGS)));
+    ++m_failures;
+    const Duration pause = spread(backoff, random);
+    return m_isFast ? pause : std::max(pause, spread(m_settings.slowInterval, random));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/configuration/internal/pollschedule.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <vector>
+
+#include "state/ids.h"
+#include "state/irandom.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+struct PollSettings
+{
+    /// Daemons of a failure domain that follow the log closely.
+    std::uint32_t fastPerDomain = 2;
+    /// For how long the log may hold back the answer to a close follower.
+    Duration longPoll = std::chrono::seconds(2);
+    /// Shortest time between two empty answers, for logs that hold no answer back.
+    Duration fastInterval = std::chrono::milliseconds(500);
+    /// Mean time between two reads of the others; each is drawn from half to one and a half.
+    Duration slowInterval = std::chrono::seconds(20);
+    Duration firstBackoff = std::chrono::milliseconds(200);
+    Duration maxBackoff = std::chrono::seconds(10);
+};
+
+/// Whether `self` is among the daemons of its failure domain that follow the log closely: those
+/// with the highest hash (rendezvous hashing), so that hardly any role changes when a daemon comes
+/// or goes. Two daemons with different views only mean a reader more or less.
+bool isFastPoller(const DaemonId &self, const std::vector<DaemonId> &domainPeers,
+                  std::uint32_t fastPerDomain);
+
+/// When to read the log next. Plain object.
+class PollSchedule
+{
+public:
+    explicit PollSchedule(const PollSettings &settings);
+
+    void setFast(bool isFast) { m_isFast = isFast; }
+    bool isFast() const { return m_isFast; }
+    /// For how long the log may hold the next answer back.
+    Duration wait() const;
+    /// A page came. `isAtEnd`: nothing more is there to read now. Returns the pause before the
+    /// next read.
+    Duration onPage(bool isEmpty, bool isAtEnd, Duration took, IRandom &random);
+    /// The log cannot be read. Returns the pause before the next read.
+    Duration onFailure(IRandom &random);
+
+private:
+    PollSettings m_settings;
+    bool m_isFast = false;
+    std::uint32_t m_failures = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/configuration/internal/snapshotschedule.cpp
@@ -0,0 +1,87 @@
+#include "coordination/configuration/internal/snapshotschedule.h"
+
+#include <algorithm>
+
+namespace ivyspar {
+
+namespace {
+
+/// Part of the retention after which a snapshot is renewed. Three more renewals may fail, or an
+/// outage may last for half of the retention, before the log forgets the snapshot.
+constexpr int RENEWALS_IN_RETENTION = 4;
+
+} // namespace
+
+SnapshotSchedule::SnapshotSchedule(const SnapshotSettings &settings)
+    : m_settings(settings)
+{
+}
+
+bool SnapshotSchedule::update(TimePoint now, const IConfigurationFold &fold, LogOffset first,
+                              LogOffset end, bool isFast, IRandom &random)
+{
+    const AcceptedConfiguration *judged = fold.judged();
+    const bool isAtEnd = fold.nextOffset() >= end;
+    // A daemon that cannot judge, or has not read all, would vouch for what it does not know.
+    if (!judged || judged->version.value() == 0 || !isAtEnd) {
+        m_due.reset();
+        return false;
+    }
+    observeAnchor(now, fold.anchor(), random);
+    if (!isRenewalNeeded(now, first, end, isFast)) {
+        m_due.reset();
+        return false;
+    }
+    if (!m_due) {
+        m_due = now + drawJitter(random);
+    }
+    if (now < *m_due) {
+        return false;
+    }
+    m_due.reset();
+    return true;
+}
+
+void SnapshotSchedule::onFailure(TimePoint now, IRandom &random)
+{
+    m_due = now + drawJitter(random);
+}
+
+/// The age of the anchor that a new daemon finds is not known. If each took it for new, and hosts
+/// were replaced often enough, none would ever renew it; so a random age is taken.
+void SnapshotSchedule::observeAnchor(TimePoint now, LogOffset anchor, IRandom &random)
+{
+    if (m_anchor == anchor) {
+        return;
+    }
+    const auto limit =
+        static_cast<std::uint64_t>(std::max<Duration::rep>(1, m_settings.retention.count()))
+        / RENEWALS_IN_RETENTION;
+    const auto age = m_anchor ? 0 : random.below(std::max<std::uint64_t>(1, limit));
+    m_anchor = anchor;
+    m_anchorSince = now - Duration(static_cast<Duration::rep>(age));
+}
+
+bool SnapshotSchedule::isRenewalNeeded(TimePoint now, LogOffset first, LogOffset end,
+                                       bool isFast) const
+{
+    const int factor = isFast ? 1 : static_cast<int>(m_settings.slowFactor);
+    if (now - m_anchorSince >= factor * m_settings.retention / RENEWALS_IN_RETENTION) {
+        return true;
+    }
+    if (*m_anchor < first) {
+        return true;
+    }
+    // Retention by count: the anchor has moved into the older half of what is kept.
+    const std::uint64_t kept = end.value() - std::min(first, end).value();
+    return first.value() > 0 && m_anchor->value() - first.value() < kept / 2;
+}
+
+Duration SnapshotSchedule::drawJitter(IRandom &random) const
+{
+    const auto bound =
+        static_cast<std::uint64_t>(std::max<Duration::rep>(1, m_settings.jitter.count()));
+    return Duration(static_cast<Duration::rep>(random.below(bound)));
+}
+
+} // namespace ivyspar
--- a/src/coordination/configuration/tests/configurationfoldtest.cpp
+++ b/src/coordination/configuration/tests/configurationfoldtest.cpp
@@ -54,10 +54,13 @@
     {
         AcceptedConfiguration next = before.back();
         const bool isIntact = record.digest == configurationDigest(record.inventory, record.rules);
-        const bool isAccepted = isIntact && record.kind == ConfigurationRecord::Kind::Change
-            && record.base == next.version;
+        const bool isRestart = record.kind == ConfigurationRecord::Kind::Restart;
+        const bool isChange = record.kind == ConfigurationRecord::Kind::Change;
+        const bool isAccepted = isIntact
+            && ((isRestart && record.base > next.version)
+                || (isChange && record.base == next.version));
         if (isAccepted) {
-            next = { ConfigurationVersion(next.version.value() + 1),
+            next = { ConfigurationVersion(record.base.value() + (isChange ? 1 : 0)),
                      record.changeId,
                      record.digest,
                      record.inventory,
@@ -73,7 +76,8 @@
     }
 };
 
-/// Operators with right, outdated and premature bases, snapshots by authors that lag, damage.
+/// Operators with right, outdated and premature bases, snapshots by authors that lag, damage, and
+/// new beginnings.
 Stream makeStream(IRandom &random, std::size_t length)
 {
     Stream stream;
@@ -90,6 +94,12 @@
             stream.records.back().digest ^= 1;
             stream.before.back() = stream.before[stream.end() - 1];
             stream.verdicts.back() = FoldVerdict::Malformed;
+        } else if (kind < 8 && random.below(8) == 0) {
+            ConfigurationRecord restart = makeChange(current + random.below(2000), id);
+            restart.kind = ConfigurationRecord::Kind::Restart;
+            if (restart.base.value() > current) {
+                stream.add(restart);
+            }
         } else if (current > 0) {
             const std::uint64_t lag = random.below(std::min<std::uint64_t>(stream.end(), 4) + 1);
             const std::uint64_t position = stream.end() - lag;
@@ -114,7 +124,7 @@
     void read(std::uint64_t offset)
     {
         const FoldVerdict verdict = m_fold->apply(LogOffset(offset), m_stream.records[offset]);
-        const bool isChange = m_stream.records[offset].kind == ConfigurationRecord::Kind::Change;
+        const bool isChange = m_stream.records[offset].kind != ConfigurationRecord::Kind::Snapshot;
         const bool isSilent =
             verdict == FoldVerdict::Unjudged || verdict == FoldVerdict::Duplicate || !isChange;
         require(isSilent || verdict == m_stream.verdicts[offset], "verdict");
@@ -201,7 +211,7 @@
     metadata.id = "ConfigurationFold";
     rc::detail::TestParams params;
     params.seed = SEED;
-    params.maxSuccess = 2000;
+    params.maxSuccess = 10000;
     const auto property = [&makeFold](std::uint64_t seed) {
         const std::string violation = findViolation(seed, makeFold);
         RC_ASSERT(violation == "");
--- /dev/null
+++ b/src/coordination/configuration/tests/configurationschedulestest.cpp
@@ -0,0 +1,198 @@
+#include <algorithm>
+
+#include "coordination/configuration/configurationdigest.h"
+#include "coordination/configuration/configurationfoldfactory.h"
+#include "coordination/configuration/internal/pollschedule.h"
+#include "coordination/configuration/internal/snapshotschedule.h"
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+ConfigurationRecord makeRecord(ConfigurationRecord::Kind kind, std::uint64_t base,
+                               std::uint64_t position)
+{
+    ConfigurationRecord record;
+    record.kind = kind;
+    record.base = ConfigurationVersion(base);
+    record.digest = configurationDigest("", "");
+    record.position = LogOffset(position);
+    return record;
+}
+
+} // namespace
+
+TEST_GROUP(PollSchedule)
+{
+    PollSettings m_settings;
+    PollSchedule m_schedule{ m_settings };
+    SeededRandom m_random{ 3 };
+};
+
+TEST(PollSchedule, FewOfADomainFollowClosely)
+{
+    std::vector<DaemonId> daemons;
+    for (int i = 0; i < 200; ++i) {
+        daemons.emplace_back("host-" + std::to_string(i));
+    }
+    std::vector<DaemonId> fast;
+    for (const DaemonId &self : daemons) {
+        if (isFastPoller(self, daemons, 2)) {
+            fast.push_back(self);
+        }
+    }
+    CHECK_EQUAL(2, fast.size());
+    daemons.erase(std::find(daemons.begin(), daemons.end(), fast[0]));
+    CHECK(isFastPoller(fast[1], daemons, 2));
+    CHECK(isFastPoller(DaemonId("alone"), {}, 2));
+}
+
+TEST(PollSchedule, EmptyAnswersThatComeAtOnceAreNotAskedForAgainAtOnce)
+{
+    m_schedule.setFast(true);
+    CHECK(m_schedule.wait() == m_settings.longPoll);
+    CHECK(m_schedule.onPage(true, true, Duration(0), m_random) == m_settings.fastInterval);
+    CHECK(m_schedule.onPage(true, true, m_settings.longPoll, m_random) == Duration::zero());
+    CHECK(m_schedule.onPage(false, true, Duration(0), m_random) == Duration::zero());
+}
+
+TEST(PollSchedule, TheOthersReadOnWhileThereIsMoreAndThenRarely)
+{
+    CHECK(m_schedule.wait() == Duration::zero());
+    CHECK(m_schedule.onPage(false, false, Duration(0), m_random) == Duration::zero());
+    for (int i = 0; i < 100; ++i) {
+        const Duration pause = m_schedule.onPage(true, true, Duration(0), m_random);
+        CHECK(pause >= m_settings.slowInterval / 2);
+        CHECK(pause <= m_settings.slowInterval * 3 / 2);
+    }
+}
+
+// The log is down for a while and comes back. Each daemon must ask less often as the outage lasts,
+// and they must not all come back in one moment.
+TEST(PollSchedule, PausesGrowAndDifferDuringAnOutage)
+{
+    m_schedule.setFast(true);
+    const Duration first = m_schedule.onFailure(m_random);
+    CHECK(first <= m_settings.firstBackoff * 3 / 2);
+    CHECK(m_schedule.wait() == Duration::zero());
+    for (int i = 0; i < 100; ++i) {
+        m_schedule.onFailure(m_random);
+    }
+    Duration least = m_settings.maxBackoff * 2;
+    Duration most{ 0 };
+    for (int i = 0; i < 100; ++i) {
+        const Duration pause = m_schedule.onFailure(m_random);
+        least = std::min(least, pause);
+        most = std::max(most, pause);
+    }
+    CHECK(least < m_settings.maxBackoff * 3 / 4);
+    CHECK(most > m_settings.maxBackoff);
+    CHECK(most <= m_settings.maxBackoff * 3 / 2);
+    m_schedule.onPage(true, true, Duration(0), m_random);
+    CHECK(m_schedule.onFailure(m_random) <= m_settings.firstBackoff * 3 / 2);
+}
+
+TEST_GROUP(SnapshotSchedule)
+{
+    SnapshotSettings m_settings;
+    SnapshotSchedule m_schedule{ m_settings };
+    SeededRandom m_random{ 4 };
+    std::unique_ptr<IConfigurationFold> m_fold = makeConfigurationFold();
+    TimePoint m_now{ std::chrono::hours(100) };
+
+    bool update(std::uint64_t first, bool isFast = true)
+    {
+        return m_schedule.update(m_now, *m_fold, LogOffset(first), m_fold->nextOffset(), isFast,
+                                 m_random);
+    }
+    /// Time until an append is due, asked each second.
+    Duration waitForAppend(std::uint64_t first, bool isFast = true)
+    {
+        const TimePoint start = m_now;
+        while (!update(first, isFast) && m_now - start < std::chrono::hours(5)) {
+            m_now += seconds(1);
+        }
+        return m_now - start;
+    }
+    void appendSnapshot()
+    {
+        const std::uint64_t next = m_fold->nextOffset().value();
+        m_fold->apply(LogOffset(next), makeRecord(ConfigurationRecord::Kind::Snapshot, 1, next));
+    }
+    void appendChange()
+    {
+        m_fold->apply(LogOffset(0), makeRecord({}, 0, 0));
+    }
+};
+
+TEST(SnapshotSchedule, NothingIsAppendedWithoutAVersion)
+{
+    CHECK(waitForAppend(0) == std::chrono::hours(5));
+}
+
+TEST(SnapshotSchedule, RenewsLongBeforeTheLogForgets)
+{
+    appendChange();
+    CHECK(waitForAppend(0) <= m_settings.retention / 4 + m_settings.jitter + seconds(1));
+    for (int i = 0; i < 20; ++i) {
+        appendSnapshot();
+        update(0);
+        const Duration wait = waitForAppend(0);
+        CHECK(wait >= m_settings.retention / 4);
+        CHECK(wait <= m_settings.retention / 4 + m_settings.jitter + seconds(1));
+    }
+}
+
+TEST(SnapshotSchedule, DaemonsThatReadRarelyLeaveItToTheOthers)
+{
+    appendChange();
+    update(0, false);
+    appendSnapshot();
+    update(0, false);
+    CHECK(waitForAppend(0, false) >= m_settings.retention / 2);
+}
+
+TEST(SnapshotSchedule, AnothersSnapshotEndsTheWait)
+{
+    appendChange();
+    for (int i = 0; i < 100; ++i) {
+        update(0);
+        appendSnapshot();
+        update(0);
+        m_now += m_settings.retention / 4;
+        update(0);
+        appendSnapshot();
+        m_now += m_settings.jitter;
+        CHECK_FALSE(update(0));
+    }
+}
+
+TEST(SnapshotSchedule, RenewsSoonWhenTheAnchorIsForgottenOrInTheOlderHalf)
+{
+    appendChange();
+    update(0);
+    appendSnapshot();
+    update(0);
+    CHECK(waitForAppend(5) <= m_settings.jitter + seconds(1));
+    appendSnapshot();
+    for (std::uint64_t i = m_fold->nextOffset().value(); i < 40; ++i) {
+        m_fold->skip(LogOffset(i));
+    }
+    update(0);
+    CHECK_FALSE(update(0));
+    CHECK(waitForAppend(1) <= m_settings.jitter + seconds(1));
+}
+
+// A daemon that lost records would vouch for a version that may be outdated.
+TEST(SnapshotSchedule, ADaemonThatCannotJudgeAppendsNothing)
+{
+    appendChange();
+    m_fold->apply(LogOffset(50), makeRecord({}, 1, 0));
+    CHECK(m_fold->judged() == nullptr);
+    CHECK(waitForAppend(50) == std::chrono::hours(5));
+}
--- a/src/protocol/internal/configurationrecordcodec.cpp
+++ b/src/protocol/internal/configurationrecordcodec.cpp
@@ -21,6 +21,20 @@
 
 constexpr char CHANGE_KIND[] = "change";
 constexpr char SNAPSHOT_KIND[] = "snapshot";
+constexpr char RESTART_KIND[] = "restart";
+
+const char *toText(ConfigurationRecord::Kind kind)
+{
+    switch (kind) {
+    case ConfigurationRecord::Kind::Snapshot:
+        return SNAPSHOT_KIND;
+    case ConfigurationRecord::Kind::Restart:
+        return RESTART_KIND;
+    case ConfigurationRecord::Kind::Change:
+        break;
+    }
+    return CHANGE_KIND;
+}
 
 RetVal<ConfigurationRecord::Kind> kindOf(const Json &map)
 {
@@ -31,6 +45,9 @@
     if (kind == SNAPSHOT_KIND) {
         return ConfigurationRecord::Kind::Snapshot;
     }
+    if (kind == RESTART_KIND) {
+        return ConfigurationRecord::Kind::Restart;
+    }
     return makeError(ErrorCode::InvalidArgument, "configuration record of an unknown kind");
 }
 
@@ -48,13 +65,9 @@
                          "the change id is longer than " + std::to_string(MAX_CHANGE_ID_BYTES)
                              + " bytes");
     }
-    const bool isSnapshot = record.kind == ConfigurationRecord::Kind::Snapshot;
-    const Json map{ { KIND, isSnapshot ? SNAPSHOT_KIND : CHANGE_KIND },
-                    { CHANGE_ID, record.changeId },
-                    { BASE, record.base.value() },
-                    { DIGEST, record.digest },
-                    { INVENTORY, record.inventory },
-                    { RULES, record.rules },
+    const Json map{ { KIND, toText(record.kind) },        { CHANGE_ID, record.changeId },
+                    { BASE, record.base.value() },        { DIGEST, record.digest },
+                    { INVENTORY, record.inventory },      { RULES, record.rules },
                     { POSITION, record.position.value() } };
     return toCbor(map);
 }
