Membership: gossip with suspicion, refutation and anti-entropy

Dead is never taken from others: a suspicion spreads and each observer's own timer decides. Taking the word of others would remove whole domains when they meet again. Two faults found by the tests: a group whose digests agree among themselves stopped looking for others (agreement with one member no longer counts for all), and under 20 % loss single observers missed a refutation (each asks the suspect again before its time is over).

--- a/src/coordination/membership/imembership.h
+++ b/src/coordination/membership/imembership.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <string>
+#include <optional>
 #include <vector>
 
+#include "coordination/membership/membershipmessages.h"
 #include "state/ids.h"
 #include "state/irandom.h"
 #include "state/member.h"
@@ -10,25 +11,19 @@
 
 namespace ivyspar {
 
-enum class MemberHealth {
-    Alive,
-    Suspect, ///< Did not answer in time; still offered work until confirmed.
-    Dead,
-    Left, ///< Said goodbye.
-};
-
 struct MemberStatus
 {
     Member member;
     MemberHealth health = MemberHealth::Alive;
 };
 
-/// A payload for another daemon's membership object.
+/// A message for another daemon's membership object.
 struct MembershipDatagram
 {
+    /// Empty when only the endpoint is known (a seed).
     DaemonId to;
     Endpoint endpoint;
-    std::string payload;
+    MembershipMessage message;
 };
 
 struct MembershipActions
@@ -36,25 +31,33 @@
     std::vector<MembershipDatagram> send;
     /// The set of members that take work, or a record of one, changed.
     bool changed = false;
+    /// Another process runs under this daemon's id with this larger incarnation. Within the first
+    /// seconds after the start it is this host's previous run under a clock that was ahead: start
+    /// anew with a larger incarnation. Later it is a second daemon with the same id: stop.
+    std::optional<Incarnation> newerSelf;
 };
 
 /// Who is there. Failure detection and spreading by gossip; times only the observer's own clock.
-/// Plain object: the control thread carries the payloads.
+/// Plain object: the control thread carries the messages. docs/notes/membership.md has the reasons.
 class IMembership
 {
 public:
     virtual ~IMembership() = default;
 
-    /// This daemon's own record changed (upstreams, draining, leaving).
+    /// This daemon's own record changed (upstreams, draining, leaving). The counter is kept here;
+    /// that of `self` is ignored.
     virtual MembershipActions updateSelf(TimePoint now, const Member &self) = 0;
+    /// Says goodbye to some members, who tell the others. The process may end once it is sent.
+    virtual MembershipActions leave(TimePoint now) = 0;
     /// Endpoints from the settings or the log at which to look for members.
     virtual MembershipActions addSeed(TimePoint now, const Endpoint &endpoint) = 0;
     virtual MembershipActions receive(TimePoint now, const DaemonId &from,
-                                      const std::string &payload) = 0;
+                                      const MembershipMessage &message) = 0;
     /// A link to the daemon could not be opened or was lost.
     virtual MembershipActions onUnreachable(TimePoint now, const DaemonId &daemon) = 0;
+    /// To be called every `MembershipOptions::gossipInterval`.
     virtual MembershipActions tick(TimePoint now, IRandom &random) = 0;
-    /// Members that take work: alive or suspect, without those leaving.
+    /// Members that take work: alive or suspect, without those leaving. Includes this daemon.
     virtual std::vector<Member> working() const = 0;
     virtual std::vector<MemberStatus> all() const = 0;
 };
--- /dev/null
+++ b/src/coordination/membership/internal/membership.cpp
@@ -0,0 +1,502 @@
+#include "coordination/membership/internal/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::size_t MIN_SENDS = 4;
+constexpr double MIN_SUSPICION_PERIODS = 3;
+/// Doubts checked per tick: after a partition there may be hundreds, and each costs a ping.
+constexpr std::size_t DOUBTS_PER_TICK = 2;
+constexpr int LAST_CALL_PERIODS = 3;
+constexpr std::size_t GOODBYE_RECEIVERS = 8;
+constexpr std::uint64_t RECONTACTS_PER_SEED = 6;
+
+} // namespace
+
+std::unique_ptr<IMembership> makeMembership(TimePoint now, const Member &self,
+                                            const MembershipOptions &options)
+{
+    return std::make_unique<Membership>(now, self, options);
+}
+
+Membership::Membership(TimePoint now, const Member &self, const MembershipOptions &options)
+    : m_options(options)
+    , m_self(self.id)
+    , m_nextPing(now)
+    , m_nextSync(now)
+    , m_nextRecontact(now + options.recontactInterval)
+    , m_relistenUntil(now)
+    , m_syncBytes(static_cast<double>(options.syncBurstBytes))
+    , m_syncBytesAt(now)
+{
+    MemberEntry entry;
+    entry.member = self;
+    entry.member.counter = 1;
+    entry.counter = 1;
+    entry.since = now;
+    m_table.put(entry);
+    m_queue.push(makeUpdate(entry, true));
+}
+
+MembershipActions Membership::updateSelf(TimePoint now, const Member &self)
+{
+    MembershipActions actions;
+    MemberEntry entry = this->self();
+    const std::uint64_t counter = entry.counter + 1;
+    const Incarnation incarnation = entry.member.incarnation;
+    entry.member = self;
+    entry.member.id = m_self;
+    entry.member.incarnation = incarnation;
+    entry.member.counter = counter;
+    entry.counter = counter;
+    entry.since = now;
+    m_table.put(entry);
+    m_queue.push(makeUpdate(entry, true));
+    actions.changed = true;
+    sendGossip(m_options.gossipFanout, actions);
+    return actions;
+}
+
+MembershipActions Membership::leave(TimePoint now)
+{
+    MembershipActions actions;
+    MemberEntry entry = self();
+    ++entry.counter;
+    entry.health = MemberHealth::Left;
+    entry.since = now;
+    m_table.put(entry);
+    m_queue.push(makeUpdate(entry, false));
+    actions.changed = true;
+    sendGossip(GOODBYE_RECEIVERS, actions);
+    return actions;
+}
+
+MembershipActions Membership::addSeed(TimePoint /*now*/, const Endpoint &endpoint)
+{
+    MembershipActions actions;
+    const bool isKnown = std::find(m_seeds.begin(), m_seeds.end(), endpoint) != m_seeds.end();
+    if (isKnown || m_seeds.size() >= m_options.maxSeeds || endpoint == self().member.peerEndpoint) {
+        return actions;
+    }
+    m_seeds.push_back(endpoint);
+    return actions;
+}
+
+MembershipActions Membership::onUnreachable(TimePoint now, const DaemonId &daemon)
+{
+    MembershipActions actions;
+    const MemberEntry *entry = m_table.find(daemon);
+    if (daemon == m_self || !entry || entry->health != MemberHealth::Alive || isProbed(daemon)) {
+        return actions;
+    }
+    startProbe(now, daemon, actions);
+    return actions;
+}
+
+MembershipActions Membership::tick(TimePoint now, IRandom &random)
+{
+    MembershipActions actions;
+    if (self().health == MemberHealth::Left) {
+        return actions;
+    }
+    if (!m_lastTick) {
+        m_salt = random.next();
+        // Daemons that start together would otherwise ping in step for ever.
+        m_nextPing = now + Duration(random.below(m_options.period.count()));
+    }
+    noteGap(now);
+    expireProbes(now, actions);
+    expireSuspects(now, actions);
+    forgetDead(now);
+    if (m_areRingsStale) {
+        rebuildRings();
+    }
+    pingNext(now, random, actions);
+    verifyDoubted(now, actions);
+    spread(actions);
+    synchronise(now, actions);
+    recontact(now, random, actions);
+    return actions;
+}
+
+std::vector<Member> Membership::working() const
+{
+    std::vector<Member> members;
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (isUp(entry.health) && !entry.member.leaving) {
+            members.push_back(entry.member);
+        }
+    }
+    return members;
+}
+
+std::vector<MemberStatus> Membership::all() const
+{
+    std::vector<MemberStatus> members;
+    for (const auto &[id, entry] : m_table.entries()) {
+        members.push_back({ entry.member, entry.health });
+    }
+    return members;
+}
+
+/// After a freeze the acks of running probes and the refutations of suspects wait unread in the
+/// sockets, and all timers have run out. Acting on them would declare everyone dead at once. So
+/// probes are dropped, suspects get their whole time again, and nobody is suspected before what
+/// arrived meanwhile could be read.
+void Membership::noteGap(TimePoint now)
+{
+    const bool wasFrozen = m_lastTick && now - *m_lastTick > m_options.freezeGap;
+    m_lastTick = now;
+    if (!wasFrozen) {
+        return;
+    }
+    m_probes.clear();
+    m_relays.clear();
+    m_relistenUntil = now + m_options.relisten;
+    m_nextPing = now;
+    std::vector<MemberEntry> suspects;
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (entry.health == MemberHealth::Suspect) {
+            suspects.push_back(entry);
+        }
+    }
+    for (MemberEntry &entry : suspects) {
+        entry.since = now;
+        m_table.put(std::move(entry));
+    }
+}
+
+void Membership::expireProbes(TimePoint now, MembershipActions &actions)
+{
+    std::vector<DaemonId> failed;
+    for (auto it = m_probes.begin(); it != m_probes.end();) {
+        Probe &probe = it->second;
+        const Duration age = now - probe.start;
+        if (age >= m_options.ackTimeout && !probe.hasAskedOthers) {
+            probe.hasAskedOthers = true;
+            askOthers(probe, it->first, actions);
+        }
+        if (age < m_options.period) {
+            ++it;
+            continue;
+        }
+        failed.push_back(probe.target);
+        it = m_probes.erase(it);
+    }
+    for (auto it = m_relays.begin(); it != m_relays.end();) {
+        it = now - it->second.start >= 2 * m_options.period ? m_relays.erase(it) : std::next(it);
+    }
+    if (now < m_relistenUntil) {
+        return;
+    }
+    for (const DaemonId &id : failed) {
+        const MemberEntry *entry = m_table.find(id);
+        if (!entry || !isUp(entry->health)) {
+            continue;
+        }
+        if (entry->health == MemberHealth::Alive) {
+            setHealth(now, *entry, MemberHealth::Suspect, actions);
+        }
+        MemberEntry own = *m_table.find(id);
+        own.isOwnSuspicion = true;
+        m_table.put(own);
+    }
+}
+
+void Membership::expireSuspects(TimePoint now, MembershipActions &actions)
+{
+    if (now < m_relistenUntil) {
+        return;
+    }
+    const Duration timeout = suspicionTimeout();
+    std::vector<MemberEntry> expired;
+    std::vector<DaemonId> asked;
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (entry.health != MemberHealth::Suspect) {
+            continue;
+        }
+        const Duration age = now - entry.since;
+        if (age >= timeout) {
+            expired.push_back(entry);
+        } else if (entry.isOwnSuspicion || age >= timeout - LAST_CALL_PERIODS * m_options.period) {
+            asked.push_back(id);
+        }
+    }
+    for (const MemberEntry &entry : expired) {
+        setHealth(now, entry, MemberHealth::Dead, actions);
+    }
+    // A lost message must not be the last word: the observer that raised the suspicion goes on
+    // asking, and so does, before its time is over, each that may have missed the refutation.
+    for (const DaemonId &id : asked) {
+        probeAgain(now, id, actions);
+    }
+}
+
+void Membership::probeAgain(TimePoint now, const DaemonId &id, MembershipActions &actions)
+{
+    const bool isWaiting = std::any_of(m_probes.begin(), m_probes.end(), [&](const auto &probe) {
+        return probe.second.target == id && now - probe.second.start < m_options.ackTimeout;
+    });
+    if (isWaiting) {
+        return;
+    }
+    startProbe(now, id, actions);
+    // Others were asked when the suspicion came up.
+    m_probes[m_lastSequence].hasAskedOthers = true;
+}
+
+bool Membership::isProbed(const DaemonId &id) const
+{
+    return std::any_of(m_probes.begin(), m_probes.end(),
+                       [&id](const auto &probe) { return probe.second.target == id; });
+}
+
+void Membership::forgetDead(TimePoint now)
+{
+    std::vector<std::pair<TimePoint, DaemonId>> gone;
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (!isUp(entry.health) && id != m_self) {
+            gone.emplace_back(entry.since, id);
+        }
+    }
+    if (gone.empty()) {
+        return;
+    }
+    std::sort(gone.begin(), gone.end());
+    const std::size_t surplus =
+        gone.size() > m_options.maxDead ? gone.size() - m_options.maxDead : 0;
+    for (std::size_t i = 0; i < gone.size(); ++i) {
+        if (i < surplus || now - gone[i].first >= m_options.deadRetention) {
+            m_table.erase(gone[i].second);
+        }
+    }
+}
+
+void Membership::pingNext(TimePoint now, IRandom &random, MembershipActions &actions)
+{
+    if (now < m_nextPing) {
+        return;
+    }
+    m_nextPing += m_options.period;
+    if (m_nextPing <= now) {
+        m_nextPing = now + m_options.period;
+    }
+    for (std::size_t tried = 0; tried < 2;) {
+        if (m_pingAt >= m_pingRing.size()) {
+            ++tried;
+            m_pingAt = 0;
+            m_pingRing.clear();
+            for (const auto &[domain, ids] : m_receivers) {
+                m_pingRing.insert(m_pingRing.end(), ids.begin(), ids.end());
+            }
+            shuffle(m_pingRing, random);
+            for (auto &[domain, ids] : m_receivers) {
+                shuffle(ids, random);
+            }
+            continue;
+        }
+        const MemberEntry *entry = m_table.find(m_pingRing[m_pingAt++]);
+        if (entry && isUp(entry->health)) {
+            startProbe(now, entry->member.id, actions);
+            return;
+        }
+    }
+}
+
+/// Another daemon holds a member for dead that is up here, as after a partition. Taking its word
+/// would remove whole failure domains when they meet again; asking the member lets it refute.
+void Membership::verifyDoubted(TimePoint now, MembershipActions &actions)
+{
+    for (std::size_t i = 0; i < DOUBTS_PER_TICK && !m_doubted.empty(); ++i) {
+        const DaemonId id = m_doubted.front();
+        m_doubted.pop_front();
+        const MemberEntry *entry = m_table.find(id);
+        if (!entry || entry->health != MemberHealth::Alive) {
+            continue;
+        }
+        MemberEntry doubted = *entry;
+        doubted.health = MemberHealth::Dead;
+        m_probes[++m_lastSequence] = Probe{ id, now, false };
+        sendPing(doubted, m_lastSequence, actions);
+    }
+}
+
+void Membership::spread(MembershipActions &actions)
+{
+    if (!m_queue.isEmpty()) {
+        sendGossip(m_options.gossipFanout, actions);
+    }
+}
+
+void Membership::synchronise(TimePoint now, MembershipActions &actions)
+{
+    if (!m_differing || now < m_nextSync) {
+        return;
+    }
+    if (m_differing->digest == m_table.digest()) {
+        m_differing.reset();
+        return;
+    }
+    // Digests differ for a few seconds with each change that spreads: only a difference that lasts
+    // is worth an exchange. A daemon that has just started cannot wait for it.
+    const bool isSettled = now - m_differing->since >= 2 * m_options.syncInterval;
+    if (m_hasAgreed && !isSettled) {
+        return;
+    }
+    m_nextSync = now + (m_hasAgreed ? m_options.syncInterval : m_options.period);
+    const auto &buckets = m_table.buckets();
+    SyncRequestMessage request{ { buckets.begin(), buckets.end() } };
+    send(m_differing->id, m_differing->endpoint, makeMessage(std::move(request)), actions);
+    m_differing.reset();
+}
+
+/// Two sides of a partition hold each other for dead, and nobody pings the dead in turn. Trying one
+/// now and then joins them again; the same goes for seeds, when the dead have been forgotten.
+void Membership::recontact(TimePoint now, IRandom &random, MembershipActions &actions)
+{
+    const bool isAlone = m_table.upCount() <= 1;
+    if (now < m_nextRecontact && !isAlone) {
+        return;
+    }
+    if (isAlone && now < m_nextSync) {
+        return;
+    }
+    if (isAlone) {
+        m_nextSync = now + m_options.period;
+    }
+    const auto spread = static_cast<std::uint64_t>(m_options.recontactInterval.count());
+    m_nextRecontact = now + m_options.recontactInterval / 2 + Duration(random.below(spread));
+    if (isAlone || random.below(RECONTACTS_PER_SEED) == 0) {
+        contactSeed(random, actions);
+    }
+    std::vector<const MemberEntry *> dead;
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (entry.health == MemberHealth::Dead && entry.member.peerEndpoint.port != 0) {
+            dead.push_back(&entry);
+        }
+    }
+    if (!dead.empty()) {
+        const MemberEntry &entry = *dead[random.below(dead.size())];
+        sendPing(entry, ++m_lastSequence, actions);
+    }
+}
+
+void Membership::contactSeed(IRandom &random, MembershipActions &actions)
+{
+    std::vector<Endpoint> candidates = m_seeds;
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (isUp(entry.health)) {
+            candidates.erase(
+                std::remove(candidates.begin(), candidates.end(), entry.member.peerEndpoint),
+                candidates.end());
+        }
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    const auto &buckets = m_table.buckets();
+    MembershipMessage message =
+        makeMessage(SyncRequestMessage{ { buckets.begin(), buckets.end() } });
+    message.updates.push_back(makeUpdate(self(), true));
+    send(DaemonId(), candidates[random.below(candidates.size())], std::move(message), actions);
+}
+
+void Membership::rebuildRings()
+{
+    m_areRingsStale = false;
+    m_receivers.clear();
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (id != m_self && isUp(entry.health)) {
+            m_receivers[entry.member.domain].push_back(id);
+        }
+    }
+    // The table's order is the same in all daemons that learnt of the members in the same order.
+    for (auto &[domain, ids] : m_receivers) {
+        std::sort(ids.begin(), ids.end());
+        std::uint64_t state = m_salt;
+        for (std::size_t i = ids.size(); i > 1; --i) {
+            constexpr std::uint64_t FACTOR = 6364136223846793005ULL;
+            state = state * FACTOR + 1442695040888963407ULL;
+            std::swap(ids[i - 1], ids[(state >> 33U) % i]);
+        }
+    }
+}
+
+void Membership::shuffle(std::vector<DaemonId> &ids, IRandom &random) const
+{
+    for (std::size_t i = ids.size(); i > 1; --i) {
+        std::swap(ids[i - 1], ids[random.below(i)]);
+    }
+}
+
+/// A newcomer is put at a random place in the rest of the round: at its end, each observer would
+/// reach it only after a whole round.
+void Membership::joinPingRing(const DaemonId &id)
+{
+    const std::size_t at = std::min(m_pingAt, m_pingRing.size());
+    const std::size_t rest = m_pingRing.size() - at;
+    const std::size_t place = (std::hash<DaemonId>()(id) ^ m_salt) % (rest + 1);
+    m_pingRing.insert(m_pingRing.begin() + static_cast<std::ptrdiff_t>(at + place), id);
+}
+
+const MemberEntry *Membership::nextReceiver()
+{
+    if (m_areRingsStale) {
+        rebuildRings();
+    }
+    for (std::size_t tried = 0; tried < m_receivers.size(); ++tried) {
+        auto ring = m_receivers.upper_bound(m_lastDomain);
+        if (ring == m_receivers.end()) {
+            ring = m_receivers.begin();
+        }
+        m_lastDomain = ring->first;
+        std::size_t &at = m_receiverAt[ring->first];
+        at = (at + 1) % ring->second.size();
+        const MemberEntry *entry = m_table.find(ring->second[at]);
+        if (entry && isUp(entry->health)) {
+            return entry;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<const MemberEntry *> Membership::nextReceivers(std::size_t count,
+                                                           const DaemonId &except)
+{
+    std::vector<const MemberEntry *> receivers;
+    for (std::size_t tried = 0; tried < 2 * count && receivers.size() < count; ++tried) {
+        const MemberEntry *entry = nextReceiver();
+        const bool isUsable = entry && entry->member.id != except
+            && std::find(receivers.begin(), receivers.end(), entry) == receivers.end();
+        if (isUsable) {
+            receivers.push_back(entry);
+        }
+    }
+    return receivers;
+}
+
+double Membership::logMembers() const
+{
+    return std::log2(static_cast<double>(m_table.upCount() + 1));
+}
+
+std::size_t Membership::maxSends() const
+{
+    const auto sends = static_cast<std::size_t>(std::ceil(m_options.spreadFactor * logMembers()));
+    return std::max(MIN_SENDS, sends);
+}
+
+Duration Membership::suspicionTimeout() const
+{
+    const double periods =
+        std::max(MIN_SUSPICION_PERIODS, m_options.suspicionFactor * logMembers());
+    return Duration(
+        static_cast<Duration::rep>(periods * static_cast<double>(m_options.period.count())));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/membership/internal/membership.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/membership/internal/membertable.h"
+#include "coordination/membership/internal/updatequeue.h"
+#include "coordination/membership/membershipfactory.h"
+
+namespace ivyspar {
+
+class Membership : public IMembership
+{
+public:
+    Membership(TimePoint now, const Member &self, const MembershipOptions &options);
+
+    MembershipActions updateSelf(TimePoint now, const Member &self) override;
+    MembershipActions leave(TimePoint now) override;
+    MembershipActions addSeed(TimePoint now, const Endpoint &endpoint) override;
+    MembershipActions receive(TimePoint now, const DaemonId &from,
+                              const MembershipMessage &message) override;
+    MembershipActions onUnreachable(TimePoint now, const DaemonId &daemon) override;
+    MembershipActions tick(TimePoint now, IRandom &random) override;
+    std::vector<Member> working() const override;
+    std::vector<MemberStatus> all() const override;
+
+private:
+    /// A ping of ours that waits for its ack.
+    struct Probe
+    {
+        DaemonId target;
+        TimePoint start;
+        bool hasAskedOthers = false;
+    };
+    /// A ping sent for another member.
+    struct Relay
+    {
+        DaemonId requester;
+        std::uint64_t requesterSequence = 0;
+        TimePoint start;
+    };
+    /// A member whose digest differed from ours when it last spoke.
+    struct Differing
+    {
+        DaemonId id;
+        Endpoint endpoint;
+        std::uint64_t digest = 0;
+        TimePoint since;
+    };
+    enum class Source { Gossip, Sync };
+
+    void applyUpdate(TimePoint now, const MemberUpdate &update, Source source,
+                     MembershipActions &actions);
+    void applyToSelf(const MemberUpdate &update, MembershipActions &actions);
+    bool isAcceptable(const MemberUpdate &update, const MemberEntry *known) const;
+    void setHealth(TimePoint now, const MemberEntry &entry, MemberHealth health,
+                   MembershipActions &actions);
+    void refute(std::uint64_t counter);
+    const MemberEntry &self() const { return *m_table.find(m_self); }
+
+    void handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                const PingMessage &ping, MembershipActions &actions);
+    void handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                const AckMessage &ack, MembershipActions &actions);
+    void handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                const PingRequestMessage &request, MembershipActions &actions);
+    void handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                const GossipMessage &gossip, MembershipActions &actions);
+    void handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                const SyncRequestMessage &request, MembershipActions &actions);
+    void handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                const SyncReplyMessage &reply, MembershipActions &actions);
+    void compareDigest(TimePoint now, const DaemonId &from, const MembershipMessage &message);
+
+    void noteGap(TimePoint now);
+    void expireProbes(TimePoint now, MembershipActions &actions);
+    void expireSuspects(TimePoint now, MembershipActions &actions);
+    void probeAgain(TimePoint now, const DaemonId &id, MembershipActions &actions);
+    bool isProbed(const DaemonId &id) const;
+    void forgetDead(TimePoint now);
+    void pingNext(TimePoint now, IRandom &random, MembershipActions &actions);
+    void verifyDoubted(TimePoint now, MembershipActions &actions);
+    void spread(MembershipActions &actions);
+    void synchronise(TimePoint now, MembershipActions &actions);
+    void recontact(TimePoint now, IRandom &random, MembershipActions &actions);
+    void contactSeed(IRandom &random, MembershipActions &actions);
+
+    void startProbe(TimePoint now, const DaemonId &target, MembershipActions &actions);
+    void sendPing(const MemberEntry &target, std::uint64_t sequence, MembershipActions &actions);
+    void askOthers(const Probe &probe, std::uint64_t sequence, MembershipActions &actions);
+    MembershipMessage makeMessage(MembershipBody body);
+    void send(const DaemonId &to, const Endpoint &endpoint, MembershipMessage message,
+              MembershipActions &actions) const;
+    void sendGossip(std::size_t receivers, MembershipActions &actions);
+
+    void rebuildRings();
+    void shuffle(std::vector<DaemonId> &ids, IRandom &random) const;
+    void joinPingRing(const DaemonId &id);
+    /// Next member to send to; takes the failure domains in turn so that each is covered.
+    const MemberEntry *nextReceiver();
+    std::vector<const MemberEntry *> nextReceivers(std::size_t count, const DaemonId &except);
+    std::size_t takeSyncBytes(TimePoint now);
+
+    double logMembers() const;
+    std::size_t maxSends() const;
+    Duration suspicionTimeout() const;
+
+    const MembershipOptions m_options;
+    const DaemonId m_self;
+    MemberTable m_table;
+    UpdateQueue m_queue;
+
+    std::map<std::uint64_t, Probe> m_probes;
+    std::map<std::uint64_t, Relay> m_relays;
+    std::uint64_t m_lastSequence = 0;
+    /// Members that another daemon holds for dead and this one does not.
+    std::deque<DaemonId> m_doubted;
+
+    std::vector<DaemonId> m_pingRing;
+    std::size_t m_pingAt = 0;
+    std::map<DomainName, std::vector<DaemonId>> m_receivers;
+    std::map<DomainName, std::size_t> m_receiverAt;
+    DomainName m_lastDomain;
+    bool m_areRingsStale = true;
+
+    std::vector<Endpoint> m_seeds;
+    std::optional<Differing> m_differing;
+    /// The digest has agreed with another member's at least once.
+    bool m_hasAgreed = false;
+
+    std::optional<TimePoint> m_lastTick;
+    TimePoint m_nextPing;
+    TimePoint m_nextSync;
+    TimePoint m_nextRecontact;
+    TimePoint m_relistenUntil;
+    double m_syncBytes = 0;
+    TimePoint m_syncBytesAt;
+    std::size_t m_syncCursor = 0;
+    std::uint64_t m_salt = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/membership/internal/membershipexchange.cpp
@@ -0,0 +1,378 @@
+// The part of Membership that makes and takes messages.
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "coordination/membership/internal/membership.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::size_t MAX_DOUBTED = 512;
+constexpr std::size_t MAX_RELAYS = 256;
+/// Records given to anyone who asks, even when the bytes for exchanges are spent: enough to find
+/// others to ask.
+constexpr std::size_t MIN_SYNC_BYTES = 2048;
+
+} // namespace
+
+MembershipActions Membership::receive(TimePoint now, const DaemonId &from,
+                                      const MembershipMessage &message)
+{
+    MembershipActions actions;
+    if (from == m_self || self().health == MemberHealth::Left) {
+        return actions;
+    }
+    for (const MemberUpdate &update : message.updates) {
+        applyUpdate(now, update, Source::Gossip, actions);
+    }
+    std::visit([&](const auto &body) { handle(now, from, message, body, actions); }, message.body);
+    compareDigest(now, from, message);
+    return actions;
+}
+
+void Membership::applyUpdate(TimePoint now, const MemberUpdate &update, Source source,
+                             MembershipActions &actions)
+{
+    if (update.id == m_self) {
+        applyToSelf(update, actions);
+        return;
+    }
+    const MemberEntry *known = m_table.find(update.id);
+    if (update.health == MemberHealth::Dead && known && isUp(known->health)) {
+        // See verifyDoubted(). Only the observer's own timer declares a member dead.
+        const bool isSameRun = known->member.incarnation == update.incarnation;
+        if (isSameRun && update.counter >= known->counter && m_doubted.size() < MAX_DOUBTED
+            && std::find(m_doubted.begin(), m_doubted.end(), update.id) == m_doubted.end()) {
+            m_doubted.push_back(update.id);
+        }
+        return;
+    }
+    if (!isAcceptable(update, known)) {
+        return;
+    }
+    MemberEntry entry = known ? *known : MemberEntry();
+    const bool wasUp = known && isUp(known->health);
+    const bool isRecordNew = update.record
+        && (!known || known->member.incarnation != update.incarnation
+            || known->member.counter != update.recordCounter);
+    if (update.record) {
+        entry.member = *update.record;
+    }
+    entry.member.id = update.id;
+    entry.member.incarnation = update.incarnation;
+    entry.member.counter = update.recordCounter;
+    entry.counter = update.counter;
+    entry.isOwnSuspicion = false;
+    if (!known || entry.health != update.health) {
+        entry.since = now;
+    }
+    entry.health = update.health;
+    m_table.put(entry);
+    actions.changed = actions.changed || isRecordNew || wasUp != isUp(entry.health);
+    if (source == Source::Gossip && update.health != MemberHealth::Dead) {
+        m_queue.push(update);
+    }
+    if (wasUp != isUp(entry.health) || isRecordNew) {
+        m_areRingsStale = true;
+    }
+    if (!wasUp && isUp(entry.health)) {
+        joinPingRing(update.id);
+    }
+}
+
+bool Membership::isAcceptable(const MemberUpdate &update, const MemberEntry *known) const
+{
+    if (update.id.value().empty()) {
+        return false;
+    }
+    if (known && !isNewer(update, *known)) {
+        return false;
+    }
+    if (!known && m_table.entries().size() >= m_options.maxMembers + m_options.maxDead) {
+        return false;
+    }
+    if (!isUp(update.health)) {
+        return true;
+    }
+    if (update.record) {
+        return update.record->peerEndpoint.port != 0;
+    }
+    // Without the record the version must not be taken over: the digests would agree, and nobody
+    // would notice that the record is missing here. Anti-entropy brings it.
+    return known && known->member.incarnation == update.incarnation
+        && known->member.counter == update.recordCounter && known->member.peerEndpoint.port != 0;
+}
+
+void Membership::applyToSelf(const MemberUpdate &update, MembershipActions &actions)
+{
+    const MemberEntry &own = self();
+    if (update.incarnation > own.member.incarnation) {
+        actions.newerSelf = update.incarnation;
+        return;
+    }
+    if (update.incarnation < own.member.incarnation) {
+        return;
+    }
+    const bool isDoubted = update.health != MemberHealth::Alive && update.counter >= own.counter;
+    if (isDoubted || update.counter > own.counter) {
+        refute(update.counter);
+    }
+}
+
+/// Outdoes what others believe of this daemon up to version `counter`.
+void Membership::refute(std::uint64_t counter)
+{
+    MemberEntry entry = self();
+    entry.counter = std::max(entry.counter, counter) + 1;
+    m_table.put(entry);
+    m_queue.push(makeUpdate(entry, false));
+}
+
+void Membership::setHealth(TimePoint now, const MemberEntry &entry, MemberHealth health,
+                           MembershipActions &actions)
+{
+    MemberEntry changed = entry;
+    changed.health = health;
+    changed.since = now;
+    changed.isOwnSuspicion = false;
+    m_table.put(changed);
+    if (health == MemberHealth::Suspect) {
+        m_queue.push(makeUpdate(changed, false));
+    }
+    if (isUp(entry.health) != isUp(health)) {
+        actions.changed = true;
+        m_areRingsStale = true;
+    }
+}
+
+void Membership::handle(TimePoint /*now*/, const DaemonId &from, const MembershipMessage &message,
+                        const PingMessage &ping, MembershipActions &actions)
+{
+    if (ping.target != m_self) {
+        // The endpoint has a new owner; the sender learns of it and goes on by itself.
+        MembershipMessage reply = makeMessage(GossipMessage());
+        reply.updates.push_back(makeUpdate(self(), true));
+        send(from, message.sender, std::move(reply), actions);
+        return;
+    }
+    const bool isThisRun = ping.targetIncarnation == self().member.incarnation;
+    if (isThisRun && ping.targetHealth != MemberHealth::Alive
+        && ping.targetCounter >= self().counter) {
+        refute(ping.targetCounter);
+    }
+    MembershipMessage reply = makeMessage(AckMessage{ ping.sequence, m_self });
+    if (!isThisRun || ping.targetCounter != self().counter) {
+        reply.updates.push_back(makeUpdate(self(), true));
+    }
+    const MemberEntry *sender = m_table.find(from);
+    if (sender && sender->health != MemberHealth::Alive) {
+        reply.updates.push_back(makeUpdate(*sender, false));
+    }
+    send(from, message.sender, std::move(reply), actions);
+}
+
+void Membership::handle(TimePoint /*now*/, const DaemonId & /*from*/,
+                        const MembershipMessage & /*message*/, const AckMessage &ack,
+                        MembershipActions &actions)
+{
+    const auto probe = m_probes.find(ack.sequence);
+    if (probe != m_probes.end() && probe->second.target == ack.target) {
+        m_probes.erase(probe);
+        return;
+    }
+    const auto relay = m_relays.find(ack.sequence);
+    if (relay == m_relays.end()) {
+        return;
+    }
+    const MemberEntry *requester = m_table.find(relay->second.requester);
+    const MemberEntry *target = m_table.find(ack.target);
+    if (requester && target) {
+        MembershipMessage reply =
+            makeMessage(AckMessage{ relay->second.requesterSequence, ack.target });
+        reply.updates.push_back(makeUpdate(*target, true));
+        send(requester->member.id, requester->member.peerEndpoint, std::move(reply), actions);
+    }
+    m_relays.erase(relay);
+}
+
+void Membership::handle(TimePoint now, const DaemonId &from, const MembershipMessage & /*message*/,
+                        const PingRequestMessage &request, MembershipActions &actions)
+{
+    if (m_relays.size() >= MAX_RELAYS) {
+        return;
+    }
+    const MemberEntry *known = m_table.find(request.target);
+    MemberEntry target = known ? *known : MemberEntry();
+    target.member.id = request.target;
+    target.member.peerEndpoint = request.targetEndpoint;
+    m_relays[++m_lastSequence] = Relay{ from, request.sequence, now };
+    sendPing(target, m_lastSequence, actions);
+}
+
+void Membership::handle(TimePoint /*now*/, const DaemonId &from, const MembershipMessage &message,
+                        const GossipMessage & /*gossip*/, MembershipActions &actions)
+{
+    // A member that this daemon holds for dead speaks: telling it lets it refute. Suspects are told
+    // by the suspicion that spreads.
+    const MemberEntry *sender = m_table.find(from);
+    if (!sender || sender->health != MemberHealth::Dead) {
+        return;
+    }
+    MembershipMessage reply = makeMessage(GossipMessage());
+    reply.updates.push_back(makeUpdate(*sender, false));
+    send(from, message.sender, std::move(reply), actions);
+}
+
+void Membership::handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                        const SyncRequestMessage &request, MembershipActions &actions)
+{
+    const auto &own = m_table.buckets();
+    if (request.buckets.size() != own.size()) {
+        return;
+    }
+    std::array<std::vector<const MemberEntry *>, MemberTable::BUCKET_COUNT> differing;
+    for (const auto &[id, entry] : m_table.entries()) {
+        const std::size_t bucket = MemberTable::bucketOf(id);
+        if (request.buckets[bucket] != own[bucket]) {
+            differing[bucket].push_back(&entry);
+        }
+    }
+    SyncReplyMessage reply;
+    const std::size_t allowed = takeSyncBytes(now);
+    std::size_t bytes = 0;
+    ++m_syncCursor;
+    for (std::size_t i = 0; i < own.size() && bytes < allowed; ++i) {
+        const std::size_t bucket = (m_syncCursor + i) % own.size();
+        if (request.buckets[bucket] == own[bucket]) {
+            continue;
+        }
+        for (const MemberEntry *entry : differing[bucket]) {
+            reply.records.push_back(makeUpdate(*entry, isUp(entry->health)));
+            bytes += estimateBytes(reply.records.back());
+        }
+        reply.covered |= std::uint64_t(1) << bucket;
+    }
+    m_syncBytes -= static_cast<double>(bytes);
+    send(from, message.sender, makeMessage(std::move(reply)), actions);
+}
+
+void Membership::handle(TimePoint now, const DaemonId &from, const MembershipMessage &message,
+                        const SyncReplyMessage &reply, MembershipActions &actions)
+{
+    std::unordered_map<DaemonId, const MemberUpdate *> theirs;
+    for (const MemberUpdate &update : reply.records) {
+        applyUpdate(now, update, Source::Sync, actions);
+        theirs[update.id] = &update;
+    }
+    if (reply.covered == 0) {
+        return;
+    }
+    // The other direction of the exchange: what is newer here. Its `covered` is 0, which ends it.
+    SyncReplyMessage back;
+    const std::size_t allowed = takeSyncBytes(now);
+    std::size_t bytes = 0;
+    for (const auto &[id, entry] : m_table.entries()) {
+        const bool isCovered = (reply.covered >> MemberTable::bucketOf(id)) & 1U;
+        const auto found = theirs.find(id);
+        const bool isNewerHere = found == theirs.end() || isNewer(makeUpdate(entry, false), [&] {
+                                     MemberEntry other;
+                                     other.member.incarnation = found->second->incarnation;
+                                     other.counter = found->second->counter;
+                                     other.health = found->second->health;
+                                     return other;
+                                 }());
+        if (!isCovered || !isNewerHere || bytes >= allowed) {
+            continue;
+        }
+        back.records.push_back(makeUpdate(entry, isUp(entry.health)));
+        bytes += estimateBytes(back.records.back());
+    }
+    m_syncBytes -= static_cast<double>(bytes);
+    if (!back.records.empty()) {
+        send(from, message.sender, makeMessage(std::move(back)), actions);
+    }
+}
+
+void Membership::compareDigest(TimePoint now, const DaemonId &from,
+                               const MembershipMessage &message)
+{
+    if (message.digest == m_table.digest()) {
+        m_hasAgreed = true;
+        // Agreement with one member says nothing of the others: a small group that agrees among
+        // itself would never look further.
+        if (m_differing && m_differing->id == from) {
+            m_differing.reset();
+        }
+        return;
+    }
+    const TimePoint since = m_differing ? m_differing->since : now;
+    m_differing = Differing{ from, message.sender, message.digest, since };
+}
+
+void Membership::startProbe(TimePoint now, const DaemonId &target, MembershipActions &actions)
+{
+    m_probes[++m_lastSequence] = Probe{ target, now, false };
+    sendPing(*m_table.find(target), m_lastSequence, actions);
+}
+
+void Membership::sendPing(const MemberEntry &target, std::uint64_t sequence,
+                          MembershipActions &actions)
+{
+    PingMessage ping;
+    ping.sequence = sequence;
+    ping.target = target.member.id;
+    ping.targetIncarnation = target.member.incarnation;
+    ping.targetCounter = target.counter;
+    ping.targetHealth = target.health;
+    send(target.member.id, target.member.peerEndpoint, makeMessage(std::move(ping)), actions);
+}
+
+void Membership::askOthers(const Probe &probe, std::uint64_t sequence, MembershipActions &actions)
+{
+    const MemberEntry *target = m_table.find(probe.target);
+    if (!target) {
+        return;
+    }
+    const PingRequestMessage request{ sequence, probe.target, target->member.peerEndpoint };
+    for (const MemberEntry *helper : nextReceivers(m_options.indirectProbes, probe.target)) {
+        send(helper->member.id, helper->member.peerEndpoint, makeMessage(request), actions);
+    }
+}
+
+void Membership::sendGossip(std::size_t receivers, MembershipActions &actions)
+{
+    for (const MemberEntry *receiver : nextReceivers(receivers, m_self)) {
+        send(receiver->member.id, receiver->member.peerEndpoint, makeMessage(GossipMessage()),
+             actions);
+    }
+}
+
+MembershipMessage Membership::makeMessage(MembershipBody body)
+{
+    MembershipMessage message;
+    message.sender = self().member.peerEndpoint;
+    message.updates = m_queue.take(m_options.updateBytes, maxSends());
+    message.digest = m_table.digest();
+    message.body = std::move(body);
+    return message;
+}
+
+void Membership::send(const DaemonId &to, const Endpoint &endpoint, MembershipMessage message,
+                      MembershipActions &actions) const
+{
+    actions.send.push_back({ to, endpoint, std::move(message) });
+}
+
+std::size_t Membership::takeSyncBytes(TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_syncBytesAt).count();
+    const double refill = seconds * static_cast<double>(m_options.syncBytesPerSecond);
+    m_syncBytes = std::min(m_syncBytes + refill, static_cast<double>(m_options.syncBurstBytes));
+    m_syncBytesAt = now;
+    const double left = std::max(m_syncBytes, static_cast<double>(MIN_SYNC_BYTES));
+    return static_cast<std::size_t>(left);
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/membership/tests/mocks/membershipfabric.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/membership/membershipfactory.h"
+#include "state/internal/seededrandom.h"
+
+namespace ivyspar {
+
+/// Membership objects under a fake clock that exchange messages with a delay, losses, freezes and
+/// cuts between failure domains.
+class MembershipFabric
+{
+public:
+    struct Node
+    {
+        Member record;
+        std::unique_ptr<IMembership> membership;
+        bool isRunning = true;
+        TimePoint frozenUntil;
+        std::size_t changes = 0;
+        /// Messages that wait in the sockets of a frozen process.
+        std::vector<std::pair<DaemonId, MembershipMessage>> unread;
+    };
+
+    MembershipFabric(std::uint64_t seed, const MembershipOptions &options = {})
+        : m_options(options)
+        , m_random(seed)
+    {
+    }
+
+    static constexpr std::size_t NONE = static_cast<std::size_t>(-1);
+
+    /// Starts a daemon that looks for others at `seed`. Returns its index.
+    std::size_t start(const std::string &domain, std::size_t seed = NONE)
+    {
+        const std::size_t index = m_nodes.size();
+        Member record;
+        record.id = DaemonId("daemon-" + std::to_string(index));
+        record.domain = DomainName(domain);
+        record.upstreams.push_back(
+            { ServiceName("service-" + std::to_string(index % 84)), 80, 600, false });
+        m_nodes.emplace_back();
+        m_nodes.back().record = record;
+        boot(index, seed);
+        scheduleTick(index, Duration(m_random.below(m_options.gossipInterval.count())));
+        return index;
+    }
+
+    /// A new run of the process on a new port.
+    void restart(std::size_t index, std::size_t seed) { boot(index, seed); }
+
+    void crash(std::size_t index) { m_nodes[index].isRunning = false; }
+    void freeze(std::size_t index, Duration time) { m_nodes[index].frozenUntil = m_now + time; }
+    void leave(std::size_t index)
+    {
+        deliver(index, m_nodes[index].membership->leave(m_now));
+        crash(index);
+    }
+    void setLoss(double share) { m_loss = share; }
+    /// Cuts one failure domain from all others.
+    void cut(const std::string &domain) { m_cut.insert(DomainName(domain)); }
+    void mend() { m_cut.clear(); }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.action();
+        }
+        m_now = end;
+    }
+
+    /// Runs until `condition` holds; returns the time that it took, or `limit`.
+    template <typename Condition> Duration runUntil(Condition condition, Duration limit)
+    {
+        const Duration step = m_options.gossipInterval;
+        Duration taken{ 0 };
+        while (taken < limit && !condition()) {
+            run(step);
+            taken += step;
+        }
+        return taken;
+    }
+
+    /// Every running daemon of `domain` (empty: of all) sees exactly `count` members that work.
+    bool agreeOn(std::size_t count, const std::string &domain = {}) const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const Node &node) {
+            const bool isMeant =
+                node.isRunning && (domain.empty() || node.record.domain == DomainName(domain));
+            return !isMeant || node.membership->working().size() == count;
+        });
+    }
+
+    bool sees(std::size_t observer, std::size_t index) const
+    {
+        const auto members = m_nodes[observer].membership->working();
+        return std::any_of(members.begin(), members.end(), [&](const Member &member) {
+            return member.id == m_nodes[index].record.id
+                && member.incarnation == m_nodes[index].record.incarnation
+                && member.peerEndpoint == m_nodes[index].record.peerEndpoint;
+        });
+    }
+
+    Node &node(std::size_t index) { return m_nodes[index]; }
+    std::size_t size() const { return m_nodes.size(); }
+    TimePoint now() const { return m_now; }
+    SeededRandom &random() { return m_random; }
+    /// Carries actions that the test asked a daemon for.
+    void deliver(std::size_t index, const MembershipActions &actions)
+    {
+        m_nodes[index].changes += actions.changed ? 1 : 0;
+        for (const MembershipDatagram &datagram : actions.send) {
+            if (onSend) {
+                onSend(index, datagram.message);
+            }
+            carry(index, datagram);
+        }
+    }
+
+    std::function<void(std::size_t sender, const MembershipMessage &message)> onSend;
+    /// Around each call of a tick, for measurements.
+    std::function<void(bool isBegin)> onTick;
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        friend bool operator<(const Event &a, const Event &b)
+        {
+            return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+        }
+    };
+
+    void boot(std::size_t index, std::size_t seed)
+    {
+        Node &node = m_nodes[index];
+        ++m_boots;
+        node.record.incarnation = Incarnation(m_boots);
+        node.record.peerEndpoint = { "10.0.0.1", static_cast<std::uint16_t>(m_boots) };
+        node.isRunning = true;
+        node.unread.clear();
+        m_owners[node.record.peerEndpoint] = index;
+        node.membership = makeMembership(m_now, node.record, m_options);
+        if (seed != NONE) {
+            const Endpoint endpoint = m_nodes[seed].record.peerEndpoint;
+            deliver(index, node.membership->addSeed(m_now, endpoint));
+        }
+    }
+
+    void schedule(Duration delay, std::function<void()> action)
+    {
+        m_events.push({ m_now + delay, ++m_order, std::move(action) });
+    }
+
+    void scheduleTick(std::size_t index, Duration delay)
+    {
+        schedule(delay, [this, index] {
+            scheduleTick(index, m_options.gossipInterval);
+            tick(index);
+        });
+    }
+
+    void tick(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        if (!node.isRunning || m_now < node.frozenUntil) {
+            return;
+        }
+        if (onTick) {
+            onTick(true);
+        }
+        const MembershipActions actions = node.membership->tick(m_now, m_random);
+        if (onTick) {
+            onTick(false);
+        }
+        deliver(index, actions);
+        // A process that wakes up runs its timers before it reads what waits in its sockets.
+        for (const auto &[from, message] : std::exchange(node.unread, {})) {
+            deliver(index, node.membership->receive(m_now, from, message));
+        }
+    }
+
+    void carry(std::size_t sender, const MembershipDatagram &datagram)
+    {
+        const auto owner = m_owners.find(datagram.endpoint);
+        if (owner == m_owners.end() || m_random.unit() < m_loss) {
+            return;
+        }
+        constexpr std::uint64_t MAX_DELAY_US = 2000;
+        schedule(Duration(500 + m_random.below(MAX_DELAY_US)),
+                 [this, sender, receiver = owner->second, datagram] {
+                     arrive(sender, receiver, datagram);
+                 });
+    }
+
+    void arrive(std::size_t sender, std::size_t receiver, const MembershipDatagram &datagram)
+    {
+        Node &node = m_nodes[receiver];
+        const DomainName &from = m_nodes[sender].record.domain;
+        const bool isCut = from != node.record.domain
+            && (m_cut.count(from) != 0 || m_cut.count(node.record.domain) != 0);
+        if (isCut || !node.isRunning || node.record.peerEndpoint != datagram.endpoint) {
+            return;
+        }
+        if (m_now < node.frozenUntil) {
+            node.unread.emplace_back(m_nodes[sender].record.id, datagram.message);
+            return;
+        }
+        deliver(receiver,
+                node.membership->receive(m_now, m_nodes[sender].record.id, datagram.message));
+    }
+
+    MembershipOptions m_options;
+    SeededRandom m_random;
+    std::vector<Node> m_nodes;
+    std::map<Endpoint, std::size_t> m_owners;
+    std::priority_queue<Event> m_events;
+    TimePoint m_now{ std::chrono::hours(1) };
+    std::uint64_t m_order = 0;
+    std::uint64_t m_boots = 0;
+    double m_loss = 0;
+    std::set<DomainName> m_cut;
+};
+
+} // namespace ivyspar
