--- a/src/coordination/membership/internal/membershipexchange.cpp
+++ b/src/coordination/membership/internal/membershipexchange.cpp
@@ -326,7 +326,7 @@
     ping.targetIncarnation = target.member.incarnation;
     ping.targetCounter = target.counter;
     ping.targetHealth = target.health;
-    send(ping.target, target.member.peerEndpoint, makeMessage(std::move(ping)), actions);
+    send(target.member.id, target.member.peerEndpoint, makeMessage(std::move(ping)), actions);
 }
 
 void Membership::askOthers(const Probe &probe, std::uint64_t sequence, MembershipActions &actions)
