--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -13,12 +13,12 @@
 }
 
 HttpResult HttpClientCore::exchange(const Endpoint &endpoint, const HttpRequest &request,
-                                    Duration timeout, HttpCancellationPtr cancellation)
+                                    Duration timeout, const HttpCancellationPtr &cancellation)
 {
     const HttpClientCorePtr self(this);
     HttpClientExchange exchange(*this, poolFor(endpoint), endpoint, request);
     m_exchanges.push_back(exchange);
-    return exchange.run(timeout, std::move(cancellation));
+    return exchange.run(timeout, cancellation);
 }
 
 HttpPoolPtr HttpClientCore::poolFor(const Endpoint &endpoint)
@@ -133,7 +133,7 @@
 HttpResult HttpClient::exchange(const Endpoint &endpoint, const HttpRequest &request,
                                 Duration timeout, HttpCancellationPtr cancellation)
 {
-    return m_core->exchange(endpoint, request, timeout, std::move(cancellation));
+    return m_core->exchange(endpoint, request, timeout, cancellation);
 }
 
 void HttpClient::setConnectionLimit(const Endpoint &endpoint, std::size_t connections)
--- a/src/transport/internal/httpclient.h
+++ b/src/transport/internal/httpclient.h
@@ -25,7 +25,7 @@
     const HttpClientLimits &limits() const { return m_limits; }
 
     HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request, Duration timeout,
-                        HttpCancellationPtr cancellation);
+                        const HttpCancellationPtr &cancellation);
     void setConnectionLimit(const Endpoint &endpoint, std::size_t connections);
     void warm(const Endpoint &endpoint, std::size_t connections);
     /// Ends everything at once.
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -36,7 +36,7 @@
 {
 }
 
-HttpResult HttpClientExchange::run(Duration timeout, HttpCancellationPtr cancellation)
+HttpResult HttpClientExchange::run(Duration timeout, const HttpCancellationPtr &cancellation)
 {
     m_head = formatRequestHead(m_request, m_endpoint.text());
     if (m_head.empty()) {
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -22,7 +22,7 @@
     HttpClientExchange(HttpClientCore &client, HttpPoolPtr pool, const Endpoint &endpoint,
                        const HttpRequest &request);
 
-    HttpResult run(Duration timeout, HttpCancellationPtr cancellation);
+    HttpResult run(Duration timeout, const HttpCancellationPtr &cancellation);
     /// Ends the exchange from outside by closing its connection.
     void abort(HttpFailureCause cause);
 
--- a/src/transport/internal/tcpstream.h
+++ b/src/transport/internal/tcpstream.h
@@ -54,6 +54,8 @@
     /// Tells the other side that no more comes.
     void shutdownSend();
     std::size_t available();
+    /// Gives up the socket, after which the stream is closed.
+    boost::asio::ip::tcp::socket takeSocket() { return std::move(m_socket); }
 
 private:
     void onRead(const ErrorCode &error, std::size_t count);
