--- /dev/null
+++ b/src/transport/tests/mocks/mockhttpclient.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "transport/ihttpclient.h"
+
+namespace ivyspar {
+
+/// Gives prepared results and records what was asked. Never suspends by itself; `answer` may.
+class MockHttpClient : public IHttpClient
+{
+public:
+    struct Call
+    {
+        Endpoint endpoint;
+        HttpRequest request;
+        Duration timeout;
+        HttpCancellationPtr cancellation;
+    };
+
+    /// Makes the result when set; otherwise `results` are given in order, then status 200.
+    std::function<HttpResult(const Call &)> answer;
+    std::deque<HttpResult> results;
+    std::vector<Call> calls;
+    std::map<Endpoint, std::size_t> limits;
+    std::map<Endpoint, std::size_t> warmed;
+
+    void failNext(HttpFailureStage stage, HttpFailureCause cause)
+    {
+        results.emplace_back(tl::unexpect, HttpFailure{ stage, cause, "mock" });
+    }
+
+    HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request, Duration timeout,
+                        HttpCancellationPtr cancellation) override
+    {
+        calls.push_back({ endpoint, request, timeout, std::move(cancellation) });
+        if (answer) {
+            const Call call = calls.back();
+            return answer(call);
+        }
+        if (results.empty()) {
+            return HttpResponse();
+        }
+        HttpResult result = std::move(results.front());
+        results.pop_front();
+        return result;
+    }
+
+    void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) override
+    {
+        limits[endpoint] = connections;
+    }
+
+    void warm(const Endpoint &endpoint, std::size_t connections) override
+    {
+        warmed[endpoint] = connections;
+    }
+};
+
+} // namespace ivyspar
