--- a/src/transport/tests/mocks/mocklogservice.h
+++ b/src/transport/tests/mocks/mocklogservice.h
@@ -54,8 +54,8 @@
         return put(stream, payload);
     }
 
-    RetVal<LogPage> read(const StreamName &stream, LogOffset from,
-                         std::uint32_t maxRecords) override
+    RetVal<LogPage> read(const StreamName &stream, LogOffset from, std::uint32_t maxRecords,
+                         Duration /*wait*/) override
     {
         ++readCalls;
         if (readFault != Fault::None) {
--- a/src/transport/tests/mockstest.cpp
+++ b/src/transport/tests/mockstest.cpp
@@ -22,10 +22,10 @@
     CHECK_EQUAL(2, log.payloads(stream).size());
 
     log.staleRecords = 1;
-    CHECK_EQUAL(1, log.read(stream, LogOffset(0), 10)->records.size());
+    CHECK_EQUAL(1, log.read(stream, LogOffset(0), 10, Duration(0))->records.size());
     log.staleRecords = 0;
     log.trim(stream, LogOffset(1));
-    const LogPage page = log.read(stream, LogOffset(0), 10).value();
+    const LogPage page = log.read(stream, LogOffset(0), 10, Duration(0)).value();
     CHECK(page.first == LogOffset(1));
     CHECK(page.end == LogOffset(2));
     STRCMP_EQUAL("b", page.records.front().payload.c_str());
--- a/standins/signals.cpp
+++ b/standins/signals.cpp
@@ -8,12 +8,16 @@
 
 namespace {
 
+/// Ends a wait from inside the process.
+constexpr int WAKE_UP = SIGUSR1;
+
 sigset_t stopSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, WAKE_UP);
     return signals;
 }
 
@@ -34,8 +38,8 @@
 
 void stopWaiting(std::thread &waiter)
 {
-    // Reaches only that thread; a no-op when it has returned already but was not joined.
-    pthread_kill(waiter.native_handle(), SIGTERM);
+    // Reaches only that thread, and is blocked in it: it has no effect but on a wait.
+    pthread_kill(waiter.native_handle(), WAKE_UP);
     waiter.join();
 }
 
--- a/standins/upstream/upstreamserver.cpp
+++ b/standins/upstream/upstreamserver.cpp
@@ -91,7 +91,7 @@
 {
     HttpLimits limits;
     limits.connections = m_spec.connections;
-    const auto endpoint = m_server->listen(
+    auto endpoint = m_server->listen(
         listen, limits, [this](IHttpExchange &exchange) { return handle(exchange); });
     if (!endpoint) {
         return endpoint;
