Floor steers the queue to its middle instead of allowing a share of refusals

A refusal at a deep gate wastes what the hops before did. The floor was right as long as a tenth was refused, so it always let that tenth through.

--- a/bench/gatebench.cpp
+++ b/bench/gatebench.cpp
@@ -144,7 +144,7 @@
 /// The argument after `name`, or an empty text.
 std::string optionOf(int argc, char **argv, const std::string &name)
 {
-    for (int i = 1; i + 1 < argc; ++i) {
+    for (int i = 0; i + 1 < argc; ++i) {
         if (argv[i] == name) {
             return argv[i + 1];
         }
--- a/src/coordination/admission/internal/floorcontrol.cpp
+++ b/src/coordination/admission/internal/floorcontrol.cpp
@@ -11,11 +11,17 @@
 constexpr double BUCKET_WIDTH = 1U << BUCKET_SHIFT;
 /// A bucket that shows less than this share of itself tells nothing of its rate.
 constexpr double SMALLEST_VISIBLE_SHARE = 0.05;
-constexpr double RATE_WEIGHT = 0.5;
+/// Weights of a window in the arrivals, and of one service time in the starts.
+constexpr double RATE_WEIGHT = 0.3;
+constexpr double START_WEIGHT = 0.3;
 /// A bucket with fewer arrivals per window is forgotten.
 constexpr double FORGOTTEN_RATE = 0.01;
 /// The floor opens by this share of the volume in the first quiet window, twice that in the next.
 constexpr double OPENING = 0.1;
+/// Outside of these the queue is brought back to its middle.
+constexpr double FULL = 0.75;
+constexpr double EMPTY = 0.25;
+constexpr double FILL_GAIN = 0.1;
 } // namespace
 
 FloorControl::FloorControl(const FloorOptions &options)
@@ -41,7 +47,7 @@
     return 1.0 - hidden / BUCKET_WIDTH;
 }
 
-void FloorControl::advance(TimePoint now)
+void FloorControl::advance(TimePoint now, Duration serviceTime)
 {
     const Duration length = m_options.window;
     if (!m_isRunning) {
@@ -52,6 +58,10 @@
     if (now < m_windowEnd) {
         return;
     }
+    // Starts come in rounds of one service time: a mean over less would swing with them.
+    const double rounds = static_cast<double>(length.count())
+        / static_cast<double>(std::max<Duration::rep>(1, serviceTime.count()));
+    m_startWeight = std::min(RATE_WEIGHT, START_WEIGHT * rounds);
     // Windows in which nothing was asked of the gate count as quiet, so that it opens in time.
     const auto missed =
         std::min<std::int64_t>((now - m_windowEnd) / length, m_options.quietWindows);
@@ -65,18 +75,16 @@
 void FloorControl::endWindow()
 {
     updateRates();
-    m_startRate += RATE_WEIGHT * (m_started - m_startRate);
-    const double margin = this->margin();
-    const bool isExcess = m_excess > margin * m_started;
-    if (isExcess && !m_wasIdle) {
-        m_quiet = 0;
-        const double volume = std::max(m_startRate, 1.0) * (1 + margin);
-        m_floor = std::max(m_floor, floorForVolume(volume));
-    } else if (!isExcess && m_wasIdle) {
+    m_startRate += m_startWeight * (m_started - m_startRate);
+    const bool isExcess = m_excess > margin() * m_started;
+    if (m_wasIdle && !isExcess) {
         open();
+    } else if (isExcess || m_fill > FULL) {
+        m_quiet = 0;
+        m_floor = std::max(m_floor, floorForVolume(wantedVolume()));
+    } else if (m_fill < EMPTY && m_floor.value() > 0) {
+        m_floor = std::min(m_floor, floorForVolume(wantedVolume()));
     }
-    // Otherwise a queue stands but nearly nothing is refused: all capacity is used, the floor is
-    // right. Opening it here would let it swing between too much and too little.
     m_wasIdle = m_isIdle;
     m_started = 0;
     m_excess = 0;
@@ -101,8 +109,16 @@
     m_floor = isOpen ? Rank() : std::min(m_floor, floorForVolume(volume));
 }
 
-void FloorControl::setIdle(bool isIdle)
+// As much as is started, corrected by what the queue is off its middle: so the queue neither runs
+// empty, which would waste slots, nor over, which would waste what the callers' hops did before.
+double FloorControl::wantedVolume() const
+{
+    return std::max(m_startRate, 1.0) * (1 + FILL_GAIN * (0.5 - m_fill));
+}
+
+void FloorControl::setQueue(double fill, bool isIdle)
 {
+    m_fill = std::min(fill, 1.0);
     m_isIdle = isIdle;
     m_wasIdle = m_wasIdle || isIdle;
 }
--- a/src/coordination/admission/internal/floorcontrol.h
+++ b/src/coordination/admission/internal/floorcontrol.h
@@ -28,10 +28,10 @@
     /// A call was refused for want of capacity.
     void onExcess() { ++m_excess; }
 
-    /// Whether a slot is free and nothing waits.
-    void setIdle(bool isIdle);
+    /// What waits, as a share of what may wait, and whether a slot is free.
+    void setQueue(double fill, bool isIdle);
     /// Ends the window if it is over.
-    void advance(TimePoint now);
+    void advance(TimePoint now, Duration serviceTime);
     /// When `advance` may change the floor next; `TimePoint::max()` if it is 0 and nothing came.
     TimePoint nextChange() const;
     Rank floor() const { return m_floor; }
@@ -48,6 +48,7 @@
     double visibleShare(std::uint32_t bucket) const;
     void endWindow();
     double margin() const;
+    double wantedVolume() const;
     void open();
     void updateRates();
     double volumeAboveFloor() const;
@@ -61,7 +62,10 @@
     bool m_isRunning = false;
     std::uint32_t m_started = 0;
     std::uint32_t m_excess = 0;
+    /// Mean of the starts in a window, and the weight of one window in it.
     double m_startRate = 0;
+    double m_startWeight = 1;
+    double m_fill = 0;
     bool m_isIdle = true;
     bool m_wasIdle = true;
     /// Steps of opening since the last excess.
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -152,7 +152,7 @@
     }
     dropDoomed(now, actions);
     if (m_options.hasFloor) {
-        m_floor.advance(now);
+        m_floor.advance(now, Duration(std::llround(m_serviceTime)));
     }
 }
 
@@ -179,7 +179,8 @@
     while (!m_queue.isEmpty() && hasFreeSlot()) {
         start(m_queue.popFirst().id, actions);
     }
-    m_floor.setIdle(m_queue.isEmpty() && hasFreeSlot());
+    const double fill = static_cast<double>(m_queue.size()) / static_cast<double>(longestQueue());
+    m_floor.setQueue(fill, m_queue.isEmpty() && hasFreeSlot());
 }
 
 void Gate::start(CallId id, GateActions &actions)
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <string>
 
+#include "bench/gatebench.h"
 #include "standins/demo/demo.h"
 #include "standins/upstream/upstreamcommand.h"
 
@@ -21,6 +22,7 @@
 
 constexpr Command COMMANDS[] = {
     { "upstreams", runUpstreams, "stand-in servers" },
+    { "gate", runGateBench, "policies of one gate under fake time, compared" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
 
