--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -41,6 +41,7 @@
 {
     EntryOptions options;
     options.maxRequests = settings.limits.inFlight;
+    options.hasSharedBudget = !settings.ablations.budget;
     return options;
 }
 
@@ -93,9 +94,9 @@
     return limits;
 }
 
-RetVal<BoundEndpoints> TrafficNode::listen()
+RetVal<ListeningEndpoints> TrafficNode::listen()
 {
-    BoundEndpoints bound;
+    ListeningEndpoints bound;
     const auto peer = m_network->listen(m_settings.peerListen, PeerLimits());
     if (!peer) {
         return tl::unexpected<Error>(peer.error());
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "bench/gatebench.h"
+#include "bench/overloadbench.h"
 #include "standins/demo/demo.h"
 #include "standins/upstream/upstreamcommand.h"
 
@@ -23,6 +24,7 @@
 constexpr Command COMMANDS[] = {
     { "upstreams", runUpstreams, "stand-in servers" },
     { "gate", runGateBench, "policies of one gate under fake time, compared" },
+    { "bench", runOverloadBench, "the overload experiments" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
 
