Tests of gate, limits, router, retry policy and attempt ledger; ejection compares servers

Router: servers that all fail alike, as when a service further down refuses, are no longer taken out. Before, five errors in a row were enough, so that an overload below could take out half of the servers above it (NoServerIsTakenOutWhileAllFailAlike fails without the comparison).

Each safeguard has a counter-check: the same check fails with the policy switched off, or, for the attempt ledger, with budgets that are not conserved (grants of lost answers taken back, attempts returned that were spent, attempts spent after the answer, a fresh budget for a call without context). Attempts <= budget over random trees up to 25 deep and 5 wide with losses, retries, hedges and early answers.

--- /dev/null
+++ b/src/coordination/admission/tests/gatetest.cpp
@@ -0,0 +1,389 @@
+#include "coordination/admission/gatefactory.h"
+
+#include <map>
+#include <set>
+
+#include <rapidcheck.h>
+
+#include "state/internal/seededrandom.h"
+#include "state/rank.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration SERVICE_TIME = 20ms;
+
+GateOptions optionsFor(std::uint32_t slots)
+{
+    GateOptions options;
+    options.slots = slots;
+    options.connections = slots;
+    options.initialShare = 1;
+    return options;
+}
+
+Rank rankOf(int priority, std::uint64_t root)
+{
+    return makeRank(Priority(static_cast<std::uint8_t>(priority)), Depth(0), RootId(root));
+}
+
+/// Drives a gate with random events and keeps a model of what it may do.
+class RandomRun
+{
+public:
+    RandomRun(const GateOptions &options, std::uint64_t seed)
+        : m_gate(makeGate(options))
+        , m_random(seed)
+        , m_ceiling(std::min(options.slots, options.connections))
+    {
+    }
+
+    void run(int steps)
+    {
+        for (int i = 0; i < steps; ++i) {
+            m_now += Duration(m_random.below(4000));
+            step();
+        }
+        // All that still waits ends at the latest with its deadline.
+        m_now += 1h;
+        apply(m_gate->tick(m_now));
+        while (!m_running.empty()) {
+            finish(*m_running.begin());
+        }
+    }
+
+    bool isOverCeiling = false;
+    bool isInverted = false;
+    bool isTwice = false;
+    std::size_t waiting() const { return m_waiting.size(); }
+    std::uint32_t started = 0;
+
+private:
+    void step()
+    {
+        const std::uint64_t event = m_random.below(20);
+        if (event < 10) {
+            offer();
+        } else if (event < 16 && !m_running.empty()) {
+            finish(pick(m_running));
+        } else if (event == 16) {
+            cancel();
+        } else if (event == 17) {
+            m_ceiling = static_cast<std::uint32_t>(m_random.below(12));
+            apply(m_gate->setCapacity(m_now, m_ceiling, m_ceiling));
+        } else {
+            apply(m_gate->tick(m_now));
+        }
+    }
+
+    void offer()
+    {
+        const std::uint64_t id = ++m_lastId;
+        const Rank rank = rankOf(static_cast<int>(m_random.below(3)) * 40, m_random.next());
+        m_waiting[id] = rank;
+        const Duration wait(5000 + m_random.below(200000));
+        apply(m_gate->offer(m_now, { CallId(id), rank, m_now + wait }));
+    }
+
+    void finish(std::uint64_t id)
+    {
+        m_running.erase(id);
+        const auto result = static_cast<CallResult>(m_random.below(5));
+        apply(m_gate->finish(m_now, CallId(id), result, Duration(m_random.below(40000))));
+    }
+
+    void cancel()
+    {
+        const std::uint64_t id = 1 + m_random.below(m_lastId + 1);
+        const CancelEffect effect = m_gate->cancel(m_now, CallId(id));
+        isTwice = isTwice || (effect == CancelEffect::NotStarted) != (m_waiting.erase(id) > 0);
+        isTwice = isTwice || (effect == CancelEffect::Started) != (m_running.count(id) > 0);
+    }
+
+    void apply(const GateActions &actions)
+    {
+        for (const GateAction &action : actions) {
+            const std::uint64_t id = action.id.value();
+            const Rank rank = m_waiting[id];
+            isTwice = isTwice || m_waiting.erase(id) == 0;
+            if (action.verb == GateVerb::Start) {
+                m_running.insert(id);
+                ++started;
+                isOverCeiling = isOverCeiling || m_running.size() > m_ceiling;
+            } else if (action.verdict.reason == Reason::QueueFull) {
+                for (const auto &[other, lower] : m_waiting) {
+                    isInverted = isInverted || priorityOf(lower) < priorityOf(rank);
+                }
+            }
+        }
+    }
+
+    std::uint64_t pick(const std::set<std::uint64_t> &ids)
+    {
+        return *std::next(ids.begin(), static_cast<std::ptrdiff_t>(m_random.below(ids.size())));
+    }
+
+    std::unique_ptr<IGate> m_gate;
+    SeededRandom m_random;
+    TimePoint m_now{ 1s };
+    std::uint32_t m_ceiling;
+    std::uint64_t m_lastId = 0;
+    std::map<std::uint64_t, Rank> m_waiting;
+    std::set<std::uint64_t> m_running;
+};
+
+} // namespace
+
+TEST_GROUP(Gate)
+{
+    TimePoint now{ 1s };
+    std::uint64_t lastId = 0;
+
+    GateActions offer(IGate & gate, int priority, Duration wait = 10s)
+    {
+        ++lastId;
+        return gate.offer(now, { CallId(lastId), rankOf(priority, lastId), now + wait });
+    }
+
+    /// Offers calls until the last one waits, and returns its id.
+    CallId fill(IGate & gate, int priority, Duration wait = 10s)
+    {
+        while (!offer(gate, priority, wait).empty()) { }
+        return CallId(lastId);
+    }
+
+    static bool has(const GateActions &actions, GateVerb verb, CallId id)
+    {
+        return std::any_of(actions.begin(), actions.end(), [&](const GateAction &action) {
+            return action.verb == verb && action.id == id;
+        });
+    }
+
+    bool isStarted(IGate & gate, int priority, Duration wait = 10s)
+    {
+        const GateActions actions = offer(gate, priority, wait);
+        return has(actions, GateVerb::Start, CallId(lastId));
+    }
+
+    bool isRefused(IGate & gate, int priority, Duration wait = 10s)
+    {
+        const GateActions actions = offer(gate, priority, wait);
+        return has(actions, GateVerb::Refuse, CallId(lastId));
+    }
+
+    /// Offers 25 times what the gate can do, for two seconds.
+    void overload(IGate & gate)
+    {
+        std::map<TimePoint, CallId> ends;
+        const auto note = [&](const GateActions &actions) {
+            for (const GateAction &action : actions) {
+                if (action.verb == GateVerb::Start) {
+                    ends[now + SERVICE_TIME + Duration(action.id.value() % 1000)] = action.id;
+                }
+            }
+        };
+        for (const TimePoint end = now + 2s; now < end; now += 100us) {
+            while (!ends.empty() && ends.begin()->first <= now) {
+                const CallId id = ends.begin()->second;
+                ends.erase(ends.begin());
+                note(gate.finish(now, id, CallResult::Success, SERVICE_TIME));
+            }
+            note(offer(gate, 50, 500ms));
+        }
+        while (!ends.empty()) {
+            const auto [at, id] = *ends.begin();
+            ends.erase(ends.begin());
+            now = std::max(now, at);
+            note(gate.finish(now, id, CallResult::Success, SERVICE_TIME));
+        }
+    }
+};
+
+TEST(Gate, NeverExceedsTheAnnouncedCapacityAndAnswersEachCallOnce)
+{
+    const bool holds = rc::check([](std::uint64_t seed) {
+        for (const LimitKind limit :
+             { LimitKind::Fixed, LimitKind::Aimd, LimitKind::Gradient, LimitKind::Probing }) {
+            GateOptions options = optionsFor(8);
+            options.limit = limit;
+            RandomRun run(options, seed);
+            run.run(400);
+            RC_ASSERT(!run.isOverCeiling);
+            RC_ASSERT(!run.isTwice);
+            RC_ASSERT(run.waiting() == 0U);
+            RC_ASSERT(run.started > 0U);
+        }
+    });
+    CHECK(holds);
+}
+
+TEST(Gate, RefusesNoCallForWantOfSpaceWhileOneOfLowerPriorityWaits)
+{
+    const bool holds = rc::check([](std::uint64_t seed) {
+        RandomRun run(optionsFor(8), seed);
+        run.run(400);
+        RC_ASSERT(!run.isInverted);
+    });
+    CHECK(holds);
+
+    // The same check fails without the order by rank.
+    GateOptions fifo = optionsFor(8);
+    fifo.order = QueueOrder::Fifo;
+    RandomRun run(fifo, 1);
+    run.run(2000);
+    CHECK(run.isInverted);
+}
+
+TEST(Gate, HigherRankTakesThePlaceOfTheLowestThatWaits)
+{
+    GateOptions options = optionsFor(1);
+    options.minimalQueue = 1;
+    const auto gate = makeGate(options);
+    const CallId low = fill(*gate, 10);
+    const GateActions actions = offer(*gate, 90);
+    LONGS_EQUAL(1, actions.size());
+    CHECK(has(actions, GateVerb::Refuse, low));
+    CHECK(actions[0].verdict.outcome == Outcome::NotRun);
+    CHECK(isRefused(*gate, 10));
+}
+
+// The caller gets its refusal at once instead of an answer that comes too late. The call waits
+// behind others; when its remaining time falls below the usual service time it leaves the queue,
+// so that the slot goes to a call that can still be answered.
+TEST(Gate, CallThatCannotBeDoneInTimeLeavesTheQueue)
+{
+    for (const bool isDropped : { true, false }) {
+        GateOptions options = optionsFor(1);
+        options.isDoomedDropped = isDropped;
+        const auto gate = makeGate(options);
+        fill(*gate, 50);
+        const CallId running(lastId - 1);
+        offer(*gate, 50, 30ms);
+        const CallId hasty(lastId);
+        CHECK((gate->nextTick() <= now + 11ms) == isDropped);
+        now += 11ms;
+        CHECK_EQUAL(isDropped, has(gate->tick(now), GateVerb::Refuse, hasty));
+        gate->finish(now, running, CallResult::Success, SERVICE_TIME);
+    }
+}
+
+// After a slow spell the mean service time is longer than any caller waits. If it alone decided,
+// all calls would be refused as doomed, none would run, and the mean would never fall again.
+TEST(Gate, IdleGateAdmitsWhateverItsServiceTimeWas)
+{
+    const auto gate = makeGate(optionsFor(4));
+    for (int i = 0; i < 200; ++i) {
+        CHECK(isStarted(*gate, 50));
+        gate->finish(now, CallId(lastId), CallResult::Success, 10s);
+    }
+    CHECK(isStarted(*gate, 10, 100ms));
+    CHECK(isRefused(*gate, 10, 100ms));
+}
+
+// A caller's call timed out, but the upstream may still work on it. Were the slot reused at once,
+// calls would queue up inside of the upstream.
+TEST(Gate, TimedOutCallKeepsItsSlotForABoundedTime)
+{
+    for (const double hold : { 1.0, 0.0 }) {
+        GateOptions options = optionsFor(1);
+        options.timedOutHold = hold;
+        options.longestHold = 50ms;
+        const auto gate = makeGate(options);
+        const CallId waiting = fill(*gate, 50);
+        const CallId running(waiting.value() - 1);
+        const GateActions atOnce = gate->finish(now, running, CallResult::TimedOut, 10s);
+        CHECK_EQUAL(hold == 0.0, has(atOnce, GateVerb::Start, waiting));
+        if (hold > 0) {
+            CHECK(gate->nextTick() <= now + 50ms);
+            now += 50ms;
+            CHECK(has(gate->tick(now), GateVerb::Start, waiting));
+        }
+    }
+}
+
+TEST(Gate, CancelledCallIsForgottenWhileItWaits)
+{
+    const auto gate = makeGate(optionsFor(1));
+    const CallId waiting = fill(*gate, 50);
+    const CallId running(waiting.value() - 1);
+    CHECK(gate->cancel(now, waiting) == CancelEffect::NotStarted);
+    CHECK(gate->cancel(now, waiting) == CancelEffect::Unknown);
+    CHECK(gate->cancel(now, running) == CancelEffect::Started);
+    CHECK(gate->finish(now, running, CallResult::Success, SERVICE_TIME).empty());
+    LONGS_EQUAL(0, gate->load(now).inFlight);
+}
+
+TEST(Gate, DrainingRefusesNewCallsAndLetsTheOthersEnd)
+{
+    const auto gate = makeGate(optionsFor(1));
+    const CallId waiting = fill(*gate, 50);
+    gate->setDraining(true);
+    const GateActions refused = offer(*gate, 100);
+    CHECK(refused.at(0).verdict.reason == Reason::Draining);
+    CHECK(gate->load(now).draining);
+    const CallId running(waiting.value() - 1);
+    CHECK(has(gate->finish(now, running, CallResult::Success, SERVICE_TIME), GateVerb::Start,
+              waiting));
+}
+
+// Under overload entries refuse all calls below the floor, so the gate sees no more of them. It
+// must open by itself when the overload is over, or these callers would be refused for good.
+TEST(Gate, FloorFallsToZeroSoonAfterAnOverload)
+{
+    const auto gate = makeGate(optionsFor(8));
+    overload(*gate);
+    CHECK(gate->load(now).floor > Rank());
+
+    const GateOptions defaults;
+    const TimePoint bound = now + (defaults.floorQuietWindows + 2) * defaults.floorWindow;
+    // Without ticks it stays: the check below would fail.
+    CHECK(gate->load(bound).floor > Rank());
+    while (gate->nextTick() < bound) {
+        now = std::max(now, gate->nextTick());
+        gate->tick(now);
+    }
+    CHECK(gate->load(now).floor == Rank());
+    CHECK(gate->nextTick() == TimePoint::max());
+    CHECK(isStarted(*gate, 0));
+}
+
+TEST(Gate, FloorIsNeverRaisedWhenSwitchedOff)
+{
+    GateOptions options = optionsFor(8);
+    options.hasFloor = false;
+    const auto gate = makeGate(options);
+    overload(*gate);
+    CHECK(gate->load(now).floor == Rank());
+}
+
+TEST(Gate, ColdGateStartsWithAShareAndGrows)
+{
+    GateOptions options = optionsFor(80);
+    options.initialShare = 0.5;
+    const auto gate = makeGate(options);
+    LONGS_EQUAL(40, gate->load(now).limit);
+    for (int i = 0; i < 2000 && gate->load(now).limit < 80; ++i) {
+        fill(*gate, 50);
+        gate->finish(now, CallId(lastId - gate->load(now).queued), CallResult::Success,
+                     SERVICE_TIME);
+        now += 1ms;
+    }
+    LONGS_EQUAL(80, gate->load(now).limit);
+}
+
+TEST(Gate, RefusedCallersComeBackAtDifferentTimes)
+{
+    const auto gate = makeGate(optionsFor(0));
+    std::set<Duration> delays;
+    for (int i = 0; i < 1000; ++i) {
+        const Duration delay = offer(*gate, 50).at(0).verdict.retryAfter;
+        CHECK(delay >= GateOptions().retryAfter);
+        CHECK(delay <= 2 * GateOptions().retryAfter);
+        delays.insert(delay / 10000);
+    }
+    CHECK(delays.size() >= 20);
+}
--- /dev/null
+++ b/src/coordination/retries/tests/attemptledgertest.cpp
@@ -0,0 +1,205 @@
+#include "coordination/retries/internal/attemptledger.h"
+
+#include <optional>
+
+#include <rapidcheck.h>
+
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+/// Faults that the check must notice.
+enum class Mutation {
+    None,
+    LostGrantsReturn, ///< A caller takes back the grant of an answer that was lost.
+    CalleeReturnsSpent, ///< A callee returns attempts that it spent.
+    SpendsAfterAnswer, ///< A callee goes on with what it returned.
+    ContextMakesFresh, ///< A call without context starts a new budget.
+};
+
+/// A random call tree whose calls retry and hedge as often as they can.
+class RandomTree
+{
+public:
+    RandomTree(std::uint64_t seed, Mutation mutation)
+        : m_random(seed)
+        , m_mutation(mutation)
+        , m_width(1 + m_random.below(5))
+        , m_depth(1 + m_random.below(25))
+        , m_lossPercent(m_random.below(40))
+    {
+    }
+
+    /// Attempts that a caller's request makes with this budget.
+    std::uint32_t run(std::uint32_t budget)
+    {
+        Hop hop{ AttemptLedger(AttemptCount(budget)), {} };
+        for (int i = 0; i < 3; ++i) {
+            call(hop, m_depth);
+        }
+        return m_attempts;
+    }
+
+    bool isConserved = true;
+    std::uint32_t withoutContext = 0;
+
+private:
+    struct Hop
+    {
+        AttemptLedger ledger;
+        /// What it returned with its answer, once it answered.
+        std::optional<AttemptCount> returned;
+    };
+
+    bool happens(std::uint64_t percent) { return m_random.below(100) < percent; }
+
+    /// A call, and where it is not answered retries or hedges of it.
+    void call(Hop &hop, std::uint64_t depth)
+    {
+        const std::uint64_t tries = 1 + m_random.below(3);
+        for (std::uint64_t i = 0; i < tries; ++i) {
+            AttemptCount granted;
+            const std::uint32_t before = hop.ledger.left().value();
+            if (!hop.ledger.spend(AttemptCount(m_random.below(200)), granted)) {
+                isConserved = isConserved && before == 0;
+                return;
+            }
+            const std::uint32_t after = hop.ledger.left().value();
+            isConserved = isConserved && after + granted.value() + 1 == before;
+            const AttemptCount unspent = attempt(granted, depth - 1);
+            if (happens(5)) {
+                answerEarly(hop);
+            }
+            end(hop, granted, unspent);
+        }
+    }
+
+    void end(Hop &hop, AttemptCount granted, AttemptCount unspent)
+    {
+        if (!happens(m_lossPercent)) {
+            hop.ledger.giveBack(granted, unspent);
+        } else if (m_mutation == Mutation::LostGrantsReturn) {
+            hop.ledger.giveBack(granted, granted);
+        }
+    }
+
+    /// The hop's upstream answers while a call below is still out.
+    void answerEarly(Hop &hop)
+    {
+        if (hop.returned) {
+            return;
+        }
+        hop.returned = hop.ledger.close();
+        if (m_mutation == Mutation::SpendsAfterAnswer) {
+            hop.ledger = AttemptLedger(*hop.returned);
+        }
+    }
+
+    /// The attempt at its callee, with all calls below. Returns what was not spent.
+    AttemptCount attempt(AttemptCount granted, std::uint64_t depth)
+    {
+        ++m_attempts;
+        Hop hop{ AttemptLedger(granted), {} };
+        const std::uint64_t calls = depth == 0 ? 0 : m_random.below(m_width + 1);
+        for (std::uint64_t i = 0; i < calls && m_attempts < LIMIT; ++i) {
+            if (happens(2)) {
+                callWithoutContext();
+            } else {
+                call(hop, depth);
+            }
+        }
+        answerEarly(hop);
+        return m_mutation == Mutation::CalleeReturnsSpent ? granted : *hop.returned;
+    }
+
+    void callWithoutContext()
+    {
+        const std::uint32_t fresh = m_mutation == Mutation::ContextMakesFresh ? 30 : 1;
+        AttemptLedger ledger{ AttemptCount(fresh) };
+        AttemptCount granted;
+        while (ledger.spend(AttemptCount(0), granted)) {
+            ++m_attempts;
+        }
+        ++withoutContext;
+    }
+
+    /// Ends runs of mutations, which may go on for very long.
+    static constexpr std::uint32_t LIMIT = 20000;
+
+    SeededRandom m_random;
+    Mutation m_mutation;
+    std::uint64_t m_width;
+    std::uint64_t m_depth;
+    std::uint64_t m_lossPercent;
+    std::uint32_t m_attempts = 0;
+};
+
+bool isWithinBudget(std::uint64_t seed, std::uint32_t budget, Mutation mutation)
+{
+    RandomTree tree(seed, mutation);
+    const std::uint32_t attempts = tree.run(budget);
+    return tree.isConserved && attempts <= budget + tree.withoutContext;
+}
+
+bool isCaught(Mutation mutation)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        if (!isWithinBudget(seed, 60, mutation)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_GROUP(AttemptLedger){};
+
+// A tap on a tablet runs through 25 hops, each of which retries and hedges, and answers get lost.
+// Without a budget the last service would see an exponential number of attempts. Each hop can only
+// hand over what it was handed, so the sum stays within what the first one got. A call without
+// context adds its one attempt, and no more.
+TEST(AttemptLedger, AttemptsStayWithinTheBudgetInAnyTree)
+{
+    const bool holds = rc::check([](std::uint64_t seed) {
+        const std::uint32_t budget = 1 + static_cast<std::uint32_t>(seed % 300);
+        RC_ASSERT(isWithinBudget(seed, budget, Mutation::None));
+    });
+    CHECK(holds);
+}
+
+TEST(AttemptLedger, CheckNoticesBudgetsThatAreNotConserved)
+{
+    CHECK_FALSE(isCaught(Mutation::None));
+    CHECK(isCaught(Mutation::LostGrantsReturn));
+    CHECK(isCaught(Mutation::CalleeReturnsSpent));
+    CHECK(isCaught(Mutation::SpendsAfterAnswer));
+    CHECK(isCaught(Mutation::ContextMakesFresh));
+}
+
+TEST(AttemptLedger, KeepsOneAttemptForARetry)
+{
+    AttemptLedger ledger{ AttemptCount(10) };
+    AttemptCount granted;
+    CHECK(ledger.spend(AttemptCount(100), granted));
+    LONGS_EQUAL(8, granted.value());
+    LONGS_EQUAL(1, ledger.left().value());
+    ledger.giveBack(granted, AttemptCount(5));
+    LONGS_EQUAL(6, ledger.left().value());
+    LONGS_EQUAL(4, ledger.spent().value());
+}
+
+TEST(AttemptLedger, GrantComesBackOnceAndNeverLarger)
+{
+    AttemptLedger ledger{ AttemptCount(10) };
+    AttemptCount granted;
+    CHECK(ledger.spend(AttemptCount(4), granted));
+    ledger.giveBack(granted, AttemptCount(1000));
+    ledger.giveBack(granted, AttemptCount(1000));
+    LONGS_EQUAL(9, ledger.left().value());
+    LONGS_EQUAL(1, ledger.spent().value());
+}
--- /dev/null
+++ b/src/coordination/retries/tests/retrypolicytest.cpp
@@ -0,0 +1,221 @@
+#include "coordination/retries/retrypolicyfactory.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName SERVICE("scheda");
+
+RetryQuestion question(Outcome outcome, Reason reason, Repetition repetition = Repetition::Never)
+{
+    RetryQuestion question;
+    question.service = SERVICE;
+    question.verdict = { outcome, reason, Duration(0) };
+    question.repetition = repetition;
+    question.remaining = 10s;
+    return question;
+}
+
+RuleSpec lookupRule()
+{
+    RuleSpec rule;
+    rule.service = SERVICE;
+    rule.repetition = Repetition::Idempotent;
+    rule.hedge = true;
+    return rule;
+}
+
+/// Retries and hedges granted in a random run, beside the successes that earned them.
+struct Spending
+{
+    double successes = 0;
+    double retries = 0;
+    double hedges = 0;
+};
+
+Spending spendAtRandom(const RetryOptions &options, std::uint64_t seed)
+{
+    const auto policy = makeRetryPolicy(options);
+    SeededRandom random(seed);
+    const std::uint64_t failing = random.below(100);
+    Spending spending;
+    for (int i = 0; i < 3000; ++i) {
+        const TimePoint now{ 1s + i * 1ms };
+        if (random.below(100) >= failing) {
+            policy->onSuccess(now, SERVICE, 20ms);
+            spending.successes += 1;
+        } else {
+            const auto asked = question(Outcome::NotRun, Reason::ConnectFailed);
+            spending.retries += policy->shouldRetry(now, asked) ? 1 : 0;
+        }
+        spending.hedges += policy->takeHedge(now, SERVICE) ? 1 : 0;
+    }
+    return spending;
+}
+
+} // namespace
+
+TEST_GROUP(RetryPolicy)
+{
+    TimePoint now{ 1s };
+
+    bool isRetried(const RetryQuestion &question, RetryOptions options = {})
+    {
+        return makeRetryPolicy(options)->shouldRetry(now, question);
+    }
+};
+
+TEST(RetryPolicy, RepeatsWhatWasNotRunElsewhere)
+{
+    for (const Repetition repetition :
+         { Repetition::Never, Repetition::Once, Repetition::Idempotent }) {
+        for (const Reason reason :
+             { Reason::ConnectFailed, Reason::Draining, Reason::QueueFull, Reason::NoServer,
+               Reason::UpstreamRefused, Reason::ShuttingDown }) {
+            CHECK(isRetried(question(Outcome::NotRun, reason, repetition)));
+        }
+        for (const Reason reason :
+             { Reason::BelowFloor, Reason::Doomed, Reason::DeadlineExceeded, Reason::BudgetSpent,
+               Reason::Cancelled, Reason::LogUnavailable, Reason::KeyBusy }) {
+            CHECK_FALSE(isRetried(question(Outcome::NotRun, reason, repetition)));
+        }
+    }
+}
+
+// The answer got lost after the upstream took a payment. Sending it again would charge twice.
+TEST(RetryPolicy, RepeatsWhatMayHaveRunOnlyIfIdempotent)
+{
+    CHECK(isRetried(question(Outcome::Unknown, Reason::LinkLost, Repetition::Idempotent)));
+    CHECK_FALSE(isRetried(question(Outcome::Unknown, Reason::LinkLost, Repetition::Never)));
+    CHECK_FALSE(isRetried(question(Outcome::Unknown, Reason::LinkLost, Repetition::Once)));
+    CHECK_FALSE(isRetried(question(Outcome::Answered, Reason::None, Repetition::Idempotent)));
+}
+
+TEST(RetryPolicy, OnlyTheHopNextToTheFailureRetries)
+{
+    RetryQuestion fromBelow = question(Outcome::NotRun, Reason::ConnectFailed);
+    fromBelow.isFromBelow = true;
+    CHECK_FALSE(isRetried(fromBelow));
+    RetryOptions everyHop;
+    everyHop.isNextHopOnly = false;
+    CHECK(isRetried(fromBelow, everyHop));
+}
+
+TEST(RetryPolicy, BoundsTheAttemptsOfOneCall)
+{
+    RetryQuestion asked = question(Outcome::NotRun, Reason::ConnectFailed);
+    asked.attempts = RetryOptions().attempts;
+    CHECK_FALSE(isRetried(asked));
+}
+
+TEST(RetryPolicy, DoesNotStartWhatCannotEndInTime)
+{
+    const auto policy = makeRetryPolicy({});
+    for (int i = 0; i < 10; ++i) {
+        policy->onSuccess(now, SERVICE, 100ms);
+    }
+    RetryQuestion asked = question(Outcome::NotRun, Reason::ConnectFailed);
+    asked.remaining = 50ms;
+    CHECK_FALSE(policy->shouldRetry(now, asked));
+    asked.remaining = 300ms;
+    CHECK(policy->shouldRetry(now, asked));
+}
+
+TEST(RetryPolicy, RetriesAndHedgesStayWithinTheirShareOfSuccesses)
+{
+    const RetryOptions options;
+    const bool holds = rc::check([&](std::uint64_t seed) {
+        const Spending spending = spendAtRandom(options, seed);
+        RC_ASSERT(spending.retries
+                  <= options.initialRetries + options.retryShare * spending.successes + 1e-6);
+        RC_ASSERT(spending.hedges <= options.hedgeShare * spending.successes + 1e-6);
+    });
+    CHECK(holds);
+
+    RetryOptions unbounded;
+    unbounded.hasRetryTokens = false;
+    const Spending spending = spendAtRandom(unbounded, 1);
+    CHECK(spending.retries > options.initialRetries + options.retryShare * spending.successes);
+}
+
+TEST(RetryPolicy, HedgesAfterAHighQuantileOfRecentLatencies)
+{
+    const auto policy = makeRetryPolicy({});
+    CHECK(policy->hedgeDelay(now, lookupRule()) == Duration(0));
+    for (int i = 0; i < 1000; ++i) {
+        policy->onSuccess(now, SERVICE, i % 20 == 0 ? 400ms : 20ms);
+    }
+    const Duration delay = policy->hedgeDelay(now, lookupRule());
+    CHECK(delay >= 20ms);
+    CHECK(delay <= 25ms);
+
+    // What was measured two windows ago counts no more.
+    now += 2 * RetryOptions().window;
+    for (int i = 0; i < 1000; ++i) {
+        policy->onSuccess(now, SERVICE, 200ms);
+    }
+    CHECK(policy->hedgeDelay(now, lookupRule()) >= 200ms);
+    CHECK(policy->hedgeDelay(now, lookupRule()) <= 230ms);
+}
+
+TEST(RetryPolicy, HedgesOnlyWhatTheRuleAllows)
+{
+    RetryOptions off;
+    off.hasHedging = false;
+    const auto policy = makeRetryPolicy({});
+    const auto without = makeRetryPolicy(off);
+    for (int i = 0; i < 1000; ++i) {
+        policy->onSuccess(now, SERVICE, 20ms);
+        without->onSuccess(now, SERVICE, 20ms);
+    }
+    RuleSpec rule = lookupRule();
+    CHECK(policy->hedgeDelay(now, rule) > Duration(0));
+    CHECK(without->hedgeDelay(now, rule) == Duration(0));
+    rule.repetition = Repetition::Once;
+    CHECK(policy->hedgeDelay(now, rule) == Duration(0));
+    rule = lookupRule();
+    rule.hedge = false;
+    CHECK(policy->hedgeDelay(now, rule) == Duration(0));
+}
+
+TEST(RetryPolicy, NoHedgesWhileCallsAreRefused)
+{
+    const auto policy = makeRetryPolicy({});
+    SeededRandom random(1);
+    for (int i = 0; i < 1000; ++i) {
+        policy->onSuccess(now, SERVICE, 20ms);
+    }
+    CHECK(policy->takeHedge(now, SERVICE));
+    for (int i = 0; i < 5; ++i) {
+        policy->retryAfter(now, SERVICE, random);
+    }
+    CHECK_FALSE(policy->takeHedge(now, SERVICE));
+}
+
+TEST(RetryPolicy, SpreadsRefusedCallersOverMoreTimeTheMoreThereAre)
+{
+    const auto policy = makeRetryPolicy({});
+    SeededRandom random(1);
+    const Duration first = policy->retryAfter(now, SERVICE, random);
+    CHECK(first < 400ms);
+    for (int i = 0; i < 1000; ++i) {
+        policy->retryAfter(now, SERVICE, random);
+    }
+    std::vector<Duration> delays;
+    for (int i = 0; i < 1000; ++i) {
+        delays.push_back(policy->retryAfter(now, SERVICE, random));
+    }
+    const auto [shortest, longest] = std::minmax_element(delays.begin(), delays.end());
+    CHECK(*longest - *shortest > 4s);
+    CHECK(*longest <= 1.5 * RetryOptions().longestRetryAfter);
+}
--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -210,19 +210,28 @@
         const double mean = table.latency;
         table.latency = mean <= 0 ? time : mean + LATENCY_WEIGHT * (time - mean);
     }
-    if (m_options.hasErrorPenalty && server->isBroken(m_options) && mayEject(now, table)) {
+    if (m_options.hasErrorPenalty && server->isBroken(m_options) && mayEject(now, table, *server)) {
         server->eject(now, m_options);
     }
 }
 
-bool Router::mayEject(TimePoint now, const Service &service) const
+/// Whether the server fails much more than the others, and enough others stay in.
+bool Router::mayEject(TimePoint now, const Service &service, const Server &candidate) const
 {
     std::size_t out = 1;
+    double errors = 0;
     for (const auto &[daemon, server] : service.servers) {
         out += server.isEjected(now) ? 1 : 0;
+        errors += &server == &candidate ? 0 : server.errorShare(now, m_options);
     }
-    return static_cast<double>(out)
-        <= m_options.ejectedShare * static_cast<double>(service.servers.size());
+    const auto servers = static_cast<double>(service.servers.size());
+    if (static_cast<double>(out) > m_options.ejectedShare * servers) {
+        return false;
+    }
+    // When a service further down refuses, all servers here answer with errors: taking half of them
+    // out would turn the overload of one service into that of two.
+    const double others = errors / (servers - 1);
+    return candidate.errorShare(now, m_options) > m_options.ejectedErrors * others;
 }
 
 void Router::onLoad(TimePoint now, const ServiceName &service, const DaemonId &daemon,
--- a/src/coordination/routing/internal/router.h
+++ b/src/coordination/routing/internal/router.h
@@ -48,7 +48,7 @@
                    bool isServiceNew);
     void indexServers(Service &service) const;
     Server *find(const ServiceName &service, const DaemonId &daemon);
-    bool mayEject(TimePoint now, const Service &service) const;
+    bool mayEject(TimePoint now, const Service &service, const Server &candidate) const;
 
     bool isExcluded(const Query &query, const Server &server) const;
     bool isUsable(const Query &query, const Server &server) const;
--- a/src/coordination/routing/routerfactory.h
+++ b/src/coordination/routing/routerfactory.h
@@ -48,6 +48,8 @@
 
     /// Errors in a row that take a server out.
     std::uint32_t ejectAfter = 5;
+    /// Only a server whose share of errors is this multiple of the others' is taken out.
+    double ejectedErrors = 2;
     Duration ejection = std::chrono::seconds(1);
     Duration longestEjection = std::chrono::seconds(16);
     /// At most this share of a service's servers is out.
--- /dev/null
+++ b/src/coordination/routing/tests/routertest.cpp
@@ -0,0 +1,377 @@
+#include "coordination/routing/routerfactory.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "state/internal/seededrandom.h"
+#include "state/rank.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName SERVICE("magazzino");
+const DomainName OWN("sala-a");
+const DomainName OTHER("sala-b");
+constexpr std::uint32_t SLOTS = 40;
+
+RouterOptions ownOptions()
+{
+    RouterOptions options;
+    options.domain = OWN;
+    return options;
+}
+
+/// A server as the router meets it: what it does, and what its reports say.
+struct FakeServer
+{
+    DomainName domain = OWN;
+    Duration latency = 20ms;
+    RouteFeedback end = RouteFeedback::Answered;
+    /// Its reports always show no load.
+    bool isReportEmpty = false;
+    Rank floor;
+    bool isDraining = false;
+    std::uint64_t counter = 1;
+    std::uint32_t inFlight = 0;
+    std::uint32_t chosen = 0;
+};
+
+/// An entry that sends calls at a fixed rate to fake servers.
+class Entry
+{
+public:
+    explicit Entry(const RouterOptions &options)
+        : m_router(makeRouter(options))
+    {
+    }
+
+    FakeServer &server(const std::string &name) { return m_servers[name]; }
+    IRouter &router() { return *m_router; }
+    TimePoint now() const { return m_now; }
+
+    void announce()
+    {
+        std::vector<Member> members;
+        for (const auto &[name, server] : m_servers) {
+            Member member;
+            member.id = DaemonId(name);
+            member.incarnation = Incarnation(1);
+            member.counter = server.counter;
+            member.domain = server.domain;
+            member.upstreams = { { SERVICE, SLOTS, SLOTS, false } };
+            members.push_back(member);
+        }
+        m_router->setMembers(m_now, members);
+    }
+
+    void run(Duration length, Duration gap)
+    {
+        for (auto &[name, server] : m_servers) {
+            server.chosen = 0;
+        }
+        for (const TimePoint end = m_now + length; m_now < end; m_now += gap) {
+            endCalls();
+            send();
+        }
+    }
+
+    RouteChoice choose(Rank rank = lowestRankOf(Priority(50)),
+                       const std::vector<DaemonId> &excluded = {})
+    {
+        return m_router->choose(m_now, { SERVICE, rank, excluded }, m_random);
+    }
+
+    /// Share of the calls of the last run that went to the server.
+    double shareOf(const std::string &name)
+    {
+        double all = 0;
+        for (const auto &[other, server] : m_servers) {
+            all += server.chosen;
+        }
+        return m_servers[name].chosen / std::max(1.0, all);
+    }
+
+    void report(const std::string &name)
+    {
+        const FakeServer &server = m_servers[name];
+        LoadReport load;
+        load.limit = SLOTS;
+        load.inFlight = server.isReportEmpty ? 0 : server.inFlight;
+        load.floor = server.floor;
+        load.draining = server.isDraining;
+        m_router->onLoad(m_now, SERVICE, DaemonId(name), load);
+    }
+
+    void pass(Duration time) { m_now += time; }
+
+private:
+    struct Call
+    {
+        std::string server;
+        TimePoint sent;
+    };
+
+    void send()
+    {
+        const std::string name = choose().daemon.value();
+        if (name.empty()) {
+            return;
+        }
+        FakeServer &server = m_servers[name];
+        ++server.chosen;
+        ++server.inFlight;
+        m_router->onSent(m_now, SERVICE, DaemonId(name));
+        m_calls.insert({ m_now + server.latency, { name, m_now } });
+    }
+
+    void endCalls()
+    {
+        while (!m_calls.empty() && m_calls.begin()->first <= m_now) {
+            const Call call = m_calls.begin()->second;
+            m_calls.erase(m_calls.begin());
+            FakeServer &server = m_servers[call.server];
+            --server.inFlight;
+            m_router->onEnd(m_now, SERVICE, DaemonId(call.server), server.end,
+                            std::chrono::duration_cast<Duration>(m_now - call.sent));
+            report(call.server);
+        }
+    }
+
+    std::unique_ptr<IRouter> m_router;
+    SeededRandom m_random{ 7 };
+    TimePoint m_now{ 100s };
+    std::map<std::string, FakeServer> m_servers;
+    std::multimap<TimePoint, Call> m_calls;
+};
+
+/// Four servers of the own failure domain.
+void addFour(Entry &entry)
+{
+    for (const char *name : { "a", "b", "c", "d" }) {
+        entry.server(name) = FakeServer();
+    }
+    entry.announce();
+}
+
+} // namespace
+
+TEST_GROUP(Router){};
+
+TEST(Router, SpreadsEvenlyOverEqualServers)
+{
+    Entry entry(ownOptions());
+    addFour(entry);
+    entry.run(10s, 1ms);
+    for (const char *name : { "a", "b", "c", "d" }) {
+        CHECK(entry.shareOf(name) > 0.2);
+    }
+}
+
+// One server works ten times slower, and its load endpoint says that it is idle. Callers would see
+// a quarter of their calls ten times slower. The entry counts its own calls there and their
+// latency.
+TEST(Router, SlowServerThatReportsNoLoadGetsLittle)
+{
+    for (const bool isOn : { true, false }) {
+        RouterOptions options = ownOptions();
+        options.trustsOwnView = isOn;
+        Entry entry(options);
+        addFour(entry);
+        entry.server("a").latency = 200ms;
+        entry.server("a").isReportEmpty = true;
+        entry.run(10s, 1ms);
+        CHECK_EQUAL(isOn, entry.shareOf("a") < 0.1);
+    }
+}
+
+// One server answers each call with an error at once. It never has calls in flight, so by load
+// alone it is the best choice, and most calls would fail.
+TEST(Router, ServerThatFailsFastGetsLittle)
+{
+    for (const bool isOn : { true, false }) {
+        RouterOptions options = ownOptions();
+        options.hasErrorPenalty = isOn;
+        Entry entry(options);
+        addFour(entry);
+        entry.server("a").latency = 1ms;
+        entry.server("a").end = RouteFeedback::UpstreamError;
+        entry.run(10s, 1ms);
+        CHECK_EQUAL(isOn, entry.shareOf("a") < 0.02);
+        CHECK_EQUAL(!isOn, entry.shareOf("a") > 0.25);
+    }
+}
+
+TEST(Router, ServerThatWorksAgainGetsItsShareBack)
+{
+    Entry entry(ownOptions());
+    addFour(entry);
+    entry.server("a").end = RouteFeedback::UpstreamError;
+    entry.run(10s, 1ms);
+    entry.server("a").end = RouteFeedback::Answered;
+    entry.run(RouterOptions().longestEjection + 5s, 1ms);
+    entry.run(5s, 1ms);
+    CHECK(entry.shareOf("a") > 0.2);
+}
+
+// A service further down refuses most calls, so all servers answer with errors. If the router took
+// servers out for that, the overload would spread to this service.
+TEST(Router, NoServerIsTakenOutWhileAllFailAlike)
+{
+    Entry entry(ownOptions());
+    addFour(entry);
+    for (const char *name : { "a", "b", "c", "d" }) {
+        entry.server(name).end = RouteFeedback::UpstreamError;
+    }
+    entry.run(5s, 1ms);
+    for (const char *name : { "a", "b", "c", "d" }) {
+        CHECK(entry.shareOf(name) > 0.15);
+    }
+}
+
+TEST(Router, ColdServerGetsLittleAtFirstAndThenItsShare)
+{
+    for (const bool isOn : { true, false }) {
+        RouterOptions options = ownOptions();
+        options.hasSlowStart = isOn;
+        Entry entry(options);
+        addFour(entry);
+        entry.run(2s, 1ms);
+        entry.server("e") = FakeServer();
+        entry.announce();
+        entry.run(1s, 1ms);
+        CHECK_EQUAL(isOn, entry.shareOf("e") < 0.12);
+        entry.run(RouterOptions().slowStart, 1ms);
+        entry.run(5s, 1ms);
+        CHECK(entry.shareOf("e") > 0.15);
+    }
+}
+
+TEST(Router, OwnDomainComesFirstAndSpillsWhileItIsSaturated)
+{
+    for (const bool isOn : { true, false }) {
+        RouterOptions options = ownOptions();
+        options.isOwnDomainFirst = isOn;
+        Entry entry(options);
+        entry.server("near") = FakeServer();
+        entry.server("far") = FakeServer();
+        entry.server("far").domain = OTHER;
+        entry.announce();
+        entry.run(2s, 1ms); // 20 of 40 slots
+        CHECK_EQUAL(isOn, entry.shareOf("near") == 1);
+        entry.run(2s, 400us); // 50 of 40 slots
+        CHECK(entry.shareOf("far") > 0.1);
+        CHECK(entry.server("near").inFlight <= SLOTS);
+        entry.run(1s, 1ms);
+        entry.run(2s, 1ms);
+        CHECK_EQUAL(isOn, entry.shareOf("near") == 1);
+    }
+}
+
+TEST(Router, DrainingServerIsLeftAtOnceAndAskedAgainAfterANewerRecord)
+{
+    Entry entry(ownOptions());
+    addFour(entry);
+    entry.server("a").isDraining = true;
+    entry.report("a");
+    entry.run(1s, 1ms);
+    CHECK_EQUAL(0U, entry.server("a").chosen);
+
+    entry.announce();
+    entry.run(1s, 1ms);
+    CHECK_EQUAL(0U, entry.server("a").chosen);
+
+    entry.server("a").isDraining = false;
+    entry.server("a").counter = 2;
+    entry.announce();
+    entry.run(5s, 1ms);
+    CHECK(entry.shareOf("a") > 0.2);
+}
+
+TEST(Router, ServersTriedBeforeAreNotChosenAgain)
+{
+    Entry entry(ownOptions());
+    addFour(entry);
+    const std::vector<DaemonId> excluded{ DaemonId("a"), DaemonId("b"), DaemonId("d") };
+    for (int i = 0; i < 100; ++i) {
+        CHECK(entry.choose(Rank(), excluded).daemon == DaemonId("c"));
+    }
+    const RouteChoice none =
+        entry.choose(Rank(), { DaemonId("a"), DaemonId("b"), DaemonId("c"), DaemonId("d") });
+    CHECK(none.daemon.value().empty());
+    CHECK(none.reason == Reason::NoServer);
+}
+
+TEST(Router, FloorIsThatOfTheServerThatTakesMostAndFallsWithAge)
+{
+    const Rank high = lowestRankOf(Priority(90));
+    const Rank middle = lowestRankOf(Priority(50));
+    Entry entry(ownOptions());
+    addFour(entry);
+    for (const char *name : { "a", "b", "c" }) {
+        entry.server(name).floor = high;
+        entry.report(name);
+    }
+    CHECK(entry.router().floor(entry.now(), SERVICE) == Rank());
+    CHECK(entry.choose(middle).daemon == DaemonId("d"));
+
+    entry.server("d").floor = middle;
+    entry.report("d");
+    CHECK(entry.router().floor(entry.now(), SERVICE) == middle);
+    const RouteChoice refused = entry.choose(lowestRankOf(Priority(10)));
+    CHECK(refused.daemon.value().empty());
+    CHECK(refused.reason == Reason::BelowFloor);
+    CHECK(refused.retryAfter > Duration(0));
+
+    // No report comes any more: nobody may be refused for good.
+    entry.pass(RouterOptions().floorHold + RouterOptions().floorDecay);
+    CHECK(entry.router().floor(entry.now(), SERVICE) == Rank());
+    CHECK(!entry.choose(Rank()).daemon.value().empty());
+}
+
+TEST(Router, NoCallIsRefusedEarlyWhenSwitchedOff)
+{
+    RouterOptions options = ownOptions();
+    options.hasFloor = false;
+    Entry entry(options);
+    addFour(entry);
+    for (const char *name : { "a", "b", "c", "d" }) {
+        entry.server(name).floor = lowestRankOf(Priority(90));
+        entry.report(name);
+    }
+    CHECK(entry.router().floor(entry.now(), SERVICE) == Rank());
+    CHECK(!entry.choose(Rank()).daemon.value().empty());
+}
+
+// Servers of different speed: two choices keep the queues short, one random choice does not.
+TEST(Router, TwoChoicesKeepTheBusiestServerLessBusyThanOne)
+{
+    std::uint32_t busiest[2] = {};
+    for (const bool isOn : { false, true }) {
+        RouterOptions options = ownOptions();
+        options.hasTwoChoices = isOn;
+        Entry entry(options);
+        addFour(entry);
+        for (int i = 0; i < 2000; ++i) {
+            entry.run(1ms, 200us); // 100 calls in flight
+            for (const char *name : { "a", "b", "c", "d" }) {
+                busiest[isOn ? 1 : 0] =
+                    std::max(busiest[isOn ? 1 : 0], entry.server(name).inFlight);
+            }
+        }
+    }
+    CHECK(busiest[1] + 5 < busiest[0]);
+}
+
+TEST(Router, ServiceWithoutServersIsSaidSo)
+{
+    Entry entry(ownOptions());
+    CHECK(entry.choose().reason == Reason::NoServer);
+    addFour(entry);
+    entry.router().setMembers(entry.now(), {});
+    CHECK(entry.choose().reason == Reason::NoServer);
+}
