--- /dev/null
+++ b/src/app/internal/configurationfollower.cpp
@@ -0,0 +1,367 @@
+#include "app/internal/configurationfollower.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "coordination/configuration/configurationfoldfactory.h"
+#include "protocol/internal/configurationrecordcodec.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::uint32_t PAGE_RECORDS = 64;
+/// A request that got no push is repeated after this time.
+constexpr Duration REQUEST_TIMEOUT = std::chrono::milliseconds(500);
+/// So often a daemon that holds the current version asks for its position in the log.
+constexpr Duration POSITION_REQUEST_INTERVAL = std::chrono::seconds(10);
+constexpr Duration LONGEST_STOP = std::chrono::minutes(1);
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(ConfigurationFollowerSettings settings,
+                                             IEventLoop &loop, ILogService &log,
+                                             const IConfigurationReader &reader,
+                                             IControlExchange &exchange, IRandom &random,
+                                             ConfigurationFollowerEvents events)
+    : m_settings(std::move(settings))
+    , m_loop(loop)
+    , m_log(log)
+    , m_reader(reader)
+    , m_exchange(exchange)
+    , m_random(random)
+    , m_events(std::move(events))
+    , m_fold(makeConfigurationFold())
+    , m_poll(m_settings.poll)
+    , m_snapshot(m_settings.snapshot)
+{
+}
+
+ConfigurationFollower::~ConfigurationFollower() = default;
+
+void ConfigurationFollower::start()
+{
+    spawn(&ConfigurationFollower::followLog);
+    spawn(&ConfigurationFollower::offerVersions);
+}
+
+void ConfigurationFollower::stop()
+{
+    m_isStopped = true;
+    if (m_fibers == 0) {
+        return;
+    }
+    m_ended = std::make_unique<OneShot<bool>>(m_loop);
+    for (Pause *each : { &m_pollPause, &m_offerPause }) {
+        if (*each) {
+            (*each)->set(true);
+        }
+    }
+    m_log.cancelReads();
+    m_ended->wait(LONGEST_STOP);
+}
+
+bool ConfigurationFollower::receive(const DaemonId &from, const std::string &payload)
+{
+    const RetVal<ConfigurationMessage> message = decodeConfigurationMessage(payload);
+    if (!message) {
+        return message.error().code != ErrorCode::NotFound;
+    }
+    if (!m_isStopped) {
+        std::visit([this, &from](const auto &each) { handle(from, each); }, *message);
+    }
+    return true;
+}
+
+ConfigurationStatus ConfigurationFollower::status() const
+{
+    ConfigurationStatus status;
+    status.inForce = m_inForce ? m_inForce->version : ConfigurationVersion();
+    if (const AcceptedConfiguration *current = m_fold->current()) {
+        status.accepted = current->version;
+        status.changeId = current->changeId;
+    }
+    status.unreadable = m_unreadable;
+    status.isJudging = m_fold->judged() != nullptr;
+    status.isFastPoller = m_poll.isFast();
+    status.nextOffset = m_fold->nextOffset();
+    status.logError = m_logError;
+    status.snapshotsAppended = m_snapshotsAppended;
+    return status;
+}
+
+void ConfigurationFollower::spawn(void (ConfigurationFollower::*body)())
+{
+    ++m_fibers;
+    m_loop.spawn([this, body] {
+        (this->*body)();
+        --m_fibers;
+        if (m_fibers == 0 && m_ended) {
+            m_ended->set(true);
+        }
+    });
+}
+
+void ConfigurationFollower::pause(Pause &pause, Duration duration)
+{
+    if (m_isStopped || duration <= Duration::zero()) {
+        return;
+    }
+    pause = std::make_unique<OneShot<bool>>(m_loop);
+    pause->wait(duration);
+    pause.reset();
+}
+
+void ConfigurationFollower::followLog()
+{
+    while (!m_isStopped) {
+        pause(m_pollPause, readOnce());
+    }
+}
+
+void ConfigurationFollower::offerVersions()
+{
+    while (!m_isStopped) {
+        offerToRandomPeers(1);
+        // Drawn anew each time, so that daemons that start together do not stay in step.
+        const auto half = static_cast<std::uint64_t>(
+            std::max<Duration::rep>(1, m_settings.offerInterval.count()));
+        pause(m_offerPause, m_settings.offerInterval / 2 + Duration(m_random.below(half)));
+    }
+}
+
+/// Reads and folds one page. Returns the pause before the next read.
+Duration ConfigurationFollower::readOnce()
+{
+    std::vector<DaemonId> domainPeers;
+    for (const ControlPeer &peer : m_exchange.peers()) {
+        if (peer.domain == m_settings.domain) {
+            domainPeers.push_back(peer.id);
+        }
+    }
+    m_poll.setFast(isFastPoller(m_settings.self, domainPeers, m_settings.poll.fastPerDomain));
+    const TimePoint start = m_loop.now();
+    const RetVal<LogPage> page = m_log.read(StreamName(CONFIGURATION_STREAM), m_fold->nextOffset(),
+                                            PAGE_RECORDS, m_poll.wait());
+    if (m_isStopped) {
+        return Duration::zero();
+    }
+    if (!page) {
+        setLogError(page.error().text);
+        return m_poll.onFailure(m_random);
+    }
+    setLogError({});
+    foldPage(*page);
+    if (m_snapshot.update(m_loop.now(), *m_fold, page->first, page->end, m_poll.isFast(),
+                          m_random)) {
+        renewSnapshot();
+    }
+    const bool isAtEnd = m_fold->nextOffset() >= page->end || page->records.empty();
+    return m_poll.onPage(page->records.empty(), isAtEnd, m_loop.now() - start, m_random);
+}
+
+void ConfigurationFollower::foldPage(const LogPage &page)
+{
+    m_fold->forgetBefore(page.first);
+    for (const LogRecord &record : page.records) {
+        foldRecord(record);
+    }
+    // Nobody waits for these here; a publisher reads the stream itself.
+    m_fold->takeLateVerdicts();
+    useCurrent();
+}
+
+void ConfigurationFollower::foldRecord(const LogRecord &record)
+{
+    const RetVal<ConfigurationRecord> decoded = decodeConfigurationRecord(record.payload);
+    const std::string place = "record " + std::to_string(record.offset.value());
+    if (!decoded) {
+        m_fold->skip(record.offset);
+        notice(place + " skipped: " + decoded.error().text);
+        return;
+    }
+    const std::string change = "change " + decoded->changeId + " based on version "
+        + std::to_string(decoded->base.value());
+    switch (m_fold->apply(record.offset, *decoded)) {
+    case FoldVerdict::Conflict:
+        notice(place + " refused: " + change + " is not based on the current version");
+        break;
+    case FoldVerdict::Malformed:
+        notice(place + " refused: the text of " + change + " is damaged");
+        break;
+    case FoldVerdict::Unjudged:
+        notice(place + " not judged yet: older records were lost, waiting for a snapshot");
+        break;
+    case FoldVerdict::Accepted:
+    case FoldVerdict::Duplicate:
+        break;
+    }
+}
+
+void ConfigurationFollower::renewSnapshot()
+{
+    const AcceptedConfiguration *judged = m_fold->judged();
+    ConfigurationRecord record;
+    record.kind = ConfigurationRecord::Kind::Snapshot;
+    record.changeId = judged->changeId;
+    record.base = judged->version;
+    record.digest = judged->digest;
+    record.inventory = judged->inventory;
+    record.rules = judged->rules;
+    record.position = *judged->position;
+    const RetVal<std::string> payload = encodeConfigurationRecord(record);
+    if (!payload) {
+        notice("snapshot not written: " + payload.error().text);
+        return;
+    }
+    const RetVal<LogOffset> offset = m_log.append(StreamName(CONFIGURATION_STREAM), *payload);
+    // A snapshot that was appended although its answer was lost is seen by the next read.
+    if (!offset) {
+        m_snapshot.onFailure(m_loop.now(), m_random);
+        notice("snapshot not written: " + offset.error().text);
+        return;
+    }
+    ++m_snapshotsAppended;
+    notice("snapshot of version " + std::to_string(record.base.value()) + " written at offset "
+           + std::to_string(offset->value()));
+}
+
+/// Notes only changes: an outage may last for hours.
+void ConfigurationFollower::setLogError(const std::string &text)
+{
+    if (text.empty() != m_logError.empty()) {
+        notice(text.empty() ? "the log can be read again" : "the log cannot be read: " + text);
+    }
+    m_logError = text;
+}
+
+/// A peer that is behind is offered the version rather than sent it: several daemons may find it at
+/// the same time, and it asks only one of them.
+void ConfigurationFollower::handle(const DaemonId &from, const ConfigurationOffer &offer)
+{
+    const ConfigurationOffer own = makeOffer();
+    if (offer.version < own.version) {
+        send(from, own);
+        return;
+    }
+    if (mayRequest(offer)) {
+        send(from, ConfigurationRequest{});
+    }
+}
+
+void ConfigurationFollower::handle(const DaemonId &from, const ConfigurationRequest & /*request*/)
+{
+    if (const AcceptedConfiguration *accepted = held()) {
+        send(from, ConfigurationPush{ *accepted });
+    }
+}
+
+void ConfigurationFollower::handle(const DaemonId &from, const ConfigurationPush &push)
+{
+    if (m_fold->adopt(push.accepted)) {
+        notice("version " + std::to_string(push.accepted.version.value()) + " learned from "
+               + from.value());
+    }
+    useCurrent();
+}
+
+void ConfigurationFollower::send(const DaemonId &to, const ConfigurationMessage &message)
+{
+    RetVal<std::string> payload = encodeConfigurationMessage(message);
+    if (payload) {
+        m_exchange.send(to, std::move(*payload));
+    }
+}
+
+void ConfigurationFollower::offerToRandomPeers(std::uint32_t count)
+{
+    std::vector<ControlPeer> peers = m_exchange.peers();
+    const ConfigurationOffer offer = makeOffer();
+    for (std::uint32_t i = 0; i < count && !peers.empty(); ++i) {
+        std::swap(peers[m_random.below(peers.size())], peers.back());
+        send(peers.back().id, offer);
+        peers.pop_back();
+    }
+}
+
+/// Whether what is offered helps, and has not just been asked for: a version that is newer, or the
+/// position of the held one, without which no record can be judged.
+bool ConfigurationFollower::mayRequest(const ConfigurationOffer &offer)
+{
+    const ConfigurationOffer own = makeOffer();
+    const bool isNewer = offer.version > own.version;
+    const bool hasNeededPosition = offer.version == own.version && offer.hasPosition
+        && !m_fold->judged() && offer.version.value() > 0;
+    if (!isNewer && !hasNeededPosition) {
+        return false;
+    }
+    const TimePoint now = m_loop.now();
+    const Duration interval = isNewer ? REQUEST_TIMEOUT : POSITION_REQUEST_INTERVAL;
+    if (offer.version <= m_requested && now - m_requestedAt < interval) {
+        return false;
+    }
+    m_requested = offer.version;
+    m_requestedAt = now;
+    return true;
+}
+
+ConfigurationOffer ConfigurationFollower::makeOffer() const
+{
+    const AcceptedConfiguration *accepted = held();
+    if (!accepted) {
+        return {};
+    }
+    return { accepted->version, accepted->position.has_value() };
+}
+
+/// The version that is held, with a position if one is known.
+const AcceptedConfiguration *ConfigurationFollower::held() const
+{
+    const AcceptedConfiguration *current = m_fold->current();
+    const AcceptedConfiguration *judged = m_fold->judged();
+    return current && judged && judged->version == current->version ? judged : current;
+}
+
+/// Brings the accepted version into force. One that this program cannot read, as it may be older
+/// than the version's publisher, is still held and passed on; the previous one stays in force.
+void ConfigurationFollower::useCurrent()
+{
+    const AcceptedConfiguration *current = m_fold->current();
+    const bool isKnown =
+        !current || (current->version == m_readVersion && current->digest == m_readDigest);
+    if (isKnown) {
+        return;
+    }
+    m_readVersion = current->version;
+    m_readDigest = current->digest;
+    const ReadConfiguration read = m_reader.read({ current->inventory, current->rules },
+                                                 "inventory", "rules", current->version);
+    if (!read.configuration) {
+        const bool hasText = !read.problems.empty();
+        m_unreadable = hasText ? read.problems.front().text() : "cannot be read";
+        notice(describe(*current)
+               + " was accepted, but this program cannot read it: " + m_unreadable);
+    } else {
+        m_unreadable.clear();
+        m_inForce = read.configuration;
+        notice(describe(*current) + " is in force");
+        m_events.onConfiguration(m_inForce);
+    }
+    offerToRandomPeers(m_settings.changeFanout);
+}
+
+std::string ConfigurationFollower::describe(const AcceptedConfiguration &accepted) const
+{
+    return "version " + std::to_string(accepted.version.value()) + " (change " + accepted.changeId
+        + ")";
+}
+
+void ConfigurationFollower::notice(const std::string &text) const
+{
+    if (m_events.onNotice) {
+        m_events.onNotice("configuration: " + text);
+    }
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/configurationfollower.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "app/icontrolexchange.h"
+#include "coordination/configuration/iconfigurationfold.h"
+#include "coordination/configuration/internal/pollschedule.h"
+#include "coordination/configuration/internal/snapshotschedule.h"
+#include "protocol/configurationexchange.h"
+#include "protocol/iconfigurationreader.h"
+#include "state/configuration.h"
+#include "transport/ieventloop.h"
+#include "transport/ilogservice.h"
+#include "transport/oneshot.h"
+
+namespace ivyspar {
+
+/// Name of the stream that operators publish on.
+constexpr char CONFIGURATION_STREAM[] = "configuration";
+
+struct ConfigurationFollowerSettings
+{
+    DaemonId self;
+    DomainName domain;
+    PollSettings poll;
+    SnapshotSettings snapshot;
+    /// Time between two offers to a random peer.
+    Duration offerInterval = std::chrono::seconds(1);
+    /// Random peers that hear of a new version at once.
+    std::uint32_t changeFanout = 6;
+};
+
+struct ConfigurationFollowerEvents
+{
+    /// A new version is in force. Never goes back.
+    std::function<void(ConfigurationPtr)> onConfiguration;
+    /// One line for the log.
+    std::function<void(std::string)> onNotice;
+};
+
+/// For operators.
+struct ConfigurationStatus
+{
+    /// In force here; 0 for none.
+    ConfigurationVersion inForce;
+    /// Accepted and passed on, also if this program cannot read it; 0 for none.
+    ConfigurationVersion accepted;
+    std::string changeId;
+    /// Why the accepted version is not in force; empty if it is.
+    std::string unreadable;
+    /// What the log's records say can be judged.
+    bool isJudging = false;
+    bool isFastPoller = false;
+    LogOffset nextOffset;
+    /// Why the log cannot be read now; empty if it can.
+    std::string logError;
+    std::uint64_t snapshotsAppended = 0;
+};
+
+/// Keeps this daemon's configuration up to date: follows the stream in the platform's log, folds
+/// it, exchanges versions with other daemons, and renews the snapshot in the log. Runs in two
+/// fibers of the control thread.
+class ConfigurationFollower
+{
+public:
+    ConfigurationFollower(ConfigurationFollowerSettings settings, IEventLoop &loop,
+                          ILogService &log, const IConfigurationReader &reader,
+                          IControlExchange &exchange, IRandom &random,
+                          ConfigurationFollowerEvents events);
+    ~ConfigurationFollower();
+
+    void start();
+    /// Suspends until both fibers have ended; to be called before destruction, once started.
+    void stop();
+    /// A control payload from another daemon. False if it is not for the configuration.
+    bool receive(const DaemonId &from, const std::string &payload);
+    ConfigurationStatus status() const;
+
+private:
+    /// A fiber's sleep that `stop` can end.
+    using Pause = std::unique_ptr<OneShot<bool>>;
+
+    void spawn(void (ConfigurationFollower::*body)());
+    void pause(Pause &pause, Duration duration);
+    void followLog();
+    void offerVersions();
+
+    Duration readOnce();
+    void foldPage(const LogPage &page);
+    void foldRecord(const LogRecord &record);
+    void renewSnapshot();
+    void setLogError(const std::string &text);
+
+    void handle(const DaemonId &from, const ConfigurationOffer &offer);
+    void handle(const DaemonId &from, const ConfigurationRequest &request);
+    void handle(const DaemonId &from, const ConfigurationPush &push);
+    void send(const DaemonId &to, const ConfigurationMessage &message);
+    void offerToRandomPeers(std::uint32_t count);
+    bool mayRequest(const ConfigurationOffer &offer);
+
+    ConfigurationOffer makeOffer() const;
+    const AcceptedConfiguration *held() const;
+    void useCurrent();
+    std::string describe(const AcceptedConfiguration &accepted) const;
+    void notice(const std::string &text) const;
+
+    ConfigurationFollowerSettings m_settings;
+    IEventLoop &m_loop;
+    ILogService &m_log;
+    const IConfigurationReader &m_reader;
+    IControlExchange &m_exchange;
+    IRandom &m_random;
+    ConfigurationFollowerEvents m_events;
+
+    std::unique_ptr<IConfigurationFold> m_fold;
+    PollSchedule m_poll;
+    SnapshotSchedule m_snapshot;
+    /// The accepted version that was last given to the reader.
+    ConfigurationVersion m_readVersion;
+    std::uint64_t m_readDigest = 0;
+    ConfigurationPtr m_inForce;
+    std::string m_unreadable;
+    std::string m_logError;
+    std::uint64_t m_snapshotsAppended = 0;
+    ConfigurationVersion m_requested;
+    TimePoint m_requestedAt;
+
+    bool m_isStopped = false;
+    int m_fibers = 0;
+    Pause m_pollPause;
+    Pause m_offerPause;
+    Pause m_ended;
+};
+
+} // namespace ivyspar
--- a/src/coordination/configuration/iconfigurationfold.h
+++ b/src/coordination/configuration/iconfigurationfold.h
@@ -81,6 +81,8 @@
     /// Records are given in order of offset. An offset that was given before changes nothing; a
     /// jump forward means that records were forgotten.
     virtual FoldVerdict apply(LogOffset offset, const ConfigurationRecord &record) = 0;
+    /// The log keeps no record before `first`.
+    virtual void forgetBefore(LogOffset first) = 0;
     /// There is a record at `offset` that no program of this age can read. It changes nothing.
     virtual void skip(LogOffset offset) = 0;
     /// A peer holds this accepted version. True if it is newer than what is held.
--- a/src/coordination/configuration/internal/configurationfold.cpp
+++ b/src/coordination/configuration/internal/configurationfold.cpp
@@ -74,6 +74,13 @@
     return judgeChange(offset, record);
 }
 
+void ConfigurationFold::forgetBefore(LogOffset first)
+{
+    if (first > m_next) {
+        loseHistory(first);
+    }
+}
+
 void ConfigurationFold::skip(LogOffset offset)
 {
     advanceTo(offset);
@@ -117,9 +124,7 @@
     if (offset < m_next) {
         return false;
     }
-    if (offset > m_next) {
-        loseHistory(offset);
-    }
+    forgetBefore(offset);
     // A position that a peer vouches for may lie behind this offset.
     if (offset < m_next) {
         return false;
@@ -136,6 +141,7 @@
 {
     m_isJudging = false;
     m_start = start;
+    m_next = start;
     m_pending.clear();
     m_pendingBytes = 0;
     if (m_held.position && *m_held.position >= start) {
--- a/src/coordination/configuration/internal/configurationfold.h
+++ b/src/coordination/configuration/internal/configurationfold.h
@@ -12,6 +12,7 @@
     ConfigurationFold();
 
     FoldVerdict apply(LogOffset offset, const ConfigurationRecord &record) override;
+    void forgetBefore(LogOffset first) override;
     void skip(LogOffset offset) override;
     bool adopt(const AcceptedConfiguration &accepted) override;
     std::vector<LateVerdict> takeLateVerdicts() override;
--- a/src/coordination/configuration/tests/configurationfoldtest.cpp
+++ b/src/coordination/configuration/tests/configurationfoldtest.cpp
@@ -134,6 +134,12 @@
         check();
     }
 
+    void forgetBefore(std::uint64_t first)
+    {
+        m_fold->forgetBefore(LogOffset(first));
+        check();
+    }
+
     /// From a peer that had read up to `position`.
     void learn(std::uint64_t position, bool isPositionKnown)
     {
@@ -196,6 +202,7 @@
             reader.learn(random.below(stream.end() + 1), random.below(2) == 0);
         } else if (kind == 1) {
             first += random.below(std::min<std::uint64_t>(stream.end() - first, 4) + 1);
+            reader.forgetBefore(first);
         } else if (kind == 2 && first < stream.end()) {
             reader.read(first + random.below(stream.end() - first) / 2);
         } else if (std::max(first, reader.next()) < stream.end()) {
@@ -246,6 +253,7 @@
                    {} };
         return FoldVerdict::Accepted;
     }
+    void forgetBefore(LogOffset) override { }
     void skip(LogOffset) override { }
     bool adopt(const AcceptedConfiguration &accepted) override
     {
--- a/src/coordination/configuration/tests/configurationschedulestest.cpp
+++ b/src/coordination/configuration/tests/configurationschedulestest.cpp
@@ -36,8 +36,10 @@
 
 TEST(PollSchedule, FewOfADomainFollowClosely)
 {
+    constexpr int DAEMONS = 200;
     std::vector<DaemonId> daemons;
-    for (int i = 0; i < 200; ++i) {
+    daemons.reserve(DAEMONS);
+    for (int i = 0; i < DAEMONS; ++i) {
         daemons.emplace_back("host-" + std::to_string(i));
     }
     std::vector<DaemonId> fast;
--- a/src/transport/ilogservice.h
+++ b/src/transport/ilogservice.h
@@ -40,6 +40,9 @@
     /// that cannot do so answers at once.
     virtual RetVal<LogPage> read(const StreamName &stream, LogOffset from, std::uint32_t maxRecords,
                                  Duration wait) = 0;
+    /// Ends the reads that are waiting now, with the error `Cancelled`, so that a planned stop need
+    /// not wait for them. A log whose reads never wait does nothing.
+    virtual void cancelReads() { }
 };
 
 } // namespace ivyspar
--- a/src/transport/internal/httplogservice.cpp
+++ b/src/transport/internal/httplogservice.cpp
@@ -152,8 +152,14 @@
     Error error{ ErrorCode::Unavailable, "no log endpoint is set" };
     const std::size_t start = m_preferred;
     for (std::size_t i = 0; i < m_settings.endpoints.size(); ++i) {
-        const HttpResult result =
-            m_client.exchange(endpoint(start + i), request, m_settings.timeout + wait, nullptr);
+        const auto cancellation =
+            m_reads.insert(m_reads.end(), HttpCancellationPtr(new HttpCancellation));
+        const HttpResult result = m_client.exchange(endpoint(start + i), request,
+                                                    m_settings.timeout + wait, *cancellation);
+        m_reads.erase(cancellation);
+        if (!result && result.error().cause == HttpFailureCause::Cancelled) {
+            return makeError(ErrorCode::Cancelled, "the read was cancelled");
+        }
         if (!result) {
             error = { ErrorCode::Unavailable, "no answer from the log: " + result.error().text };
             continue;
@@ -171,6 +177,15 @@
     return tl::unexpected<Error>(error);
 }
 
+void HttpLogService::cancelReads()
+{
+    // A copy, as the fibers that are woken take theirs out of the list.
+    const std::list<HttpCancellationPtr> reads = m_reads;
+    for (const HttpCancellationPtr &each : reads) {
+        each->cancel();
+    }
+}
+
 HttpRequest HttpLogService::makeRequest(std::string method, std::string target) const
 {
     HttpRequest request;
--- a/src/transport/internal/httplogservice.h
+++ b/src/transport/internal/httplogservice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <list>
+
 #include "transport/logservicefactory.h"
 
 namespace ivyspar {
@@ -12,6 +14,7 @@
     RetVal<LogOffset> append(const StreamName &stream, const std::string &payload) override;
     RetVal<LogPage> read(const StreamName &stream, LogOffset from, std::uint32_t maxRecords,
                          Duration wait) override;
+    void cancelReads() override;
 
 private:
     HttpRequest makeRequest(std::string method, std::string target) const;
@@ -22,6 +25,7 @@
     IHttpClient &m_client;
     /// The endpoint that answered last. Other fibers may change it during an exchange.
     std::size_t m_preferred = 0;
+    std::list<HttpCancellationPtr> m_reads;
 };
 
 } // namespace ivyspar
--- a/standins/log/inprocesshttpclient.cpp
+++ b/standins/log/inprocesshttpclient.cpp
@@ -24,13 +24,14 @@
 
     HttpRequest m_request;
     std::function<void()> m_onDisconnect;
-    OneShot<HttpResponse> m_response;
+    /// Nothing when the exchange was cancelled.
+    OneShot<std::optional<HttpResponse>> m_response;
 };
 
 } // namespace
 
 HttpResult InProcessHttpClient::exchange(const Endpoint & /*endpoint*/, const HttpRequest &request,
-                                         Duration timeout, HttpCancellationPtr /*cancellation*/)
+                                         Duration timeout, HttpCancellationPtr cancellation)
 {
     if (m_isCut) {
         return tl::unexpected<HttpFailure>(
@@ -38,15 +39,22 @@
     }
     const auto exchange = std::make_shared<Exchange>(m_loop, request);
     m_loop.spawn([exchange, handler = m_handler] { exchange->m_response.set(handler(*exchange)); });
-    std::optional<HttpResponse> response = exchange->m_response.wait(timeout);
-    if (response) {
-        return std::move(*response);
+    if (cancellation) {
+        cancellation->setAction([exchange] { exchange->m_response.set(std::nullopt); });
+    }
+    std::optional<std::optional<HttpResponse>> response = exchange->m_response.wait(timeout);
+    if (cancellation) {
+        cancellation->setAction({});
+    }
+    if (response && *response) {
+        return std::move(**response);
     }
     if (const auto onDisconnect = std::exchange(exchange->m_onDisconnect, {})) {
         onDisconnect();
     }
+    const auto cause = response ? HttpFailureCause::Cancelled : HttpFailureCause::Timeout;
     return tl::unexpected<HttpFailure>(
-        HttpFailure{ HttpFailureStage::MaybeSent, HttpFailureCause::Timeout, "timed out" });
+        HttpFailure{ HttpFailureStage::MaybeSent, cause, "no answer" });
 }
 
 } // namespace ivyspar::lab
--- a/standins/log/logserver.cpp
+++ b/standins/log/logserver.cpp
@@ -109,6 +109,14 @@
 }
 
 HttpResponse LogServer::handle(IHttpExchange &exchange)
+{
+    ++m_active;
+    HttpResponse response = route(exchange);
+    --m_active;
+    return response;
+}
+
+HttpResponse LogServer::route(IHttpExchange &exchange)
 {
     const std::string &target = exchange.request().target;
     const std::size_t mark = target.find('?');
@@ -189,7 +197,9 @@
         if (!result.page.records.empty() || m_loop.now() >= until) {
             return makeResponse(STATUS_OK, toJson(result.page));
         }
-        waitForAppend(until - m_loop.now());
+        if (!waitForAppend(exchange, until - m_loop.now())) {
+            return makeError(STATUS_INTERNAL, "the client gave up");
+        }
     }
 }
 
@@ -225,12 +235,15 @@
     return makeError(STATUS_INTERNAL, "no answer");
 }
 
-void LogServer::waitForAppend(Duration timeout)
+bool LogServer::waitForAppend(IHttpExchange &exchange, Duration timeout)
 {
     OneShot<bool> appended(m_loop);
     const auto place = m_waiting.insert(m_waiting.end(), &appended);
-    appended.wait(timeout);
+    exchange.onDisconnect([&appended] { appended.set(false); });
+    const bool isGone = !appended.wait(timeout).value_or(true);
+    exchange.onDisconnect({});
     m_waiting.erase(place);
+    return !isGone;
 }
 
 void LogServer::wakeReaders()
--- a/standins/log/logserver.h
+++ b/standins/log/logserver.h
@@ -22,6 +22,8 @@
 
     /// Runs in the connection's fiber.
     HttpResponse handle(IHttpExchange &exchange);
+    /// Requests that are being worked on. The server must outlive them.
+    std::size_t activeCount() const { return m_active; }
 
 private:
     HttpResponse append(IHttpExchange &exchange, const StreamName &stream);
@@ -30,12 +32,15 @@
     HttpResponse statistics() const;
     /// As a lost answer looks to the client: nothing until it gives up.
     HttpResponse stayAway(IHttpExchange &exchange);
-    void waitForAppend(Duration timeout);
+    /// False when the client gave up.
+    bool waitForAppend(IHttpExchange &exchange, Duration timeout);
+    HttpResponse route(IHttpExchange &exchange);
     void wakeReaders();
 
     IEventLoop &m_loop;
     LogCore &m_core;
     std::list<OneShot<bool> *> m_waiting;
+    std::size_t m_active = 0;
 };
 
 } // namespace ivyspar::lab
