--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -41,6 +41,7 @@
 {
     EntryOptions options;
     options.maxRequests = settings.limits.inFlight;
+    options.hasSharedBudget = !settings.ablations.budget;
     return options;
 }
 
@@ -93,9 +94,9 @@
     return limits;
 }
 
-RetVal<BoundEndpoints> TrafficNode::listen()
+RetVal<ListeningEndpoints> TrafficNode::listen()
 {
-    BoundEndpoints bound;
+    ListeningEndpoints bound;
     const auto peer = m_network->listen(m_settings.peerListen, PeerLimits());
     if (!peer) {
         return tl::unexpected<Error>(peer.error());
@@ -151,7 +152,7 @@
     m_entry->startDraining();
 }
 
-bool TrafficNode::drain(Duration timeout)
+bool TrafficNode::drainCalls(Duration timeout)
 {
     const TimePoint end = m_loop.now() + timeout;
     const auto left = [&] { return std::chrono::duration_cast<Duration>(end - m_loop.now()); };
@@ -162,10 +163,14 @@
     }
     const bool isDone = m_gates->callCount() + m_entry->requestCount() == 0;
     m_upstreamServer->drain(std::max(left(), DRAIN_POLL));
-    m_network->shutdown(std::max(left(), DRAIN_POLL));
     return isDone;
 }
 
+void TrafficNode::closeLinks(Duration timeout)
+{
+    m_network->shutdown(timeout);
+}
+
 HttpResponse TrafficNode::handleUpstream(IHttpExchange &exchange)
 {
     if (exchange.request().target == ANNOUNCE_PATH) {
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -7,6 +7,7 @@
 #include "app/internal/entryservice.h"
 #include "app/internal/gateservice.h"
 #include "app/internal/peercalls.h"
+#include "app/readyfile.h"
 #include "app/settings.h"
 #include "state/configuration.h"
 #include "state/member.h"
@@ -17,15 +18,6 @@
 
 namespace ivyspar {
 
-/// The endpoints that a daemon got.
-struct BoundEndpoints
-{
-    Endpoint caller;
-    Endpoint upstream;
-    Endpoint peer;
-    Endpoint operators;
-};
-
 /// What the traffic thread tells the rest of the daemon. Called on the traffic thread.
 struct TrafficEvents
 {
@@ -54,16 +46,17 @@
     ~TrafficNode();
 
     /// Opens the listeners.
-    RetVal<BoundEndpoints> listen();
+    RetVal<ListeningEndpoints> listen();
     void setMembers(const std::vector<Member> &members);
     void setConfiguration(const ConfigurationPtr &configuration);
     void sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload);
     TrafficStatus status() const;
     /// New calls are refused from now on; those in flight go on.
     void startDraining();
-    /// Ends what is in flight and closes all listeners; suspends for `timeout` at most. False when
-    /// something was still in flight then.
-    bool drain(Duration timeout);
+    /// Waits for the end of what is in flight and closes the listeners of callers and upstreams;
+    /// suspends for `timeout` at most. False when something was still in flight then.
+    bool drainCalls(Duration timeout);
+    void closeLinks(Duration timeout);
 
 private:
     HttpLimits makeLimits() const;
