Publish: a change, its verdict and what came first

A repetition with the same id finds the change; when records were forgotten it needs its old base. The first run hung: the in-process client of the tests did not tell a handler that asked late that its client was gone, unlike the HTTP server.

--- a/src/app/internal/flags.h
+++ b/src/app/internal/flags.h
@@ -30,5 +30,6 @@
 DECLARE_string(base);
 DECLARE_string(timeout);
 DECLARE_string(change_id);
+DECLARE_bool(restart);
 DECLARE_string(operator);
 DECLARE_bool(json);
--- a/src/app/internal/publishsettings.cpp
+++ b/src/app/internal/publishsettings.cpp
@@ -59,7 +59,7 @@
 
 const FlagSet &publishFlags()
 {
-    static const FlagSet FLAGS({ "log_endpoints", "base", "timeout", "change_id" });
+    static const FlagSet FLAGS({ "log_endpoints", "base", "timeout", "change_id", "restart" });
     return FLAGS;
 }
 
@@ -83,6 +83,8 @@
     settings.timeout = values.duration("timeout", FLAGS_timeout, milliseconds(100), minutes(10));
     settings.changeId =
         FLAGS_change_id.empty() ? newChangeId() : values.name("change_id", FLAGS_change_id);
+    settings.isRepeat = !FLAGS_change_id.empty();
+    settings.isRestart = FLAGS_restart;
     readFiles(parsed.operands, result);
     return result;
 }
--- a/src/app/publish.h
+++ b/src/app/publish.h
@@ -27,6 +27,10 @@
     /// Identifies this change, to find it again when the answer to its append was lost. Never
     /// empty.
     std::string changeId;
+    /// The id was set by the operator: the change may be in the log already.
+    bool isRepeat = false;
+    /// Begins anew in a stream of which too much was forgotten to judge a change.
+    bool isRestart = false;
 };
 
 /// Reads flags, variables and the two files. Opens no connection.
@@ -34,7 +38,8 @@
                                                     const EnvironmentLookup &environment);
 
 /// Appends the change to the platform's log and waits for its verdict. Returns the exit code: 0
-/// when it was accepted, 1 when it was not, or when that could not be found out in time.
+/// when it was accepted, 3 when another change came first, and 4 when the log cannot be reached or
+/// the verdict could not be found out in time.
 int runPublish(const PublishSettings &settings);
 
 } // namespace ivyspar
--- a/standins/log/inprocesshttpclient.cpp
+++ b/standins/log/inprocesshttpclient.cpp
@@ -20,10 +20,25 @@
     void onDisconnect(std::function<void()> callback) override
     {
         m_onDisconnect = std::move(callback);
+        if (m_isDisconnected) {
+            notifyDisconnect();
+        }
+    }
+    void disconnect()
+    {
+        m_isDisconnected = true;
+        notifyDisconnect();
+    }
+    void notifyDisconnect()
+    {
+        if (const auto callback = std::exchange(m_onDisconnect, {})) {
+            callback();
+        }
     }
 
     HttpRequest m_request;
     std::function<void()> m_onDisconnect;
+    bool m_isDisconnected = false;
     /// Nothing when the exchange was cancelled.
     OneShot<std::optional<HttpResponse>> m_response;
 };
@@ -49,9 +64,7 @@
     if (response && *response) {
         return std::move(**response);
     }
-    if (const auto onDisconnect = std::exchange(exchange->m_onDisconnect, {})) {
-        onDisconnect();
-    }
+    exchange->disconnect();
     const auto cause = response ? HttpFailureCause::Cancelled : HttpFailureCause::Timeout;
     return tl::unexpected<HttpFailure>(
         HttpFailure{ HttpFailureStage::MaybeSent, cause, "no answer" });
