--- a/standins/log/inprocesshttpclient.cpp
+++ b/standins/log/inprocesshttpclient.cpp
@@ -20,17 +20,33 @@
     void onDisconnect(std::function<void()> callback) override
     {
         m_onDisconnect = std::move(callback);
+        if (m_isDisconnected) {
+            notifyDisconnect();
+        }
+    }
+    void disconnect()
+    {
+        m_isDisconnected = true;
+        notifyDisconnect();
+    }
+    void notifyDisconnect()
+    {
+        if (const auto callback = std::exchange(m_onDisconnect, {})) {
+            callback();
+        }
     }
 
     HttpRequest m_request;
     std::function<void()> m_onDisconnect;
-    OneShot<HttpResponse> m_response;
+    bool m_isDisconnected = false;
+    /// Nothing when the exchange was cancelled.
+    OneShot<std::optional<HttpResponse>> m_response;
 };
 
 } // namespace
 
 HttpResult InProcessHttpClient::exchange(const Endpoint & /*endpoint*/, const HttpRequest &request,
-                                         Duration timeout, HttpCancellationPtr /*cancellation*/)
+                                         Duration timeout, HttpCancellationPtr cancellation)
 {
     if (m_isCut) {
         return tl::unexpected<HttpFailure>(
@@ -38,15 +54,20 @@
     }
     const auto exchange = std::make_shared<Exchange>(m_loop, request);
     m_loop.spawn([exchange, handler = m_handler] { exchange->m_response.set(handler(*exchange)); });
-    std::optional<HttpResponse> response = exchange->m_response.wait(timeout);
-    if (response) {
-        return std::move(*response);
+    if (cancellation) {
+        cancellation->setAction([exchange] { exchange->m_response.set(std::nullopt); });
+    }
+    std::optional<std::optional<HttpResponse>> response = exchange->m_response.wait(timeout);
+    if (cancellation) {
+        cancellation->setAction({});
     }
-    if (const auto onDisconnect = std::exchange(exchange->m_onDisconnect, {})) {
-        onDisconnect();
+    if (response && *response) {
+        return std::move(**response);
     }
+    exchange->disconnect();
+    const auto cause = response ? HttpFailureCause::Cancelled : HttpFailureCause::Timeout;
     return tl::unexpected<HttpFailure>(
-        HttpFailure{ HttpFailureStage::MaybeSent, HttpFailureCause::Timeout, "timed out" });
+        HttpFailure{ HttpFailureStage::MaybeSent, cause, "no answer" });
 }
 
 } // namespace ivyspar::lab
