--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -34,7 +34,7 @@
     if (m_acceptor.is_open()) {
         return makeError(ErrorCode::Conflict, "the server listens already");
     }
-    const auto result = openAcceptor(m_acceptor, endpoint);
+    auto result = openAcceptor(m_acceptor, endpoint);
     if (result) {
         m_limits = limits;
         m_handler = std::move(handler);
--- a/src/transport/internal/peernetworkcore.cpp
+++ b/src/transport/internal/peernetworkcore.cpp
@@ -74,7 +74,7 @@
     if (m_acceptor.is_open() || m_isShutDown) {
         return makeError(ErrorCode::Conflict, "the peer network listens already or was shut down");
     }
-    const auto result = openAcceptor(m_acceptor, endpoint);
+    auto result = openAcceptor(m_acceptor, endpoint);
     if (!result) {
         return result;
     }
--- a/src/transport/tests/peernetworktest.cpp
+++ b/src/transport/tests/peernetworktest.cpp
@@ -156,6 +156,7 @@
     Node b;
     std::vector<LinkId> links;
     std::vector<std::future<void>> done;
+    done.reserve(5);
     for (int i = 0; i < 5; ++i) {
         done.push_back(a.runner.start(
             [&] { links.push_back(a.network->connect(b.endpoint).value_or(LinkId())); }));
@@ -182,6 +183,7 @@
     }
     int failures = 0;
     std::vector<std::future<void>> done;
+    done.reserve(5);
     for (int i = 0; i < 3; ++i) {
         done.push_back(a.runner.start([&] {
             const auto link = a.network->connect(closed);
--- a/src/transport/tests/rawsocket.h
+++ b/src/transport/tests/rawsocket.h
@@ -39,8 +39,11 @@
     {
         RawSocket socket(::socket(AF_INET, SOCK_STREAM, 0));
         const sockaddr_in address = toAddress(endpoint);
-        ::connect(socket.m_descriptor, reinterpret_cast<const sockaddr *>(&address),
-                  sizeof address);
+        if (::connect(socket.m_descriptor, reinterpret_cast<const sockaddr *>(&address),
+                      sizeof address)
+            != 0) {
+            socket.close();
+        }
         return socket;
     }
 
@@ -48,8 +51,11 @@
     {
         RawSocket socket(::socket(AF_INET, SOCK_STREAM, 0));
         const sockaddr_in address = toAddress(endpoint);
-        ::bind(socket.m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-        ::listen(socket.m_descriptor, SOMAXCONN);
+        const auto *generic = reinterpret_cast<const sockaddr *>(&address);
+        if (::bind(socket.m_descriptor, generic, sizeof address) != 0
+            || ::listen(socket.m_descriptor, SOMAXCONN) != 0) {
+            socket.close();
+        }
         return socket;
     }
 
