--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/controlnode.cpp
@@ -6,6 +6,8 @@
 #include "app/internal/statusdocument.h"
 #include "protocol/configurationreaderfactory.h"
 #include "state/internal/seededrandom.h"
+#include "state/rank.h"
+#include "transport/logservicefactory.h"
 #include "transport/oneshot.h"
 #include "transport/transportfactory.h"
 
@@ -24,6 +26,21 @@
     return (std::uint64_t(device()) << 32U) | device();
 }
 
+HttpClientLimits makeLogClientLimits()
+{
+    HttpClientLimits limits;
+    limits.bodyBytes = LOG_RESPONSE_BYTES;
+    return limits;
+}
+
+LogServiceSettings makeLogSettings(const DaemonSettings &settings)
+{
+    LogServiceSettings log;
+    log.endpoints = settings.logEndpoints;
+    log.clientName = settings.id.value();
+    return log;
+}
+
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
     return HttpResponse{ status, { { "Content-Type", type } }, std::move(body) };
@@ -32,13 +49,19 @@
 } // namespace
 
 ControlNode::ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self,
-                         TrafficPort traffic)
+                         TrafficPort traffic, Observers observers)
     : m_loop(loop)
     , m_settings(settings)
     , m_traffic(std::move(traffic))
+    , m_observers(observers)
     , m_random(std::make_unique<SeededRandom>(randomSeed()))
     , m_membership(loop, *m_random, std::move(self), makeControlEvents())
     , m_operatorServer(makeHttpServer(loop))
+    , m_logClient(makeHttpClient(loop, makeLogClientLimits()))
+    , m_log(makeHttpLogService(makeLogSettings(settings), *m_logClient))
+    , m_reader(makeConfigurationReader())
+    , m_follower(std::make_unique<ConfigurationFollower>(
+          makeFollowerSettings(), loop, *m_log, *m_reader, *this, *m_random, makeFollowerEvents()))
 {
 }
 
@@ -47,9 +70,7 @@
 ControlEvents ControlNode::makeControlEvents()
 {
     ControlEvents events;
-    events.onMembers = [this](std::vector<Member> members) {
-        m_traffic.setMembers(std::move(members));
-    };
+    events.onMembers = [this](std::vector<Member> members) { onMembers(std::move(members)); };
     events.send = m_traffic.send;
     events.onDuplicate = m_traffic.stopForDuplicate;
     return events;
@@ -68,10 +89,14 @@
 {
     useBootstrap();
     m_membership.start(m_settings.seeds);
+    m_follower->start();
 }
 
 void ControlNode::receive(const ControlMessage &message)
 {
+    if (m_follower->receive(message.from, message.payload)) {
+        return;
+    }
     m_membership.receive(message.from, message.payload);
 }
 
@@ -83,17 +108,71 @@
 
 void ControlNode::stop(Duration timeout)
 {
+    m_follower->stop();
     m_operatorServer->drain(timeout);
 }
 
+std::vector<ControlPeer> ControlNode::peers() const
+{
+    std::vector<ControlPeer> peers;
+    for (const Member &member : m_membership.working()) {
+        if (member.id != m_settings.id) {
+            peers.push_back(ControlPeer{ member.id, member.domain });
+        }
+    }
+    return peers;
+}
+
+void ControlNode::send(const DaemonId &to, std::string payload)
+{
+    for (const Member &member : m_membership.working()) {
+        if (member.id == to) {
+            m_traffic.send(to, member.peerEndpoint, std::move(payload));
+            return;
+        }
+    }
+}
+
+ConfigurationFollowerSettings ControlNode::makeFollowerSettings() const
+{
+    ConfigurationFollowerSettings settings;
+    settings.self = m_settings.id;
+    settings.domain = m_settings.domain;
+    return settings;
+}
+
+ConfigurationFollowerEvents ControlNode::makeFollowerEvents()
+{
+    ConfigurationFollowerEvents events;
+    events.onConfiguration = [this](ConfigurationPtr configuration) {
+        useConfiguration(configuration);
+    };
+    events.onNotice = [this](const std::string &text) {
+        m_observers.log.write(LogLevel::Info, text);
+    };
+    return events;
+}
+
+void ControlNode::onMembers(std::vector<Member> members)
+{
+    m_observers.metrics.set(Gauge::Members, static_cast<std::int64_t>(members.size()));
+    if (m_observers.decisions.isEnabled()) {
+        Decision decision;
+        decision.kind = DecisionKind::Membership;
+        decision.choice = std::to_string(members.size());
+        decision.reason = "working-members";
+        m_observers.decisions.write(std::move(decision));
+    }
+    m_traffic.setMembers(std::move(members));
+}
+
 void ControlNode::useBootstrap()
 {
     if (!m_settings.bootstrap) {
         return;
     }
-    const auto reader = makeConfigurationReader();
-    const ReadConfiguration read = reader->read(*m_settings.bootstrap, m_settings.inventoryFile,
-                                                m_settings.rulesFile, ConfigurationVersion(0));
+    const ReadConfiguration read = m_reader->read(*m_settings.bootstrap, m_settings.inventoryFile,
+                                                  m_settings.rulesFile, ConfigurationVersion(0));
     if (read.configuration) {
         useConfiguration(read.configuration);
     }
@@ -102,6 +181,15 @@
 void ControlNode::useConfiguration(const ConfigurationPtr &configuration)
 {
     m_configuration = configuration;
+    m_observers.metrics.set(Gauge::ConfigurationVersion,
+                            static_cast<std::int64_t>(configuration->version.value()));
+    if (m_observers.decisions.isEnabled()) {
+        Decision decision;
+        decision.kind = DecisionKind::Configuration;
+        decision.choice = std::to_string(configuration->version.value());
+        decision.reason = "in-force";
+        m_observers.decisions.write(std::move(decision));
+    }
     m_traffic.setConfiguration(configuration);
 }
 
@@ -114,6 +202,9 @@
     if (target == "/status") {
         return answerStatus();
     }
+    if (target == "/metrics") {
+        return answerMetrics();
+    }
     return makeAnswer(NOT_FOUND, "text/plain", "try /healthz, /status or /metrics\n");
 }
 
@@ -128,15 +219,41 @@
     return makeAnswer(OK, "text/plain", "ok\n");
 }
 
-HttpResponse ControlNode::answerStatus()
+TrafficStatus ControlNode::fetchTraffic()
 {
     // Shared, as the answer of the traffic thread may come after this handler gave up.
     const auto answer = std::make_shared<OneShot<TrafficStatus>>(m_loop);
     m_traffic.fetchStatus([this, answer](TrafficStatus traffic) {
         m_loop.post([answer, traffic = std::move(traffic)] { answer->set(traffic); });
     });
+    return answer->wait(STATUS_TIMEOUT).value_or(TrafficStatus{});
+}
+
+HttpResponse ControlNode::answerMetrics()
+{
+    const TrafficStatus traffic = fetchTraffic();
+    IMetrics &metrics = m_observers.metrics;
+    metrics.set(Gauge::RequestsInFlight, static_cast<std::int64_t>(traffic.requests));
+    metrics.set(Gauge::CallerConnections, static_cast<std::int64_t>(traffic.callerConnections));
+    metrics.set(Gauge::PeerLinks, static_cast<std::int64_t>(traffic.links));
+    LoadReport sum;
+    for (const auto &[service, load] : traffic.gates) {
+        sum.inFlight += load.inFlight;
+        sum.queued += load.queued;
+        sum.limit += load.limit;
+        sum.floor = std::max(sum.floor, load.floor);
+    }
+    metrics.set(Gauge::GateInFlight, sum.inFlight);
+    metrics.set(Gauge::GateQueued, sum.queued);
+    metrics.set(Gauge::GateLimit, sum.limit);
+    metrics.set(Gauge::GateFloorPriority, priorityOf(sum.floor).value());
+    return makeAnswer(OK, "text/plain; version=0.0.4", metrics.text());
+}
+
+HttpResponse ControlNode::answerStatus()
+{
     DaemonStatus status;
-    status.traffic = answer->wait(STATUS_TIMEOUT).value_or(TrafficStatus{});
+    status.traffic = fetchTraffic();
     status.self = m_membership.self();
     status.isLeaving = m_isLeaving;
     status.configuration = m_configuration;
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -8,6 +8,8 @@
 #include <utility>
 
 #include "app/daemon.h"
+#include "app/daemonlogs.h"
+#include "state/metricsfactory.h"
 #include "transport/transportfactory.h"
 
 namespace ivyspar {
@@ -36,8 +38,9 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonSettings settings)
+Daemon::Daemon(DaemonSettings settings, IMetrics &metrics, IDaemonLogs &logs)
     : m_settings(std::move(settings))
+    , m_observers{ logs.log(), logs.decisions(), metrics }
     , m_self{ m_settings.id, currentIncarnation(), m_settings.domain }
     , m_trafficLoop(makeEventLoop())
     , m_controlLoop(makeEventLoop())
@@ -90,8 +93,8 @@
 
 void Daemon::runTraffic(std::promise<RetVal<ListeningEndpoints>> &started)
 {
-    m_traffic =
-        std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_self, makeTrafficEvents());
+    m_traffic = std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_self,
+                                              makeTrafficEvents(), m_observers);
     started.set_value(m_traffic->listen());
     m_trafficLoop->run();
     m_traffic.reset();
@@ -100,7 +103,7 @@
 void Daemon::runControl(const ListeningEndpoints &bound, std::promise<RetVal<Endpoint>> &started)
 {
     m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, makeSelf(bound),
-                                              makeTrafficPort());
+                                              makeTrafficPort(), m_observers);
     const auto endpoint = m_control->listen();
     m_control->start();
     started.set_value(endpoint);
@@ -239,7 +242,16 @@
 
 int runDaemon(const DaemonSettings &settings)
 {
-    Daemon daemon(settings);
+    const auto metrics = makeMetrics();
+    LogSettings logSettings;
+    logSettings.level = settings.logLevel;
+    logSettings.decisionLog = settings.decisionLog;
+    const auto logs = openDaemonLogs(logSettings, *metrics);
+    if (!logs) {
+        std::fprintf(stderr, "ivyspar: %s\n", logs.error().text.c_str());
+        return EXIT_STOPPED;
+    }
+    Daemon daemon(settings, *metrics, **logs);
     return daemon.run();
 }
 
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <thread>
 
+#include "app/daemonlogs.h"
 #include "app/internal/controlnode.h"
 #include "app/internal/trafficnode.h"
 #include "app/settings.h"
@@ -17,7 +18,7 @@
 class Daemon
 {
 public:
-    explicit Daemon(DaemonSettings settings);
+    Daemon(DaemonSettings settings, IMetrics &metrics, IDaemonLogs &logs);
     ~Daemon();
 
     /// Runs until SIGTERM or SIGINT. Returns the exit code.
@@ -40,6 +41,7 @@
     Ret writeReady(const ListeningEndpoints &bound) const;
 
     DaemonSettings m_settings;
+    Observers m_observers;
     DaemonIdentity m_self;
     std::unique_ptr<IEventLoop> m_trafficLoop;
     std::unique_ptr<IEventLoop> m_controlLoop;
--- a/src/app/internal/entryservice.cpp
+++ b/src/app/internal/entryservice.cpp
@@ -79,16 +79,19 @@
     OneShot<Verdict> done;
     HttpResponse response;
     Verdict verdict;
+    TimePoint startedAt;
+    Duration serviceTime{ 0 };
     TimerId timer;
     TimePoint timerAt = TimePoint::max();
 };
 
 EntryService::EntryService(IEventLoop &loop, EntryPolicies policies, ICallSender &sender,
-                           IGateService &gates, EntryOptions options)
+                           IGateService &gates, Observers observers, EntryOptions options)
     : m_loop(loop)
     , m_policies(policies)
     , m_sender(sender)
     , m_gates(gates)
+    , m_observers(observers)
     , m_options(options)
 {
 }
@@ -235,12 +238,14 @@
     terms.isSingleAttempt = incoming.isSingleAttempt;
     const RunPtr run = new Run(m_loop, m_policies, std::move(incoming), std::move(terms));
 
+    run->startedAt = m_loop.now();
     exchange.onDisconnect([this, run] { perform(run, run->call.onCallerGone(m_loop.now())); });
     perform(run, run->call.start(m_loop.now()));
     const auto left = std::chrono::duration_cast<Duration>(run->incoming.deadline - m_loop.now());
     const auto verdict = run->done.wait(std::max(left, Duration::zero()) + WAIT_MARGIN);
     exchange.onDisconnect({});
     run->verdict = verdict.value_or(Verdict{ Outcome::Unknown, Reason::Timeout, Duration::zero() });
+    recordEnd(*run);
     return compose(*run);
 }
 
@@ -252,6 +257,7 @@
             sendAttempt(run, action);
             break;
         case EntryVerb::Cancel:
+            m_observers.metrics.add(Counter::Cancels);
             m_sender.cancel(run->streams.at(action.attempt.value()));
             break;
         case EntryVerb::Finish:
@@ -276,6 +282,7 @@
     call.once = incoming.once;
     call.request = incoming.request;
 
+    recordAttempt(*run, action);
     const std::size_t index = action.attempt.value();
     run->streams.resize(std::max(run->streams.size(), index + 1));
     const AttemptIndex attempt = action.attempt;
@@ -298,10 +305,63 @@
     const EntryActions actions = run->call.onEnd(m_loop.now(), attempt, end);
     if (isWanted && end.verdict.outcome == Outcome::Answered) {
         run->response = std::move(answer.message.response);
+        run->serviceTime = answer.message.serviceTime;
     }
     perform(run, actions);
 }
 
+void EntryService::recordAttempt(const Run &run, const EntryAction &action)
+{
+    const bool isFirst = action.attempt.value() == 0;
+    const Counter counter = isFirst ? Counter::FirstAttempts
+        : action.isHedge            ? Counter::HedgeAttempts
+                                    : Counter::RetryAttempts;
+    m_observers.metrics.add(counter);
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = isFirst ? DecisionKind::Route
+        : action.isHedge    ? DecisionKind::Hedge
+                            : DecisionKind::Retry;
+    decision.root = run.incoming.root;
+    decision.service = run.incoming.service;
+    decision.rank = makeRank(run.incoming.priority, run.incoming.depth, run.incoming.root);
+    decision.attempt = action.attempt.value() + 1;
+    for (const RouteCandidate &candidate : action.candidates) {
+        decision.candidates.push_back(DecisionCandidate{ candidate.daemon, candidate.score });
+    }
+    decision.choice = action.target.value();
+    decision.reason = action.why;
+    m_observers.decisions.write(std::move(decision));
+}
+
+void EntryService::recordEnd(const Run &run)
+{
+    const auto took = std::chrono::duration_cast<Duration>(m_loop.now() - run.startedAt);
+    if (run.incoming.depth == Depth(0)) {
+        m_observers.metrics.countRequest(run.verdict, run.incoming.priority);
+        m_observers.metrics.observe(Timing::Request, took);
+    }
+    if (run.verdict.outcome == Outcome::Answered) {
+        m_observers.metrics.observe(Timing::AddedByDaemons,
+                                    std::max(took - run.serviceTime, Duration::zero()));
+        return;
+    }
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Refuse;
+    decision.root = run.incoming.root;
+    decision.service = run.incoming.service;
+    decision.rank = makeRank(run.incoming.priority, run.incoming.depth, run.incoming.root);
+    decision.attempt = run.call.attempts();
+    decision.choice = toText(run.verdict.outcome);
+    decision.reason = toText(run.verdict.reason);
+    m_observers.decisions.write(std::move(decision));
+}
+
 void EntryService::armTimer(const RunPtr &run)
 {
     const TimePoint next = run->call.nextTimer();
--- a/src/app/internal/entryservice.h
+++ b/src/app/internal/entryservice.h
@@ -8,6 +8,7 @@
 
 #include "app/internal/icallsender.h"
 #include "app/internal/igateservice.h"
+#include "app/internal/observers.h"
 #include "coordination/calls/internal/entrycall.h"
 #include "state/configuration.h"
 #include "transport/ieventloop.h"
@@ -31,7 +32,7 @@
 {
 public:
     EntryService(IEventLoop &loop, EntryPolicies policies, ICallSender &sender, IGateService &gates,
-                 EntryOptions options);
+                 Observers observers, EntryOptions options);
 
     void setConfiguration(ConfigurationPtr configuration)
     {
@@ -79,6 +80,8 @@
     void sendAttempt(const RunPtr &run, const EntryAction &action);
     void onAnswer(const RunPtr &run, AttemptIndex attempt, AttemptAnswer answer);
     void armTimer(const RunPtr &run);
+    void recordAttempt(const Run &run, const EntryAction &action);
+    void recordEnd(const Run &run);
     HttpResponse refuse(RootId root, const Verdict &verdict) const;
     HttpResponse compose(const Run &run) const;
 
@@ -86,6 +89,7 @@
     EntryPolicies m_policies;
     ICallSender &m_sender;
     IGateService &m_gates;
+    Observers m_observers;
     EntryOptions m_options;
     ConfigurationPtr m_configuration;
     std::size_t m_requestCount = 0;
--- a/src/app/internal/gateservice.cpp
+++ b/src/app/internal/gateservice.cpp
@@ -82,11 +82,12 @@
 } // namespace
 
 GateService::GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, GateMaker makeGate,
-                         GateServiceOptions options)
+                         Observers observers, GateServiceOptions options)
     : m_loop(loop)
     , m_client(client)
     , m_random(random)
     , m_makeGate(std::move(makeGate))
+    , m_observers(observers)
     , m_options(options)
 {
     m_silenceTimer =
@@ -151,6 +152,7 @@
     Call &call = m_calls[id];
     call.reply = std::move(reply);
     call.ledger = new CallLedger(message.granted);
+    call.arrivedAt = now;
     call.deadline = now + message.remaining;
     call.message = std::move(message);
 
@@ -254,6 +256,11 @@
         return;
     }
     found->second.cancellation = new HttpCancellation;
+    m_observers.metrics.add(Counter::GateStarts);
+    m_observers.metrics.observe(
+        Timing::GateWait,
+        std::chrono::duration_cast<Duration>(m_loop.now() - found->second.arrivedAt));
+    record(DecisionKind::Admit, found->second, "admitted");
     m_loop.spawn([this, service, id] { runCall(service, id); });
 }
 
@@ -274,6 +281,7 @@
     if (Upstream *gateOwner = findUpstream(service)) {
         next = gateOwner->gate->finish(now, id, end.result, serviceTime);
     }
+    m_observers.metrics.observe(Timing::Upstream, serviceTime);
     AnswerMessage answer;
     answer.verdict = end.verdict;
     answer.response = std::move(end.response);
@@ -317,6 +325,11 @@
 
 void GateService::refuseCall(CallId id, const Verdict &verdict)
 {
+    m_observers.metrics.add(Counter::GateRefusals);
+    const auto found = m_calls.find(id);
+    if (found != m_calls.end()) {
+        record(DecisionKind::Refuse, found->second, toText(verdict.reason));
+    }
     AnswerMessage answer;
     answer.verdict = verdict;
     endCall(id, std::move(answer));
@@ -336,6 +349,20 @@
     call.reply(std::move(answer));
 }
 
+void GateService::record(DecisionKind kind, const Call &call, const char *reason)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = kind;
+    decision.root = call.message.root;
+    decision.service = call.message.service;
+    decision.rank = call.message.rank;
+    decision.reason = reason;
+    m_observers.decisions.write(std::move(decision));
+}
+
 void GateService::armTick(const ServiceName &service)
 {
     Upstream *upstream = findUpstream(service);
--- a/src/app/internal/gateservice.h
+++ b/src/app/internal/gateservice.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "app/internal/igateservice.h"
+#include "app/internal/observers.h"
 #include "coordination/admission/igate.h"
 #include "state/irandom.h"
 #include "state/member.h"
@@ -41,7 +42,7 @@
     using OnUpstreams = std::function<void(std::vector<UpstreamInfo>)>;
 
     GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, GateMaker makeGate,
-                GateServiceOptions options);
+                Observers observers, GateServiceOptions options);
     ~GateService() override;
 
     /// Runs whenever the announced upstreams, or what they announced, changed.
@@ -71,6 +72,7 @@
         CallMessage message;
         Reply reply;
         CallLedgerPtr ledger;
+        TimePoint arrivedAt;
         TimePoint deadline;
         HttpCancellationPtr cancellation;
         bool isCancelled = false;
@@ -91,6 +93,7 @@
     RunEnd exchange(const Endpoint &endpoint, CallId id, const Call &call);
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
+    void record(DecisionKind kind, const Call &call, const char *reason);
     void armTick(const ServiceName &service);
     void tick(const ServiceName &service);
     void dropSilentUpstreams();
@@ -100,6 +103,7 @@
     IHttpClient &m_client;
     IRandom &m_random;
     GateMaker m_makeGate;
+    Observers m_observers;
     GateServiceOptions m_options;
     OnUpstreams m_onUpstreams;
     std::unordered_map<ServiceName, Upstream> m_upstreams;
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -53,7 +53,7 @@
 } // namespace
 
 TrafficNode::TrafficNode(IEventLoop &loop, const DaemonSettings &settings,
-                         const DaemonIdentity &self, TrafficEvents events)
+                         const DaemonIdentity &self, TrafficEvents events, Observers observers)
     : m_loop(loop)
     , m_settings(settings)
     , m_events(std::move(events))
@@ -70,15 +70,15 @@
         options.connections = info.connections;
         return makeGate(options);
     };
-    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, makeLocalGate,
+    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, makeLocalGate, observers,
                                             makeGateServiceOptions(settings));
     m_gates->setOnUpstreams(m_events.onUpstreams);
     m_peerCalls = std::make_unique<PeerCalls>(loop, *m_network, *m_codec, *m_gates, self);
     m_peerCalls->setOnControl(m_events.onControl);
     m_peerCalls->setOnUnreachable(m_events.onUnreachable);
-    m_entry =
-        std::make_unique<EntryService>(loop, EntryPolicies{ *m_router, *m_retries, *m_random },
-                                       *m_peerCalls, *m_gates, makeEntryOptions(settings));
+    m_entry = std::make_unique<EntryService>(
+        loop, EntryPolicies{ *m_router, *m_retries, *m_random }, *m_peerCalls, *m_gates, observers,
+        makeEntryOptions(settings));
     m_callerServer = makeHttpServer(loop);
     m_upstreamServer = makeHttpServer(loop);
 }
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -42,7 +42,7 @@
 {
 public:
     TrafficNode(IEventLoop &loop, const DaemonSettings &settings, const DaemonIdentity &self,
-                TrafficEvents events);
+                TrafficEvents events, Observers observers);
     ~TrafficNode();
 
     /// Opens the listeners.
--- a/src/coordination/calls/ientrycall.h
+++ b/src/coordination/calls/ientrycall.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "coordination/routing/irouter.h"
 #include "state/ids.h"
 #include "state/load.h"
 #include "state/outcome.h"
@@ -28,6 +29,9 @@
     Verdict verdict;
     /// Why this target, for the decision log.
     const char *why = "";
+    /// What the target was compared with.
+    std::vector<RouteCandidate> candidates;
+    bool isHedge = false;
 };
 using EntryActions = std::vector<EntryAction>;
 
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -145,7 +145,7 @@
         return {};
     }
     m_attempts.back().isHedge = true;
-    action->why = "hedge";
+    action->isHedge = true;
     return { *action };
 }
 
@@ -226,7 +226,11 @@
         failure.retryAfter = choice.retryAfter;
         return std::nullopt;
     }
-    return launch(now, choice.daemon, choice.why);
+    auto action = launch(now, choice.daemon, choice.why);
+    if (action) {
+        action->candidates = choice.candidates;
+    }
+    return action;
 }
 
 std::optional<EntryAction> EntryCall::launch(TimePoint now, const DaemonId &target, const char *why)
