--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -5,6 +5,7 @@
 
 #include "bench/overloadbench.h"
 #include "standins/demo/demo.h"
+#include "standins/log/logstandin.h"
 #include "standins/upstream/upstreamcommand.h"
 
 namespace ivyspar::lab {
@@ -22,6 +23,7 @@
 
 constexpr Command COMMANDS[] = {
     { "upstreams", runUpstreams, "stand-in servers" },
+    { "log", runLogStandin, "stand-in of the platform's log" },
     { "bench", runOverloadBench, "the overload experiments" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
