--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <string>
 
+#include "bench/gatebench.h"
 #include "bench/overloadbench.h"
 #include "standins/demo/demo.h"
 #include "standins/log/logstandin.h"
@@ -24,6 +25,7 @@
 constexpr Command COMMANDS[] = {
     { "upstreams", runUpstreams, "stand-in servers" },
     { "log", runLogStandin, "stand-in of the platform's log" },
+    { "gate", runGateBench, "policies of one gate under fake time, compared" },
     { "bench", runOverloadBench, "the overload experiments" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
