End sleeping fibers at their thread's end

Cause: a loop that is destroyed by another thread than its own did not end its sleeping fibers, and the join of its thread hung until they woke by themselves. The new test hangs without the change (the fiber sleeps for an hour).

--- a/src/transport/internal/eventloop.cpp
+++ b/src/transport/internal/eventloop.cpp
@@ -34,6 +34,38 @@
     }
 }
 
+/// Boost.Fiber waits at a thread's end until all its fibers have ended; with one that sleeps for an
+/// hour the join of that thread would hang as long. Boost.Fiber's own object of the thread exists
+/// before this one and is therefore destroyed after it.
+class ThreadEnd
+{
+public:
+    ThreadEnd() = default;
+    ~ThreadEnd()
+    {
+        if (m_loop != nullptr) {
+            m_loop->endFibers();
+        }
+    }
+    ThreadEnd(const ThreadEnd &) = delete;
+    ThreadEnd &operator=(const ThreadEnd &) = delete;
+
+    void bind(EventLoop *loop) { m_loop = loop; }
+    void unbind(const EventLoop *loop)
+    {
+        if (m_loop == loop) {
+            m_loop = nullptr;
+        }
+    }
+
+private:
+    EventLoop *m_loop = nullptr;
+};
+
+// NOLINTNEXTLINE(readability-identifier-naming): a variable, though clang-tidy takes it for a
+// constant.
+thread_local ThreadEnd threadEnd;
+
 } // namespace
 
 EventLoop::EventLoop()
@@ -47,7 +79,10 @@
 
 EventLoop::~EventLoop()
 {
-    endFibers();
+    if (m_thread == std::this_thread::get_id()) {
+        endFibers();
+        threadEnd.unbind(this);
+    }
     m_scheduler->detachLoop();
 }
 
@@ -63,6 +98,7 @@
     }
     m_thread = std::this_thread::get_id();
     boost::fibers::context::active()->get_scheduler()->set_algo(m_scheduler);
+    threadEnd.bind(this);
 }
 
 void EventLoop::spawn(std::function<void()> task)
@@ -186,13 +222,8 @@
     }
 }
 
-/// Boost.Fiber waits at the thread's end until all its fibers have ended. Those that wait for a
-/// timeout get it early here; otherwise the process would hang for as long as they sleep.
 void EventLoop::endFibers()
 {
-    if (m_thread != std::this_thread::get_id()) {
-        return;
-    }
     for (int round = 0; round < END_ROUNDS && m_fiberCount > 0; ++round) {
         if (const auto task = m_timers.takeDue(TimePoint::max())) {
             runGuarded(task);
--- a/src/transport/internal/eventloop.h
+++ b/src/transport/internal/eventloop.h
@@ -38,6 +38,8 @@
     void stop() override;
 
     boost::asio::io_context &ioContext() { return m_io; }
+    /// Ends the fibers that wait for a timeout by giving it to them early.
+    void endFibers();
     /// For FiberScheduler: runs one event, waits for it until `time` at most.
     void waitForEvent(std::chrono::steady_clock::time_point time) noexcept;
 
@@ -47,7 +49,6 @@
     void runEvent(bool isBlocking);
     void armTimer();
     void onTimer();
-    void endFibers();
 
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
--- a/src/transport/tests/eventlooptest.cpp
+++ b/src/transport/tests/eventlooptest.cpp
@@ -134,6 +134,22 @@
     CHECK(hasEnded);
 }
 
+/// The same with a loop that another thread made and destroys.
+TEST(EventLoop, TheEndOfItsThreadEndsSleepingFibers)
+{
+    bool hasEnded = false;
+    m_loop->post([&] {
+        m_loop->spawn([&] {
+            m_loop->sleepFor(hours(1));
+            hasEnded = true;
+        });
+        m_loop->stop();
+    });
+    std::thread thread([&] { m_loop->run(); });
+    thread.join();
+    CHECK(hasEnded);
+}
+
 TEST(EventLoop, ManyFibersReuseStacks)
 {
     int ended = 0;
