--- a/standins/demo/demo.cpp
+++ b/standins/demo/demo.cpp
@@ -70,6 +70,17 @@
                       quantileOf(through, 0.99) };
 }
 
+void printTroubles(const std::vector<LoadRecord> &records, const std::vector<LoadKind> &kinds)
+{
+    for (const LoadRecord &record : records) {
+        if (record.result != LoadResult::Completed) {
+            const GraphCall &call = kinds.at(record.kind).call;
+            std::printf("%s %s%s: %s", call.method.c_str(), call.service.c_str(), call.path.c_str(),
+                        record.trouble.c_str());
+        }
+    }
+}
+
 void printTable(const std::string &name, const LoadSummary &summary, const AddedTime &added)
 {
     const auto ms = [](Duration d) { return static_cast<double>(d.count()) / 1000.0; };
@@ -137,7 +148,9 @@
             plan.phases = { LoadPhase{ std::chrono::seconds(4), MEASURED_RATE, "", 1 } };
             plan.callers.attempts = 1;
             plan.entries = deployment.callerEndpoints();
-            const LoadSummary summary = summarize(runLoad(graph, plan, 1), plan.kinds);
+            const std::vector<LoadRecord> records = runLoad(graph, plan, 1);
+            printTroubles(records, plan.kinds);
+            const LoadSummary summary = summarize(records, plan.kinds);
             const AddedTime added = measureAddedTime(deployment, graph);
             printTable(name, summary, added);
             exitCode = summary.completed == summary.requests && summary.requests > 0 ? 0 : 1;
--- a/standins/deployment/deployment.h
+++ b/standins/deployment/deployment.h
@@ -23,7 +23,7 @@
     /// More flags for each daemon.
     std::vector<std::string> daemonFlags;
     std::vector<std::string> upstreamFlags;
-    bool hasLog = false;
+    bool hasLog = true;
 };
 
 /// One host: its daemon, and the name of the server that announces itself there.
--- a/standins/load/loadgenerator.cpp
+++ b/standins/load/loadgenerator.cpp
@@ -158,6 +158,7 @@
 {
     wait = m_plan.callers.retryDelay;
     if (!result) {
+        record.trouble = result.error().text;
         record.result = result.error().cause == HttpFailureCause::Timeout ? LoadResult::TimedOut
                                                                           : LoadResult::Failed;
         return false;
@@ -168,6 +169,7 @@
         record.result = isOwn ? LoadResult::Completed : LoadResult::Wrong;
         return true;
     }
+    record.trouble = std::to_string(result->status) + ' ' + result->body;
     const std::string *outcome = findHeader(result->headers, headers::OUTCOME);
     const bool isNotRun = outcome && *outcome == "not-run";
     record.result = isNotRun ? LoadResult::Refused : LoadResult::Failed;
--- a/standins/load/loadgenerator.h
+++ b/standins/load/loadgenerator.h
@@ -64,6 +64,8 @@
     /// From the due time to the last answer.
     Duration latency{ 0 };
     LoadResult result = LoadResult::Failed;
+    /// What the last answer said, when it was not the whole answer.
+    std::string trouble;
     std::uint32_t callerAttempts = 0;
     /// Attempts that the entry reported, over all of the caller's attempts.
     std::uint32_t entryAttempts = 0;
--- a/standins/upstream/upstreamserver.cpp
+++ b/standins/upstream/upstreamserver.cpp
@@ -184,7 +184,7 @@
         }
         HttpResponse below = callBelow(call, token, current);
         if (below.status != OK) {
-            return makeText(BAD_GATEWAY, "a call to " + call.service + " failed");
+            return makeText(BAD_GATEWAY, "a call to " + call.service + " failed: " + below.body);
         }
         answer += below.body;
     }
