--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/controlnode.cpp
@@ -1,11 +1,13 @@
 #include "app/internal/controlnode.h"
 
+#include <cstdio>
 #include <random>
 #include <utility>
 
 #include "app/internal/statusdocument.h"
 #include "protocol/configurationreaderfactory.h"
 #include "state/internal/seededrandom.h"
+#include "transport/logservicefactory.h"
 #include "transport/oneshot.h"
 #include "transport/transportfactory.h"
 
@@ -24,6 +26,21 @@
     return (std::uint64_t(device()) << 32U) | device();
 }
 
+std::unique_ptr<IHttpClient> makeLogClient(IEventLoop &loop)
+{
+    HttpClientLimits limits;
+    limits.bodyBytes = LOG_RESPONSE_BYTES;
+    return makeHttpClient(loop, limits);
+}
+
+std::unique_ptr<ILogService> makeLog(const DaemonSettings &settings, IHttpClient &client)
+{
+    LogServiceSettings log;
+    log.endpoints = settings.logEndpoints;
+    log.clientName = settings.id.value();
+    return makeHttpLogService(log, client);
+}
+
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
     return HttpResponse{ status, { { "Content-Type", type } }, std::move(body) };
@@ -38,6 +55,10 @@
     , m_traffic(std::move(traffic))
     , m_random(std::make_unique<SeededRandom>(randomSeed()))
     , m_membership(loop, *m_random, std::move(self), makeControlEvents())
+    , m_logClient(makeLogClient(loop))
+    , m_log(makeLog(m_settings, *m_logClient))
+    , m_configurationDriver(m_settings, loop, *m_log, *m_random, m_membership, m_traffic.send,
+                            makeConfigurationEvents())
     , m_operatorServer(makeHttpServer(loop))
 {
 }
@@ -55,6 +76,18 @@
     return events;
 }
 
+ConfigurationFollowerEvents ControlNode::makeConfigurationEvents()
+{
+    ConfigurationFollowerEvents events;
+    events.onConfiguration = [this](const ConfigurationPtr &configuration) {
+        useConfiguration(configuration);
+    };
+    events.onNotice = [](const std::string &text) {
+        std::fprintf(stderr, "ivyspar: %s\n", text.c_str());
+    };
+    return events;
+}
+
 RetVal<Endpoint> ControlNode::listen()
 {
     HttpLimits limits;
@@ -68,11 +101,14 @@
 {
     useBootstrap();
     m_membership.start(m_settings.seeds);
+    m_configurationDriver.start();
 }
 
 void ControlNode::receive(const ControlMessage &message)
 {
-    m_membership.receive(message.from, message.payload);
+    if (!m_configurationDriver.receive(message.from, message.payload)) {
+        m_membership.receive(message.from, message.payload);
+    }
 }
 
 void ControlNode::startLeaving()
@@ -83,6 +119,7 @@
 
 void ControlNode::stop(Duration timeout)
 {
+    m_configurationDriver.stop();
     m_operatorServer->drain(timeout);
 }
 
@@ -140,6 +177,7 @@
     status.self = m_membership.self();
     status.isLeaving = m_isLeaving;
     status.configuration = m_configuration;
+    status.configurationStatus = m_configurationDriver.status();
     status.members = m_membership.all();
     return makeAnswer(OK, "application/json", makeStatusDocument(status));
 }
--- a/src/app/internal/controlnode.h
+++ b/src/app/internal/controlnode.h
@@ -4,12 +4,15 @@
 #include <memory>
 #include <string>
 
+#include "app/internal/configurationdriver.h"
 #include "app/internal/membershipdriver.h"
 #include "app/internal/trafficnode.h"
 #include "app/settings.h"
 #include "state/configuration.h"
 #include "transport/ieventloop.h"
+#include "transport/ihttpclient.h"
 #include "transport/ihttpserver.h"
+#include "transport/ilogservice.h"
 
 namespace ivyspar {
 
@@ -47,6 +50,7 @@
 
 private:
     ControlEvents makeControlEvents();
+    ConfigurationFollowerEvents makeConfigurationEvents();
     void useConfiguration(const ConfigurationPtr &configuration);
     void useBootstrap();
     HttpResponse handleOperator(IHttpExchange &exchange);
@@ -58,6 +62,9 @@
     TrafficPort m_traffic;
     std::unique_ptr<IRandom> m_random;
     MembershipDriver m_membership;
+    std::unique_ptr<IHttpClient> m_logClient;
+    std::unique_ptr<ILogService> m_log;
+    ConfigurationDriver m_configurationDriver;
     std::unique_ptr<IHttpServer> m_operatorServer;
     ConfigurationPtr m_configuration;
     bool m_isLeaving = false;
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -212,7 +212,6 @@
     runAndWait(*m_controlLoop, [this] {
         m_control->leave();
         m_controlLoop->sleepFor(GOODBYE);
-        m_control->stop(GOODBYE);
     });
     runAndWait(*m_trafficLoop, [this] { m_traffic->closeLinks(GOODBYE); });
     return isDrained;
@@ -220,6 +219,10 @@
 
 void Daemon::stopThreads()
 {
+    // Fibers of the control thread end while their loop still runs, also when the start failed.
+    if (m_controlThread.joinable()) {
+        runAndWait(*m_controlLoop, [this] { m_control->stop(GOODBYE); });
+    }
     m_trafficLoop->stop();
     m_controlLoop->stop();
     for (std::thread *thread : { &m_controlThread, &m_trafficThread }) {
--- a/src/app/internal/statusdocument.cpp
+++ b/src/app/internal/statusdocument.cpp
@@ -53,6 +53,19 @@
                  { "floor", load.floor.value() }, { "draining", load.draining } };
 }
 
+Json makeConfigurationStatus(const ConfigurationStatus &status)
+{
+    return Json{ { "in_force", status.inForce.value() },
+                 { "accepted", status.accepted.value() },
+                 { "change_id", status.changeId },
+                 { "unreadable", status.unreadable },
+                 { "judging", status.isJudging },
+                 { "follows_log", status.isFastPoller },
+                 { "next_offset", status.nextOffset.value() },
+                 { "log_error", status.logError },
+                 { "snapshots_written", status.snapshotsAppended } };
+}
+
 } // namespace
 
 std::string makeStatusDocument(const DaemonStatus &status)
@@ -65,6 +78,7 @@
     document["configuration_version"] =
         status.configuration ? status.configuration->version.value() : 0;
     document["has_configuration"] = status.configuration != nullptr;
+    document["configuration"] = makeConfigurationStatus(status.configurationStatus);
     document["members"] = Json::array();
     for (const MemberStatus &member : status.members) {
         document["members"].push_back(makeMember(member));
--- a/src/app/internal/statusdocument.h
+++ b/src/app/internal/statusdocument.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "app/internal/configurationfollower.h"
 #include "app/internal/trafficnode.h"
 #include "coordination/membership/imembership.h"
 #include "state/configuration.h"
@@ -14,6 +15,7 @@
     Member self;
     bool isLeaving = false;
     ConfigurationPtr configuration;
+    ConfigurationStatus configurationStatus;
     std::vector<MemberStatus> members;
     TrafficStatus traffic;
 };
