--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/controlnode.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/controlnode.h"
 
+#include <cstdio>
 #include <random>
 #include <utility>
 
@@ -26,19 +27,19 @@
     return (std::uint64_t(device()) << 32U) | device();
 }
 
-HttpClientLimits makeLogClientLimits()
+std::unique_ptr<IHttpClient> makeLogClient(IEventLoop &loop)
 {
     HttpClientLimits limits;
     limits.bodyBytes = LOG_RESPONSE_BYTES;
-    return limits;
+    return makeHttpClient(loop, limits);
 }
 
-LogServiceSettings makeLogSettings(const DaemonSettings &settings)
+std::unique_ptr<ILogService> makeLog(const DaemonSettings &settings, IHttpClient &client)
 {
     LogServiceSettings log;
     log.endpoints = settings.logEndpoints;
     log.clientName = settings.id.value();
-    return log;
+    return makeHttpLogService(log, client);
 }
 
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
@@ -56,12 +57,11 @@
     , m_observers(observers)
     , m_random(std::make_unique<SeededRandom>(randomSeed()))
     , m_membership(loop, *m_random, std::move(self), makeControlEvents())
+    , m_logClient(makeLogClient(loop))
+    , m_log(makeLog(m_settings, *m_logClient))
+    , m_configurationDriver(m_settings, loop, *m_log, *m_random, m_membership, m_traffic.send,
+                            makeConfigurationEvents())
     , m_operatorServer(makeHttpServer(loop))
-    , m_logClient(makeHttpClient(loop, makeLogClientLimits()))
-    , m_log(makeHttpLogService(makeLogSettings(settings), *m_logClient))
-    , m_reader(makeConfigurationReader())
-    , m_follower(std::make_unique<ConfigurationFollower>(
-          makeFollowerSettings(), loop, *m_log, *m_reader, *this, *m_random, makeFollowerEvents()))
 {
 }
 
@@ -76,6 +76,16 @@
     return events;
 }
 
+ConfigurationFollowerEvents ControlNode::makeConfigurationEvents()
+{
+    ConfigurationFollowerEvents events;
+    events.onConfiguration = [this](const ConfigurationPtr &configuration) {
+        useConfiguration(configuration);
+    };
+    events.onNotice = [this](const std::string &text) { m_observers.log.info(text); };
+    return events;
+}
+
 RetVal<Endpoint> ControlNode::listen()
 {
     HttpLimits limits;
@@ -89,15 +99,14 @@
 {
     useBootstrap();
     m_membership.start(m_settings.seeds);
-    m_follower->start();
+    m_configurationDriver.start();
 }
 
 void ControlNode::receive(const ControlMessage &message)
 {
-    if (m_follower->receive(message.from, message.payload)) {
-        return;
+    if (!m_configurationDriver.receive(message.from, message.payload)) {
+        m_membership.receive(message.from, message.payload);
     }
-    m_membership.receive(message.from, message.payload);
 }
 
 void ControlNode::startLeaving()
@@ -108,62 +117,27 @@
 
 void ControlNode::stop(Duration timeout)
 {
-    m_follower->stop();
+    m_configurationDriver.stop();
     m_operatorServer->drain(timeout);
 }
 
-std::vector<ControlPeer> ControlNode::peers() const
-{
-    std::vector<ControlPeer> peers;
-    for (const Member &member : m_membership.working()) {
-        if (member.id != m_settings.id) {
-            peers.push_back(ControlPeer{ member.id, member.domain });
-        }
-    }
-    return peers;
-}
-
-void ControlNode::send(const DaemonId &to, std::string payload)
-{
-    for (const Member &member : m_membership.working()) {
-        if (member.id == to) {
-            m_traffic.send(to, member.peerEndpoint, std::move(payload));
-            return;
-        }
-    }
-}
-
-ConfigurationFollowerSettings ControlNode::makeFollowerSettings() const
-{
-    ConfigurationFollowerSettings settings;
-    settings.self = m_settings.id;
-    settings.domain = m_settings.domain;
-    return settings;
-}
-
-ConfigurationFollowerEvents ControlNode::makeFollowerEvents()
+void ControlNode::onMembers(std::vector<Member> members)
 {
-    ConfigurationFollowerEvents events;
-    events.onConfiguration = [this](ConfigurationPtr configuration) {
-        useConfiguration(configuration);
-    };
-    events.onNotice = [this](const std::string &text) {
-        m_observers.log.write(LogLevel::Info, text);
-    };
-    return events;
+    m_observers.metrics.set(Gauge::Members, static_cast<std::int64_t>(members.size()));
+    recordChange(DecisionKind::Membership, members.size(), "working-members");
+    m_traffic.setMembers(std::move(members));
 }
 
-void ControlNode::onMembers(std::vector<Member> members)
+void ControlNode::recordChange(DecisionKind kind, std::uint64_t choice, const char *reason)
 {
-    m_observers.metrics.set(Gauge::Members, static_cast<std::int64_t>(members.size()));
-    if (m_observers.decisions.isEnabled()) {
-        Decision decision;
-        decision.kind = DecisionKind::Membership;
-        decision.choice = std::to_string(members.size());
-        decision.reason = "working-members";
-        m_observers.decisions.write(std::move(decision));
+    if (!m_observers.decisions.isEnabled()) {
+        return;
     }
-    m_traffic.setMembers(std::move(members));
+    Decision decision;
+    decision.kind = kind;
+    decision.choice = std::to_string(choice);
+    decision.reason = reason;
+    m_observers.decisions.write(std::move(decision));
 }
 
 void ControlNode::useBootstrap()
@@ -171,8 +145,9 @@
     if (!m_settings.bootstrap) {
         return;
     }
-    const ReadConfiguration read = m_reader->read(*m_settings.bootstrap, m_settings.inventoryFile,
-                                                  m_settings.rulesFile, ConfigurationVersion(0));
+    const auto reader = makeConfigurationReader();
+    const ReadConfiguration read = reader->read(*m_settings.bootstrap, m_settings.inventoryFile,
+                                                m_settings.rulesFile, ConfigurationVersion(0));
     if (read.configuration) {
         useConfiguration(read.configuration);
     }
@@ -183,13 +158,7 @@
     m_configuration = configuration;
     m_observers.metrics.set(Gauge::ConfigurationVersion,
                             static_cast<std::int64_t>(configuration->version.value()));
-    if (m_observers.decisions.isEnabled()) {
-        Decision decision;
-        decision.kind = DecisionKind::Configuration;
-        decision.choice = std::to_string(configuration->version.value());
-        decision.reason = "in-force";
-        m_observers.decisions.write(std::move(decision));
-    }
+    recordChange(DecisionKind::Configuration, configuration->version.value(), "in-force");
     m_traffic.setConfiguration(configuration);
 }
 
@@ -257,6 +226,7 @@
     status.self = m_membership.self();
     status.isLeaving = m_isLeaving;
     status.configuration = m_configuration;
+    status.configurationStatus = m_configurationDriver.status();
     status.members = m_membership.all();
     return makeAnswer(OK, "application/json", makeStatusDocument(status));
 }
