--- a/src/coordination/membership/internal/membership.cpp
+++ b/src/coordination/membership/internal/membership.cpp
@@ -160,7 +160,8 @@
     m_relistenUntil = now + m_options.relisten;
     m_nextPing = now;
     std::vector<MemberEntry> suspects;
-    for (const auto &[id, entry] : m_table.entries()) {
+    for (const DaemonId &id : m_table.doubtful()) {
+        const MemberEntry &entry = *m_table.find(id);
         if (entry.health == MemberHealth::Suspect) {
             suspects.push_back(entry);
         }
@@ -216,7 +217,8 @@
     const Duration timeout = suspicionTimeout();
     std::vector<MemberEntry> expired;
     std::vector<DaemonId> asked;
-    for (const auto &[id, entry] : m_table.entries()) {
+    for (const DaemonId &id : m_table.doubtful()) {
+        const MemberEntry &entry = *m_table.find(id);
         if (entry.health != MemberHealth::Suspect) {
             continue;
         }
@@ -259,7 +261,8 @@
 void Membership::forgetDead(TimePoint now)
 {
     std::vector<std::pair<TimePoint, DaemonId>> gone;
-    for (const auto &[id, entry] : m_table.entries()) {
+    for (const DaemonId &id : m_table.doubtful()) {
+        const MemberEntry &entry = *m_table.find(id);
         if (!isUp(entry.health) && id != m_self) {
             gone.emplace_back(entry.since, id);
         }
@@ -375,7 +378,8 @@
         contactSeed(random, actions);
     }
     std::vector<const MemberEntry *> dead;
-    for (const auto &[id, entry] : m_table.entries()) {
+    for (const DaemonId &id : m_table.doubtful()) {
+        const MemberEntry &entry = *m_table.find(id);
         if (entry.health == MemberHealth::Dead && entry.member.peerEndpoint.port != 0) {
             dead.push_back(&entry);
         }
--- a/src/coordination/membership/internal/membertable.cpp
+++ b/src/coordination/membership/internal/membertable.cpp
@@ -37,6 +37,9 @@
         ++m_upCount;
     }
     DaemonId id = entry.member.id;
+    if (entry.health != MemberHealth::Alive) {
+        m_doubtful.insert(id);
+    }
     m_entries.emplace(std::move(id), std::move(entry));
 }
 
@@ -50,6 +53,7 @@
         toggle(found->second);
         --m_upCount;
     }
+    m_doubtful.erase(id);
     m_entries.erase(found);
 }
 
--- a/src/coordination/membership/internal/membertable.h
+++ b/src/coordination/membership/internal/membertable.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -42,6 +43,8 @@
     void erase(const DaemonId &id);
 
     const Entries &entries() const { return m_entries; }
+    /// Ids of the members that are suspect, dead or gone: few, while the timers look at them often.
+    const std::set<DaemonId> &doubtful() const { return m_doubtful; }
     /// Number of members that are up.
     std::size_t upCount() const { return m_upCount; }
     std::uint64_t digest() const { return m_digest; }
@@ -52,6 +55,7 @@
     void toggle(const MemberEntry &entry);
 
     Entries m_entries;
+    std::set<DaemonId> m_doubtful;
     Buckets m_buckets{};
     std::uint64_t m_digest = 0;
     std::size_t m_upCount = 0;
--- /dev/null
+++ b/src/coordination/once/internal/answerstore.cpp
@@ -0,0 +1,66 @@
+#include "coordination/once/internal/answerstore.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::size_t OUTCOME_BYTES = 128;
+
+std::size_t sizeOf(const StoredOutcome &outcome)
+{
+    std::size_t bytes = OUTCOME_BYTES + outcome.response.body.size();
+    for (const HttpHeader &header : outcome.response.headers) {
+        bytes += header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
+} // namespace
+
+AnswerStore::AnswerStore(std::size_t maxBytes, std::size_t maxAnswerBytes)
+    : m_maxBytes(maxBytes)
+    , m_maxAnswerBytes(maxAnswerBytes)
+{
+}
+
+void AnswerStore::put(std::uint64_t id, StoredOutcome outcome)
+{
+    const std::size_t bytes = sizeOf(outcome);
+    if (bytes > m_maxAnswerBytes) {
+        return;
+    }
+    m_bytes += bytes;
+    m_outcomes.emplace(id, std::make_pair(std::move(outcome), bytes));
+    m_order.push_back(id);
+    while (m_bytes > m_maxBytes && !m_order.empty()) {
+        const std::uint64_t oldest = m_order.front();
+        erase(oldest);
+    }
+}
+
+StoredOutcome AnswerStore::get(std::uint64_t id) const
+{
+    const auto found = m_outcomes.find(id);
+    if (found == m_outcomes.end()) {
+        StoredOutcome lost;
+        lost.verdict.outcome = Outcome::Unknown;
+        lost.verdict.reason = Reason::KeyHolderGone;
+        return lost;
+    }
+    return found->second.first;
+}
+
+void AnswerStore::erase(std::uint64_t id)
+{
+    const auto found = m_outcomes.find(id);
+    if (found == m_outcomes.end()) {
+        return;
+    }
+    m_bytes -= found->second.second;
+    m_outcomes.erase(found);
+    while (!m_order.empty() && m_outcomes.count(m_order.front()) == 0) {
+        m_order.pop_front();
+    }
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/once/internal/claimtable.cpp
@@ -0,0 +1,165 @@
+#include "coordination/once/internal/claimtable.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace ivyspar {
+
+namespace {
+constexpr int MARKS_PER_WINDOW = 200;
+} // namespace
+
+std::unique_ptr<IClaimTable> makeClaimTable(const OnceOptions &options, std::uint64_t hashSeed)
+{
+    return std::make_unique<ClaimTable>(options, hashSeed);
+}
+
+ClaimTable::ClaimTable(const OnceOptions &options, std::uint64_t hashSeed)
+    : m_options(options)
+    , m_hashSeed(hashSeed)
+{
+}
+
+void ClaimTable::restart(TimePoint now, LogOffset offset)
+{
+    m_end = offset;
+    m_horizon = offset;
+    m_standing.clear();
+    m_order.clear();
+    m_owners.clear();
+    m_marks.clear();
+    m_marks.push_back({ offset, now });
+    m_completeFrom = offset;
+}
+
+std::vector<ClaimDecision> ClaimTable::apply(const ClaimBatch *batch)
+{
+    const LogOffset offset = m_end;
+    m_end = LogOffset(offset.value() + 1);
+    std::vector<ClaimDecision> decisions;
+    if (!batch) {
+        return decisions;
+    }
+    const Owner *owner = &*m_owners.emplace(batch->daemon, batch->incarnation).first;
+    for (const ClaimEntry &entry : batch->entries) {
+        const KeyHash hash = hashOf(entry.rule, entry.key);
+        const auto own = findStanding(hash, *owner, entry.nonce);
+        if (entry.kind == ClaimKind::Release) {
+            if (own != m_standing.end()) {
+                m_standing.erase(own);
+            }
+            continue;
+        }
+        ClaimDecision decision;
+        decision.nonce = entry.nonce;
+        decision.blocker = blocker(hash, batch->horizon, owner, entry.nonce);
+        decision.isFirst = !decision.blocker && batch->horizon >= m_completeFrom;
+        decisions.push_back(std::move(decision));
+        if (own == m_standing.end() && !hasRoom()) {
+            // Without this bound a flood of keys would end the process; with it, no claim counts as
+            // the first until the horizon has passed the gap, so nothing runs twice.
+            m_completeFrom = m_end;
+        } else if (own == m_standing.end()) {
+            m_standing.emplace(hash, Standing{ offset, owner, entry.nonce });
+            m_order.emplace_back(offset, hash);
+        }
+    }
+    // A horizon that another daemon stated is a fact about the log, and may be ahead of ours.
+    if (batch->horizon > m_horizon && batch->horizon <= offset) {
+        forgetBelow(batch->horizon);
+    }
+    return decisions;
+}
+
+std::optional<ClaimHolder> ClaimTable::holder(const RuleName &rule, const IdempotencyKey &key) const
+{
+    return blocker(hashOf(rule, key), m_horizon, nullptr, 0);
+}
+
+bool ClaimTable::isStanding(const RuleName &rule, const IdempotencyKey &key,
+                            const ClaimHolder &holder) const
+{
+    const Owner owner(holder.daemon, holder.incarnation);
+    return findStanding(hashOf(rule, key), owner, holder.nonce) != m_standing.end();
+}
+
+LogOffset ClaimTable::advanceHorizon(TimePoint now)
+{
+    const bool isMarked = !m_marks.empty()
+        && (m_marks.back().offset == m_end
+            || now - m_marks.back().at < m_options.window() / MARKS_PER_WINDOW);
+    if (!isMarked) {
+        m_marks.push_back({ m_end, now });
+    }
+    LogOffset horizon = m_horizon;
+    while (!m_marks.empty() && now - m_marks.front().at >= m_options.window()) {
+        horizon = std::max(horizon, m_marks.front().offset);
+        m_marks.pop_front();
+    }
+    if (horizon > m_horizon) {
+        forgetBelow(horizon);
+    }
+    return m_horizon;
+}
+
+ClaimTable::KeyHash ClaimTable::hashOf(const RuleName &rule, const IdempotencyKey &key) const
+{
+    // The length keeps ("a", "bc") apart from ("ab", "c").
+    std::string text = std::to_string(rule.value().size()) + ':';
+    text += rule.value();
+    text += key.value();
+    const XXH128_hash_t hash = XXH3_128bits_withSeed(text.data(), text.size(), m_hashSeed);
+    return { hash.low64, hash.high64 };
+}
+
+ClaimTable::StandingClaims::const_iterator
+ClaimTable::findStanding(const KeyHash &hash, const Owner &owner, std::uint64_t nonce) const
+{
+    const auto [begin, end] = m_standing.equal_range(hash);
+    const auto found = std::find_if(begin, end, [&](const auto &claim) {
+        return claim.second.nonce == nonce && *claim.second.owner == owner;
+    });
+    return found == end ? m_standing.end() : found;
+}
+
+std::optional<ClaimHolder> ClaimTable::blocker(const KeyHash &hash, LogOffset from,
+                                               const Owner *owner, std::uint64_t nonce) const
+{
+    const Standing *earliest = nullptr;
+    const auto [begin, end] = m_standing.equal_range(hash);
+    for (auto it = begin; it != end; ++it) {
+        const Standing &claim = it->second;
+        const bool isOwn = claim.owner == owner && claim.nonce == nonce;
+        if (isOwn || claim.offset < from) {
+            continue;
+        }
+        if (!earliest || claim.offset < earliest->offset) {
+            earliest = &claim;
+        }
+    }
+    if (!earliest || !earliest->owner) {
+        return std::nullopt;
+    }
+    return ClaimHolder{ earliest->owner->first, earliest->owner->second, earliest->nonce };
+}
+
+bool ClaimTable::hasRoom() const
+{
+    return m_standing.size() < m_options.maxTableEntries
+        && m_order.size() < 2 * m_options.maxTableEntries;
+}
+
+void ClaimTable::forgetBelow(LogOffset horizon)
+{
+    m_horizon = horizon;
+    while (!m_order.empty() && m_order.front().first < horizon) {
+        const auto [begin, end] = m_standing.equal_range(m_order.front().second);
+        for (auto it = begin; it != end;) {
+            it = it->second.offset < horizon ? m_standing.erase(it) : std::next(it);
+        }
+        m_order.pop_front();
+    }
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/once/internal/onceexecutor.cpp
@@ -0,0 +1,403 @@
+#include "coordination/once/internal/onceexecutor.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace ivyspar {
+
+namespace {
+
+Verdict notRunVerdict(Reason reason, Duration retryAfter = Duration(0))
+{
+    Verdict verdict;
+    verdict.outcome = Outcome::NotRun;
+    verdict.reason = reason;
+    verdict.retryAfter = retryAfter;
+    return verdict;
+}
+
+Verdict unknownVerdict(Reason reason)
+{
+    Verdict verdict;
+    verdict.outcome = Outcome::Unknown;
+    verdict.reason = reason;
+    return verdict;
+}
+
+OnceReply makeReply(CallId call, const Verdict &verdict)
+{
+    OnceReply reply;
+    reply.call = call;
+    reply.verdict = verdict;
+    return reply;
+}
+
+} // namespace
+
+RequestFingerprint makeFingerprint(const HttpRequest &request)
+{
+    std::string text = request.method + ' ' + request.target + '\n';
+    text += request.body;
+    return RequestFingerprint(XXH3_64bits(text.data(), text.size()));
+}
+
+Ret checkOnce(const OnceOptions &options, Duration logRetention)
+{
+    if (logRetention <= options.window()) {
+        return makeError(ErrorCode::InvalidArgument,
+                         "the log must keep claims for longer than the claim window of "
+                             + std::to_string(options.window().count()) + " us; it keeps them for "
+                             + std::to_string(logRetention.count()) + " us");
+    }
+    return {};
+}
+
+std::unique_ptr<IOnceCoordinator> makeOnceCoordinator(TimePoint now, const DaemonId &self,
+                                                      Incarnation incarnation,
+                                                      std::uint64_t hashSeed,
+                                                      const OnceOptions &options)
+{
+    return std::make_unique<OnceExecutor>(now, self, incarnation, hashSeed, options);
+}
+
+OnceExecutor::OnceExecutor(TimePoint now, const DaemonId &self, Incarnation incarnation,
+                           std::uint64_t hashSeed, const OnceOptions &options)
+    : m_options(options)
+    , m_self(self)
+    , m_incarnation(incarnation)
+    , m_table(makeClaimTable(options, hashSeed))
+    , m_answers(options.maxStoredBytes, options.maxAnswerBytes)
+    , m_nextAppend(now)
+    , m_nextRead(now)
+    , m_logDownUntil(now)
+{
+}
+
+OnceActions OnceExecutor::request(TimePoint now, const OnceRequest &request)
+{
+    OnceActions actions;
+    m_table->advanceHorizon(now);
+    const auto known = m_byKey.find({ request.rule, request.key });
+    if (known != m_byKey.end()) {
+        return finish(now, join(m_works[known->second], known->second, request));
+    }
+    std::optional<OnceReply> refusal = refuseEarly(now, request);
+    if (!refusal) {
+        refusal = refuseHeld(request);
+    }
+    if (refusal) {
+        actions.replies.push_back(*refusal);
+        return finish(now, std::move(actions));
+    }
+    const WorkId id = ++m_lastWork;
+    Work &work = m_works[id];
+    work.rule = request.rule;
+    work.key = request.key;
+    work.fingerprint = request.fingerprint;
+    m_byKey[{ work.rule, work.key }] = id;
+    work.nonce = ++m_lastNonce;
+    m_byNonce[work.nonce] = id;
+    addWaiter(id, work, request);
+    queueClaim(work);
+    return finish(now, std::move(actions));
+}
+
+std::optional<OnceReply> OnceExecutor::refuseEarly(TimePoint now, const OnceRequest &request) const
+{
+    if (request.key.value().empty() || request.key.value().size() > m_options.maxKeyBytes) {
+        return makeReply(request.call, notRunVerdict(Reason::BadRequest));
+    }
+    if (now >= request.deadline) {
+        return makeReply(request.call, notRunVerdict(Reason::DeadlineExceeded));
+    }
+    if (isLogDown(now)) {
+        return makeReply(request.call, notRunVerdict(Reason::LogUnavailable, m_options.logBackoff));
+    }
+    if (m_works.size() >= m_options.maxWorks || m_table->isOverfull()) {
+        return makeReply(request.call, notRunVerdict(Reason::QueueFull, m_options.logBackoff));
+    }
+    return std::nullopt;
+}
+
+/// A claim that the log already shows saves an append that would only lose.
+std::optional<OnceReply> OnceExecutor::refuseHeld(const OnceRequest &request) const
+{
+    const auto holder = m_table->holder(request.rule, request.key);
+    if (!holder) {
+        return std::nullopt;
+    }
+    const bool isOwn = holder->daemon == m_self && holder->incarnation == m_incarnation;
+    if (isOwn && m_abandoned.count(holder->nonce) != 0) {
+        return std::nullopt;
+    }
+    return busyReply(request.call, *holder);
+}
+
+OnceActions OnceExecutor::join(Work &work, WorkId id, const OnceRequest &request)
+{
+    OnceActions actions;
+    if (work.fingerprint != request.fingerprint) {
+        actions.replies.push_back(makeReply(request.call, notRunVerdict(Reason::BadRequest)));
+        return actions;
+    }
+    if (work.stage != Stage::Done) {
+        addWaiter(id, work, request);
+        return actions;
+    }
+    StoredOutcome stored = m_answers.get(id);
+    OnceReply reply = makeReply(request.call, stored.verdict);
+    reply.response = std::move(stored.response);
+    reply.holder = m_self;
+    actions.replies.push_back(std::move(reply));
+    return actions;
+}
+
+void OnceExecutor::addWaiter(WorkId id, Work &work, const OnceRequest &request)
+{
+    work.waiters.push_back({ request.call, request.deadline });
+    m_byCall[request.call] = id;
+    m_deadlines.emplace(request.deadline, request.call);
+}
+
+/// A process that was frozen between the claim and this point may have been given up by all others,
+/// and its key may have run elsewhere by now. Both limits are far below the time after which
+/// others let the claim pass, and they are checked in the step that sends.
+bool OnceExecutor::start(TimePoint now, CallId call)
+{
+    WorkId id = 0;
+    Work *work = findByCall(call, id);
+    if (!work || !work->runner || work->runner->call != call || work->isStarted) {
+        return false;
+    }
+    if (now >= work->runner->deadline || now - *work->firstSent >= m_options.startWindow) {
+        return false;
+    }
+    work->isStarted = true;
+    return true;
+}
+
+OnceActions OnceExecutor::finished(TimePoint now, CallId call, const Verdict &verdict,
+                                   const HttpResponse &response)
+{
+    OnceActions actions;
+    WorkId id = 0;
+    Work *work = findByCall(call, id);
+    if (!work || !work->runner || work->runner->call != call) {
+        return finish(now, std::move(actions));
+    }
+    m_byCall.erase(call);
+    work->runner.reset();
+    work->stage = Stage::Done;
+    m_answers.put(id, { verdict, response });
+    for (const Waiter &waiter : std::exchange(work->waiters, {})) {
+        m_byCall.erase(waiter.call);
+        m_deadlines.erase({ waiter.deadline, waiter.call });
+        OnceReply reply = makeReply(waiter.call, verdict);
+        reply.response = response;
+        reply.holder = m_self;
+        actions.replies.push_back(std::move(reply));
+    }
+    return finish(now, std::move(actions));
+}
+
+OnceActions OnceExecutor::notRun(TimePoint now, CallId call)
+{
+    OnceActions actions;
+    WorkId id = 0;
+    Work *work = findByCall(call, id);
+    if (work && work->runner && work->runner->call == call) {
+        m_byCall.erase(call);
+        work->runner.reset();
+        work->isStarted = false;
+        grant(now, id, actions);
+    }
+    return finish(now, std::move(actions));
+}
+
+OnceActions OnceExecutor::cancel(TimePoint now, CallId call)
+{
+    WorkId id = 0;
+    Work *work = findByCall(call, id);
+    if (!work) {
+        return finish(now, {});
+    }
+    if (work->runner && work->runner->call == call) {
+        return work->isStarted ? finish(now, {}) : notRun(now, call);
+    }
+    removeWaiter(*work, call);
+    if (work->stage == Stage::Claiming && work->waiters.empty()) {
+        dropWork(now, id);
+    }
+    return finish(now, {});
+}
+
+void OnceExecutor::setMember(const DaemonId &daemon, std::optional<Incarnation> incarnation)
+{
+    m_members[daemon] = incarnation;
+}
+
+OnceActions OnceExecutor::tick(TimePoint now)
+{
+    OnceActions actions;
+    m_table->advanceHorizon(now);
+    expireWaiters(now, actions);
+    expireWorks(now, actions);
+    queueReleases(now);
+    return finish(now, std::move(actions));
+}
+
+/// Lets the next attempt run, or gives the claim back.
+void OnceExecutor::grant(TimePoint now, WorkId id, OnceActions &actions)
+{
+    Work &work = m_works[id];
+    const bool isInTime = now - *work.firstSent < m_options.startWindow;
+    while (isInTime && !work.waiters.empty()) {
+        const Waiter next = work.waiters.front();
+        work.waiters.erase(work.waiters.begin());
+        m_deadlines.erase({ next.deadline, next.call });
+        if (now < next.deadline) {
+            work.runner = next;
+            actions.proceed.push_back(next.call);
+            return;
+        }
+        m_byCall.erase(next.call);
+        actions.replies.push_back(makeReply(next.call, notRunVerdict(Reason::DeadlineExceeded)));
+    }
+    refuseAll(work, notRunVerdict(Reason::DeadlineExceeded), DaemonId(), actions);
+    dropWork(now, id);
+}
+
+void OnceExecutor::refuseAll(Work &work, const Verdict &verdict, const DaemonId &holder,
+                             OnceActions &actions)
+{
+    for (const Waiter &waiter : std::exchange(work.waiters, {})) {
+        m_byCall.erase(waiter.call);
+        m_deadlines.erase({ waiter.deadline, waiter.call });
+        OnceReply reply = makeReply(waiter.call, verdict);
+        reply.holder = holder;
+        actions.replies.push_back(std::move(reply));
+    }
+}
+
+void OnceExecutor::dropWork(TimePoint now, WorkId id)
+{
+    const auto found = m_works.find(id);
+    abandonClaim(now, found->second);
+    m_byKey.erase({ found->second.rule, found->second.key });
+    m_works.erase(found);
+    queueReleases(now);
+}
+
+/// The nonce will never run from here on. Its claim may be in the log, or reach it later, and would
+/// block the key; it is released as soon as it shows up.
+void OnceExecutor::abandonClaim(TimePoint now, const Work &work)
+{
+    m_byNonce.erase(work.nonce);
+    if (work.copies == 0) {
+        return;
+    }
+    Abandoned abandoned;
+    abandoned.rule = work.rule;
+    abandoned.key = work.key;
+    abandoned.since = now;
+    if (m_abandoned.size() >= m_options.maxWorks) {
+        // The oldest is forgotten: its key, if claimed, stays blocked until the window has passed.
+        m_abandoned.erase(m_abandoned.begin());
+    }
+    m_abandoned.emplace(work.nonce, std::move(abandoned));
+    m_toRelease.insert(work.nonce);
+}
+
+void OnceExecutor::removeWaiter(Work &work, CallId call)
+{
+    const auto found = std::find_if(work.waiters.begin(), work.waiters.end(),
+                                    [call](const Waiter &waiter) { return waiter.call == call; });
+    if (found == work.waiters.end()) {
+        return;
+    }
+    m_deadlines.erase({ found->deadline, call });
+    m_byCall.erase(call);
+    work.waiters.erase(found);
+}
+
+void OnceExecutor::expireWaiters(TimePoint now, OnceActions &actions)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const CallId call = m_deadlines.begin()->second;
+        WorkId id = 0;
+        Work &work = *findByCall(call, id);
+        removeWaiter(work, call);
+        if (work.stage == Stage::Claiming) {
+            actions.replies.push_back(makeReply(call, notRunVerdict(Reason::LogUnavailable)));
+        } else {
+            // Another attempt with the key runs: this one did not, but the key's request may have.
+            OnceReply reply = makeReply(call, unknownVerdict(Reason::KeyBusy));
+            reply.holder = m_self;
+            actions.replies.push_back(std::move(reply));
+        }
+        if (work.stage == Stage::Claiming && work.waiters.empty()) {
+            dropWork(now, id);
+        }
+    }
+}
+
+/// After the window the claim is passed over by everyone, and nothing is to be remembered of it.
+void OnceExecutor::expireWorks(TimePoint now, OnceActions &actions)
+{
+    while (!m_expiry.empty() && m_expiry.front().first <= now) {
+        const WorkId id = m_expiry.front().second;
+        m_expiry.pop_front();
+        const auto found = m_works.find(id);
+        if (found == m_works.end()) {
+            continue;
+        }
+        Work &work = found->second;
+        refuseAll(work, unknownVerdict(Reason::KeyBusy), m_self, actions);
+        if (work.runner) {
+            m_byCall.erase(work.runner->call);
+        }
+        m_answers.erase(id);
+        m_byNonce.erase(work.nonce);
+        m_byKey.erase({ work.rule, work.key });
+        m_works.erase(found);
+    }
+    while (!m_abandoned.empty()
+           && now - m_abandoned.begin()->second.since > 2 * m_options.window()) {
+        m_abandoned.erase(m_abandoned.begin());
+    }
+}
+
+OnceReply OnceExecutor::busyReply(CallId call, const ClaimHolder &holder) const
+{
+    const Reason reason = isGone(holder) ? Reason::KeyHolderGone : Reason::KeyBusy;
+    OnceReply reply = makeReply(call, unknownVerdict(reason));
+    reply.holder = holder.daemon;
+    return reply;
+}
+
+bool OnceExecutor::isGone(const ClaimHolder &holder) const
+{
+    if (holder.daemon == m_self) {
+        // No work is known here, or the attempt would have joined it.
+        return true;
+    }
+    const auto member = m_members.find(holder.daemon);
+    if (member == m_members.end()) {
+        return false;
+    }
+    return !member->second || *member->second > holder.incarnation;
+}
+
+OnceExecutor::Work *OnceExecutor::findByCall(CallId call, WorkId &id)
+{
+    const auto found = m_byCall.find(call);
+    if (found == m_byCall.end()) {
+        return nullptr;
+    }
+    id = found->second;
+    const auto work = m_works.find(id);
+    return work == m_works.end() ? nullptr : &work->second;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/once/internal/onceexecutor.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "coordination/once/internal/answerstore.h"
+#include "coordination/once/oncefactory.h"
+
+namespace ivyspar {
+
+class OnceExecutor : public IOnceCoordinator
+{
+public:
+    OnceExecutor(TimePoint now, const DaemonId &self, Incarnation incarnation,
+                 std::uint64_t hashSeed, const OnceOptions &options);
+
+    OnceActions request(TimePoint now, const OnceRequest &request) override;
+    bool start(TimePoint now, CallId call) override;
+    OnceActions finished(TimePoint now, CallId call, const Verdict &verdict,
+                         const HttpResponse &response) override;
+    OnceActions notRun(TimePoint now, CallId call) override;
+    OnceActions cancel(TimePoint now, CallId call) override;
+    OnceActions appendDone(TimePoint now, AppendId id, LogOffset offset) override;
+    OnceActions appendFailed(TimePoint now, AppendId id, AppendFailure failure) override;
+    OnceActions recordsRead(TimePoint now, const ClaimPage &page) override;
+    OnceActions readFailed(TimePoint now) override;
+    void setMember(const DaemonId &daemon, std::optional<Incarnation> incarnation) override;
+    OnceActions tick(TimePoint now) override;
+
+private:
+    using WorkId = std::uint64_t;
+
+    struct Waiter
+    {
+        CallId call;
+        TimePoint deadline;
+    };
+
+    enum class Stage {
+        Claiming, ///< The claim is not decided.
+        Granted, ///< The claim was the first; one attempt may run, or runs.
+        Done, ///< The outcome is stored.
+    };
+
+    /// All attempts here with one key.
+    struct Work
+    {
+        RuleName rule;
+        IdempotencyKey key;
+        RequestFingerprint fingerprint;
+        Stage stage = Stage::Claiming;
+        std::vector<Waiter> waiters;
+        std::optional<Waiter> runner;
+        bool isStarted = false;
+
+        std::uint64_t nonce = 0;
+        std::uint32_t copies = 0;
+        /// When the first copy of the claim was sent.
+        std::optional<TimePoint> firstSent;
+        bool isQueued = false;
+        bool isInFlight = false;
+        bool mayHaveLanded = false;
+        /// Since when it is unknown whether a copy was appended.
+        std::optional<TimePoint> uncertainSince;
+    };
+
+    /// A claim whose call will never run; to be released if it shows up in the log.
+    struct Abandoned
+    {
+        RuleName rule;
+        IdempotencyKey key;
+        TimePoint since;
+        bool isReleasing = false;
+        /// The release was appended below this offset: nothing to do until that was read.
+        LogOffset releasedBelow;
+    };
+
+    struct InFlight
+    {
+        AppendId id;
+        std::vector<ClaimEntry> entries;
+        TimePoint sent;
+    };
+
+    // Attempts and their ends.
+    std::optional<OnceReply> refuseEarly(TimePoint now, const OnceRequest &request) const;
+    std::optional<OnceReply> refuseHeld(const OnceRequest &request) const;
+    OnceActions join(Work &work, WorkId id, const OnceRequest &request);
+    void addWaiter(WorkId id, Work &work, const OnceRequest &request);
+    void grant(TimePoint now, WorkId id, OnceActions &actions);
+    void refuseAll(Work &work, const Verdict &verdict, const DaemonId &holder,
+                   OnceActions &actions);
+    void dropWork(TimePoint now, WorkId id);
+    void abandonClaim(TimePoint now, const Work &work);
+    void removeWaiter(Work &work, CallId call);
+    void expireWaiters(TimePoint now, OnceActions &actions);
+    void expireWorks(TimePoint now, OnceActions &actions);
+    OnceReply busyReply(CallId call, const ClaimHolder &holder) const;
+    bool isGone(const ClaimHolder &holder) const;
+    Work *findByCall(CallId call, WorkId &id);
+
+    // The log.
+    void queueClaim(Work &work);
+    void requeueLost(TimePoint readIssued);
+    void decide(TimePoint now, const ClaimDecision &decision, OnceActions &actions);
+    void locate(TimePoint now, const ClaimPage &page);
+    void applyPage(TimePoint now, const ClaimPage &page, OnceActions &actions);
+    void skipGap(TimePoint now, LogOffset first, OnceActions &actions);
+    void refuseQueued(TimePoint now, OnceActions &actions);
+    void queueReleases(TimePoint now);
+    void queueRelease(std::uint64_t nonce, Abandoned &abandoned);
+    void append(TimePoint now, OnceActions &actions);
+    void read(TimePoint now, OnceActions &actions);
+    bool isLogDown(TimePoint now) const;
+    /// Common end of all events: sends what can be sent.
+    OnceActions finish(TimePoint now, OnceActions actions);
+
+    const OnceOptions m_options;
+    const DaemonId m_self;
+    const Incarnation m_incarnation;
+    std::unique_ptr<IClaimTable> m_table;
+    AnswerStore m_answers;
+
+    std::uint64_t m_lastNonce = 0;
+    WorkId m_lastWork = 0;
+    std::map<WorkId, Work> m_works;
+    std::map<std::pair<RuleName, IdempotencyKey>, WorkId> m_byKey;
+    std::unordered_map<std::uint64_t, WorkId> m_byNonce;
+    std::unordered_map<CallId, WorkId> m_byCall;
+    std::set<std::pair<TimePoint, CallId>> m_deadlines;
+    /// When granted works are forgotten.
+    std::deque<std::pair<TimePoint, WorkId>> m_expiry;
+    std::map<std::uint64_t, Abandoned> m_abandoned;
+    /// Nonces in `m_abandoned` whose claims may stand in the log now.
+    std::set<std::uint64_t> m_toRelease;
+    std::unordered_map<DaemonId, std::optional<Incarnation>> m_members;
+
+    std::deque<ClaimEntry> m_outgoing;
+    std::optional<InFlight> m_inFlight;
+    std::uint64_t m_lastAppend = 0;
+    TimePoint m_nextAppend;
+    std::optional<TimePoint> m_readSent;
+    TimePoint m_nextRead;
+    /// Read on at once until this offset.
+    LogOffset m_readUntil;
+    TimePoint m_logDownUntil;
+
+    enum class Located {
+        No, ///< The end of the stream is not known.
+        AtEnd, ///< The last record is being read, for its horizon.
+        Yes,
+    };
+    Located m_located = Located::No;
+    LogOffset m_locateFrom;
+    LogOffset m_locateFirst;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/once/internal/onceexecutorlog.cpp
@@ -0,0 +1,377 @@
+// The part of OnceExecutor that speaks to the log.
+#include <algorithm>
+
+#include "coordination/once/internal/onceexecutor.h"
+
+namespace ivyspar {
+
+namespace {
+
+Verdict logVerdict(Duration retryAfter)
+{
+    Verdict verdict;
+    verdict.outcome = Outcome::NotRun;
+    verdict.reason = Reason::LogUnavailable;
+    verdict.retryAfter = retryAfter;
+    return verdict;
+}
+
+} // namespace
+
+OnceActions OnceExecutor::appendDone(TimePoint now, AppendId id, LogOffset offset)
+{
+    if (!m_inFlight || m_inFlight->id != id) {
+        return finish(now, {});
+    }
+    const LogOffset end(offset.value() + 1);
+    for (const ClaimEntry &entry : m_inFlight->entries) {
+        const auto abandoned = m_abandoned.find(entry.nonce);
+        if (entry.kind == ClaimKind::Release && abandoned != m_abandoned.end()) {
+            abandoned->second.isReleasing = false;
+            abandoned->second.releasedBelow = end;
+        }
+        const auto work = m_byNonce.find(entry.nonce);
+        if (entry.kind == ClaimKind::Claim && work != m_byNonce.end()) {
+            m_works[work->second].isInFlight = false;
+            m_works[work->second].mayHaveLanded = true;
+        }
+    }
+    m_inFlight.reset();
+    m_readUntil = std::max(m_readUntil, end);
+    m_nextRead = now;
+    return finish(now, {});
+}
+
+OnceActions OnceExecutor::appendFailed(TimePoint now, AppendId id, AppendFailure failure)
+{
+    OnceActions actions;
+    if (!m_inFlight || m_inFlight->id != id) {
+        return finish(now, std::move(actions));
+    }
+    const InFlight failed = *std::exchange(m_inFlight, std::nullopt);
+    for (const ClaimEntry &entry : failed.entries) {
+        const auto abandoned = m_abandoned.find(entry.nonce);
+        if (abandoned != m_abandoned.end()) {
+            abandoned->second.isReleasing = false;
+        }
+        const auto found = m_byNonce.find(entry.nonce);
+        if (entry.kind != ClaimKind::Claim || found == m_byNonce.end()) {
+            continue;
+        }
+        Work &work = m_works[found->second];
+        work.isInFlight = false;
+        if (failure == AppendFailure::Unknown) {
+            work.mayHaveLanded = true;
+            work.uncertainSince = now;
+        } else if (!work.mayHaveLanded) {
+            // Proved absent: not even a release is needed.
+            work.copies = 0;
+        }
+        if (failure == AppendFailure::NotAppended && work.stage == Stage::Claiming) {
+            refuseAll(work, logVerdict(m_options.logBackoff), DaemonId(), actions);
+            dropWork(now, found->second);
+        }
+    }
+    if (failure == AppendFailure::NotAppended) {
+        m_logDownUntil = now + m_options.logBackoff;
+        refuseQueued(now, actions);
+    }
+    m_nextRead = std::min(m_nextRead, now);
+    return finish(now, std::move(actions));
+}
+
+/// The log is down: what waits for its turn to be appended is refused at once.
+void OnceExecutor::refuseQueued(TimePoint now, OnceActions &actions)
+{
+    std::vector<WorkId> refused;
+    for (const ClaimEntry &entry : m_outgoing) {
+        const auto found = m_byNonce.find(entry.nonce);
+        const bool isWaiting = entry.kind == ClaimKind::Claim && found != m_byNonce.end()
+            && m_works[found->second].stage == Stage::Claiming;
+        if (isWaiting) {
+            refused.push_back(found->second);
+        }
+        const auto abandoned = m_abandoned.find(entry.nonce);
+        if (entry.kind == ClaimKind::Release && abandoned != m_abandoned.end()) {
+            abandoned->second.isReleasing = false;
+        }
+    }
+    m_outgoing.clear();
+    for (const WorkId id : refused) {
+        refuseAll(m_works[id], logVerdict(m_options.logBackoff), DaemonId(), actions);
+        dropWork(now, id);
+    }
+}
+
+OnceActions OnceExecutor::readFailed(TimePoint now)
+{
+    m_readSent.reset();
+    m_nextRead = now + m_options.logBackoff;
+    m_logDownUntil = now + m_options.logBackoff;
+    return finish(now, {});
+}
+
+OnceActions OnceExecutor::recordsRead(TimePoint now, const ClaimPage &page)
+{
+    OnceActions actions;
+    const TimePoint issued = m_readSent.value_or(now);
+    m_readSent.reset();
+    if (m_located != Located::Yes) {
+        locate(now, page);
+        return finish(now, std::move(actions));
+    }
+    const LogOffset before = m_table->appliedEnd();
+    if (page.first > before) {
+        skipGap(now, page.first, actions);
+    }
+    applyPage(now, page, actions);
+    const LogOffset end = m_table->appliedEnd();
+    const bool isMoreKnown = end < page.end && end > before;
+    const bool isAwaited = end < m_readUntil;
+    m_nextRead = now + m_options.idlePoll;
+    if (isMoreKnown) {
+        m_nextRead = now;
+    } else if (isAwaited) {
+        // The replica that answered lags behind the one that took the append.
+        m_nextRead = now + m_options.readRetry;
+    } else {
+        requeueLost(issued);
+    }
+    queueReleases(now);
+    return finish(now, std::move(actions));
+}
+
+/// Finds where to start: the horizon that the last batch states. Older records are not needed, so a
+/// daemon that starts reads one window, and not all that the log keeps.
+void OnceExecutor::locate(TimePoint now, const ClaimPage &page)
+{
+    m_nextRead = now;
+    if (m_located == Located::No) {
+        m_locateFirst = page.first;
+        const bool isEmpty = page.end <= page.first;
+        m_locateFrom = isEmpty ? page.first : LogOffset(page.end.value() - 1);
+        m_located = Located::AtEnd;
+        if (!isEmpty) {
+            return;
+        }
+    }
+    LogOffset from = std::max(m_locateFirst, page.first);
+    if (!page.records.empty() && page.records.back().batch) {
+        from = std::max(from, page.records.back().batch->horizon);
+    }
+    m_table->restart(now, from);
+    m_located = Located::Yes;
+}
+
+void OnceExecutor::applyPage(TimePoint now, const ClaimPage &page, OnceActions &actions)
+{
+    for (const ClaimRecord &record : page.records) {
+        const LogOffset next = m_table->appliedEnd();
+        if (record.offset < next) {
+            continue;
+        }
+        if (record.offset > next) {
+            return;
+        }
+        const ClaimBatch *batch = record.batch ? &*record.batch : nullptr;
+        const auto decisions = m_table->apply(batch);
+        const bool isOwn = batch && batch->daemon == m_self && batch->incarnation == m_incarnation;
+        if (!isOwn) {
+            continue;
+        }
+        for (const ClaimDecision &decision : decisions) {
+            decide(now, decision, actions);
+        }
+    }
+}
+
+/// The log dropped records that were not read here: they are older than the window, and so do not
+/// matter for keys. But a claim of ours may be among them, and can no longer be decided.
+void OnceExecutor::skipGap(TimePoint now, LogOffset first, OnceActions &actions)
+{
+    m_table->restart(now, first);
+    std::vector<WorkId> undecided;
+    for (const auto &[id, work] : m_works) {
+        if (work.stage == Stage::Claiming && work.copies > 0) {
+            undecided.push_back(id);
+        }
+    }
+    for (const WorkId id : undecided) {
+        refuseAll(m_works[id], logVerdict(m_options.logBackoff), DaemonId(), actions);
+        dropWork(now, id);
+    }
+}
+
+void OnceExecutor::decide(TimePoint now, const ClaimDecision &decision, OnceActions &actions)
+{
+    const auto found = m_byNonce.find(decision.nonce);
+    if (found == m_byNonce.end()) {
+        m_toRelease.insert(decision.nonce);
+        return;
+    }
+    const WorkId id = found->second;
+    Work &work = m_works[id];
+    if (work.stage != Stage::Claiming) {
+        return;
+    }
+    if (decision.isFirst) {
+        work.stage = Stage::Granted;
+        m_expiry.emplace_back(now + m_options.window(), id);
+        grant(now, id, actions);
+        return;
+    }
+    const auto &blocker = decision.blocker;
+    const bool isOwnLeftover = blocker && blocker->daemon == m_self
+        && blocker->incarnation == m_incarnation && m_abandoned.count(blocker->nonce) != 0;
+    if (isOwnLeftover) {
+        // An attempt that ended here left its claim; it is released first, then claimed anew.
+        abandonClaim(now, work);
+        work.nonce = ++m_lastNonce;
+        m_byNonce[work.nonce] = id;
+        work.copies = 0;
+        work.firstSent.reset();
+        work.mayHaveLanded = false;
+        work.isQueued = false;
+        work.isInFlight = false;
+        work.uncertainSince.reset();
+        queueReleases(now);
+        queueClaim(work);
+        return;
+    }
+    const OnceReply reply = blocker ? busyReply(CallId(), *blocker)
+                                    : OnceReply{ {}, logVerdict(m_options.logBackoff), {}, {} };
+    refuseAll(work, reply.verdict, reply.holder, actions);
+    dropWork(now, id);
+}
+
+void OnceExecutor::queueClaim(Work &work)
+{
+    work.isQueued = true;
+    m_outgoing.push_back({ ClaimKind::Claim, work.rule, work.key, work.nonce });
+}
+
+/// An append's answer was lost, and a read that began later did not show the claim. It may still be
+/// on its way, so the same claim is sent once more: a second copy changes nothing in the fold.
+void OnceExecutor::requeueLost(TimePoint readIssued)
+{
+    for (auto &[id, work] : m_works) {
+        const bool isLost = work.stage == Stage::Claiming && work.uncertainSince
+            && *work.uncertainSince <= readIssued && !work.isQueued && !work.isInFlight;
+        if (isLost && work.copies < m_options.maxCopies) {
+            work.uncertainSince.reset();
+            queueClaim(work);
+        }
+    }
+}
+
+void OnceExecutor::queueReleases(TimePoint now)
+{
+    if (isLogDown(now)) {
+        return;
+    }
+    for (auto it = m_toRelease.begin(); it != m_toRelease.end();) {
+        const std::uint64_t nonce = *it;
+        const auto found = m_abandoned.find(nonce);
+        const bool isStanding = found != m_abandoned.end()
+            && m_table->isStanding(found->second.rule, found->second.key,
+                                   { m_self, m_incarnation, nonce });
+        if (!isStanding) {
+            // Only what is known to have been given up is released. A copy that reaches the log
+            // later brings the nonce back here.
+            it = m_toRelease.erase(it);
+            continue;
+        }
+        queueRelease(nonce, found->second);
+        ++it;
+    }
+}
+
+void OnceExecutor::queueRelease(std::uint64_t nonce, Abandoned &abandoned)
+{
+    if (abandoned.isReleasing || m_table->appliedEnd() < abandoned.releasedBelow) {
+        return;
+    }
+    abandoned.isReleasing = true;
+    m_outgoing.push_back({ ClaimKind::Release, abandoned.rule, abandoned.key, nonce });
+}
+
+void OnceExecutor::append(TimePoint now, OnceActions &actions)
+{
+    if (m_inFlight || m_outgoing.empty() || m_located != Located::Yes || now < m_nextAppend) {
+        return;
+    }
+    InFlight next;
+    next.id = AppendId(++m_lastAppend);
+    next.sent = now;
+    while (!m_outgoing.empty() && next.entries.size() < m_options.maxBatchEntries) {
+        const ClaimEntry entry = m_outgoing.front();
+        m_outgoing.pop_front();
+        const auto found = m_byNonce.find(entry.nonce);
+        if (entry.kind == ClaimKind::Claim && found == m_byNonce.end()) {
+            continue;
+        }
+        if (entry.kind == ClaimKind::Claim) {
+            Work &work = m_works[found->second];
+            work.isQueued = false;
+            if (work.stage != Stage::Claiming) {
+                continue;
+            }
+            work.isInFlight = true;
+            ++work.copies;
+            work.firstSent = work.firstSent.value_or(now);
+        }
+        next.entries.push_back(entry);
+    }
+    if (next.entries.empty()) {
+        return;
+    }
+    ClaimBatch batch{ m_self, m_incarnation, m_table->advanceHorizon(now), next.entries };
+    actions.append = ClaimAppend{ next.id, std::move(batch) };
+    m_inFlight = std::move(next);
+    m_nextAppend = now + m_options.minAppendInterval;
+}
+
+void OnceExecutor::read(TimePoint now, OnceActions &actions)
+{
+    if (m_readSent || now < m_nextRead) {
+        return;
+    }
+    m_readSent = now;
+    switch (m_located) {
+    case Located::No:
+        actions.read = ClaimRead{ LogOffset(0), 1 };
+        return;
+    case Located::AtEnd:
+        actions.read = ClaimRead{ m_locateFrom, m_options.readRecords };
+        return;
+    case Located::Yes:
+        actions.read = ClaimRead{ m_table->appliedEnd(), m_options.readRecords };
+        return;
+    }
+}
+
+bool OnceExecutor::isLogDown(TimePoint now) const
+{
+    const bool isAppendStalled = m_inFlight && now - m_inFlight->sent > m_options.stallLimit;
+    const bool isReadStalled = m_readSent && now - *m_readSent > m_options.stallLimit;
+    return now < m_logDownUntil || isAppendStalled || isReadStalled;
+}
+
+OnceActions OnceExecutor::finish(TimePoint now, OnceActions actions)
+{
+    append(now, actions);
+    read(now, actions);
+    actions.wakeAt = now + m_options.idlePoll;
+    if (!m_readSent) {
+        actions.wakeAt = std::min(actions.wakeAt, m_nextRead);
+    }
+    if (!m_outgoing.empty() && !m_inFlight) {
+        actions.wakeAt = std::min(actions.wakeAt, m_nextAppend);
+    }
+    if (!m_deadlines.empty()) {
+        actions.wakeAt = std::min(actions.wakeAt, m_deadlines.begin()->first);
+    }
+    return actions;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/once/internal/ticketoffice.cpp
@@ -0,0 +1,325 @@
+#include "coordination/once/internal/ticketoffice.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <xxhash.h>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr char SEPARATOR = '.';
+constexpr int MARKS_PER_LIFETIME = 100;
+constexpr Duration IDLE{ std::chrono::seconds(1) };
+
+struct Ticket
+{
+    TicketOwner owner;
+    std::uint64_t counter = 0;
+    std::uint64_t check = 0;
+};
+
+bool readNumber(const std::string &text, std::uint64_t &value)
+{
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    return result.ec == std::errc() && result.ptr == end;
+}
+
+/// Takes the last field off `text`.
+std::string takeField(std::string &text)
+{
+    const std::size_t at = text.rfind(SEPARATOR);
+    if (at == std::string::npos) {
+        return {};
+    }
+    std::string field = text.substr(at + 1);
+    text.resize(at);
+    return field;
+}
+
+/// A daemon's name may contain the separator, so the fields are taken from the end.
+std::optional<Ticket> readTicket(std::string text)
+{
+    Ticket ticket;
+    std::uint64_t incarnation = 0;
+    const bool isGood = readNumber(takeField(text), ticket.check)
+        && readNumber(takeField(text), ticket.counter) && readNumber(takeField(text), incarnation)
+        && !text.empty();
+    if (!isGood) {
+        return std::nullopt;
+    }
+    ticket.owner = { DaemonId(text), Incarnation(incarnation) };
+    return ticket;
+}
+
+Verdict makeVerdict(Outcome outcome, Reason reason)
+{
+    Verdict verdict;
+    verdict.outcome = outcome;
+    verdict.reason = reason;
+    return verdict;
+}
+
+OnceReply makeReply(CallId call, const StoredOutcome &outcome, const DaemonId &holder)
+{
+    return { call, outcome.verdict, outcome.response, holder };
+}
+
+} // namespace
+
+std::optional<TicketOwner> readTicketOwner(const std::string &ticket)
+{
+    const auto read = readTicket(ticket);
+    if (!read) {
+        return std::nullopt;
+    }
+    return read->owner;
+}
+
+std::unique_ptr<ITicketOffice> makeTicketOffice(TimePoint now, const DaemonId &self,
+                                                Incarnation incarnation, const TicketSecret &secret,
+                                                const TicketOptions &options)
+{
+    return std::make_unique<TicketOffice>(now, self, incarnation, secret, options);
+}
+
+TicketOffice::TicketOffice(TimePoint now, const DaemonId &self, Incarnation incarnation,
+                           const TicketSecret &secret, const TicketOptions &options)
+    : m_options(options)
+    , m_self(self)
+    , m_incarnation(incarnation)
+    , m_secret(secret)
+    , m_answers(options.maxStoredBytes, options.maxAnswerBytes)
+{
+    m_marks.emplace_back(0, now);
+}
+
+std::string TicketOffice::issue(TimePoint now)
+{
+    if (now - m_marks.back().second >= m_options.lifetime / MARKS_PER_LIFETIME) {
+        m_marks.emplace_back(m_last, now);
+    }
+    const std::uint64_t counter = ++m_last;
+    return m_self.value() + SEPARATOR + std::to_string(m_incarnation.value()) + SEPARATOR
+        + std::to_string(counter) + SEPARATOR + std::to_string(checkOf(counter));
+}
+
+std::uint64_t TicketOffice::checkOf(std::uint64_t counter) const
+{
+    const std::string text = m_self.value() + SEPARATOR + std::to_string(m_incarnation.value())
+        + SEPARATOR + std::to_string(counter);
+    return XXH3_64bits_withSecret(text.data(), text.size(), m_secret.data(), m_secret.size());
+}
+
+OnceActions TicketOffice::request(TimePoint now, const TicketRequest &request)
+{
+    OnceActions actions;
+    std::uint64_t counter = 0;
+    if (const auto verdict = refuse(now, request, counter)) {
+        actions.replies.push_back({ request.call, *verdict, {}, {} });
+        return finish(now, std::move(actions));
+    }
+    const auto [found, isNew] = m_used.try_emplace(counter);
+    Used &used = found->second;
+    if (isNew) {
+        used.fingerprint = request.fingerprint;
+        m_usedOrder.insert(counter);
+    }
+    if (used.fingerprint != request.fingerprint) {
+        const Verdict verdict = makeVerdict(Outcome::NotRun, Reason::BadRequest);
+        actions.replies.push_back({ request.call, verdict, {}, {} });
+        return finish(now, std::move(actions));
+    }
+    if (used.isDone) {
+        actions.replies.push_back(makeReply(request.call, m_answers.get(counter), m_self));
+        return finish(now, std::move(actions));
+    }
+    addWaiter(counter, used, request);
+    if (!used.runner) {
+        grant(now, counter, actions);
+    }
+    return finish(now, std::move(actions));
+}
+
+std::optional<Verdict> TicketOffice::refuse(TimePoint now, const TicketRequest &request,
+                                            std::uint64_t &counter) const
+{
+    const auto ticket = readTicket(request.ticket);
+    if (!ticket || ticket->owner.daemon != m_self) {
+        return makeVerdict(Outcome::NotRun, Reason::BadRequest);
+    }
+    counter = ticket->counter;
+    if (ticket->owner.incarnation != m_incarnation || counter <= m_expired) {
+        // Whether it was used is no longer known.
+        return makeVerdict(Outcome::Unknown, Reason::KeyHolderGone);
+    }
+    if (counter > m_last || ticket->check != checkOf(counter)) {
+        return makeVerdict(Outcome::NotRun, Reason::BadRequest);
+    }
+    if (now >= request.deadline) {
+        return makeVerdict(Outcome::NotRun, Reason::DeadlineExceeded);
+    }
+    if (m_used.size() >= m_options.maxUsed && m_used.count(counter) == 0) {
+        return makeVerdict(Outcome::NotRun, Reason::QueueFull);
+    }
+    return std::nullopt;
+}
+
+void TicketOffice::addWaiter(std::uint64_t counter, Used &used, const TicketRequest &request)
+{
+    used.waiters.push_back({ request.call, request.deadline });
+    m_byCall[request.call] = counter;
+    m_deadlines.emplace(request.deadline, request.call);
+}
+
+bool TicketOffice::start(TimePoint now, CallId call)
+{
+    std::uint64_t counter = 0;
+    Used *used = findByCall(call, counter);
+    const bool isRunner = used && used->runner && used->runner->call == call;
+    if (!isRunner || used->isStarted || now >= used->runner->deadline) {
+        return false;
+    }
+    used->isStarted = true;
+    return true;
+}
+
+OnceActions TicketOffice::finished(TimePoint now, CallId call, const Verdict &verdict,
+                                   const HttpResponse &response)
+{
+    OnceActions actions;
+    std::uint64_t counter = 0;
+    Used *used = findByCall(call, counter);
+    if (!used || !used->runner || used->runner->call != call) {
+        return finish(now, std::move(actions));
+    }
+    m_byCall.erase(call);
+    used->runner.reset();
+    used->isDone = true;
+    const StoredOutcome outcome{ verdict, response };
+    m_answers.put(counter, outcome);
+    replyAll(*used, outcome, actions);
+    return finish(now, std::move(actions));
+}
+
+OnceActions TicketOffice::notRun(TimePoint now, CallId call)
+{
+    OnceActions actions;
+    std::uint64_t counter = 0;
+    Used *used = findByCall(call, counter);
+    if (used && used->runner && used->runner->call == call) {
+        m_byCall.erase(call);
+        used->runner.reset();
+        used->isStarted = false;
+        grant(now, counter, actions);
+    }
+    return finish(now, std::move(actions));
+}
+
+OnceActions TicketOffice::cancel(TimePoint now, CallId call)
+{
+    std::uint64_t counter = 0;
+    Used *used = findByCall(call, counter);
+    if (!used) {
+        return finish(now, {});
+    }
+    if (used->runner && used->runner->call == call) {
+        return used->isStarted ? finish(now, {}) : notRun(now, call);
+    }
+    const auto found = std::find_if(used->waiters.begin(), used->waiters.end(),
+                                    [call](const Waiter &waiter) { return waiter.call == call; });
+    if (found != used->waiters.end()) {
+        forget(*found);
+        used->waiters.erase(found);
+    }
+    return finish(now, {});
+}
+
+OnceActions TicketOffice::tick(TimePoint now)
+{
+    OnceActions actions;
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const CallId call = m_deadlines.begin()->second;
+        // Another attempt with the ticket runs.
+        const Verdict verdict = makeVerdict(Outcome::Unknown, Reason::KeyBusy);
+        actions.replies.push_back({ call, verdict, {}, m_self });
+        cancel(now, call);
+    }
+    while (m_marks.size() > 1 && now - m_marks[1].second >= m_options.lifetime) {
+        m_marks.pop_front();
+        m_expired = m_marks.front().first;
+    }
+    while (!m_usedOrder.empty() && *m_usedOrder.begin() <= m_expired) {
+        const std::uint64_t counter = *m_usedOrder.begin();
+        Used &used = m_used[counter];
+        StoredOutcome lost;
+        lost.verdict = makeVerdict(Outcome::Unknown, Reason::KeyHolderGone);
+        replyAll(used, lost, actions);
+        if (used.runner) {
+            m_byCall.erase(used.runner->call);
+        }
+        m_answers.erase(counter);
+        m_used.erase(counter);
+        m_usedOrder.erase(m_usedOrder.begin());
+    }
+    return finish(now, std::move(actions));
+}
+
+void TicketOffice::grant(TimePoint now, std::uint64_t counter, OnceActions &actions)
+{
+    Used &used = m_used[counter];
+    while (!used.waiters.empty()) {
+        const Waiter next = used.waiters.front();
+        used.waiters.erase(used.waiters.begin());
+        m_deadlines.erase({ next.deadline, next.call });
+        if (now < next.deadline) {
+            used.runner = next;
+            actions.proceed.push_back(next.call);
+            return;
+        }
+        m_byCall.erase(next.call);
+        const Verdict verdict = makeVerdict(Outcome::NotRun, Reason::DeadlineExceeded);
+        actions.replies.push_back({ next.call, verdict, {}, {} });
+    }
+    // Nobody ran it, and nobody waits: the ticket is as good as new.
+    m_used.erase(counter);
+    m_usedOrder.erase(counter);
+}
+
+TicketOffice::Used *TicketOffice::findByCall(CallId call, std::uint64_t &counter)
+{
+    const auto found = m_byCall.find(call);
+    if (found == m_byCall.end()) {
+        return nullptr;
+    }
+    counter = found->second;
+    const auto used = m_used.find(counter);
+    return used == m_used.end() ? nullptr : &used->second;
+}
+
+void TicketOffice::forget(const Waiter &waiter)
+{
+    m_byCall.erase(waiter.call);
+    m_deadlines.erase({ waiter.deadline, waiter.call });
+}
+
+void TicketOffice::replyAll(Used &used, const StoredOutcome &outcome, OnceActions &actions)
+{
+    for (const Waiter &waiter : std::exchange(used.waiters, {})) {
+        forget(waiter);
+        actions.replies.push_back(makeReply(waiter.call, outcome, m_self));
+    }
+}
+
+OnceActions TicketOffice::finish(TimePoint now, OnceActions actions) const
+{
+    actions.wakeAt = now + IDLE;
+    if (!m_deadlines.empty()) {
+        actions.wakeAt = std::min(actions.wakeAt, m_deadlines.begin()->first);
+    }
+    return actions;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/once/internal/ticketoffice.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "coordination/once/internal/answerstore.h"
+#include "coordination/once/oncefactory.h"
+
+namespace ivyspar {
+
+class TicketOffice : public ITicketOffice
+{
+public:
+    TicketOffice(TimePoint now, const DaemonId &self, Incarnation incarnation,
+                 const TicketSecret &secret, const TicketOptions &options);
+
+    std::string issue(TimePoint now) override;
+    OnceActions request(TimePoint now, const TicketRequest &request) override;
+    bool start(TimePoint now, CallId call) override;
+    OnceActions finished(TimePoint now, CallId call, const Verdict &verdict,
+                         const HttpResponse &response) override;
+    OnceActions notRun(TimePoint now, CallId call) override;
+    OnceActions cancel(TimePoint now, CallId call) override;
+    OnceActions tick(TimePoint now) override;
+
+private:
+    struct Waiter
+    {
+        CallId call;
+        TimePoint deadline;
+    };
+    /// A ticket that was presented.
+    struct Used
+    {
+        RequestFingerprint fingerprint;
+        std::optional<Waiter> runner;
+        bool isStarted = false;
+        bool isDone = false;
+        std::vector<Waiter> waiters;
+    };
+
+    std::uint64_t checkOf(std::uint64_t counter) const;
+    /// Why a request with the ticket is refused; none, and the counter, when it is good.
+    std::optional<Verdict> refuse(TimePoint now, const TicketRequest &request,
+                                  std::uint64_t &counter) const;
+    void addWaiter(std::uint64_t counter, Used &used, const TicketRequest &request);
+    void grant(TimePoint now, std::uint64_t counter, OnceActions &actions);
+    Used *findByCall(CallId call, std::uint64_t &counter);
+    void forget(const Waiter &waiter);
+    void replyAll(Used &used, const StoredOutcome &outcome, OnceActions &actions);
+    OnceActions finish(TimePoint now, OnceActions actions) const;
+
+    const TicketOptions m_options;
+    const DaemonId m_self;
+    const Incarnation m_incarnation;
+    const TicketSecret m_secret;
+    AnswerStore m_answers;
+
+    std::uint64_t m_last = 0;
+    /// Tickets up to this one have expired.
+    std::uint64_t m_expired = 0;
+    /// At `second`, the last ticket handed out was `first`.
+    std::deque<std::pair<std::uint64_t, TimePoint>> m_marks;
+    std::unordered_map<std::uint64_t, Used> m_used;
+    std::set<std::uint64_t> m_usedOrder;
+    std::unordered_map<CallId, std::uint64_t> m_byCall;
+    std::set<std::pair<TimePoint, CallId>> m_deadlines;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/once/tests/mocks/oncefabric.h
@@ -0,0 +1,483 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/once/oncefactory.h"
+#include "state/internal/seededrandom.h"
+
+namespace ivyspar {
+
+/// A way to break the protocol from outside, which the checks must find.
+enum class Sabotage {
+    None,
+    GuessAfterLostAnswer, ///< A lost append answer is taken for "appended, and first".
+    SkipForeignRecords, ///< Reads its own records only.
+    ReleaseForeignClaims, ///< Releases the claims of others before claiming.
+    ForgetTooEarly, ///< One daemon lets claims pass after a second.
+    StartAnyway, ///< Sends although `start` refused.
+};
+
+/// Several executors over one log under a fake clock, with lost answers, outages, stale reads,
+/// freezes, crashes, retention and clocks that run at different speeds; and a record of what ran.
+class OnceFabric
+{
+public:
+    struct Execution
+    {
+        std::string key;
+        CallId call;
+        TimePoint at;
+    };
+    struct Call
+    {
+        std::string key;
+        std::size_t node = 0;
+        std::uint64_t run = 0;
+        std::size_t ends = 0;
+        Verdict verdict;
+        std::string body;
+        DaemonId holder;
+    };
+    /// Shares of events that go wrong, in 1/1000.
+    struct Faults
+    {
+        std::uint64_t lostAfter = 0;
+        std::uint64_t lostBefore = 0;
+        std::uint64_t lostLate = 0;
+        std::uint64_t readFails = 0;
+        std::uint64_t staleRead = 0;
+        std::uint64_t refusedByUpstream = 0;
+        std::uint64_t answerLost = 0;
+        /// Freezes between the permission to run and its use, at most a minute.
+        std::uint64_t freezeBeforeStart = 0;
+    };
+
+    OnceFabric(std::uint64_t seed, std::size_t nodes, Sabotage sabotage = Sabotage::None)
+        : m_random(seed)
+        , m_sabotage(sabotage)
+        , m_nodes(nodes)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            // Clocks differ by up to 1 % in speed, and by any offset.
+            m_nodes[i].rate = 0.99 + 0.02 * m_random.unit();
+            m_nodes[i].offset = Duration(m_random.below(1'000'000'000));
+            boot(i);
+        }
+    }
+
+    static OnceOptions options()
+    {
+        using namespace std::chrono_literals;
+        OnceOptions options;
+        options.lifetime = 20s;
+        options.startWindow = 5s;
+        options.margin = 1s;
+        return options;
+    }
+    static constexpr Duration RETENTION = std::chrono::seconds(40);
+
+    CallId request(std::size_t node, const std::string &key, Duration wait,
+                   std::uint64_t fingerprint = 1)
+    {
+        const CallId call(++m_lastCall);
+        m_calls[call] = Call{ key, node, m_nodes[node].run, 0, {}, {}, {} };
+        onNode(node, Duration(0), [this, node, key, wait, fingerprint, call] {
+            OnceRequest request{ call, RuleName("pay"), IdempotencyKey(key),
+                                 RequestFingerprint(fingerprint), local(node) + wait };
+            perform(node, m_nodes[node].executor->request(local(node), request));
+        });
+        return call;
+    }
+
+    void crash(std::size_t node)
+    {
+        ++m_nodes[node].run;
+        boot(node);
+    }
+    void freeze(std::size_t node, Duration time)
+    {
+        m_nodes[node].frozenUntil = std::max(m_nodes[node].frozenUntil, m_now + time);
+    }
+    void setOutage(bool isDown) { m_isDown = isDown; }
+    void setFaults(const Faults &faults) { m_faults = faults; }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            dropOldRecords();
+            event.action();
+        }
+        m_now = end;
+    }
+
+    const Call &call(CallId id) const { return m_calls.at(id); }
+    std::size_t executionsOf(const std::string &key) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_executions.begin(), m_executions.end(),
+                          [&key](const Execution &execution) { return execution.key == key; }));
+    }
+    std::size_t executions() const { return m_executions.size(); }
+    std::size_t appends() const { return m_appends; }
+    TimePoint now() const { return m_now; }
+    SeededRandom &random() { return m_random; }
+    IOnceCoordinator &executor(std::size_t node) { return *m_nodes[node].executor; }
+    TimePoint local(std::size_t node) const
+    {
+        const auto passed = static_cast<double>((m_now - TimePoint()).count());
+        return TimePoint(m_nodes[node].offset)
+            + Duration(static_cast<Duration::rep>(passed * m_nodes[node].rate));
+    }
+
+    /// What the history breaks; empty if nothing.
+    std::vector<std::string> violations() const
+    {
+        std::vector<std::string> found;
+        checkApart(found);
+        checkReplies(found);
+        return found;
+    }
+
+private:
+    struct Node
+    {
+        std::unique_ptr<IOnceCoordinator> executor;
+        std::uint64_t run = 1;
+        double rate = 1;
+        Duration offset{ 0 };
+        TimePoint frozenUntil;
+        TimePoint wakeAt;
+    };
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        friend bool operator<(const Event &a, const Event &b)
+        {
+            return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+        }
+    };
+    struct Record
+    {
+        ClaimBatch batch;
+        TimePoint at;
+    };
+
+    void boot(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        OnceOptions options = OnceFabric::options();
+        if (m_sabotage == Sabotage::ForgetTooEarly && index == 0) {
+            options.lifetime = options.startWindow = Duration(0);
+        }
+        node.executor = makeOnceCoordinator(local(index), DaemonId(nameOf(index)),
+                                            Incarnation(node.run), m_random.next(), options);
+        node.frozenUntil = m_now;
+        node.wakeAt = TimePoint::max();
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (m_nodes[i].executor) {
+                m_nodes[i].executor->setMember(DaemonId(nameOf(index)), Incarnation(node.run));
+            }
+        }
+        scheduleTick(index, m_now);
+    }
+
+    static std::string nameOf(std::size_t index) { return "daemon-" + std::to_string(index); }
+
+    void schedule(TimePoint at, std::function<void()> action)
+    {
+        m_events.push({ std::max(at, m_now), ++m_order, std::move(action) });
+    }
+
+    /// Runs the action in that process: later if it is frozen, never if it has crashed.
+    void onNode(std::size_t index, Duration delay, std::function<void()> action)
+    {
+        const std::uint64_t run = m_nodes[index].run;
+        schedule(m_now + delay, [this, index, run, action = std::move(action)] {
+            if (m_nodes[index].run != run) {
+                return;
+            }
+            if (m_now < m_nodes[index].frozenUntil) {
+                onNode(index, m_nodes[index].frozenUntil - m_now, action);
+                return;
+            }
+            action();
+        });
+    }
+
+    void scheduleTick(std::size_t index, TimePoint at)
+    {
+        Node &node = m_nodes[index];
+        if (node.wakeAt <= at && node.wakeAt > m_now) {
+            return;
+        }
+        node.wakeAt = at;
+        onNode(index, at - m_now, [this, index] {
+            m_nodes[index].wakeAt = TimePoint::max();
+            perform(index, m_nodes[index].executor->tick(local(index)));
+        });
+    }
+
+    void perform(std::size_t index, const OnceActions &actions)
+    {
+        for (const OnceReply &reply : actions.replies) {
+            end(reply.call, reply.verdict, reply.response.body, reply.holder);
+        }
+        for (const CallId call : actions.proceed) {
+            if (happens(m_faults.freezeBeforeStart)) {
+                freeze(index, micros(0, 60'000'000));
+            }
+            onNode(index, micros(0, 3000), [this, index, call] { execute(index, call); });
+        }
+        if (actions.append) {
+            append(index, *actions.append);
+        }
+        if (actions.read) {
+            read(index, *actions.read);
+        }
+        const auto wait = std::max(actions.wakeAt - local(index), Duration(0));
+        scheduleTick(index, m_now + wait + Duration(1000));
+    }
+
+    Duration micros(std::uint64_t from, std::uint64_t to)
+    {
+        return Duration(from + m_random.below(to - from + 1));
+    }
+    bool happens(std::uint64_t share) { return m_random.below(1000) < share; }
+
+    void end(CallId id, const Verdict &verdict, const std::string &body, const DaemonId &holder)
+    {
+        Call &call = m_calls[id];
+        ++call.ends;
+        call.verdict = verdict;
+        call.body = body;
+        call.holder = holder;
+    }
+
+    /// The daemon's step that sends the call, and the upstream's work.
+    void execute(std::size_t index, CallId call)
+    {
+        IOnceCoordinator &executor = *m_nodes[index].executor;
+        const bool mayStart = executor.start(local(index), call);
+        const bool isRefused = happens(m_faults.refusedByUpstream);
+        if ((!mayStart && m_sabotage != Sabotage::StartAnyway) || isRefused) {
+            onNode(index, micros(0, 2000), [this, index, call] {
+                end(call, { Outcome::NotRun, Reason::UpstreamRefused, {} }, {}, {});
+                perform(index, m_nodes[index].executor->notRun(local(index), call));
+            });
+            return;
+        }
+        m_executions.push_back({ m_calls[call].key, call, m_now });
+        Verdict verdict{ Outcome::Answered, Reason::None, {} };
+        if (happens(m_faults.answerLost)) {
+            verdict = { Outcome::Unknown, Reason::BrokenAnswer, {} };
+        }
+        HttpResponse response;
+        response.body = std::to_string(call.value());
+        onNode(index, micros(1000, 300000), [this, index, call, verdict, response] {
+            end(call, verdict, response.body, {});
+            perform(index,
+                    m_nodes[index].executor->finished(local(index), call, verdict, response));
+        });
+    }
+
+    void append(std::size_t index, const ClaimAppend &append)
+    {
+        ++m_appends;
+        if (m_isDown) {
+            const bool isHanging = happens(300);
+            answer(index, append, isHanging ? micros(200000, 400000) : micros(500, 2000),
+                   isHanging ? AppendFailure::Unknown : AppendFailure::NotAppended);
+            return;
+        }
+        if (happens(m_faults.lostBefore)) {
+            answer(index, append, micros(100000, 400000), AppendFailure::Unknown);
+            return;
+        }
+        const bool isLate = happens(m_faults.lostLate);
+        const bool isLost = isLate || happens(m_faults.lostAfter);
+        const Duration effect = isLate ? micros(500000, 60'000'000) : micros(500, 5000);
+        schedule(m_now + effect, [this, index, append, isLost] { take(index, append, isLost); });
+        if (isLost) {
+            answer(index, append, micros(100000, 400000), AppendFailure::Unknown);
+        }
+    }
+
+    void take(std::size_t index, const ClaimAppend &append, bool isLost)
+    {
+        if (m_sabotage == Sabotage::ReleaseForeignClaims) {
+            releaseOthers(append.batch);
+        }
+        const LogOffset offset(m_first + m_log.size());
+        m_log.push_back({ append.batch, m_now });
+        if (!isLost) {
+            onNode(index, micros(500, 3000), [this, index, id = append.id, offset] {
+                perform(index, m_nodes[index].executor->appendDone(local(index), id, offset));
+            });
+        }
+    }
+
+    void releaseOthers(const ClaimBatch &batch)
+    {
+        std::vector<ClaimBatch> forged;
+        for (const Record &record : m_log) {
+            ClaimBatch other = record.batch;
+            const bool isClaimOfOther = other.daemon != batch.daemon && !other.entries.empty()
+                && other.entries.front().kind == ClaimKind::Claim
+                && other.entries.front().key == batch.entries.front().key;
+            if (isClaimOfOther) {
+                other.entries.front().kind = ClaimKind::Release;
+                other.entries.resize(1);
+                forged.push_back(std::move(other));
+            }
+        }
+        for (ClaimBatch &other : forged) {
+            m_log.push_back({ std::move(other), m_now });
+        }
+    }
+
+    void answer(std::size_t index, const ClaimAppend &append, Duration delay, AppendFailure failure)
+    {
+        onNode(index, delay, [this, index, append, failure] {
+            IOnceCoordinator &executor = *m_nodes[index].executor;
+            perform(index, executor.appendFailed(local(index), append.id, failure));
+            const bool isGuessing =
+                m_sabotage == Sabotage::GuessAfterLostAnswer && failure == AppendFailure::Unknown;
+            if (isGuessing) {
+                const LogOffset at(m_lastReadFrom[index]);
+                ClaimPage page{ LogOffset(m_first), LogOffset(at.value() + 1), {} };
+                page.records.push_back({ at, append.batch });
+                perform(index, executor.recordsRead(local(index), page));
+            }
+        });
+    }
+
+    void read(std::size_t index, const ClaimRead &read)
+    {
+        m_lastReadFrom[index] = read.from.value();
+        if (m_isDown || happens(m_faults.readFails)) {
+            onNode(index, micros(500, 50000), [this, index] {
+                perform(index, m_nodes[index].executor->readFailed(local(index)));
+            });
+            return;
+        }
+        // The replica answers with what it knows after half of the way.
+        schedule(m_now + micros(300, 2000), [this, index, read] {
+            ClaimPage page = makePage(index, read);
+            onNode(index, micros(300, 2000), [this, index, page = std::move(page)] {
+                perform(index, m_nodes[index].executor->recordsRead(local(index), page));
+            });
+        });
+    }
+
+    ClaimPage makePage(std::size_t index, const ClaimRead &read)
+    {
+        std::uint64_t end = m_first + m_log.size();
+        if (happens(m_faults.staleRead)) {
+            end -= std::min<std::uint64_t>(m_log.size(), m_random.below(5));
+        }
+        ClaimPage page{ LogOffset(m_first), LogOffset(end), {} };
+        const std::uint64_t from = std::max(read.from.value(), m_first);
+        for (std::uint64_t at = from; at < end && page.records.size() < read.maxRecords; ++at) {
+            const ClaimBatch &batch = m_log[at - m_first].batch;
+            ClaimRecord record{ LogOffset(at), batch };
+            const bool isHidden = m_sabotage == Sabotage::SkipForeignRecords
+                && batch.daemon != DaemonId(nameOf(index));
+            if (isHidden) {
+                record.batch.reset();
+            }
+            page.records.push_back(std::move(record));
+        }
+        return page;
+    }
+
+    void dropOldRecords()
+    {
+        while (!m_log.empty() && m_now - m_log.front().at > RETENTION) {
+            m_log.erase(m_log.begin());
+            ++m_first;
+        }
+    }
+
+    /// Two executions of a key within its lifetime: a payment that is charged twice.
+    void checkApart(std::vector<std::string> &found) const
+    {
+        constexpr double CLOCK_ERROR = 0.98;
+        std::map<std::string, TimePoint> last;
+        for (const Execution &execution : m_executions) {
+            const auto before = last.find(execution.key);
+            const bool isTwice = before != last.end()
+                && static_cast<double>((execution.at - before->second).count())
+                    < CLOCK_ERROR * static_cast<double>(options().lifetime.count());
+            if (isTwice) {
+                found.push_back("key " + execution.key + " ran twice within its lifetime");
+            }
+            last[execution.key] = execution.at;
+        }
+    }
+
+    void checkReplies(std::vector<std::string> &found) const
+    {
+        std::map<CallId, std::size_t> ran;
+        for (const Execution &execution : m_executions) {
+            ++ran[execution.call];
+        }
+        for (const auto &[id, call] : m_calls) {
+            const std::string name = "call " + std::to_string(id.value());
+            const auto execution = ran.find(id);
+            if (call.ends > 1) {
+                found.push_back(name + " ended twice");
+            }
+            if (call.ends == 0 && m_nodes[call.node].run == call.run) {
+                found.push_back(name + " has no end");
+            }
+            if (call.ends == 0) {
+                continue;
+            }
+            if (call.verdict.outcome == Outcome::NotRun && execution != ran.end()) {
+                found.push_back(name + " was called not run, and ran");
+            }
+            if (call.verdict.outcome != Outcome::Answered) {
+                continue;
+            }
+            const auto other = m_calls.find(CallId(std::stoull(call.body)));
+            const bool isOwnAnswer = other != m_calls.end() && other->second.key == call.key
+                && ran.count(other->first) != 0;
+            if (!isOwnAnswer) {
+                found.push_back(name + " got the answer of another key");
+            }
+        }
+    }
+
+    SeededRandom m_random;
+    Sabotage m_sabotage;
+    std::vector<Node> m_nodes;
+    std::priority_queue<Event> m_events;
+    TimePoint m_now{ std::chrono::hours(1) };
+    std::uint64_t m_order = 0;
+
+    std::vector<Record> m_log;
+    std::uint64_t m_first = 0;
+    bool m_isDown = false;
+    Faults m_faults;
+    std::map<std::size_t, std::uint64_t> m_lastReadFrom;
+
+    std::uint64_t m_lastCall = 0;
+    std::map<CallId, Call> m_calls;
+    std::vector<Execution> m_executions;
+    std::size_t m_appends = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/protocol/internal/claimcodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "coordination/once/claimrecords.h"
+#include "state/result.h"
+
+namespace ivyspar {
+
+/// CBOR bytes of one record of the claim stream.
+std::string encodeClaims(const ClaimBatch &batch);
+
+/// Fails with `InvalidArgument` on anything malformed, and never throws.
+RetVal<ClaimBatch> decodeClaims(const std::string &bytes);
+
+} // namespace ivyspar
