--- a/src/coordination/membership/internal/membership.cpp
+++ b/src/coordination/membership/internal/membership.cpp
@@ -15,6 +15,9 @@
 constexpr int LAST_CALL_PERIODS = 3;
 constexpr std::size_t GOODBYE_RECEIVERS = 8;
 constexpr std::uint64_t RECONTACTS_PER_SEED = 6;
+constexpr Duration JOIN_TIME{ std::chrono::seconds(30) };
+/// Last questions to suspects per tick: when a failure domain is lost there are hundreds.
+constexpr std::size_t LAST_CALLS_PER_TICK = 8;
 
 } // namespace
 
@@ -27,8 +30,10 @@
 Membership::Membership(TimePoint now, const Member &self, const MembershipOptions &options)
     : m_options(options)
     , m_self(self.id)
+    , m_start(now)
     , m_nextPing(now)
     , m_nextSync(now)
+    , m_nextSeed(now)
     , m_nextRecontact(now + options.recontactInterval)
     , m_relistenUntil(now)
     , m_syncBytes(static_cast<double>(options.syncBurstBytes))
@@ -70,9 +75,13 @@
     entry.health = MemberHealth::Left;
     entry.since = now;
     m_table.put(entry);
-    m_queue.push(makeUpdate(entry, false));
     actions.changed = true;
-    sendGossip(GOODBYE_RECEIVERS, actions);
+    // Not by the queue: its bound on sends may be smaller than the number of those to be told.
+    for (const MemberEntry *receiver : nextReceivers(GOODBYE_RECEIVERS, m_self)) {
+        MembershipMessage message = makeMessage(GossipMessage());
+        message.updates.push_back(makeUpdate(entry, false));
+        send(receiver->member.id, receiver->member.peerEndpoint, std::move(message), actions);
+    }
     return actions;
 }
 
@@ -84,6 +93,7 @@
         return actions;
     }
     m_seeds.push_back(endpoint);
+    m_silentSeeds.insert(endpoint);
     return actions;
 }
 
@@ -234,9 +244,11 @@
     }
     // A lost message must not be the last word: the observer that raised the suspicion goes on
     // asking, and so does, before its time is over, each that may have missed the refutation.
-    for (const DaemonId &id : asked) {
-        probeAgain(now, id, actions);
+    const std::size_t count = std::min(asked.size(), LAST_CALLS_PER_TICK);
+    for (std::size_t i = 0; i < count; ++i) {
+        probeAgain(now, asked[(m_lastCall + i) % asked.size()], actions);
     }
+    m_lastCall += count;
 }
 
 void Membership::probeAgain(TimePoint now, const DaemonId &id, MembershipActions &actions)
@@ -316,13 +328,16 @@
 void Membership::verifyDoubted(TimePoint now, MembershipActions &actions)
 {
     for (std::size_t i = 0; i < DOUBTS_PER_TICK && !m_doubted.empty(); ++i) {
-        const DaemonId id = m_doubted.front();
+        const auto [id, counter] = m_doubted.front();
         m_doubted.pop_front();
         const MemberEntry *entry = m_table.find(id);
-        if (!entry || entry->health != MemberHealth::Alive) {
+        if (!entry || entry->health != MemberHealth::Alive || entry->counter > counter) {
             continue;
         }
+        // With the version that is held for dead: asked about a newer one, the member would refute
+        // once more for each daemon that asks.
         MemberEntry doubted = *entry;
+        doubted.counter = counter;
         doubted.health = MemberHealth::Dead;
         m_probes[++m_lastSequence] = Probe{ id, now, false };
         sendPing(doubted, m_lastSequence, actions);
@@ -362,19 +377,20 @@
 /// now and then joins them again; the same goes for seeds, when the dead have been forgotten.
 void Membership::recontact(TimePoint now, IRandom &random, MembershipActions &actions)
 {
-    const bool isAlone = m_table.upCount() <= 1;
-    if (now < m_nextRecontact && !isAlone) {
-        return;
+    if (now >= m_nextSeed) {
+        m_nextSeed = now + m_options.period;
+        // A daemon that others found first still asks its seeds: they may not know each other.
+        const bool isJoining = now < m_start + JOIN_TIME && !m_silentSeeds.empty();
+        if (isJoining || m_table.upCount() <= 1) {
+            contactSeed(random, actions);
+        }
     }
-    if (isAlone && now < m_nextSync) {
+    if (now < m_nextRecontact) {
         return;
     }
-    if (isAlone) {
-        m_nextSync = now + m_options.period;
-    }
     const auto spread = static_cast<std::uint64_t>(m_options.recontactInterval.count());
     m_nextRecontact = now + m_options.recontactInterval / 2 + Duration(random.below(spread));
-    if (isAlone || random.below(RECONTACTS_PER_SEED) == 0) {
+    if (random.below(RECONTACTS_PER_SEED) == 0) {
         contactSeed(random, actions);
     }
     std::vector<const MemberEntry *> dead;
@@ -392,7 +408,10 @@
 
 void Membership::contactSeed(IRandom &random, MembershipActions &actions)
 {
-    std::vector<Endpoint> candidates = m_seeds;
+    std::vector<Endpoint> candidates(m_silentSeeds.begin(), m_silentSeeds.end());
+    if (candidates.empty()) {
+        candidates = m_seeds;
+    }
     for (const auto &[id, entry] : m_table.entries()) {
         if (isUp(entry.health)) {
             candidates.erase(
--- a/src/coordination/membership/internal/membership.h
+++ b/src/coordination/membership/internal/membership.h
@@ -3,7 +3,9 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/membership/internal/membertable.h"
@@ -116,8 +118,8 @@
     std::map<std::uint64_t, Probe> m_probes;
     std::map<std::uint64_t, Relay> m_relays;
     std::uint64_t m_lastSequence = 0;
-    /// Members that another daemon holds for dead and this one does not.
-    std::deque<DaemonId> m_doubted;
+    /// Members that another daemon holds for dead at a version, and this one does not.
+    std::deque<std::pair<DaemonId, std::uint64_t>> m_doubted;
 
     std::vector<DaemonId> m_pingRing;
     std::size_t m_pingAt = 0;
@@ -127,18 +129,23 @@
     bool m_areRingsStale = true;
 
     std::vector<Endpoint> m_seeds;
+    /// Those that have not spoken yet.
+    std::set<Endpoint> m_silentSeeds;
     std::optional<Differing> m_differing;
     /// The digest has agreed with another member's at least once.
     bool m_hasAgreed = false;
 
     std::optional<TimePoint> m_lastTick;
+    const TimePoint m_start;
     TimePoint m_nextPing;
     TimePoint m_nextSync;
+    TimePoint m_nextSeed;
     TimePoint m_nextRecontact;
     TimePoint m_relistenUntil;
     double m_syncBytes = 0;
     TimePoint m_syncBytesAt;
     std::size_t m_syncCursor = 0;
+    std::size_t m_lastCall = 0;
     std::uint64_t m_salt = 0;
 };
 
--- a/src/coordination/membership/internal/membershipexchange.cpp
+++ b/src/coordination/membership/internal/membershipexchange.cpp
@@ -24,6 +24,7 @@
     if (from == m_self || self().health == MemberHealth::Left) {
         return actions;
     }
+    m_silentSeeds.erase(message.sender);
     for (const MemberUpdate &update : message.updates) {
         applyUpdate(now, update, Source::Gossip, actions);
     }
@@ -43,9 +44,11 @@
     if (update.health == MemberHealth::Dead && known && isUp(known->health)) {
         // See verifyDoubted(). Only the observer's own timer declares a member dead.
         const bool isSameRun = known->member.incarnation == update.incarnation;
-        if (isSameRun && update.counter >= known->counter && m_doubted.size() < MAX_DOUBTED
-            && std::find(m_doubted.begin(), m_doubted.end(), update.id) == m_doubted.end()) {
-            m_doubted.push_back(update.id);
+        const auto doubt = std::make_pair(update.id, update.counter);
+        const bool isNew = std::find(m_doubted.begin(), m_doubted.end(), doubt) == m_doubted.end();
+        if (isSameRun && update.counter >= known->counter && isNew
+            && m_doubted.size() < MAX_DOUBTED) {
+            m_doubted.push_back(doubt);
         }
         return;
     }
--- a/src/coordination/membership/membershipfactory.h
+++ b/src/coordination/membership/membershipfactory.h
@@ -21,11 +21,12 @@
     /// Members asked to ping one that did not answer.
     std::size_t indirectProbes = 3;
     /// An update is sent `spreadFactor` × log2(members) times by each daemon.
-    double spreadFactor = 1.5;
+    double spreadFactor = 1.0;
     /// A suspect has `suspicionFactor` × log2(members) periods, at least three, to refute.
     double suspicionFactor = 1.0;
-    /// Bytes of updates on one message.
-    std::size_t updateBytes = 1200;
+    /// Bytes of updates on one message. Bounds what a daemon sends while much changes at once:
+    /// about 12 messages a second.
+    std::size_t updateBytes = 700;
     /// Full records sent by this daemon to others: refill per second, and the most at once. One
     /// exchange stays below the latter, and that below the limit of a frame (256 KiB).
     std::size_t syncBytesPerSecond = 4096;
