Give a connection a fiber only while it has a request

Cause: an idle connection kept the touched pages of its fiber's stack. A server here may have 2,000 connections, almost all idle at any time. Now the end of a request ends the fiber when no further input is there; the pending read starts another one. Stacks come from the pool. Ruled out: giving the pages back with madvise, a system call for each request and page faults for the next.

--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -70,14 +70,48 @@
 
 HttpConnection::~HttpConnection() = default;
 
+void HttpConnection::waitForRequest()
+{
+    m_state = State::Idle;
+    if (isDisconnected()) {
+        finish();
+        return;
+    }
+    startTimer(m_server->limits().idleTimeout);
+    m_stream->setReadObserver([self = HttpConnectionPtr(this)] { self->onReadWhileIdle(); });
+    m_stream->startRead();
+}
+
+void HttpConnection::onReadWhileIdle()
+{
+    stopTimer();
+    if (m_stream->input().empty()) {
+        finish();
+        return;
+    }
+    m_server->loop().spawn([self = HttpConnectionPtr(this)] { self->serve(); });
+}
+
 void HttpConnection::serve()
 {
-    while (serveOne()) { }
+    while (serveOne()) {
+        if (m_stream->input().empty()) {
+            waitForRequest();
+            return;
+        }
+    }
     m_state = State::Done;
     m_server->onConnectionDone();
     lingeringClose();
 }
 
+void HttpConnection::finish()
+{
+    m_state = State::Done;
+    m_stream->close();
+    m_server->onConnectionDone();
+}
+
 void HttpConnection::refuse()
 {
     m_state = State::Done;
@@ -89,7 +123,6 @@
 /// Returns whether the connection can take another request.
 bool HttpConnection::serveOne()
 {
-    m_state = State::Idle;
     if (receive() != Received::Request) {
         return false;
     }
@@ -100,14 +133,6 @@
 
 HttpConnection::Received HttpConnection::receive()
 {
-    if (m_stream->input().empty()) {
-        startTimer(m_server->limits().idleTimeout);
-        const auto error = m_stream->read();
-        stopTimer();
-        if (error) {
-            return Received::Closed;
-        }
-    }
     m_state = State::Receiving;
     m_framing = {};
     HttpRequestParser parser({ m_server->limits().headerBytes, m_server->limits().bodyBytes });
@@ -151,7 +176,7 @@
 
 HttpConnection::Received HttpConnection::onInputEnd()
 {
-    return m_isTimedOut ? refuseInput(STATUS_REQUEST_TIMEOUT) : Received::Closed;
+    return m_isTimedOut ? refuseInput(STATUS_REQUEST_TIMEOUT) : Received::Ended;
 }
 
 HttpConnection::Received HttpConnection::refuseInput(std::uint16_t status)
--- a/src/transport/internal/httpconnection.h
+++ b/src/transport/internal/httpconnection.h
@@ -17,7 +17,8 @@
 class HttpRequestParser;
 class HttpServerCore;
 
-/// One client's connection; `serve` is its fiber.
+/// One client's connection. It has a fiber only while a request arrives, is worked on or answered:
+/// an idle connection would keep the touched pages of its stack.
 class HttpConnection
     : public boost::intrusive_ref_counter<HttpConnection, boost::thread_unsafe_counter>,
       public boost::intrusive::list_base_hook<
@@ -28,9 +29,9 @@
     HttpConnection(boost::intrusive_ptr<HttpServerCore> server, TcpStreamPtr stream);
     ~HttpConnection() override;
 
-    /// Answers requests until the connection ends.
-    void serve();
-    /// Answers 503 without reading a request.
+    /// Waits for the first request.
+    void start() { waitForRequest(); }
+    /// Answers 503 without reading a request; suspends the calling fiber.
     void refuse();
     /// Ends a connection on which no part of a request has arrived.
     void closeIfIdle();
@@ -47,14 +48,18 @@
     enum class Received {
         Request,
         Refused, ///< Answered with an error; the connection is to end.
-        Closed,
+        Ended,
     };
 
     // IHttpExchange
     const HttpRequest &request() const override { return m_request; }
     void onDisconnect(std::function<void()> callback) override;
 
+    void waitForRequest();
+    void onReadWhileIdle();
+    void serve();
     bool serveOne();
+    void finish();
     Received receive();
     Received receiveRest(HttpRequestParser &parser);
     Received refuseInput(std::uint16_t status);
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -80,11 +80,11 @@
     const HttpConnectionPtr connection(
         new HttpConnection(this, TcpStreamPtr(new TcpStream(std::move(socket)))));
     m_connections.push_back(*connection);
-    m_loop.spawn([this, connection, isRefused] {
-        if (!isRefused) {
-            connection->serve();
-            return;
-        }
+    if (!isRefused) {
+        connection->start();
+        return;
+    }
+    m_loop.spawn([this, connection] {
         connection->refuse();
         --m_refusalCount;
     });
