Followers skip what a peer vouches for; configuration measurement

A judging fold that adopts a version with a later position goes on from there.

ivyspar-lab configuration measures publish until in force with many followers in one process.

--- a/src/coordination/configuration/internal/configurationfold.cpp
+++ b/src/coordination/configuration/internal/configurationfold.cpp
@@ -94,7 +94,9 @@
         return false;
     }
     const ConfigurationVersion before = m_held.version;
-    if (!m_isJudging && accepted.position && *accepted.position >= m_start) {
+    // Also while judging: what lies before the position need not be read from the log any more.
+    const LogOffset useful = m_isJudging ? after(m_next) : m_start;
+    if (accepted.position && *accepted.position >= useful) {
         startJudging(accepted, *accepted.position);
     }
     AcceptedConfiguration learned = accepted;
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <string>
 
+#include "bench/configurationbench.h"
 #include "bench/gatebench.h"
 #include "bench/overloadbench.h"
 #include "standins/demo/demo.h"
@@ -26,6 +27,7 @@
     { "upstreams", runUpstreams, "stand-in servers" },
     { "log", runLogStandin, "stand-in of the platform's log" },
     { "gate", runGateBench, "policies of one gate under fake time, compared" },
+    { "configuration", runConfigurationBench, "publish until in force at all daemons" },
     { "bench", runOverloadBench, "the overload experiments" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
