--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/controlnode.cpp
@@ -4,11 +4,11 @@
 #include <random>
 #include <utility>
 
+#include "app/internal/logaccess.h"
 #include "app/internal/statusdocument.h"
 #include "protocol/configurationreaderfactory.h"
 #include "state/internal/seededrandom.h"
 #include "state/rank.h"
-#include "transport/logservicefactory.h"
 #include "transport/oneshot.h"
 #include "transport/transportfactory.h"
 
@@ -27,21 +27,6 @@
     return (std::uint64_t(device()) << 32U) | device();
 }
 
-std::unique_ptr<IHttpClient> makeLogClient(IEventLoop &loop)
-{
-    HttpClientLimits limits;
-    limits.bodyBytes = LOG_RESPONSE_BYTES;
-    return makeHttpClient(loop, limits);
-}
-
-std::unique_ptr<ILogService> makeLog(const DaemonSettings &settings, IHttpClient &client)
-{
-    LogServiceSettings log;
-    log.endpoints = settings.logEndpoints;
-    log.clientName = settings.id.value();
-    return makeHttpLogService(log, client);
-}
-
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
     return HttpResponse{ status, { { "Content-Type", type } }, std::move(body) };
--- a/src/app/internal/entryservice.cpp
+++ b/src/app/internal/entryservice.cpp
@@ -7,6 +7,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "app/internal/verdictresponse.h"
+#include "coordination/once/iticketoffice.h"
 #include "protocol/headers.h"
 #include "state/rank.h"
 #include "transport/oneshot.h"
@@ -236,6 +237,11 @@
     terms.rank = makeRank(incoming.priority, incoming.depth, incoming.root);
     terms.deadline = incoming.deadline;
     terms.isSingleAttempt = incoming.isSingleAttempt;
+    if (incoming.once && !incoming.once->ticket.empty()) {
+        if (const auto owner = readTicketOwner(incoming.once->ticket)) {
+            terms.pinned = owner->daemon;
+        }
+    }
     const RunPtr run = new Run(m_loop, m_policies, std::move(incoming), std::move(terms));
 
     run->startedAt = m_loop.now();
--- a/src/app/internal/gateservice.cpp
+++ b/src/app/internal/gateservice.cpp
@@ -81,11 +81,12 @@
 
 } // namespace
 
-GateService::GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, GateMaker makeGate,
-                         Observers observers, GateServiceOptions options)
+GateService::GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
+                         GateMaker makeGate, Observers observers, GateServiceOptions options)
     : m_loop(loop)
     , m_client(client)
     , m_random(random)
+    , m_once(once)
     , m_makeGate(std::move(makeGate))
     , m_observers(observers)
     , m_options(options)
@@ -165,16 +166,54 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Draining, Duration::zero() });
         return id;
     }
-    Upstream *upstream = findUpstream(service);
-    if (!upstream) {
+    if (!findUpstream(service)) {
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() });
         return id;
     }
-    perform(service,
-            upstream->gate->offer(now, GateRequest{ id, call.message.rank, call.deadline }));
+    if (call.message.once) {
+        call.isClaiming = true;
+        m_once.request(id, call.message, call.deadline);
+        return id;
+    }
+    enterGate(id);
     return id;
 }
 
+void GateService::enterGate(CallId id)
+{
+    const Call &call = m_calls.at(id);
+    const ServiceName service = call.message.service;
+    Upstream *upstream = findUpstream(service);
+    if (!upstream) {
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() });
+        return;
+    }
+    perform(
+        service,
+        upstream->gate->offer(m_loop.now(), GateRequest{ id, call.message.rank, call.deadline }));
+}
+
+void GateService::onOnceProceed(CallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        m_once.notRun(id);
+        return;
+    }
+    found->second.isClaiming = false;
+    found->second.isHolding = true;
+    enterGate(id);
+}
+
+void GateService::onOnceReply(const OnceReply &reply)
+{
+    AnswerMessage answer;
+    answer.verdict = reply.verdict;
+    answer.response = reply.response;
+    answer.holder = reply.holder;
+    endCall(reply.call, std::move(answer));
+}
+
 void GateService::cancel(CallId id)
 {
     const auto found = m_calls.find(id);
@@ -182,6 +221,11 @@
         return;
     }
     Call &call = found->second;
+    if (call.isClaiming) {
+        m_once.cancel(id);
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
+        return;
+    }
     Upstream *upstream = findUpstream(call.message.service);
     if (upstream && upstream->gate->cancel(m_loop.now(), id) == CancelEffect::NotStarted) {
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
@@ -273,7 +317,14 @@
     }
     const TimePoint startedAt = m_loop.now();
     const Endpoint endpoint = upstream->announcement.endpoint;
-    RunEnd end = exchange(endpoint, id, found->second);
+    RunEnd end;
+    if (found->second.isHolding && !m_once.start(id)) {
+        // The process was paused past the time in which the key is its own.
+        end.verdict = Verdict{ Outcome::NotRun, Reason::DeadlineExceeded, Duration::zero() };
+        end.result = CallResult::Cancelled;
+    } else {
+        end = exchange(endpoint, id, found->second);
+    }
 
     const TimePoint now = m_loop.now();
     const auto serviceTime = std::chrono::duration_cast<Duration>(now - startedAt);
@@ -281,13 +332,24 @@
     if (Upstream *gateOwner = findUpstream(service)) {
         next = gateOwner->gate->finish(now, id, end.result, serviceTime);
     }
+    endRun(id, std::move(end), serviceTime);
+    perform(service, next);
+}
+
+void GateService::endRun(CallId id, RunEnd end, Duration serviceTime)
+{
     m_observers.metrics.observe(Timing::Upstream, serviceTime);
+    const auto found = m_calls.find(id);
+    if (found != m_calls.end() && found->second.isHolding
+        && end.verdict.outcome != Outcome::NotRun) {
+        found->second.isHolding = false;
+        m_once.finished(id, end.verdict, end.response);
+    }
     AnswerMessage answer;
     answer.verdict = end.verdict;
     answer.response = std::move(end.response);
     answer.serviceTime = serviceTime;
     endCall(id, std::move(answer));
-    perform(service, next);
 }
 
 GateService::RunEnd GateService::exchange(const Endpoint &endpoint, CallId id, const Call &call)
@@ -343,6 +405,11 @@
     }
     const Call call = std::move(found->second);
     m_calls.erase(found);
+    if (call.isHolding) {
+        // Whatever ended it before its run gives the key back, or the caller's next attempt could
+        // never run.
+        m_once.notRun(id);
+    }
     answer.stream = call.message.stream;
     answer.unspent = call.ledger->ledger.close();
     answer.load = load(call.message.service);
--- a/src/app/internal/gateservice.h
+++ b/src/app/internal/gateservice.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "app/internal/igateservice.h"
+#include "app/internal/ionceservice.h"
 #include "app/internal/observers.h"
 #include "coordination/admission/igate.h"
 #include "state/irandom.h"
@@ -35,14 +36,14 @@
 };
 
 /// Runs calls on the upstreams of this host. Traffic thread only.
-class GateService : public IGateService
+class GateService : public IGateService, public IOnceListener
 {
 public:
     using GateMaker = std::function<std::unique_ptr<IGate>(const UpstreamInfo &)>;
     using OnUpstreams = std::function<void(std::vector<UpstreamInfo>)>;
 
-    GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, GateMaker makeGate,
-                Observers observers, GateServiceOptions options);
+    GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
+                GateMaker makeGate, Observers observers, GateServiceOptions options);
     ~GateService() override;
 
     /// Runs whenever the announced upstreams, or what they announced, changed.
@@ -58,6 +59,9 @@
     std::optional<CallContext> findContext(const std::string &token) const override;
     LoadReport load(const ServiceName &service) const override;
 
+    void onOnceProceed(CallId call) override;
+    void onOnceReply(const OnceReply &reply) override;
+
 private:
     struct Upstream
     {
@@ -76,6 +80,10 @@
         TimePoint deadline;
         HttpCancellationPtr cancellation;
         bool isCancelled = false;
+        /// Waits for its key or ticket, before the gate.
+        bool isClaiming = false;
+        /// Holds its key or ticket: the end of its run is told to the once service.
+        bool isHolding = false;
     };
     /// How a run at the upstream ended.
     struct RunEnd
@@ -94,6 +102,8 @@
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
     void record(DecisionKind kind, const Call &call, const char *reason);
+    void enterGate(CallId id);
+    void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
     void tick(const ServiceName &service);
     void dropSilentUpstreams();
@@ -102,6 +112,7 @@
     IEventLoop &m_loop;
     IHttpClient &m_client;
     IRandom &m_random;
+    IOnceService &m_once;
     GateMaker m_makeGate;
     Observers m_observers;
     GateServiceOptions m_options;
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -4,7 +4,9 @@
 #include <utility>
 
 #include "app/internal/announcementreader.h"
+#include "app/internal/logaccess.h"
 #include "app/internal/policies.h"
+#include "coordination/once/oncefactory.h"
 #include "protocol/internal/peercodec.h"
 #include "state/internal/seededrandom.h"
 #include "transport/transportfactory.h"
@@ -14,6 +16,12 @@
 namespace {
 
 constexpr char ANNOUNCE_PATH[] = "/announce";
+constexpr char TICKETS_PATH[] = "/tickets";
+constexpr std::uint16_t CREATED = 201;
+constexpr std::uint16_t NO_CONTENT = 204;
+constexpr std::uint16_t BAD_REQUEST = 400;
+constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
+
 constexpr Duration DRAIN_POLL = std::chrono::milliseconds(5);
 
 std::uint64_t randomSeed()
@@ -45,6 +53,25 @@
     return options;
 }
 
+TicketSecret makeSecret(IRandom &random)
+{
+    TicketSecret secret{};
+    for (std::uint8_t &byte : secret) {
+        byte = static_cast<std::uint8_t>(random.next());
+    }
+    return secret;
+}
+
+std::unique_ptr<OnceService> makeOnceService(IEventLoop &loop, ILogService &log,
+                                             Observers observers, const DaemonIdentity &self,
+                                             IRandom &random)
+{
+    const TimePoint now = loop.now();
+    return std::make_unique<OnceService>(
+        loop, log, observers, makeOnceCoordinator(now, self.id, self.incarnation, random.next()),
+        makeTicketOffice(now, self.id, self.incarnation, makeSecret(random)));
+}
+
 HttpResponse makeText(std::uint16_t status, const std::string &text)
 {
     return HttpResponse{ status, { { "Content-Type", "text/plain" } }, text + '\n' };
@@ -63,6 +90,8 @@
     , m_network(makePeerNetwork(loop))
     , m_router(makeRouter(makeRouterOptions(settings.ablations, settings.domain)))
     , m_retries(makeRetryPolicy(makeRetryOptions(settings.ablations)))
+    , m_logClient(makeLogClient(loop))
+    , m_log(makeLog(settings, *m_logClient))
 {
     const auto makeLocalGate = [ablations = settings.ablations](const UpstreamInfo &info) {
         GateOptions options = makeGateOptions(ablations);
@@ -70,8 +99,10 @@
         options.connections = info.connections;
         return makeGate(options);
     };
-    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, makeLocalGate, observers,
-                                            makeGateServiceOptions(settings));
+    m_once = makeOnceService(loop, *m_log, observers, self, *m_random);
+    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, *m_once, makeLocalGate,
+                                            observers, makeGateServiceOptions(settings));
+    m_once->setListener(m_gates.get());
     m_gates->setOnUpstreams(m_events.onUpstreams);
     m_peerCalls = std::make_unique<PeerCalls>(loop, *m_network, *m_codec, *m_gates, self);
     m_peerCalls->setOnControl(m_events.onControl);
@@ -109,9 +140,9 @@
         return tl::unexpected<Error>(upstream.error());
     }
     bound.upstream = *upstream;
-    const auto caller = m_callerServer->listen(
-        m_settings.callerListen, makeLimits(),
-        [this](IHttpExchange &exchange) { return m_entry->handleCaller(exchange); });
+    const auto caller =
+        m_callerServer->listen(m_settings.callerListen, makeLimits(),
+                               [this](IHttpExchange &exchange) { return handleCaller(exchange); });
     if (!caller) {
         return tl::unexpected<Error>(caller.error());
     }
@@ -123,6 +154,7 @@
 {
     m_router->setMembers(m_loop.now(), members);
     m_peerCalls->setMembers(members);
+    m_once->setMembers(members);
 }
 
 void TrafficNode::setConfiguration(const ConfigurationPtr &configuration)
@@ -171,6 +203,24 @@
     m_network->shutdown(timeout);
 }
 
+HttpResponse TrafficNode::handleCaller(IHttpExchange &exchange)
+{
+    if (exchange.request().target == TICKETS_PATH) {
+        return issueTicket(exchange.request());
+    }
+    return m_entry->handleCaller(exchange);
+}
+
+HttpResponse TrafficNode::issueTicket(const HttpRequest &request)
+{
+    if (request.method != "POST") {
+        return makeText(METHOD_NOT_ALLOWED, "tickets are handed out by POST");
+    }
+    return HttpResponse{ CREATED,
+                         { { "Content-Type", "text/plain" } },
+                         m_once->issueTicket() + '\n' };
+}
+
 HttpResponse TrafficNode::handleUpstream(IHttpExchange &exchange)
 {
     if (exchange.request().target == ANNOUNCE_PATH) {
@@ -181,9 +231,6 @@
 
 HttpResponse TrafficNode::handleAnnouncement(const HttpRequest &request)
 {
-    constexpr std::uint16_t NO_CONTENT = 204;
-    constexpr std::uint16_t BAD_REQUEST = 400;
-    constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
     if (request.method != "PUT") {
         return makeText(METHOD_NOT_ALLOWED, "announcements are PUT");
     }
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -6,6 +6,7 @@
 
 #include "app/internal/entryservice.h"
 #include "app/internal/gateservice.h"
+#include "app/internal/onceservice.h"
 #include "app/internal/peercalls.h"
 #include "app/readyfile.h"
 #include "app/settings.h"
@@ -60,7 +61,9 @@
 
 private:
     HttpLimits makeLimits() const;
+    HttpResponse handleCaller(IHttpExchange &exchange);
     HttpResponse handleUpstream(IHttpExchange &exchange);
+    HttpResponse issueTicket(const HttpRequest &request);
     HttpResponse handleAnnouncement(const HttpRequest &request);
 
     IEventLoop &m_loop;
@@ -72,6 +75,9 @@
     std::unique_ptr<IPeerNetwork> m_network;
     std::unique_ptr<IRouter> m_router;
     std::unique_ptr<IRetryPolicy> m_retries;
+    std::unique_ptr<IHttpClient> m_logClient;
+    std::unique_ptr<ILogService> m_log;
+    std::unique_ptr<OnceService> m_once;
     std::unique_ptr<GateService> m_gates;
     std::unique_ptr<PeerCalls> m_peerCalls;
     std::unique_ptr<EntryService> m_entry;
--- a/src/coordination/once/oncefactory.h
+++ b/src/coordination/once/oncefactory.h
@@ -8,6 +8,7 @@
 #include "coordination/once/iclaimtable.h"
 #include "coordination/once/ioncecoordinator.h"
 #include "coordination/once/iticketoffice.h"
+#include "state/configuration.h"
 #include "state/result.h"
 
 namespace ivyspar {
@@ -18,7 +19,7 @@
 /// second one longer; `margin` covers clocks that run at different speeds.
 struct OnceOptions
 {
-    Duration lifetime = std::chrono::minutes(10);
+    Duration lifetime = MAX_KEY_LIFETIME;
     Duration startWindow = std::chrono::seconds(60);
     Duration margin = std::chrono::seconds(30);
     Duration window() const { return lifetime + startWindow + margin; }
--- a/src/protocol/internal/rulesreader.cpp
+++ b/src/protocol/internal/rulesreader.cpp
@@ -19,7 +19,7 @@
 constexpr NumberRange CALLER_ATTEMPTS{ 1, 100 };
 constexpr DurationRange WAIT{ milliseconds(1), minutes(10) };
 // Long enough for a person to try again; the platform's log has to keep its records for longer.
-constexpr DurationRange KEY_LIFETIME{ minutes(1), hours(24) };
+constexpr DurationRange KEY_LIFETIME{ minutes(1), MAX_KEY_LIFETIME };
 constexpr std::uint32_t ATTEMPTS_PER_CALL = 3;
 constexpr std::uint32_t DEFAULT_CALLER_ATTEMPTS = 3;
 constexpr std::size_t MAX_METHOD = 32;
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -51,6 +51,10 @@
     Priority priority;
 };
 
+/// For how long every idempotency key is remembered at the least, and so the longest lifetime that
+/// a rule may ask for.
+constexpr Duration MAX_KEY_LIFETIME = std::chrono::minutes(10);
+
 /// How often an attempt that may have started can be followed by another.
 enum class Repetition {
     Never, ///< An attempt that may have started is the last one.
