--- a/src/coordination/once/tests/mocks/oncefabric.h
+++ b/src/coordination/once/tests/mocks/oncefabric.h
@@ -59,8 +59,10 @@
         std::uint64_t freezeBeforeStart = 0;
     };
 
-    OnceFabric(std::uint64_t seed, std::size_t nodes, Sabotage sabotage = Sabotage::None)
-        : m_random(seed)
+    OnceFabric(std::uint64_t seed, std::size_t nodes, Sabotage sabotage = Sabotage::None,
+               const OnceOptions &options = OnceFabric::options())
+        : m_options(options)
+        , m_random(seed)
         , m_sabotage(sabotage)
         , m_nodes(nodes)
     {
@@ -140,6 +142,9 @@
             + Duration(static_cast<Duration::rep>(passed * m_nodes[node].rate));
     }
 
+    std::function<void(const ClaimBatch &batch)> onAppend;
+    std::function<void(CallId call)> onProceed;
+
     /// What the history breaks; empty if nothing.
     std::vector<std::string> violations() const
     {
@@ -178,7 +183,7 @@
     void boot(std::size_t index)
     {
         Node &node = m_nodes[index];
-        OnceOptions options = OnceFabric::options();
+        OnceOptions options = m_options;
         if (m_sabotage == Sabotage::ForgetTooEarly && index == 0) {
             options.lifetime = options.startWindow = Duration(0);
         }
@@ -236,6 +241,9 @@
             end(reply.call, reply.verdict, reply.response.body, reply.holder);
         }
         for (const CallId call : actions.proceed) {
+            if (onProceed) {
+                onProceed(call);
+            }
             if (happens(m_faults.freezeBeforeStart)) {
                 freeze(index, micros(0, 60'000'000));
             }
@@ -296,6 +304,9 @@
     void append(std::size_t index, const ClaimAppend &append)
     {
         ++m_appends;
+        if (onAppend) {
+            onAppend(append.batch);
+        }
         if (m_isDown) {
             const bool isHanging = happens(300);
             answer(index, append, isHanging ? micros(200000, 400000) : micros(500, 2000),
@@ -461,6 +472,7 @@
         }
     }
 
+    const OnceOptions m_options;
     SeededRandom m_random;
     Sabotage m_sabotage;
     std::vector<Node> m_nodes;
