--- a/bench/transportbench.cpp
+++ b/bench/transportbench.cpp
@@ -313,12 +313,12 @@
     LinkId m_link;
 };
 
-void measureIdle(const char *name, Pair &pair, double seconds)
+void measureIdle(const char *name, LoopRunner &runner, double seconds)
 {
-    const double before = Pair::cpuOf(pair.client) + Pair::cpuOf(pair.server);
+    const double before = Pair::cpuOf(runner);
     std::this_thread::sleep_for(Seconds(seconds));
-    const double used = Pair::cpuOf(pair.client) + Pair::cpuOf(pair.server) - before;
-    std::printf("%-22s %.4f %% of a core for both loops\n", name, used / seconds * 100);
+    const double used = Pair::cpuOf(runner) - before;
+    std::printf("%-22s %.4f %% of a core for one loop\n", name, used / seconds * 100);
     std::fflush(stdout);
 }
 
@@ -338,7 +338,7 @@
 }
 
 /// Both ends of the links are in this process.
-void measureLinkMemory()
+void measureLinks(double seconds)
 {
     LoopRunner server;
     LoopRunner client;
@@ -361,6 +361,7 @@
     server.run([] {});
     std::printf("%-22s %.1f KiB each end\n", "memory peer link",
                 (residentKib() - before) / static_cast<double>(2 * MEMORY_SAMPLES));
+    measureIdle("idle 500 peer links", client, seconds);
     client.run([&] { network.reset(); });
     server.run([&] { servers.clear(); });
 }
@@ -375,7 +376,7 @@
         measureBareEcho(seconds, false).print("bare echo max, 1");
         http.measure(seconds, 1, false).print("http max, 1 fiber");
         http.measure(seconds, MAX_RATE_FIBERS, false).print("http max, 64 fibers");
-        measureIdle("idle http", http.pair(), seconds);
+        measureIdle("idle http", http.pair().server, seconds);
     }
     PeerEcho peer;
     peer.measure(seconds / 4, 1, false);
@@ -383,7 +384,7 @@
     peer.measure(seconds, 1, true).print("peer link 160/s");
     peer.measure(seconds, 1, false).print("peer link max, 1");
     peer.measure(seconds, MAX_RATE_FIBERS, false).print("peer link max, 64");
-    measureIdle("idle peer link", peer.pair(), seconds);
+    measureIdle("idle peer link", peer.pair().server, seconds);
 }
 
 } // namespace
@@ -392,7 +393,7 @@
 {
     const double seconds = argc > 1 ? std::max(0.1, std::atof(argv[1])) : 4;
     measureConnectionMemory();
-    measureLinkMemory();
+    measureLinks(seconds);
     measureLatencies(seconds);
     return EXIT_SUCCESS;
 }
--- a/src/transport/internal/eventloop.cpp
+++ b/src/transport/internal/eventloop.cpp
@@ -190,6 +190,7 @@
 /// fibers keep each other ready.
 void EventLoop::runOnce()
 {
+    ++m_turnCount;
     if (m_scheduler->readyCount() > 0) {
         boost::this_fiber::yield();
     }
--- a/src/transport/internal/eventloop.h
+++ b/src/transport/internal/eventloop.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -38,6 +39,8 @@
     void stop() override;
 
     boost::asio::io_context &ioContext() { return m_io; }
+    /// Turns of `run`: each ran the ready fibers and waited for one event.
+    std::uint64_t turnCount() const { return m_turnCount; }
     /// Ends the fibers that wait for a timeout by giving it to them early.
     void endFibers();
     /// For FiberScheduler: runs one event, waits for it until `time` at most.
@@ -61,6 +64,7 @@
     boost::intrusive_ptr<StackPool> m_stacks;
     std::thread::id m_thread;
     std::size_t m_fiberCount = 0;
+    std::uint64_t m_turnCount = 0;
     bool m_isStopped = false;
 };
 
--- a/src/transport/tests/eventlooptest.cpp
+++ b/src/transport/tests/eventlooptest.cpp
@@ -2,6 +2,7 @@
 #include <thread>
 #include <vector>
 
+#include "transport/internal/eventloop.h"
 #include "transport/oneshot.h"
 #include "transport/transportfactory.h"
 
@@ -95,6 +96,24 @@
     CHECK_EQUAL(3, received);
 }
 
+/// A fiber sleeps and nothing else happens. A loop that took Boost.Fiber's dispatcher for a ready
+/// fiber would turn as fast as it can, and an idle daemon would use a whole core.
+TEST(EventLoop, AnIdleLoopBlocks)
+{
+    constexpr std::uint64_t FEW = 10;
+    EventLoop loop;
+    std::uint64_t turns = 0;
+    loop.spawn([&] {
+        const std::uint64_t before = loop.turnCount();
+        loop.sleepFor(milliseconds(50));
+        turns = loop.turnCount() - before;
+        loop.stop();
+    });
+    loop.run();
+    CHECK(turns > 0);
+    CHECK(turns < FEW);
+}
+
 TEST(EventLoop, AnExceptionEndsOnlyItsFiber)
 {
     bool hasRun = false;
