--- a/bench/overloadbench.cpp
+++ b/bench/overloadbench.cpp
@@ -8,11 +8,13 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
+#include <map>
 #include <mutex>
 #include <sstream>
 #include <thread>
 
+#include <nlohmann/json.hpp>
+
 #include "bench/runfigures.h"
 #include "standins/deployment/blockinghttp.h"
 #include "standins/deployment/deployment.h"
@@ -29,6 +31,7 @@
 constexpr double BASE_LOAD = 0.7;
 constexpr std::size_t LOAD_THREADS = 2;
 constexpr Duration CONTROL_TIMEOUT = std::chrono::seconds(10);
+constexpr Duration SAMPLE_INTERVAL = std::chrono::milliseconds(500);
 constexpr Duration SETTLE = std::chrono::milliseconds(700);
 constexpr char EVERYTHING_OFF[] =
     "admission,rank,floor,doomed,budget,retry-tokens,routing,hedging,cancel";
@@ -50,6 +53,7 @@
     std::string only;
     RunTimes times;
     std::size_t parallel = 3;
+    bool isVerbose = false;
 };
 
 double baseRate(const CallGraph &graph, const std::vector<LoadKind> &kinds)
@@ -126,20 +130,80 @@
         LoadPlan plan = makePlan(experiment, m_graph, m_options.times, m_job.seed);
         plan.entries = deployment.callerEndpoints();
         std::vector<LoadRecord> records;
+        std::thread sampler([&] { sampleGates(deployment); });
         std::thread load([&] { records = runLoad(m_graph, plan, LOAD_THREADS); });
         std::this_thread::sleep_for(m_options.times.before);
         apply(deployment, experiment.start);
         std::this_thread::sleep_for(m_options.times.trigger);
         apply(deployment, experiment.end);
         load.join();
+        sampler.join();
         std::this_thread::sleep_for(SETTLE);
         RunFigures figures = computeFigures(experiment, m_graph, plan.kinds, m_options.times,
                                             records, fetchExecutions(deployment));
+        if (m_options.isVerbose) {
+            printTroubles(records, plan.kinds);
+        }
         figures.policy = m_job.policy;
         figures.seed = m_job.seed;
         return figures;
     }
 
+    /// What the gates of the bottleneck report, twice a second.
+    void sampleGates(Deployment &deployment) const
+    {
+        const Duration whole =
+            m_options.times.before + m_options.times.trigger + m_options.times.after;
+        for (Duration at{ 0 }; m_options.isVerbose && at < whole; at += SAMPLE_INTERVAL) {
+            std::string line;
+            for (const DeployedHost &host : deployment.hosts()) {
+                if (host.service == BOTTLENECK) {
+                    line += "  " + describeGate(host.operators);
+                }
+            }
+            std::printf("%5.1f s%s\n", std::chrono::duration<double>(at).count(), line.c_str());
+            std::this_thread::sleep_for(SAMPLE_INTERVAL);
+        }
+    }
+
+    /// Running + waiting / limit, and the priority of the floor.
+    static std::string describeGate(const Endpoint &operators)
+    {
+        const auto answer =
+            exchangeBlocking(operators, HttpRequest{ "GET", "/status", {}, {} }, CONTROL_TIMEOUT);
+        const nlohmann::json status =
+            answer ? nlohmann::json::parse(answer->body, nullptr, false) : nlohmann::json();
+        std::string text;
+        for (const nlohmann::json &gate : status.value("gates", nlohmann::json::array())) {
+            constexpr unsigned PRIORITY_SHIFT = 24;
+            text += std::to_string(gate.value("in_flight", 0U)) + '+'
+                + std::to_string(gate.value("queued", 0U)) + '/'
+                + std::to_string(gate.value("limit", 0U)) + " f"
+                + std::to_string(gate.value("floor", 0U) >> PRIORITY_SHIFT);
+        }
+        return text;
+    }
+
+    /// Why requests failed, in each part of the run.
+    void printTroubles(const std::vector<LoadRecord> &records,
+                       const std::vector<LoadKind> &kinds) const
+    {
+        std::map<std::string, std::size_t> counts;
+        for (const LoadRecord &record : records) {
+            if (record.result == LoadResult::Completed) {
+                continue;
+            }
+            const Duration triggerEnd = m_options.times.before + m_options.times.trigger;
+            const char *part = record.intended < m_options.times.before ? "before "
+                : record.intended < triggerEnd                          ? "trigger "
+                                                                        : "after ";
+            ++counts[part + kinds.at(record.kind).className + ' ' + record.trouble];
+        }
+        for (const auto &[trouble, count] : counts) {
+            std::printf("%8zu %s%s", count, trouble.c_str(), trouble.back() == '\n' ? "" : "\n");
+        }
+    }
+
     static void post(Deployment &deployment, const std::string &target, const std::string &body)
     {
         const HttpRequest request{ "POST", target, {}, body };
@@ -265,6 +329,7 @@
     bench.labBinary = options.text("lab", "build/ivyspar-lab");
     bench.examples = options.text("examples", "examples");
     bench.only = options.text("only", "");
+    bench.isVerbose = options.has("verbose");
     bench.parallel = static_cast<std::size_t>(options.number("parallel", 3));
     std::string folder = (std::filesystem::temp_directory_path() / "ivyspar-bench-XXXXXX").string();
     if (!mkdtemp(folder.data())) {
--- a/standins/load/loadgenerator.h
+++ b/standins/load/loadgenerator.h
@@ -65,7 +65,7 @@
     Duration latency{ 0 };
     LoadResult result = LoadResult::Failed;
     /// What the last answer said, when it was not the whole answer.
-    std::string trouble;
+    std::string trouble = "no answer";
     std::uint32_t callerAttempts = 0;
     /// Attempts that the entry reported, over all of the caller's attempts.
     std::uint32_t entryAttempts = 0;
