--- a/bench/gatebench.cpp
+++ b/bench/gatebench.cpp
@@ -43,6 +43,7 @@
     scenarios[4].upstream.workers = 40;
     scenarios[5].name = "contention";
     scenarios[5].upstream.knee = 30;
+    scenarios[5].profile.end = 34; // Some policies need long to recover.
     scenarios[6].name = "15-slots";
     scenarios[6].upstream.announcedSlots = 15;
     scenarios[6].upstream.workers = 15;
@@ -79,6 +80,7 @@
         makeVariant("wait=0.25", [](Variant &v) { v.options.queueWait = 0.25; }),
         makeVariant("wait=0.5", [](Variant &v) { v.options.queueWait = 0.5; }),
         makeVariant("wait=2", [](Variant &v) { v.options.queueWait = 2; }),
+        makeVariant("wait=1", [](Variant &v) { v.options.queueWait = 1; }),
         makeVariant("no-doomed", [](Variant &v) { v.options.isDoomedDropped = false; }),
         makeVariant("hold=1", [](Variant &v) { v.options.timedOutHold = 1; }),
         makeVariant("no-hold", [](Variant &v) { v.options.timedOutHold = 0; }),
--- a/src/coordination/admission/internal/probinglimit.cpp
+++ b/src/coordination/admission/internal/probinglimit.cpp
@@ -16,6 +16,11 @@
 constexpr double KEPT_THROUGHPUT = 0.97;
 /// … and a higher one if the throughput grows by this factor.
 constexpr double GAINED_THROUGHPUT = 1.05;
+/// A trial ends early when after this number of calls clearly less than the throughput is left.
+constexpr std::uint32_t EARLY_CALLS = 30;
+constexpr double LOST_THROUGHPUT = 0.9;
+/// For how long calls must have been slow before a limit is tried.
+constexpr Duration PATIENCE = std::chrono::seconds(5);
 /// Service times beyond this multiple of the fastest are long.
 constexpr double SLOW = 1.5;
 constexpr double FORGETTING = 1.005;
@@ -24,7 +29,7 @@
 constexpr double USED_SHARE = 0.5;
 constexpr double OVERLOADED_DECREASE = 0.9;
 /// Growth per round of calls, as a share of the limit, once the gate is warm.
-constexpr double INCREASE = 0.05;
+constexpr double INCREASE = 0.25;
 constexpr std::uint32_t LONGEST_PAUSE = 32;
 } // namespace
 
@@ -58,7 +63,8 @@
     m_epoch.succeeded += isSuccess ? 1 : 0;
     m_epoch.serviceTime += time;
     m_epoch.inFlight += sample.inFlight;
-    if (m_epoch.ended >= std::max<double>(EPOCH_CALLS, EPOCH_ROUNDS * m_range.value())) {
+    const double calls = std::max<double>(EPOCH_CALLS, EPOCH_ROUNDS * m_range.value());
+    if (m_epoch.ended >= calls || hasLostThroughput(now)) {
         endEpoch(now);
     }
 }
@@ -91,36 +97,54 @@
     m_range.set(m_range.value() + (m_isCold ? 1.0 : INCREASE));
 }
 
+/// Successes per microsecond in this epoch.
+double ProbingLimit::throughput(TimePoint now) const
+{
+    const auto length = std::max<Duration::rep>(1, (now - m_epoch.start).count());
+    return m_epoch.succeeded / static_cast<double>(length);
+}
+
+// With few slots or slow work an epoch takes seconds: a trial that fails must not cost them all.
+bool ProbingLimit::hasLostThroughput(TimePoint now) const
+{
+    return m_phase == Phase::Lower && m_epoch.ended >= EARLY_CALLS
+        && throughput(now) < LOST_THROUGHPUT * m_throughputBefore;
+}
+
 void ProbingLimit::endEpoch(TimePoint now)
 {
-    const auto length =
-        static_cast<double>(std::max<Duration::rep>(1, (now - m_epoch.start).count()));
-    const double throughput = m_epoch.succeeded / length;
+    const double measured = throughput(now);
     const double mean = m_epoch.serviceTime / m_epoch.ended;
     const bool isSaturated = m_epoch.inFlight >= SATURATED_SHARE * m_range.value() * m_epoch.ended;
     m_fastest = m_fastest <= 0 ? mean : std::min(m_fastest * FORGETTING, mean);
     m_epoch = Epoch();
     m_epoch.start = now;
     if (m_phase != Phase::Steady) {
-        judge(throughput);
+        judge(measured);
         return;
     }
     // An epoch in which calls became slow is a mixture and gives no throughput to compare with.
     const bool wasSlow = std::exchange(m_wasSlow, isSlow());
     if (!isSaturated || !wasSlow || !isSlow()) {
+        m_slowSince = now;
         return;
     }
     m_isCold = false;
+    // A trial costs throughput if the work is slow for another reason, as when a service further
+    // down is slow. What a trial can find, a server that announces too much, lasts.
+    if (now - m_slowSince < PATIENCE) {
+        return;
+    }
     if (m_pause > 0) {
         --m_pause;
         return;
     }
-    tryNext(throughput);
+    tryNext(measured);
 }
 
-void ProbingLimit::tryNext(double throughput)
+void ProbingLimit::tryNext(double measured)
 {
-    m_throughputBefore = throughput;
+    m_throughputBefore = measured;
     m_limitBefore = m_range.value();
     m_phase = m_isHigherNext ? Phase::Higher : Phase::Lower;
     changeTo(m_limitBefore * (m_isHigherNext ? HIGHER : LOWER));
@@ -130,22 +154,51 @@
     }
 }
 
-void ProbingLimit::judge(double throughput)
+void ProbingLimit::judge(double measured)
 {
-    const double needed = m_phase == Phase::Lower ? KEPT_THROUGHPUT : GAINED_THROUGHPUT;
-    const bool isKept = throughput >= needed * m_throughputBefore;
-    m_phase = Phase::Steady;
-    if (isKept) {
-        m_nextPause = FIRST_PAUSE;
-        tryNext(throughput);
+    switch (m_phase) {
+    case Phase::Lower:
+        if (measured >= GAINED_THROUGHPUT * m_throughputBefore) {
+            keep(m_range.value(), measured);
+            return;
+        }
+        if (measured >= KEPT_THROUGHPUT * m_throughputBefore) {
+            m_throughputOnTrial = measured;
+            m_phase = Phase::Verify;
+            changeTo(m_limitBefore);
+            return;
+        }
+        break;
+    case Phase::Verify:
+        if (m_throughputOnTrial >= KEPT_THROUGHPUT * measured) {
+            keep(m_limitBefore * LOWER, m_throughputOnTrial);
+            return;
+        }
+        break;
+    case Phase::Higher:
+        if (measured >= GAINED_THROUGHPUT * m_throughputBefore) {
+            keep(m_range.value(), measured);
+            return;
+        }
+        break;
+    case Phase::Steady:
         return;
     }
+    m_phase = Phase::Steady;
     m_isHigherNext = !m_isHigherNext;
     m_pause = m_nextPause;
     m_nextPause = std::min(2 * m_nextPause, LONGEST_PAUSE);
     changeTo(m_limitBefore);
 }
 
+/// The trial was a success: the next one follows at once.
+void ProbingLimit::keep(double limit, double measured)
+{
+    m_range.set(limit);
+    m_nextPause = FIRST_PAUSE;
+    tryNext(measured);
+}
+
 void ProbingLimit::changeTo(double limit)
 {
     m_settling = m_range.limit();
--- a/src/coordination/admission/internal/probinglimit.h
+++ b/src/coordination/admission/internal/probinglimit.h
@@ -10,7 +10,7 @@
 /// Lowers the limit only where this costs no throughput. Long service times alone do not tell
 /// whether calls slow each other down or whether the work became slower for another reason; in the
 /// second case a lower limit only loses throughput. So while service times are long, a lower limit
-/// is tried for a round of calls and kept if as many calls succeed as before.
+/// is tried for some rounds of calls, and kept if as many succeed as before and after.
 class ProbingLimit : public IConcurrencyLimit
 {
 public:
@@ -26,6 +26,7 @@
     enum class Phase {
         Steady,
         Lower, ///< A lower limit is on trial.
+        Verify, ///< Back at the former limit, as the throughput may have changed by itself.
         Higher, ///< A higher limit is on trial.
     };
     /// Calls that ended under one limit.
@@ -40,9 +41,12 @@
 
     void onOverloaded(TimePoint now, const LimitSample &sample);
     void grow(const LimitSample &sample);
+    double throughput(TimePoint now) const;
+    bool hasLostThroughput(TimePoint now) const;
     void endEpoch(TimePoint now);
-    void judge(double throughput);
-    void tryNext(double throughput);
+    void judge(double measured);
+    void keep(double limit, double measured);
+    void tryNext(double measured);
     void changeTo(double limit);
     bool isSlow() const;
 
@@ -55,7 +59,9 @@
     double m_fastest = 0;
     /// Recent service time, in µs.
     double m_recent = 0;
+    TimePoint m_slowSince;
     double m_throughputBefore = 0;
+    double m_throughputOnTrial = 0;
     double m_limitBefore = 0;
     bool m_wasSlow = false;
     bool m_isCold = true;
--- a/src/coordination/admission/tests/concurrencylimittest.cpp
+++ b/src/coordination/admission/tests/concurrencylimittest.cpp
@@ -62,6 +62,12 @@
     CHECK(saturate(gradient, now, 0, 5, 400) < 0.8 * CEILING);
 }
 
+TEST(ConcurrencyLimit, ProbingTriesNothingInAShortSlowSpell)
+{
+    auto probing = makeWarm<ProbingLimit>(now);
+    DOUBLES_EQUAL(CEILING, saturate(probing, now, 0, 5, 3000), 0.1); // 4 s
+}
+
 TEST(ConcurrencyLimit, ProbingFallsWhereCallsSlowEachOtherDown)
 {
     auto probing = makeWarm<ProbingLimit>(now);
--- a/src/coordination/admission/tests/gatetest.cpp
+++ b/src/coordination/admission/tests/gatetest.cpp
@@ -242,6 +242,7 @@
 {
     GateOptions options = optionsFor(1);
     options.minimalQueue = 1;
+    options.queueWait = 1;
     const auto gate = makeGate(options);
     const CallId low = fill(*gate, 10);
     const GateActions actions = offer(*gate, 90);
