--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -81,6 +81,11 @@
                 return { *action };
             }
         }
+        // The other attempt may still bring the whole answer.
+        if (end.status >= FIRST_SERVER_ERROR && hasOpenAttempt()) {
+            m_mayHaveRun = true;
+            return {};
+        }
         if (!attempt.isHedge && index.value() == 0 && end.status < FIRST_SERVER_ERROR) {
             m_policies.retries.onSuccess(
                 now, m_terms.rule.service,
@@ -208,7 +213,8 @@
 
 std::optional<EntryAction> EntryCall::sendNext(TimePoint now, Verdict &failure)
 {
-    if (m_ledger.left().value() == 0) {
+    // Checked before a server is chosen: a choice counts there as an attempt to come.
+    if (m_ledger.left().value() < 1 + neededBelow().value()) {
         failure.reason = Reason::BudgetSpent;
         return std::nullopt;
     }
@@ -233,12 +239,18 @@
     return action;
 }
 
+AttemptCount EntryCall::neededBelow() const
+{
+    const std::uint32_t calls = m_terms.rule.calls;
+    return AttemptCount(m_terms.isSingleAttempt || calls == 0 ? 0 : calls - 1);
+}
+
 std::optional<EntryAction> EntryCall::launch(TimePoint now, const DaemonId &target, const char *why)
 {
     const std::uint32_t below = m_terms.rule.attempts.value();
     const AttemptCount wanted(m_terms.isSingleAttempt || below == 0 ? 0 : below - 1);
     AttemptCount granted;
-    if (!m_ledger.spend(wanted, granted)) {
+    if (!m_ledger.spend(neededBelow(), wanted, granted)) {
         return std::nullopt;
     }
     m_tried.push_back(target);
--- a/src/coordination/retries/internal/attemptledger.cpp
+++ b/src/coordination/retries/internal/attemptledger.cpp
@@ -15,14 +15,16 @@
     return AttemptCount(m_left);
 }
 
-bool AttemptLedger::spend(AttemptCount wanted, AttemptCount &granted)
+bool AttemptLedger::spend(AttemptCount needed, AttemptCount wanted, AttemptCount &granted)
 {
-    if (m_left == 0) {
+    if (m_left < 1 + needed.value()) {
         return false;
     }
     --m_left;
-    const std::uint32_t reserve = m_left > 0 ? 1 : 0;
-    const std::uint32_t grant = std::min(wanted.value(), m_left - reserve);
+    const std::uint32_t secondAttempt = 1 + needed.value();
+    const std::uint32_t kept = std::min(secondAttempt, m_left - needed.value());
+    const std::uint32_t most = std::max(wanted.value(), needed.value());
+    const std::uint32_t grant = std::min(most, m_left - kept);
     m_left -= grant;
     m_out += grant;
     granted = AttemptCount(grant);
--- a/src/coordination/retries/internal/attemptledger.h
+++ b/src/coordination/retries/internal/attemptledger.h
@@ -10,7 +10,7 @@
     explicit AttemptLedger(AttemptCount granted);
 
     AttemptCount left() const override;
-    bool spend(AttemptCount wanted, AttemptCount &granted) override;
+    bool spend(AttemptCount needed, AttemptCount wanted, AttemptCount &granted) override;
     void giveBack(AttemptCount granted, AttemptCount unspent) override;
     AttemptCount spent() const override;
     AttemptCount close() override;
