--- a/src/app/internal/controlnode.h
+++ b/src/app/internal/controlnode.h
@@ -4,12 +4,16 @@
 #include <memory>
 #include <string>
 
+#include "app/internal/configurationdriver.h"
 #include "app/internal/membershipdriver.h"
+#include "app/internal/observers.h"
 #include "app/internal/trafficnode.h"
 #include "app/settings.h"
 #include "state/configuration.h"
 #include "transport/ieventloop.h"
+#include "transport/ihttpclient.h"
 #include "transport/ihttpserver.h"
+#include "transport/ilogservice.h"
 
 namespace ivyspar {
 
@@ -29,7 +33,8 @@
 class ControlNode
 {
 public:
-    ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self, TrafficPort traffic);
+    ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self, TrafficPort traffic,
+                Observers observers);
     ~ControlNode();
 
     /// Opens the operators' listener.
@@ -47,17 +52,26 @@
 
 private:
     ControlEvents makeControlEvents();
+    ConfigurationFollowerEvents makeConfigurationEvents();
     void useConfiguration(const ConfigurationPtr &configuration);
     void useBootstrap();
     HttpResponse handleOperator(IHttpExchange &exchange);
     HttpResponse answerHealth() const;
     HttpResponse answerStatus();
+    HttpResponse answerMetrics();
+    TrafficStatus fetchTraffic();
+    void onMembers(std::vector<Member> members);
+    void recordChange(DecisionKind kind, std::uint64_t choice, const char *reason);
 
     IEventLoop &m_loop;
     DaemonSettings m_settings;
     TrafficPort m_traffic;
+    Observers m_observers;
     std::unique_ptr<IRandom> m_random;
     MembershipDriver m_membership;
+    std::unique_ptr<IHttpClient> m_logClient;
+    std::unique_ptr<ILogService> m_log;
+    ConfigurationDriver m_configurationDriver;
     std::unique_ptr<IHttpServer> m_operatorServer;
     ConfigurationPtr m_configuration;
     bool m_isLeaving = false;
--- a/src/app/internal/gateservice.h
+++ b/src/app/internal/gateservice.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "app/internal/igateservice.h"
+#include "app/internal/ionceservice.h"
+#include "app/internal/observers.h"
 #include "coordination/admission/igate.h"
 #include "state/irandom.h"
 #include "state/member.h"
@@ -34,14 +36,14 @@
 };
 
 /// Runs calls on the upstreams of this host. Traffic thread only.
-class GateService : public IGateService
+class GateService : public IGateService, public IOnceListener
 {
 public:
     using GateMaker = std::function<std::unique_ptr<IGate>(const UpstreamInfo &)>;
     using OnUpstreams = std::function<void(std::vector<UpstreamInfo>)>;
 
-    GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, GateMaker makeGate,
-                GateServiceOptions options);
+    GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
+                GateMaker makeGate, Observers observers, GateServiceOptions options);
     ~GateService() override;
 
     /// Runs whenever the announced upstreams, or what they announced, changed.
@@ -57,6 +59,9 @@
     std::optional<CallContext> findContext(const std::string &token) const override;
     LoadReport load(const ServiceName &service) const override;
 
+    void onOnceProceed(CallId call) override;
+    void onOnceReply(const OnceReply &reply) override;
+
 private:
     struct Upstream
     {
@@ -71,9 +76,14 @@
         CallMessage message;
         Reply reply;
         CallLedgerPtr ledger;
+        TimePoint arrivedAt;
         TimePoint deadline;
         HttpCancellationPtr cancellation;
         bool isCancelled = false;
+        /// Waits for its key or ticket, before the gate.
+        bool isClaiming = false;
+        /// Holds its key or ticket: the end of its run is told to the once service.
+        bool isHolding = false;
     };
     /// How a run at the upstream ended.
     struct RunEnd
@@ -91,6 +101,9 @@
     RunEnd exchange(const Endpoint &endpoint, CallId id, const Call &call);
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
+    void record(DecisionKind kind, const Call &call, const char *reason);
+    void enterGate(CallId id);
+    void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
     void tick(const ServiceName &service);
     void dropSilentUpstreams();
@@ -99,7 +112,9 @@
     IEventLoop &m_loop;
     IHttpClient &m_client;
     IRandom &m_random;
+    IOnceService &m_once;
     GateMaker m_makeGate;
+    Observers m_observers;
     GateServiceOptions m_options;
     OnUpstreams m_onUpstreams;
     std::unordered_map<ServiceName, Upstream> m_upstreams;
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -62,6 +62,8 @@
     std::optional<EntryAction> launch(TimePoint now, const DaemonId &target, const char *why);
     /// `isFromBelow`: the upstream answered with an error of its own or of a call that it made.
     bool mayRetry(TimePoint now, const Verdict &verdict, bool isFromBelow);
+    /// Attempts that the calls below this one need at the least.
+    AttemptCount neededBelow() const;
     void settle(TimePoint now, Attempt &attempt, const AttemptEnd &end);
     void armHedge(TimePoint now);
     bool hasOpenAttempt() const;
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -3,9 +3,11 @@
 #include <cstdio>
 #include <string>
 
+#include "bench/configurationbench.h"
 #include "bench/gatebench.h"
 #include "bench/overloadbench.h"
 #include "standins/demo/demo.h"
+#include "standins/log/logstandin.h"
 #include "standins/upstream/upstreamcommand.h"
 
 namespace ivyspar::lab {
@@ -23,7 +25,9 @@
 
 constexpr Command COMMANDS[] = {
     { "upstreams", runUpstreams, "stand-in servers" },
+    { "log", runLogStandin, "stand-in of the platform's log" },
     { "gate", runGateBench, "policies of one gate under fake time, compared" },
+    { "configuration", runConfigurationBench, "publish until in force at all daemons" },
     { "bench", runOverloadBench, "the overload experiments" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
