Random faults against the followers; the test network waits for its messages

Six seeded schedules of outages, cuts, stale reads, replaced hosts and retention. The fold's property test also checks the positions that a fold vouches for.

--- a/src/app/internal/configurationfollower.cpp
+++ b/src/app/internal/configurationfollower.cpp
@@ -86,6 +86,7 @@
     status.isJudging = m_fold->judged() != nullptr;
     status.isFastPoller = m_poll.isFast();
     status.nextOffset = m_fold->nextOffset();
+    status.anchor = m_fold->anchor();
     status.logError = m_logError;
     status.snapshotsAppended = m_snapshotsAppended;
     return status;
--- a/src/app/internal/configurationfollower.h
+++ b/src/app/internal/configurationfollower.h
@@ -54,6 +54,8 @@
     bool isJudging = false;
     bool isFastPoller = false;
     LogOffset nextOffset;
+    /// A daemon that starts can judge the stream if the log still has the records from here on.
+    LogOffset anchor;
     /// Why the log cannot be read now; empty if it can.
     std::string logError;
     std::uint64_t snapshotsAppended = 0;
--- a/src/app/internal/statusdocument.cpp
+++ b/src/app/internal/statusdocument.cpp
@@ -62,6 +62,7 @@
                  { "judging", status.isJudging },
                  { "follows_log", status.isFastPoller },
                  { "next_offset", status.nextOffset.value() },
+                 { "anchor", status.anchor.value() },
                  { "log_error", status.logError },
                  { "snapshots_written", status.snapshotsAppended } };
 }
--- a/src/coordination/configuration/tests/configurationfoldtest.cpp
+++ b/src/coordination/configuration/tests/configurationfoldtest.cpp
@@ -168,7 +168,11 @@
         const AcceptedConfiguration *judged = m_fold->judged();
         require(!judged || judged->version == m_stream.before[next()].version, "judged version");
         require(!judged || judged->digest == m_stream.before[next()].digest, "judged text");
+        require(!judged || judged->position == m_fold->nextOffset(), "judged position");
         const AcceptedConfiguration *current = m_fold->current();
+        require(!current || !current->position
+                    || m_stream.before[current->position->value()].version == current->version,
+                "held position");
         const ConfigurationVersion held = current ? current->version : ConfigurationVersion();
         require(held >= m_lastHeld, "held version reverts");
         require(held <= m_stream.before.back().version, "held version was never accepted");
--- a/standins/control/followercluster.cpp
+++ b/standins/control/followercluster.cpp
@@ -87,7 +87,7 @@
     while (!m_hosts.empty()) {
         remove(std::string(m_hosts.back()->peer.id.value()));
     }
-    while (m_server.activeCount() > 0) {
+    while (m_server.activeCount() > 0 || m_network.inFlight() > 0) {
         m_loop.sleepFor(std::chrono::milliseconds(1));
     }
 }
--- a/standins/control/localcontrolnetwork.cpp
+++ b/standins/control/localcontrolnetwork.cpp
@@ -39,7 +39,9 @@
     }
     ++m_messages;
     m_bytes += payload.size();
+    ++m_inFlight;
     m_loop.callLater(m_delay, [this, from, to, payload = std::move(payload)] {
+        --m_inFlight;
         const auto found = m_nodes.find(to);
         if (found != m_nodes.end()) {
             found->second.receiver(from, payload);
--- a/standins/control/localcontrolnetwork.h
+++ b/standins/control/localcontrolnetwork.h
@@ -29,6 +29,8 @@
     std::vector<ControlPeer> peersOf(const DaemonId &self) const;
     void send(const DaemonId &from, const DaemonId &to, std::string payload);
 
+    /// Messages on their way. The network must outlive them.
+    std::size_t inFlight() const { return m_inFlight; }
     std::uint64_t messageCount() const { return m_messages; }
     std::uint64_t byteCount() const { return m_bytes; }
 
@@ -45,6 +47,7 @@
     Duration m_delay;
     std::map<DaemonId, Node> m_nodes;
     std::set<DomainName> m_cutOff;
+    std::size_t m_inFlight = 0;
     std::uint64_t m_messages = 0;
     std::uint64_t m_bytes = 0;
 };
--- a/standins/control/tests/configurationfollowertest.cpp
+++ b/standins/control/tests/configurationfollowertest.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "coordination/configuration/configurationdigest.h"
 #include "protocol/internal/configurationrecordcodec.h"
@@ -60,6 +61,7 @@
             }
         }
     }
+    /// By an operator whom the faults of the log do not concern.
     void append(std::uint64_t base, const std::string &inventory)
     {
         ConfigurationRecord record;
@@ -67,8 +69,10 @@
         record.base = ConfigurationVersion(base);
         record.inventory = inventory;
         record.digest = configurationDigest(inventory, "");
+        const LogFaults faults = std::exchange(m_cluster->log().faults(), {});
         m_cluster->log().append(STREAM, encodeConfigurationRecord(record).value(), "",
                                 m_loop->now());
+        m_cluster->log().faults() = faults;
     }
     bool waitFor(const std::function<bool()> &condition)
     {
@@ -86,6 +90,53 @@
                                [version](const auto &host) { return host->version() == version; });
         });
     }
+    void performRandomStep(IRandom & random, std::uint64_t & version)
+    {
+        LogFaults &faults = m_cluster->log().faults();
+        const std::string domain(1, static_cast<char>('a' + random.below(3)));
+        switch (random.below(8)) {
+        case 0:
+        case 1:
+            append(version++, "winner");
+            append(version - 1, "loser");
+            break;
+        case 2:
+            faults.isDown = !faults.isDown;
+            break;
+        case 3:
+            faults.isSilent = !faults.isSilent;
+            break;
+        case 4:
+            faults.staleness = milliseconds(random.below(20));
+            break;
+        case 5:
+            m_cluster->network().cutOff(random.below(2) == 0
+                                            ? std::set<DomainName>()
+                                            : std::set<DomainName>{ DomainName(domain) });
+            break;
+        case 6:
+            replaceHost(random);
+            break;
+        default:
+            forgetWhatIsCovered();
+        }
+    }
+    void replaceHost(IRandom & random)
+    {
+        const auto &hosts = m_cluster->hosts();
+        const ControlPeer peer = hosts[random.below(hosts.size())]->peer;
+        m_cluster->remove(peer.id.value());
+        m_cluster->add(peer.id.value(), peer.domain.value());
+    }
+    /// As the log does long after a snapshot was written: forgets what lies before its position.
+    void forgetWhatIsCovered()
+    {
+        LogOffset anchor;
+        for (const auto &host : m_cluster->hosts()) {
+            anchor = std::max(anchor, host->follower->status().anchor);
+        }
+        m_cluster->log().forgetBefore(STREAM, anchor);
+    }
     /// No follower ever went back to an older version.
     void checkHistories()
     {
@@ -244,6 +295,32 @@
     });
 }
 
+// Changes and losers are published while the log is down, silent, stale or cut for a domain,
+// domains are cut from each other, hosts are replaced, and the log forgets what a snapshot covers.
+// At no time does a daemon go back, and in the end all agree with the stream.
+TEST(ConfigurationFollower, NoVersionIsLostUnderRandomFaults)
+{
+    m_settings.follower.snapshot.retention = milliseconds(80);
+    m_settings.follower.snapshot.jitter = milliseconds(5);
+    m_settings.logTimeout = milliseconds(20);
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        run([this, seed] {
+            SeededRandom random(seed);
+            startHosts(2);
+            std::uint64_t version = 0;
+            for (int step = 0; step < 40; ++step) {
+                performRandomStep(random, version);
+                m_loop->sleepFor(milliseconds(random.below(8)));
+                checkHistories();
+            }
+            m_cluster->log().faults() = {};
+            m_cluster->network().cutOff({});
+            append(version++, "last");
+            CHECK(waitForVersion(version));
+        });
+    }
+}
+
 TEST(ConfigurationFollower, RecordsOfOthersAreSkipped)
 {
     run([this] {
