--- a/src/app/internal/controlnode.h
+++ b/src/app/internal/controlnode.h
@@ -4,15 +4,16 @@
 #include <memory>
 #include <string>
 
-#include "app/icontrolexchange.h"
-#include "app/internal/configurationfollower.h"
+#include "app/internal/configurationdriver.h"
 #include "app/internal/membershipdriver.h"
 #include "app/internal/observers.h"
 #include "app/internal/trafficnode.h"
 #include "app/settings.h"
 #include "state/configuration.h"
 #include "transport/ieventloop.h"
+#include "transport/ihttpclient.h"
 #include "transport/ihttpserver.h"
+#include "transport/ilogservice.h"
 
 namespace ivyspar {
 
@@ -29,12 +30,12 @@
 
 /// All that the control thread owns: membership, configuration and the operators' listener. Made,
 /// used and destroyed on the control thread.
-class ControlNode : public IControlExchange
+class ControlNode
 {
 public:
     ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self, TrafficPort traffic,
                 Observers observers);
-    ~ControlNode() override;
+    ~ControlNode();
 
     /// Opens the operators' listener.
     RetVal<Endpoint> listen();
@@ -47,23 +48,20 @@
     void onUnreachable(const DaemonId &daemon) { m_membership.onUnreachable(daemon); }
     void startLeaving();
     void leave() { m_membership.leave(); }
-    /// Suspends until the fibers of this node have ended.
     void stop(Duration timeout);
 
 private:
-    std::vector<ControlPeer> peers() const override;
-    void send(const DaemonId &to, std::string payload) override;
     ControlEvents makeControlEvents();
+    ConfigurationFollowerEvents makeConfigurationEvents();
     void useConfiguration(const ConfigurationPtr &configuration);
     void useBootstrap();
-    ConfigurationFollowerSettings makeFollowerSettings() const;
-    ConfigurationFollowerEvents makeFollowerEvents();
-    void onMembers(std::vector<Member> members);
-    HttpResponse answerMetrics();
-    TrafficStatus fetchTraffic();
     HttpResponse handleOperator(IHttpExchange &exchange);
     HttpResponse answerHealth() const;
     HttpResponse answerStatus();
+    HttpResponse answerMetrics();
+    TrafficStatus fetchTraffic();
+    void onMembers(std::vector<Member> members);
+    void recordChange(DecisionKind kind, std::uint64_t choice, const char *reason);
 
     IEventLoop &m_loop;
     DaemonSettings m_settings;
@@ -71,11 +69,10 @@
     Observers m_observers;
     std::unique_ptr<IRandom> m_random;
     MembershipDriver m_membership;
-    std::unique_ptr<IHttpServer> m_operatorServer;
     std::unique_ptr<IHttpClient> m_logClient;
     std::unique_ptr<ILogService> m_log;
-    std::unique_ptr<IConfigurationReader> m_reader;
-    std::unique_ptr<ConfigurationFollower> m_follower;
+    ConfigurationDriver m_configurationDriver;
+    std::unique_ptr<IHttpServer> m_operatorServer;
     ConfigurationPtr m_configuration;
     bool m_isLeaving = false;
 };
--- a/src/coordination/membership/internal/membershipexchange.cpp
+++ b/src/coordination/membership/internal/membershipexchange.cpp
@@ -24,6 +24,7 @@
     if (from == m_self || self().health == MemberHealth::Left) {
         return actions;
     }
+    m_silentSeeds.erase(message.sender);
     for (const MemberUpdate &update : message.updates) {
         applyUpdate(now, update, Source::Gossip, actions);
     }
@@ -43,9 +44,11 @@
     if (update.health == MemberHealth::Dead && known && isUp(known->health)) {
         // See verifyDoubted(). Only the observer's own timer declares a member dead.
         const bool isSameRun = known->member.incarnation == update.incarnation;
-        if (isSameRun && update.counter >= known->counter && m_doubted.size() < MAX_DOUBTED
-            && std::find(m_doubted.begin(), m_doubted.end(), update.id) == m_doubted.end()) {
-            m_doubted.push_back(update.id);
+        const auto doubt = std::make_pair(update.id, update.counter);
+        const bool isNew = std::find(m_doubted.begin(), m_doubted.end(), doubt) == m_doubted.end();
+        if (isSameRun && update.counter >= known->counter && isNew
+            && m_doubted.size() < MAX_DOUBTED) {
+            m_doubted.push_back(doubt);
         }
         return;
     }
@@ -326,6 +329,12 @@
     ping.targetIncarnation = target.member.incarnation;
     ping.targetCounter = target.counter;
     ping.targetHealth = target.health;
+    if (target.health != MemberHealth::Alive) {
+        // Most of these get no answer. Updates that they carry would be lost, and count as spread.
+        send(target.member.id, target.member.peerEndpoint, makeEmptyMessage(std::move(ping)),
+             actions);
+        return;
+    }
     send(target.member.id, target.member.peerEndpoint, makeMessage(std::move(ping)), actions);
 }
 
@@ -350,10 +359,16 @@
 }
 
 MembershipMessage Membership::makeMessage(MembershipBody body)
+{
+    MembershipMessage message = makeEmptyMessage(std::move(body));
+    message.updates = m_queue.take(m_options.updateBytes, maxSends());
+    return message;
+}
+
+MembershipMessage Membership::makeEmptyMessage(MembershipBody body) const
 {
     MembershipMessage message;
     message.sender = self().member.peerEndpoint;
-    message.updates = m_queue.take(m_options.updateBytes, maxSends());
     message.digest = m_table.digest();
     message.body = std::move(body);
     return message;
--- a/src/coordination/retries/iattemptledger.h
+++ b/src/coordination/retries/iattemptledger.h
@@ -13,9 +13,11 @@
     virtual ~IAttemptLedger() = default;
 
     virtual AttemptCount left() const = 0;
-    /// Spends one attempt and takes a grant for the callee out of the rest, at most `wanted` and
-    /// leaving one for a retry here if possible. False when nothing is left to spend.
-    virtual bool spend(AttemptCount wanted, AttemptCount &granted) = 0;
+    /// Spends one attempt on a callee and takes a grant for it out of the rest: at least `needed`,
+    /// at most `wanted`. What goes beyond `needed` leaves enough for one whole second attempt, if
+    /// there is that much. False, and nothing changes, when less than `needed` would be left: the
+    /// callee could not finish, and its work would be wasted.
+    virtual bool spend(AttemptCount needed, AttemptCount wanted, AttemptCount &granted) = 0;
     /// The callee's answer brought back part of its grant. Never more than is out is accepted.
     virtual void giveBack(AttemptCount granted, AttemptCount unspent) = 0;
     /// Spent by this ledger and by callees that answered. A grant whose answer is lost stays out
