--- a/src/app/internal/configurationdriver.cpp
+++ b/src/app/internal/configurationdriver.cpp
@@ -52,6 +52,7 @@
     ConfigurationFollowerSettings follower;
     follower.self = settings.id;
     follower.domain = settings.domain;
+    follower.snapshot.retention = settings.logRetention;
     m_follower = std::make_unique<ConfigurationFollower>(follower, loop, log, *m_reader,
                                                          *m_exchange, random, std::move(events));
 }
--- a/src/app/internal/daemonsettings.cpp
+++ b/src/app/internal/daemonsettings.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t MAX_HEADER_BYTES = 1024 * 1024;
 constexpr std::uint64_t MAX_BODY_BYTES = 64 * 1024 * 1024;
 constexpr std::uint64_t MAX_IN_FLIGHT = 1'000'000;
+constexpr Duration MAX_LOG_RETENTION = hours(24 * 365);
 
 struct AblationName
 {
@@ -97,6 +98,8 @@
     {
         m_settings.seeds = m_values.remoteEndpoints("seeds", FLAGS_seeds);
         m_settings.logEndpoints = m_values.remoteEndpoints("log_endpoints", FLAGS_log_endpoints);
+        m_settings.logRetention =
+            m_values.duration("log_retention", FLAGS_log_retention, minutes(1), MAX_LOG_RETENTION);
         m_settings.inventoryFile = FLAGS_inventory;
         m_settings.rulesFile = FLAGS_rules;
     }
@@ -272,6 +275,7 @@
         "peer_advertise",
         "seeds",
         "log_endpoints",
+        "log_retention",
         "inventory",
         "rules",
         "heartbeat_timeout",
--- a/src/app/internal/flags.cpp
+++ b/src/app/internal/flags.cpp
@@ -20,6 +20,8 @@
               "IP:PORT at which other daemons reach this one, if not --peer_listen.");
 DEFINE_string(seeds, "", "IP:PORT,... of daemons to join by while the log is down.");
 DEFINE_string(log_endpoints, "", "IP:PORT,... of the platform's log.");
+DEFINE_string(log_retention, "1h",
+              "For how long the platform's log keeps a record (1min to 8760h).");
 DEFINE_string(inventory, "", "Inventory file (TOML).");
 DEFINE_string(rules, "", "Rules file (TOML).");
 DEFINE_string(heartbeat_timeout, "3s",
--- a/src/app/internal/flags.h
+++ b/src/app/internal/flags.h
@@ -15,6 +15,7 @@
 DECLARE_string(peer_advertise);
 DECLARE_string(seeds);
 DECLARE_string(log_endpoints);
+DECLARE_string(log_retention);
 DECLARE_string(inventory);
 DECLARE_string(rules);
 DECLARE_string(heartbeat_timeout);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -59,6 +59,8 @@
 
     std::vector<Endpoint> seeds;
     std::vector<Endpoint> logEndpoints;
+    /// For how long the log keeps a record.
+    Duration logRetention = std::chrono::hours(1);
 
     /// Files to start from when neither the log nor a peer knows a configuration; both or none.
     std::string inventoryFile;
