--- a/src/coordination/membership/membershipfactory.h
+++ b/src/coordination/membership/membershipfactory.h
@@ -30,7 +30,7 @@
     /// Full records sent by this daemon to others: refill per second, and the most at once. One
     /// exchange stays below the latter, and that below the limit of a frame (256 KiB).
     std::size_t syncBytesPerSecond = 4096;
-    std::size_t syncBurstBytes = 160 * 1024;
+    std::size_t syncBurstBytes = 64 * 1024;
     /// Smallest time between two exchanges that this daemon asks for.
     Duration syncInterval = std::chrono::seconds(2);
     /// A gap between ticks beyond this is a freeze of this process.
