--- /dev/null
+++ b/src/app/internal/controlnode.cpp
@@ -0,0 +1,219 @@
+#include "app/internal/controlnode.h"
+
+#include <cstdio>
+#include <random>
+#include <utility>
+
+#include "app/internal/logaccess.h"
+#include "app/internal/statusdocument.h"
+#include "protocol/configurationreaderfactory.h"
+#include "state/internal/seededrandom.h"
+#include "state/rank.h"
+#include "transport/oneshot.h"
+#include "transport/transportfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr Duration STATUS_TIMEOUT = std::chrono::seconds(2);
+constexpr std::uint16_t OK = 200;
+constexpr std::uint16_t NOT_FOUND = 404;
+constexpr std::uint16_t UNAVAILABLE = 503;
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
+{
+    return HttpResponse{ status, { { "Content-Type", type } }, std::move(body) };
+}
+
+} // namespace
+
+ControlNode::ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self,
+                         TrafficPort traffic, Observers observers)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_traffic(std::move(traffic))
+    , m_observers(observers)
+    , m_random(std::make_unique<SeededRandom>(randomSeed()))
+    , m_membership(loop, *m_random, std::move(self), makeControlEvents())
+    , m_logClient(makeLogClient(loop))
+    , m_log(makeLog(m_settings, *m_logClient))
+    , m_configurationDriver(m_settings, loop, *m_log, *m_random, m_membership, m_traffic.send,
+                            makeConfigurationEvents())
+    , m_operatorServer(makeHttpServer(loop))
+{
+}
+
+ControlNode::~ControlNode() = default;
+
+ControlEvents ControlNode::makeControlEvents()
+{
+    ControlEvents events;
+    events.onMembers = [this](std::vector<Member> members) { onMembers(std::move(members)); };
+    events.send = m_traffic.send;
+    events.onDuplicate = m_traffic.stopForDuplicate;
+    return events;
+}
+
+ConfigurationFollowerEvents ControlNode::makeConfigurationEvents()
+{
+    ConfigurationFollowerEvents events;
+    events.onConfiguration = [this](const ConfigurationPtr &configuration) {
+        useConfiguration(configuration);
+    };
+    events.onNotice = [this](const std::string &text) { m_observers.log.info(text); };
+    return events;
+}
+
+RetVal<Endpoint> ControlNode::listen()
+{
+    HttpLimits limits;
+    limits.connections = 64;
+    return m_operatorServer->listen(
+        m_settings.operatorListen, limits,
+        [this](IHttpExchange &exchange) { return handleOperator(exchange); });
+}
+
+void ControlNode::start()
+{
+    useBootstrap();
+    m_membership.start(m_settings.seeds);
+    m_configurationDriver.start();
+}
+
+void ControlNode::receive(const ControlMessage &message)
+{
+    if (!m_configurationDriver.receive(message.from, message.payload)) {
+        m_membership.receive(message.from, message.payload);
+    }
+}
+
+void ControlNode::startLeaving()
+{
+    m_isLeaving = true;
+    m_membership.startLeaving();
+}
+
+void ControlNode::stop(Duration timeout)
+{
+    m_configurationDriver.stop();
+    m_operatorServer->drain(timeout);
+}
+
+void ControlNode::onMembers(std::vector<Member> members)
+{
+    m_observers.metrics.set(Gauge::Members, static_cast<std::int64_t>(members.size()));
+    recordChange(DecisionKind::Membership, members.size(), "working-members");
+    m_traffic.setMembers(std::move(members));
+}
+
+void ControlNode::recordChange(DecisionKind kind, std::uint64_t choice, const char *reason)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = kind;
+    decision.choice = std::to_string(choice);
+    decision.reason = reason;
+    m_observers.decisions.write(std::move(decision));
+}
+
+void ControlNode::useBootstrap()
+{
+    if (!m_settings.bootstrap) {
+        return;
+    }
+    const auto reader = makeConfigurationReader();
+    const ReadConfiguration read = reader->read(*m_settings.bootstrap, m_settings.inventoryFile,
+                                                m_settings.rulesFile, ConfigurationVersion(0));
+    if (read.configuration) {
+        useConfiguration(read.configuration);
+    }
+}
+
+void ControlNode::useConfiguration(const ConfigurationPtr &configuration)
+{
+    m_configuration = configuration;
+    m_observers.metrics.set(Gauge::ConfigurationVersion,
+                            static_cast<std::int64_t>(configuration->version.value()));
+    recordChange(DecisionKind::Configuration, configuration->version.value(), "in-force");
+    m_traffic.setConfiguration(configuration);
+}
+
+HttpResponse ControlNode::handleOperator(IHttpExchange &exchange)
+{
+    const std::string &target = exchange.request().target;
+    if (target == "/healthz") {
+        return answerHealth();
+    }
+    if (target == "/status") {
+        return answerStatus();
+    }
+    if (target == "/metrics") {
+        return answerMetrics();
+    }
+    return makeAnswer(NOT_FOUND, "text/plain", "try /healthz, /status or /metrics\n");
+}
+
+HttpResponse ControlNode::answerHealth() const
+{
+    if (m_isLeaving) {
+        return makeAnswer(UNAVAILABLE, "text/plain", "leaving\n");
+    }
+    if (!m_configuration) {
+        return makeAnswer(UNAVAILABLE, "text/plain", "no configuration yet\n");
+    }
+    return makeAnswer(OK, "text/plain", "ok\n");
+}
+
+TrafficStatus ControlNode::fetchTraffic()
+{
+    // Shared, as the answer of the traffic thread may come after this handler gave up.
+    const auto answer = std::make_shared<OneShot<TrafficStatus>>(m_loop);
+    m_traffic.fetchStatus([this, answer](TrafficStatus traffic) {
+        m_loop.post([answer, traffic = std::move(traffic)] { answer->set(traffic); });
+    });
+    return answer->wait(STATUS_TIMEOUT).value_or(TrafficStatus{});
+}
+
+HttpResponse ControlNode::answerMetrics()
+{
+    const TrafficStatus traffic = fetchTraffic();
+    IMetrics &metrics = m_observers.metrics;
+    metrics.set(Gauge::RequestsInFlight, static_cast<std::int64_t>(traffic.requests));
+    metrics.set(Gauge::CallerConnections, static_cast<std::int64_t>(traffic.callerConnections));
+    metrics.set(Gauge::PeerLinks, static_cast<std::int64_t>(traffic.links));
+    LoadReport sum;
+    for (const auto &[service, load] : traffic.gates) {
+        sum.inFlight += load.inFlight;
+        sum.queued += load.queued;
+        sum.limit += load.limit;
+        sum.floor = std::max(sum.floor, load.floor);
+    }
+    metrics.set(Gauge::GateInFlight, sum.inFlight);
+    metrics.set(Gauge::GateQueued, sum.queued);
+    metrics.set(Gauge::GateLimit, sum.limit);
+    metrics.set(Gauge::GateFloorPriority, priorityOf(sum.floor).value());
+    return makeAnswer(OK, "text/plain; version=0.0.4", metrics.text());
+}
+
+HttpResponse ControlNode::answerStatus()
+{
+    DaemonStatus status;
+    status.traffic = fetchTraffic();
+    status.self = m_membership.self();
+    status.isLeaving = m_isLeaving;
+    status.configuration = m_configuration;
+    status.configurationStatus = m_configurationDriver.status();
+    status.members = m_membership.all();
+    return makeAnswer(OK, "application/json", makeStatusDocument(status));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/trafficnode.cpp
@@ -0,0 +1,245 @@
+#include "app/internal/trafficnode.h"
+
+#include <random>
+#include <utility>
+
+#include "app/internal/announcementreader.h"
+#include "app/internal/logaccess.h"
+#include "app/internal/policies.h"
+#include "coordination/once/oncefactory.h"
+#include "protocol/internal/peercodec.h"
+#include "state/internal/seededrandom.h"
+#include "transport/transportfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr char ANNOUNCE_PATH[] = "/announce";
+constexpr char TICKETS_PATH[] = "/tickets";
+constexpr std::uint16_t CREATED = 201;
+constexpr std::uint16_t NO_CONTENT = 204;
+constexpr std::uint16_t BAD_REQUEST = 400;
+constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
+
+constexpr Duration DRAIN_POLL = std::chrono::milliseconds(5);
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+HttpClientLimits makeClientLimits(const DaemonSettings &settings)
+{
+    HttpClientLimits limits;
+    limits.bodyBytes = settings.limits.bodyBytes;
+    return limits;
+}
+
+GateServiceOptions makeGateServiceOptions(const DaemonSettings &settings)
+{
+    GateServiceOptions options;
+    options.heartbeatTimeout = settings.heartbeatTimeout;
+    options.cancelUpstream = !settings.ablations.cancel;
+    return options;
+}
+
+EntryOptions makeEntryOptions(const DaemonSettings &settings)
+{
+    EntryOptions options;
+    options.maxRequests = settings.limits.inFlight;
+    options.hasSharedBudget = !settings.ablations.budget;
+    return options;
+}
+
+TicketSecret makeSecret(IRandom &random)
+{
+    TicketSecret secret{};
+    for (std::uint8_t &byte : secret) {
+        byte = static_cast<std::uint8_t>(random.next());
+    }
+    return secret;
+}
+
+std::unique_ptr<OnceService> makeOnceService(IEventLoop &loop, ILogService &log,
+                                             Observers observers, const DaemonIdentity &self,
+                                             IRandom &random)
+{
+    const TimePoint now = loop.now();
+    return std::make_unique<OnceService>(
+        loop, log, observers, makeOnceCoordinator(now, self.id, self.incarnation, random.next()),
+        makeTicketOffice(now, self.id, self.incarnation, makeSecret(random)));
+}
+
+HttpResponse makeText(std::uint16_t status, const std::string &text)
+{
+    return HttpResponse{ status, { { "Content-Type", "text/plain" } }, text + '\n' };
+}
+
+} // namespace
+
+TrafficNode::TrafficNode(IEventLoop &loop, const DaemonSettings &settings,
+                         const DaemonIdentity &self, TrafficEvents events, Observers observers)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_events(std::move(events))
+    , m_random(std::make_unique<SeededRandom>(randomSeed()))
+    , m_codec(std::make_unique<PeerCodec>())
+    , m_client(makeHttpClient(loop, makeClientLimits(settings)))
+    , m_network(makePeerNetwork(loop))
+    , m_router(makeRouter(makeRouterOptions(settings.ablations, settings.domain)))
+    , m_retries(makeRetryPolicy(makeRetryOptions(settings.ablations)))
+    , m_logClient(makeLogClient(loop))
+    , m_log(makeLog(settings, *m_logClient))
+{
+    const auto makeLocalGate = [ablations = settings.ablations](const UpstreamInfo &info) {
+        GateOptions options = makeGateOptions(ablations);
+        options.slots = info.slots;
+        options.connections = info.connections;
+        return makeGate(options);
+    };
+    m_once = makeOnceService(loop, *m_log, observers, self, *m_random);
+    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, *m_once, makeLocalGate,
+                                            observers, makeGateServiceOptions(settings));
+    m_once->setListener(m_gates.get());
+    m_gates->setOnUpstreams(m_events.onUpstreams);
+    m_peerCalls = std::make_unique<PeerCalls>(loop, *m_network, *m_codec, *m_gates, self);
+    m_peerCalls->setOnControl(m_events.onControl);
+    m_peerCalls->setOnUnreachable(m_events.onUnreachable);
+    m_entry = std::make_unique<EntryService>(
+        loop, EntryPolicies{ *m_router, *m_retries, *m_random }, *m_peerCalls, *m_gates, observers,
+        makeEntryOptions(settings));
+    m_callerServer = makeHttpServer(loop);
+    m_upstreamServer = makeHttpServer(loop);
+}
+
+TrafficNode::~TrafficNode() = default;
+
+HttpLimits TrafficNode::makeLimits() const
+{
+    HttpLimits limits;
+    limits.connections = m_settings.limits.connections;
+    limits.headerBytes = m_settings.limits.headerBytes;
+    limits.bodyBytes = m_settings.limits.bodyBytes;
+    return limits;
+}
+
+RetVal<ListeningEndpoints> TrafficNode::listen()
+{
+    ListeningEndpoints bound;
+    const auto peer = m_network->listen(m_settings.peerListen, PeerLimits());
+    if (!peer) {
+        return tl::unexpected<Error>(peer.error());
+    }
+    bound.peer = *peer;
+    const auto upstream = m_upstreamServer->listen(
+        m_settings.upstreamListen, makeLimits(),
+        [this](IHttpExchange &exchange) { return handleUpstream(exchange); });
+    if (!upstream) {
+        return tl::unexpected<Error>(upstream.error());
+    }
+    bound.upstream = *upstream;
+    const auto caller =
+        m_callerServer->listen(m_settings.callerListen, makeLimits(),
+                               [this](IHttpExchange &exchange) { return handleCaller(exchange); });
+    if (!caller) {
+        return tl::unexpected<Error>(caller.error());
+    }
+    bound.caller = *caller;
+    return bound;
+}
+
+void TrafficNode::setMembers(const std::vector<Member> &members)
+{
+    m_router->setMembers(m_loop.now(), members);
+    m_peerCalls->setMembers(members);
+    m_once->setMembers(members);
+}
+
+void TrafficNode::setConfiguration(const ConfigurationPtr &configuration)
+{
+    m_entry->setConfiguration(configuration);
+}
+
+void TrafficNode::sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload)
+{
+    m_peerCalls->sendControl(target, endpoint, std::move(payload));
+}
+
+TrafficStatus TrafficNode::status() const
+{
+    TrafficStatus status;
+    status.gates = m_gates->loads();
+    status.requests = m_entry->requestCount();
+    status.calls = m_gates->callCount();
+    status.links = m_network->linkCount();
+    status.callerConnections = m_callerServer->connectionCount();
+    return status;
+}
+
+void TrafficNode::startDraining()
+{
+    m_gates->startDraining();
+    m_entry->startDraining();
+}
+
+bool TrafficNode::drainCalls(Duration timeout)
+{
+    const TimePoint end = m_loop.now() + timeout;
+    const auto left = [&] { return std::chrono::duration_cast<Duration>(end - m_loop.now()); };
+    m_callerServer->drain(timeout);
+    // Calls that other daemons sent here run on, and so do the calls that they make from here.
+    while (m_gates->callCount() + m_entry->requestCount() > 0 && left() > Duration::zero()) {
+        m_loop.sleepFor(DRAIN_POLL);
+    }
+    const bool isDone = m_gates->callCount() + m_entry->requestCount() == 0;
+    m_upstreamServer->drain(std::max(left(), DRAIN_POLL));
+    return isDone;
+}
+
+void TrafficNode::closeLinks(Duration timeout)
+{
+    m_network->shutdown(timeout);
+}
+
+HttpResponse TrafficNode::handleCaller(IHttpExchange &exchange)
+{
+    if (exchange.request().target == TICKETS_PATH) {
+        return issueTicket(exchange.request());
+    }
+    return m_entry->handleCaller(exchange);
+}
+
+HttpResponse TrafficNode::issueTicket(const HttpRequest &request)
+{
+    if (request.method != "POST") {
+        return makeText(METHOD_NOT_ALLOWED, "tickets are handed out by POST");
+    }
+    return HttpResponse{ CREATED,
+                         { { "Content-Type", "text/plain" } },
+                         m_once->issueTicket() + '\n' };
+}
+
+HttpResponse TrafficNode::handleUpstream(IHttpExchange &exchange)
+{
+    if (exchange.request().target == ANNOUNCE_PATH) {
+        return handleAnnouncement(exchange.request());
+    }
+    return m_entry->handleUpstream(exchange);
+}
+
+HttpResponse TrafficNode::handleAnnouncement(const HttpRequest &request)
+{
+    if (request.method != "PUT") {
+        return makeText(METHOD_NOT_ALLOWED, "announcements are PUT");
+    }
+    const auto announcement = readAnnouncement(request.body);
+    if (!announcement) {
+        return makeText(BAD_REQUEST, announcement.error().text);
+    }
+    m_gates->announce(*announcement);
+    return HttpResponse{ NO_CONTENT, {}, {} };
+}
+
+} // namespace ivyspar
--- a/src/coordination/admission/internal/floorcontrol.h
+++ b/src/coordination/admission/internal/floorcontrol.h
@@ -28,7 +28,9 @@
     /// A call was refused for want of capacity.
     void onExcess() { ++m_excess; }
 
-    /// Ends the window if it is over. A window lasts at least `serviceTime`.
+    /// What waits, as a share of what may wait, and whether a slot is free.
+    void setQueue(double fill, bool isIdle);
+    /// Ends the window if it is over.
     void advance(TimePoint now, Duration serviceTime);
     /// When `advance` may change the floor next; `TimePoint::max()` if it is 0 and nothing came.
     TimePoint nextChange() const;
@@ -45,6 +47,9 @@
 
     double visibleShare(std::uint32_t bucket) const;
     void endWindow();
+    double margin() const;
+    double wantedVolume() const;
+    void open();
     void updateRates();
     double volumeAboveFloor() const;
     Rank floorForVolume(double volume) const;
@@ -57,7 +62,13 @@
     bool m_isRunning = false;
     std::uint32_t m_started = 0;
     std::uint32_t m_excess = 0;
+    /// Mean of the starts in a window, and the weight of one window in it.
     double m_startRate = 0;
+    double m_startWeight = 1;
+    double m_fill = 0;
+    bool m_isIdle = true;
+    bool m_wasIdle = true;
+    /// Steps of opening since the last excess.
     std::uint32_t m_quiet = 0;
 };
 
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -6,6 +6,7 @@
 #include "coordination/admission/internal/aimdlimit.h"
 #include "coordination/admission/internal/fixedlimit.h"
 #include "coordination/admission/internal/gradientlimit.h"
+#include "coordination/admission/internal/probinglimit.h"
 
 namespace ivyspar {
 
@@ -21,6 +22,8 @@
         return std::make_unique<AimdLimit>(options.initialShare, options.minimalShare);
     case LimitKind::Gradient:
         return std::make_unique<GradientLimit>(options.initialShare, options.minimalShare);
+    case LimitKind::Probing:
+        return std::make_unique<ProbingLimit>(options.initialShare, options.minimalShare);
     case LimitKind::Fixed:
         break;
     }
@@ -176,6 +179,8 @@
     while (!m_queue.isEmpty() && hasFreeSlot()) {
         start(m_queue.popFirst().id, actions);
     }
+    const double fill = static_cast<double>(m_queue.size()) / static_cast<double>(longestQueue());
+    m_floor.setQueue(fill, m_queue.isEmpty() && hasFreeSlot());
 }
 
 void Gate::start(CallId id, GateActions &actions)
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -75,6 +75,17 @@
         return {};
     }
     if (end.verdict.outcome == Outcome::Answered) {
+        if (end.status >= FIRST_SERVER_ERROR && mayRetry(now, end.verdict, true)) {
+            Verdict failure;
+            if (auto action = sendNext(now, failure)) {
+                return { *action };
+            }
+        }
+        // The other attempt may still bring the whole answer.
+        if (end.status >= FIRST_SERVER_ERROR && hasOpenAttempt()) {
+            m_mayHaveRun = true;
+            return {};
+        }
         if (!attempt.isHedge && index.value() == 0 && end.status < FIRST_SERVER_ERROR) {
             m_policies.retries.onSuccess(
                 now, m_terms.rule.service,
@@ -93,7 +104,7 @@
     if (!end.holder.value().empty() && !m_isRedirected) {
         return redirectTo(now, end.holder);
     }
-    if (mayRetry(now, end.verdict)) {
+    if (mayRetry(now, end.verdict, false)) {
         Verdict failure;
         if (auto action = sendNext(now, failure)) {
             return { *action };
@@ -139,7 +150,7 @@
         return {};
     }
     m_attempts.back().isHedge = true;
-    action->why = "hedge";
+    action->isHedge = true;
     return { *action };
 }
 
@@ -202,7 +213,8 @@
 
 std::optional<EntryAction> EntryCall::sendNext(TimePoint now, Verdict &failure)
 {
-    if (m_ledger.left().value() == 0) {
+    // Checked before a server is chosen: a choice counts there as an attempt to come.
+    if (m_ledger.left().value() < 1 + neededBelow().value()) {
         failure.reason = Reason::BudgetSpent;
         return std::nullopt;
     }
@@ -220,7 +232,17 @@
         failure.retryAfter = choice.retryAfter;
         return std::nullopt;
     }
-    return launch(now, choice.daemon, choice.why);
+    auto action = launch(now, choice.daemon, choice.why);
+    if (action) {
+        action->candidates = choice.candidates;
+    }
+    return action;
+}
+
+AttemptCount EntryCall::neededBelow() const
+{
+    const std::uint32_t calls = m_terms.rule.calls;
+    return AttemptCount(m_terms.isSingleAttempt || calls == 0 ? 0 : calls - 1);
 }
 
 std::optional<EntryAction> EntryCall::launch(TimePoint now, const DaemonId &target, const char *why)
@@ -228,7 +250,7 @@
     const std::uint32_t below = m_terms.rule.attempts.value();
     const AttemptCount wanted(m_terms.isSingleAttempt || below == 0 ? 0 : below - 1);
     AttemptCount granted;
-    if (!m_ledger.spend(wanted, granted)) {
+    if (!m_ledger.spend(neededBelow(), wanted, granted)) {
         return std::nullopt;
     }
     m_tried.push_back(target);
@@ -243,7 +265,7 @@
     return action;
 }
 
-bool EntryCall::mayRetry(TimePoint now, const Verdict &verdict)
+bool EntryCall::mayRetry(TimePoint now, const Verdict &verdict, bool isFromBelow)
 {
     if (m_terms.isSingleAttempt || now >= m_terms.deadline) {
         return false;
@@ -253,6 +275,7 @@
     question.verdict = verdict;
     question.repetition = m_terms.rule.repetition;
     question.attempts = attempts();
+    question.isFromBelow = isFromBelow;
     question.remaining = std::chrono::duration_cast<Duration>(m_terms.deadline - now);
     return m_policies.retries.shouldRetry(now, question);
 }
--- /dev/null
+++ b/src/protocol/internal/tomlconfigurationreader.cpp
@@ -0,0 +1,119 @@
+#include "protocol/internal/tomlconfigurationreader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/configurationreaderfactory.h"
+#include "protocol/internal/inventoryreader.h"
+#include "protocol/internal/rulesreader.h"
+
+namespace ivyspar {
+
+namespace {
+
+/// A change has to fit into one record of the platform's log.
+constexpr std::size_t MAX_FILE_BYTES = 256 * 1024;
+
+bool isAscii(char c)
+{
+    return static_cast<unsigned char>(c) < 0x80;
+}
+
+/// toml++ 3.3 runs into `__builtin_unreachable` where it meets most characters outside ASCII in
+/// place of white space: a file with an accent in a wrong place could do anything. No value of ours
+/// needs such a character, so they are problems, and in comments they are blanked out: the parser
+/// sees none. A `#` within quotes is taken for a comment here, but no value may hold one.
+std::string toAscii(std::string text, FileProblems &problems)
+{
+    std::uint32_t line = 1;
+    bool isComment = false;
+    bool isReported = false;
+    for (char &c : text) {
+        if (c == '\n') {
+            ++line;
+            isComment = false;
+            isReported = false;
+        }
+        isComment = isComment || c == '#';
+        if (isAscii(c)) {
+            continue;
+        }
+        c = '?';
+        if (!isComment && !std::exchange(isReported, true)) {
+            problems.add(line, "", "a character outside ASCII", "ASCII, except in comments");
+        }
+    }
+    return text;
+}
+
+std::optional<toml::table> parse(const std::string &file, FileProblems &problems)
+{
+    if (file.size() > MAX_FILE_BYTES) {
+        problems.add(0, "", "the file has " + std::to_string(file.size()) + " bytes",
+                     "at most " + std::to_string(MAX_FILE_BYTES));
+        return std::nullopt;
+    }
+    const std::string text = toAscii(file, problems);
+    if (!problems.problems.empty()) {
+        return std::nullopt;
+    }
+    toml::parse_result result = toml::parse(text);
+    if (!result) {
+        const toml::parse_error &error = result.error();
+        problems.add(error.source().begin.line, "", std::string(error.description()), "valid TOML");
+        return std::nullopt;
+    }
+    return std::move(result).table();
+}
+
+void sortByLine(std::vector<FileProblem> &problems)
+{
+    std::stable_sort(problems.begin(), problems.end(),
+                     [](const FileProblem &a, const FileProblem &b) { return a.line < b.line; });
+}
+
+std::vector<FileProblem> joined(FileProblems first, FileProblems second)
+{
+    sortByLine(first.problems);
+    sortByLine(second.problems);
+    first.problems.insert(first.problems.end(), second.problems.begin(), second.problems.end());
+    return std::move(first.problems);
+}
+
+} // namespace
+
+ReadConfiguration TomlConfigurationReader::read(const ConfigurationText &text,
+                                                const std::string &inventoryFile,
+                                                const std::string &rulesFile,
+                                                ConfigurationVersion version) const
+{
+    boost::intrusive_ptr<Configuration> configuration(new Configuration);
+    configuration->version = version;
+
+    FileProblems inventoryProblems{ inventoryFile, {} };
+    InventoryReader inventoryReader(inventoryProblems);
+    const auto inventory = parse(text.inventory, inventoryProblems);
+    if (inventory) {
+        configuration->inventory = inventoryReader.read(*inventory);
+    }
+
+    FileProblems rulesProblems{ rulesFile, {} };
+    RulesReader rulesReader(rulesProblems, inventory ? &inventoryReader.services() : nullptr);
+    if (const auto rules = parse(text.rules, rulesProblems)) {
+        configuration->rules = rulesReader.read(*rules);
+    }
+
+    ReadConfiguration result;
+    result.problems = joined(std::move(inventoryProblems), std::move(rulesProblems));
+    if (result.problems.empty()) {
+        result.configuration = std::move(configuration);
+    }
+    return result;
+}
+
+std::unique_ptr<IConfigurationReader> makeConfigurationReader()
+{
+    return std::make_unique<TomlConfigurationReader>();
+}
+
+} // namespace ivyspar
--- a/src/transport/ilogservice.h
+++ b/src/transport/ilogservice.h
@@ -36,8 +36,13 @@
     /// `Unknown` it may have been.
     virtual RetVal<LogOffset> append(const StreamName &stream, const std::string &payload) = 0;
     /// An empty page means that nothing newer is known. May be stale, but never out of order.
-    virtual RetVal<LogPage> read(const StreamName &stream, LogOffset from,
-                                 std::uint32_t maxRecords) = 0;
+    /// `wait`: when nothing is there yet, the log may hold the answer back for this long. A log
+    /// that cannot do so answers at once.
+    virtual RetVal<LogPage> read(const StreamName &stream, LogOffset from, std::uint32_t maxRecords,
+                                 Duration wait) = 0;
+    /// Ends the reads that are waiting now, with the error `Cancelled`, so that a planned stop need
+    /// not wait for them. A log whose reads never wait does nothing.
+    virtual void cancelReads() { }
 };
 
 } // namespace ivyspar
