--- a/src/coordination/admission/gatefactory.h
+++ b/src/coordination/admission/gatefactory.h
@@ -27,7 +27,7 @@
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
 
-    LimitKind limit = LimitKind::Fixed;
+    LimitKind limit = LimitKind::Probing;
     /// Share of the announced capacity that a cold gate starts with.
     double initialShare = 0.5;
     /// The limit never falls below this share of the announced capacity.
