--- a/src/app/internal/peercalls.cpp
+++ b/src/app/internal/peercalls.cpp
@@ -5,11 +5,12 @@
 namespace ivyspar {
 
 PeerCalls::PeerCalls(IEventLoop &loop, IPeerNetwork &network, const IPeerCodec &codec,
-                     IGateService &gates, DaemonIdentity self)
+                     IGateService &gates, Observers observers, DaemonIdentity self)
     : m_loop(loop)
     , m_network(network)
     , m_codec(codec)
     , m_gates(gates)
+    , m_observers(observers)
     , m_self(std::move(self))
 {
     m_network.setHandler(this);
@@ -92,7 +93,7 @@
     hello.daemon = m_self.id;
     hello.incarnation = m_self.incarnation;
     hello.domain = m_self.domain;
-    if (!m_network.send(*link, m_codec.encode(PeerMessage(hello)))) {
+    if (!sendFrame(*link, m_codec.encode(PeerMessage(hello)))) {
         failRoute(endpoint);
         return;
     }
@@ -126,6 +127,13 @@
     }
 }
 
+Ret PeerCalls::sendFrame(LinkId link, std::string frame)
+{
+    m_observers.metrics.add(Counter::PeerFramesSent);
+    m_observers.metrics.add(Counter::PeerBytesSent, frame.size());
+    return m_network.send(link, std::move(frame));
+}
+
 void PeerCalls::transmit(StreamId stream, LinkId link, std::string frame)
 {
     const auto found = m_attempts.find(stream);
@@ -138,7 +146,7 @@
         endWithout(stream, Outcome::NotRun, Reason::Cancelled);
         return;
     }
-    const Ret sent = m_network.send(link, std::move(frame));
+    const Ret sent = sendFrame(link, std::move(frame));
     if (isControl) {
         return;
     }
@@ -165,7 +173,7 @@
         return;
     }
     // If the frame cannot be sent the link is about to be reported lost, which ends the attempt.
-    (void)m_network.send(found->second.link, m_codec.encode(PeerMessage(CancelMessage{ stream })));
+    (void)sendFrame(found->second.link, m_codec.encode(PeerMessage(CancelMessage{ stream })));
 }
 
 void PeerCalls::sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload)
@@ -179,8 +187,11 @@
 
 void PeerCalls::onFrame(LinkId link, std::string frame)
 {
+    m_observers.metrics.add(Counter::PeerFramesReceived);
+    m_observers.metrics.add(Counter::PeerBytesReceived, frame.size());
     auto message = m_codec.decode(frame);
     if (!message) {
+        m_observers.metrics.add(Counter::PeerFramesMalformed);
         // A peer that sends what we cannot read may mean anything by it: with the link gone, each
         // attempt on it ends as unknown instead of waiting for an answer that was misread.
         m_network.close(link);
@@ -191,6 +202,7 @@
 
 void PeerCalls::onLinkDown(LinkId link)
 {
+    m_observers.metrics.add(Counter::PeerLinksLost);
     DaemonId lost;
     for (auto route = m_routes.begin(); route != m_routes.end(); ++route) {
         if (route->second.isOpen && route->second.link == link) {
@@ -266,7 +278,7 @@
     m_inbound.erase(key);
     answer.stream = key.second;
     // A lost link has told the entry already.
-    (void)m_network.send(key.first, m_codec.encode(PeerMessage(std::move(answer))));
+    (void)sendFrame(key.first, m_codec.encode(PeerMessage(std::move(answer))));
 }
 
 void PeerCalls::receive(LinkId link, AnswerMessage &message)
@@ -293,7 +305,7 @@
     load.stream = message.stream;
     load.service = message.service;
     load.load = m_gates.load(message.service);
-    (void)m_network.send(link, m_codec.encode(PeerMessage(load)));
+    (void)sendFrame(link, m_codec.encode(PeerMessage(load)));
 }
 
 void PeerCalls::receive(LinkId /*link*/, LoadMessage & /*message*/) { }
--- a/src/app/internal/peercalls.h
+++ b/src/app/internal/peercalls.h
@@ -9,6 +9,7 @@
 
 #include "app/internal/icallsender.h"
 #include "app/internal/igateservice.h"
+#include "app/internal/observers.h"
 #include "protocol/ipeercodec.h"
 #include "state/member.h"
 #include "transport/ieventloop.h"
@@ -33,7 +34,7 @@
     using OnUnreachable = std::function<void(DaemonId)>;
 
     PeerCalls(IEventLoop &loop, IPeerNetwork &network, const IPeerCodec &codec, IGateService &gates,
-              DaemonIdentity self);
+              Observers observers, DaemonIdentity self);
     ~PeerCalls() override;
 
     void setMembers(const std::vector<Member> &members);
@@ -83,6 +84,7 @@
     void openRoute(const Endpoint &endpoint);
     void flushRoute(const Endpoint &endpoint, LinkId link);
     void failRoute(const Endpoint &endpoint);
+    Ret sendFrame(LinkId link, std::string frame);
     void transmit(StreamId stream, LinkId link, std::string frame);
     void end(StreamId stream, AttemptAnswer answer);
     void endWithout(StreamId stream, Outcome outcome, Reason reason);
@@ -99,6 +101,7 @@
     IPeerNetwork &m_network;
     const IPeerCodec &m_codec;
     IGateService &m_gates;
+    Observers m_observers;
     DaemonIdentity m_self;
     OnControl m_onControl;
     OnUnreachable m_onUnreachable;
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -104,7 +104,8 @@
                                             observers, makeGateServiceOptions(settings));
     m_once->setListener(m_gates.get());
     m_gates->setOnUpstreams(m_events.onUpstreams);
-    m_peerCalls = std::make_unique<PeerCalls>(loop, *m_network, *m_codec, *m_gates, self);
+    m_peerCalls =
+        std::make_unique<PeerCalls>(loop, *m_network, *m_codec, *m_gates, observers, self);
     m_peerCalls->setOnControl(m_events.onControl);
     m_peerCalls->setOnUnreachable(m_events.onUnreachable);
     m_entry = std::make_unique<EntryService>(
--- /dev/null
+++ b/standins/deployment/generatedfiles.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+#include "standins/graph/callgraph.h"
+
+namespace ivyspar::lab {
+
+/// Writes `inventory.toml` and `rules.toml` for a graph into `folder`: a rule for each node, of one
+/// class, that may be repeated.
+void writeConfigurationFiles(const CallGraph &graph, const std::string &folder);
+
+/// One service of `servers` servers that answers `GET /work` at once, over `domains` failure
+/// domains.
+CallGraph makeFlatGraph(std::uint32_t servers, std::uint32_t domains);
+
+} // namespace ivyspar::lab
--- a/standins/graph/callgraph.h
+++ b/standins/graph/callgraph.h
@@ -59,7 +59,8 @@
 /// Calls in the whole tree, `call` included.
 std::uint32_t countCalls(const CallGraph &graph, const GraphCall &call);
 
-/// Deployments as the brief describes them. Nothing for another name.
+/// `tallowood` and `bottega` as the brief describes them, `flat-N` for one service of N servers.
+/// Nothing for another name.
 CallGraph makeDeploymentGraph(const std::string &deployment);
 
 } // namespace ivyspar::lab
--- a/standins/graph/deployments.cpp
+++ b/standins/graph/deployments.cpp
@@ -1,3 +1,6 @@
+#include <cstdlib>
+
+#include "standins/deployment/generatedfiles.h"
 #include "standins/graph/callgraph.h"
 
 namespace ivyspar::lab {
@@ -74,6 +77,12 @@
     if (deployment == "bottega") {
         return makeBottega();
     }
+    const std::string flat = "flat-";
+    if (deployment.rfind(flat, 0) == 0) {
+        constexpr std::uint32_t DOMAINS = 6;
+        const auto servers = std::strtoul(deployment.c_str() + flat.size(), nullptr, 10);
+        return makeFlatGraph(static_cast<std::uint32_t>(servers), DOMAINS);
+    }
     return {};
 }
 
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -4,8 +4,12 @@
 #include <string>
 
 #include "bench/configurationbench.h"
+#include "bench/controlbench.h"
 #include "bench/gatebench.h"
+#include "bench/membershipbench.h"
+#include "bench/oncebench.h"
 #include "bench/overloadbench.h"
+#include "bench/transportbench.h"
 #include "standins/demo/demo.h"
 #include "standins/log/logstandin.h"
 #include "standins/upstream/upstreamcommand.h"
@@ -28,6 +32,10 @@
     { "log", runLogStandin, "stand-in of the platform's log" },
     { "gate", runGateBench, "policies of one gate under fake time, compared" },
     { "configuration", runConfigurationBench, "publish until in force at all daemons" },
+    { "control", runControlBench, "what idle daemons and what calls cost" },
+    { "membership", runMembershipBench, "gossip of up to 790 members under fake time" },
+    { "once", runOnceBench, "appends and bytes of claims under fake time" },
+    { "transport", runTransportBench, "HTTP and peer links beside a bare socket" },
     { "bench", runOverloadBench, "the overload experiments" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
