--- a/src/protocol/internal/rulesreader.cpp
+++ b/src/protocol/internal/rulesreader.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 
