--- a/bench/configurationbench.cpp
+++ b/bench/configurationbench.cpp
@@ -26,6 +26,7 @@
 
 struct Traffic
 {
+    std::uint64_t appends = 0;
     std::uint64_t reads = 0;
     std::uint64_t readBytes = 0;
     std::uint64_t messages = 0;
@@ -52,7 +53,7 @@
     }
 
     /// False when a change did not reach all daemons.
-    bool run(std::uint64_t changes, Duration idle, bool isCut)
+    bool run(std::uint64_t changes, Duration idle, bool isCut, Duration outage)
     {
         start(isCut);
         std::vector<double> lastMs;
@@ -69,6 +70,9 @@
         const TimePoint start = m_loop.now();
         m_loop.sleepFor(idle);
         report(allMs, lastMs, before, m_loop.now() - start, isCut);
+        if (outage > Duration::zero()) {
+            measureReturn(outage);
+        }
         m_cluster.stop();
         return true;
     }
@@ -130,10 +134,25 @@
     {
         const StreamStatistics &log =
             m_cluster.log().statistics().at(StreamName(CONFIGURATION_STREAM));
-        return { log.reads, log.readBytes, m_cluster.network().messageCount(),
+        return { log.appends, log.reads, log.readBytes, m_cluster.network().messageCount(),
                  m_cluster.network().byteCount() };
     }
 
+    /// Whether the followers press a log that comes back.
+    void measureReturn(Duration outage)
+    {
+        m_cluster.log().faults().isDown = true;
+        m_loop.sleepFor(outage);
+        m_cluster.log().faults().isDown = false;
+        std::printf("%6zu reads in each second after an outage:", m_daemons);
+        for (int second = 0; second < 10; ++second) {
+            const std::uint64_t before = traffic().reads;
+            m_loop.sleepFor(std::chrono::seconds(1));
+            std::printf(" %llu", static_cast<unsigned long long>(traffic().reads - before));
+        }
+        std::puts("");
+    }
+
     static double percentile(std::vector<double> values, double share)
     {
         std::sort(values.begin(), values.end());
@@ -149,13 +168,14 @@
         const auto rate = [seconds](std::uint64_t from, std::uint64_t to) {
             return static_cast<double>(to - from) / seconds;
         };
-        std::printf("%6zu %3s  each %7.1f %7.1f %7.1f  last %7.1f %7.1f %7.1f  idle: log reads/s "
-                    "%6.1f bytes/s %6.0f, messages/s %7.1f bytes/s %8.0f\n",
-                    m_daemons, isCut ? "cut" : "", percentile(allMs, 0.5), percentile(allMs, 0.99),
-                    percentile(allMs, 1), percentile(lastMs, 0.5), percentile(lastMs, 0.99),
-                    percentile(lastMs, 1), rate(before.reads, after.reads),
-                    rate(before.readBytes, after.readBytes), rate(before.messages, after.messages),
-                    rate(before.messageBytes, after.messageBytes));
+        std::printf(
+            "%6zu %3s  each %7.1f %7.1f %7.1f  last %7.1f %7.1f %7.1f  idle: snapshots "
+            "%llu log reads/s %6.1f bytes/s %6.0f, messages/s %7.1f bytes/s %8.0f\n",
+            m_daemons, isCut ? "cut" : "", percentile(allMs, 0.5), percentile(allMs, 0.99),
+            percentile(allMs, 1), percentile(lastMs, 0.5), percentile(lastMs, 0.99),
+            percentile(lastMs, 1), static_cast<unsigned long long>(after.appends - before.appends),
+            rate(before.reads, after.reads), rate(before.readBytes, after.readBytes),
+            rate(before.messages, after.messages), rate(before.messageBytes, after.messageBytes));
         std::fflush(stdout);
     }
 
@@ -186,6 +206,8 @@
     const auto changes = static_cast<std::uint64_t>(options.number("changes", 20));
     const auto idle =
         std::chrono::milliseconds(static_cast<long>(1000 * options.number("idle_s", 60)));
+    const auto outage =
+        std::chrono::milliseconds(static_cast<long>(1000 * options.number("outage_s", 0)));
     std::puts("daemons     publish → in force, ms: p50 p99 max of each daemon, of the last daemon");
     const auto reader = makeConfigurationReader();
     bool isWhole = true;
@@ -193,7 +215,7 @@
         const auto loop = makeEventLoop();
         ConfigurationBench bench(*loop, *reader, text, std::stoul(size));
         loop->spawn([&] {
-            isWhole = bench.run(changes, idle, options.has("cut")) && isWhole;
+            isWhole = bench.run(changes, idle, options.has("cut"), outage) && isWhole;
             loop->stop();
         });
         loop->run();
--- a/src/app/internal/statusdocument.cpp
+++ b/src/app/internal/statusdocument.cpp
@@ -92,7 +92,8 @@
     document["calls_in_flight"] = status.traffic.calls;
     document["links"] = status.traffic.links;
     document["caller_connections"] = status.traffic.callerConnections;
-    return document.dump(2) + '\n';
+    // Change ids come from the log: a byte that is no UTF-8 must not cost the whole answer.
+    return document.dump(2, ' ', false, Json::error_handler_t::replace) + '\n';
 }
 
 } // namespace ivyspar
