--- a/src/coordination/admission/gatefactory.h
+++ b/src/coordination/admission/gatefactory.h
@@ -27,7 +27,7 @@
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
 
-    LimitKind limit = LimitKind::Probing;
+    LimitKind limit = LimitKind::Fixed;
     /// Share of the announced capacity that a cold gate starts with.
     double initialShare = 0.5;
     /// The limit never falls below this share of the announced capacity.
@@ -35,7 +35,7 @@
 
     QueueOrder order = QueueOrder::Rank;
     /// Longest expected wait, as a multiple of the service time.
-    double queueWait = 1.0;
+    double queueWait = 3.0;
     /// Calls that may wait however small the limit is.
     std::uint32_t minimalQueue = 4;
     /// No bound on the queue: the plain queue that overload control replaces.
