Join a script before the test's locals that it refers to are gone

The backtrace showed the scripted server's thread at its promise, which was a local of the test that had ended; the client was not involved. All tests whose script or handler refers to locals now wait for it.

--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -35,6 +35,8 @@
     {
         m_thread = std::thread([this, script = std::move(script)] { script(m_listener); });
     }
+    /// A test whose script refers to its locals calls this last; the script could otherwise still
+    /// be on its way to them when they are gone.
     void join()
     {
         if (m_thread.joinable()) {
@@ -161,6 +163,7 @@
     STRCMP_EQUAL("abc", result->body.c_str());
     CHECK_EQUAL(1, result->headers.size());
     STRCMP_EQUAL("X-End", result->headers.front().name.c_str());
+    m_server.join();
 }
 
 TEST(HttpClient, RefusesARequestThatCannotBeWrittenSafely)
@@ -250,6 +253,7 @@
     STRCMP_EQUAL("first", exchange(makeGet("/1"))->body.c_str());
     isClosed.get_future().wait();
     STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+    m_server.join();
 }
 
 /// After its answer the server sends more than it was asked for. Taken as the next answer, it
@@ -266,6 +270,7 @@
     });
     STRCMP_EQUAL("first", exchange(makeGet("/1"))->body.c_str());
     STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+    m_server.join();
 }
 
 TEST(HttpClient, DoesNotReuseAConnectionThatTheServerWillClose)
@@ -280,6 +285,7 @@
     });
     CHECK(exchange(makeGet("/1")).has_value());
     STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+    m_server.join();
 }
 
 /// The answer comes after the timeout. The exchange fails as MaybeSent, its connection is closed,
@@ -298,6 +304,7 @@
     checkFailure(exchange(makeGet("/1"), milliseconds(20)), HttpFailureStage::MaybeSent,
                  HttpFailureCause::Timeout);
     STRCMP_EQUAL("second", exchange(makeGet("/2"))->body.c_str());
+    m_server.join();
 }
 
 TEST(HttpClient, CancellationClosesTheConnection)
@@ -349,6 +356,7 @@
     done.wait();
     checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Cancelled);
     mayEnd.set_value();
+    m_server.join();
 }
 
 TEST(HttpClient, KeepsTheLimitOfAnEndpoint)
@@ -376,6 +384,7 @@
     done.wait();
     STRCMP_EQUAL("a", first->body.c_str());
     STRCMP_EQUAL("b", exchange(makeGet("/3"))->body.c_str());
+    m_server.join();
 }
 
 TEST(HttpClient, WarmConnectionsAreUsed)
@@ -399,6 +408,7 @@
         result = exchange(makeGet("/"));
     }
     STRCMP_EQUAL("warm", result->body.c_str());
+    m_server.join();
 }
 
 TEST(HttpClient, UnusedConnectionsAreClosed)
@@ -434,6 +444,7 @@
     m_runner.run([&] { m_client.reset(); });
     done.wait();
     checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Cancelled);
+    m_server.join();
 }
 
 /// The server refuses a body by its length, answers at once and drops what still comes. The
--- a/src/transport/tests/httpservertest.cpp
+++ b/src/transport/tests/httpservertest.cpp
@@ -61,6 +61,12 @@
         m_runner.run([&] { m_gate->set(1); });
     }
 
+    /// Waits until the loop has left a handler that refers to the test's locals.
+    void settle()
+    {
+        m_runner.run([] {});
+    }
+
     void teardown() override
     {
         m_runner.run([&] { m_server.reset(); });
@@ -325,6 +331,7 @@
     isHandling.get_future().wait();
     client.close();
     isNotified.get_future().wait();
+    settle();
     CHECK_EQUAL(1, calls.load());
 }
 
@@ -373,6 +380,7 @@
     client.send(get("/2"));
     client.close();
     isNotified.get_future().wait();
+    settle();
 }
 
 TEST(HttpServer, AnExceptionOfAHandlerBecomesAnAnswer)
