Give each test process a loopback address of its own

Cause: ShutdownSendsWhatIsQueued and ARefusedConnectIsProofThatNothingWasSent failed in 4 of 240 runs, six at a time: a connect that had to be refused succeeded. Its port, just closed, had been given to another test process. No check was changed.

--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <vector>
 
+#include "transport/tests/loopback.h"
 #include "transport/tests/looprunner.h"
 #include "transport/tests/rawsocket.h"
 
@@ -17,7 +18,7 @@
 
 namespace {
 
-const Endpoint ANY_PORT{ "127.0.0.1", 0 };
+const Endpoint ANY_PORT = ownLoopback();
 const std::string HEAD_END = "\r\n\r\n";
 
 /// An upstream that the test writes byte by byte, on a thread of its own.
--- a/src/transport/tests/httpservertest.cpp
+++ b/src/transport/tests/httpservertest.cpp
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "transport/oneshot.h"
+#include "transport/tests/loopback.h"
 #include "transport/tests/looprunner.h"
 #include "transport/tests/rawsocket.h"
 
@@ -14,7 +15,7 @@
 
 namespace {
 
-const Endpoint ANY_PORT{ "127.0.0.1", 0 };
+const Endpoint ANY_PORT = ownLoopback();
 
 bool contains(const std::string &text, const std::string &part)
 {
--- a/src/transport/tests/peernetworktest.cpp
+++ b/src/transport/tests/peernetworktest.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "transport/tests/loopback.h"
 #include "transport/tests/looprunner.h"
 #include "transport/tests/rawsocket.h"
 
@@ -16,7 +17,7 @@
 
 namespace {
 
-const Endpoint ANY_PORT{ "127.0.0.1", 0 };
+const Endpoint ANY_PORT = ownLoopback();
 
 /// Records what happens on links, for the test's thread to wait for.
 class RecordingHandler : public IPeerHandler
--- a/src/transport/tests/rawsocket.h
+++ b/src/transport/tests/rawsocket.h
@@ -66,7 +66,9 @@
         sockaddr_in address{};
         socklen_t size = sizeof address;
         ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-        return Endpoint{ "127.0.0.1", ntohs(address.sin_port) };
+        char text[INET_ADDRSTRLEN] = {};
+        ::inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+        return Endpoint{ text, ntohs(address.sin_port) };
     }
 
     bool send(const std::string &text)
