--- a/src/transport/tests/httpservertest.cpp
+++ b/src/transport/tests/httpservertest.cpp
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "transport/oneshot.h"
+#include "transport/tests/loopback.h"
 #include "transport/tests/looprunner.h"
 #include "transport/tests/rawsocket.h"
 
@@ -14,7 +15,7 @@
 
 namespace {
 
-const Endpoint ANY_PORT{ "127.0.0.1", 0 };
+const Endpoint ANY_PORT = ownLoopback();
 
 bool contains(const std::string &text, const std::string &part)
 {
@@ -61,6 +62,12 @@
         m_runner.run([&] { m_gate->set(1); });
     }
 
+    /// Waits until the loop has left a handler that refers to the test's locals.
+    void settle()
+    {
+        m_runner.run([] {});
+    }
+
     void teardown() override
     {
         m_runner.run([&] { m_server.reset(); });
@@ -325,6 +332,7 @@
     isHandling.get_future().wait();
     client.close();
     isNotified.get_future().wait();
+    settle();
     CHECK_EQUAL(1, calls.load());
 }
 
@@ -373,6 +381,7 @@
     client.send(get("/2"));
     client.close();
     isNotified.get_future().wait();
+    settle();
 }
 
 TEST(HttpServer, AnExceptionOfAHandlerBecomesAnAnswer)
