Peer calls: a link that refuses is replaced; tests of matching and loss

Cause (by reading): a new link can be lost before connect returns to its fiber; nothing more is heard of it, and as a route it would fail each later call to that daemon as not run. Change: a link that refuses a frame is no route any more. The test fails without it (the third call goes nowhere).

--- a/src/app/internal/peercalls.cpp
+++ b/src/app/internal/peercalls.cpp
@@ -147,6 +147,11 @@
         return;
     }
     const Ret sent = sendFrame(link, std::move(frame));
+    if (!sent) {
+        // A new link can be lost before `connect` returns, and then nothing more is heard of it:
+        // kept as a route it would fail every later call to that daemon.
+        forgetRoute(link);
+    }
     if (isControl) {
         return;
     }
@@ -158,6 +163,18 @@
     found->second.isSent = true;
 }
 
+DaemonId PeerCalls::forgetRoute(LinkId link)
+{
+    for (auto route = m_routes.begin(); route != m_routes.end(); ++route) {
+        if (route->second.isOpen && route->second.link == link) {
+            DaemonId target = route->second.target;
+            m_routes.erase(route);
+            return target;
+        }
+    }
+    return DaemonId();
+}
+
 void PeerCalls::cancel(StreamId stream)
 {
     const auto found = m_attempts.find(stream);
@@ -203,14 +220,7 @@
 void PeerCalls::onLinkDown(LinkId link)
 {
     m_observers.metrics.add(Counter::PeerLinksLost);
-    DaemonId lost;
-    for (auto route = m_routes.begin(); route != m_routes.end(); ++route) {
-        if (route->second.isOpen && route->second.link == link) {
-            lost = route->second.target;
-            m_routes.erase(route);
-            break;
-        }
-    }
+    const DaemonId lost = forgetRoute(link);
     std::vector<StreamId> cut;
     for (const auto &[stream, attempt] : m_attempts) {
         if (attempt.isSent && !attempt.isLocal && attempt.link == link) {
--- a/src/app/internal/peercalls.h
+++ b/src/app/internal/peercalls.h
@@ -84,6 +84,8 @@
     void openRoute(const Endpoint &endpoint);
     void flushRoute(const Endpoint &endpoint, LinkId link);
     void failRoute(const Endpoint &endpoint);
+    /// Returns the daemon at the link's other end; empty if no route uses the link.
+    DaemonId forgetRoute(LinkId link);
     Ret sendFrame(LinkId link, std::string frame);
     void transmit(StreamId stream, LinkId link, std::string frame);
     void end(StreamId stream, AttemptAnswer answer);
--- /dev/null
+++ b/src/app/tests/mocks/fakegateservice.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "app/internal/igateservice.h"
+
+namespace ivyspar {
+
+/// Keeps the calls until the test answers them.
+class FakeGateService : public IGateService
+{
+public:
+    std::map<CallId, std::pair<CallMessage, Reply>> calls;
+    std::vector<CallId> cancelled;
+
+    CallId handle(CallMessage call, Reply reply) override
+    {
+        const CallId id(++m_lastCall);
+        calls.emplace(id, std::make_pair(std::move(call), std::move(reply)));
+        return id;
+    }
+
+    void cancel(CallId call) override { cancelled.push_back(call); }
+    std::optional<CallContext> findContext(const std::string & /*token*/) const override
+    {
+        return std::nullopt;
+    }
+    LoadReport load(const ServiceName & /*service*/) const override { return {}; }
+
+    void answer(CallId id, AnswerMessage message)
+    {
+        const Reply reply = std::move(calls.at(id).second);
+        message.stream = calls.at(id).first.stream;
+        calls.erase(id);
+        reply(std::move(message));
+    }
+
+private:
+    std::uint64_t m_lastCall = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/tests/peercallstest.cpp
@@ -0,0 +1,185 @@
+#include "app/internal/peercalls.h"
+
+#include "app/tests/mocks/fakegateservice.h"
+#include "app/tests/mocks/inlineeventloop.h"
+#include "app/tests/mocks/silentobservers.h"
+#include "protocol/internal/peercodec.h"
+#include "transport/tests/mocks/mockpeernetwork.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+const DaemonId SELF("self");
+const DaemonId PEER("peer");
+const Endpoint PEER_ENDPOINT{ "127.0.0.1", 9 };
+
+} // namespace
+
+TEST_GROUP(PeerCalls)
+{
+    InlineEventLoop loop;
+    MockPeerNetwork network;
+    PeerCodec codec;
+    FakeGateService gates;
+    SilentObservers silent;
+    std::unique_ptr<PeerCalls> calls;
+    std::vector<AttemptAnswer> answers;
+    std::vector<DaemonId> unreachable;
+
+    void setup() override
+    {
+        calls =
+            std::make_unique<PeerCalls>(loop, network, codec, gates, silent.observers(),
+                                        DaemonIdentity{ SELF, Incarnation(1), DomainName("a") });
+        calls->setOnUnreachable(
+            [this](DaemonId daemon) { unreachable.push_back(std::move(daemon)); });
+        Member peer;
+        peer.id = PEER;
+        peer.peerEndpoint = PEER_ENDPOINT;
+        calls->setMembers({ peer });
+    }
+
+    void teardown() override
+    {
+        calls.reset();
+    }
+
+    StreamId send(const DaemonId &target, const std::string &body)
+    {
+        CallMessage call;
+        call.service = ServiceName("s");
+        call.request.body = body;
+        return calls->send(target, std::move(call),
+                           [this](AttemptAnswer answer) { answers.push_back(std::move(answer)); });
+    }
+
+    LinkId link()
+    {
+        return network.links.at(PEER_ENDPOINT);
+    }
+
+    void peerAnswers(LinkId from, StreamId stream, const std::string &body)
+    {
+        AnswerMessage answer;
+        answer.stream = stream;
+        answer.verdict.outcome = Outcome::Answered;
+        answer.response.body = body;
+        network.receive(from, codec.encode(PeerMessage(answer)));
+    }
+
+    LinkId incomingCall(StreamId stream)
+    {
+        const LinkId incoming = network.addIncoming();
+        CallMessage call;
+        call.stream = stream;
+        network.receive(incoming, codec.encode(PeerMessage(call)));
+        return incoming;
+    }
+};
+
+// Two calls go out on one link and their answers come in the other order, then once more. Each
+// caller gets its own answer, once.
+TEST(PeerCalls, AnswersFindTheirCallsInAnyOrder)
+{
+    const StreamId first = send(PEER, "1");
+    const StreamId second = send(PEER, "2");
+    peerAnswers(link(), second, "for 2");
+    peerAnswers(link(), first, "for 1");
+    peerAnswers(link(), second, "again");
+    LONGS_EQUAL(2, answers.size());
+    CHECK(answers[0].message.stream == second && answers[0].message.response.body == "for 2");
+    CHECK(answers[1].message.stream == first && answers[1].message.response.body == "for 1");
+}
+
+// Another peer answers a call that it never got. It is not believed.
+TEST(PeerCalls, AnswerOnAnotherLinkIsIgnored)
+{
+    const StreamId stream = send(PEER, "1");
+    peerAnswers(network.addIncoming(), stream, "foreign");
+    LONGS_EQUAL(0, answers.size());
+    peerAnswers(link(), stream, "own");
+    STRCMP_EQUAL("own", answers.at(0).message.response.body.c_str());
+}
+
+TEST(PeerCalls, UnreachablePeerIsNotRun)
+{
+    network.isUnreachable = true;
+    send(PEER, "1");
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers[0].message.verdict.outcome == Outcome::NotRun);
+    CHECK_FALSE(answers[0].isFromDaemon);
+    CHECK(unreachable.at(0) == PEER);
+}
+
+// The link is lost after the call was sent: it may have run.
+TEST(PeerCalls, LostLinkIsUnknown)
+{
+    send(PEER, "1");
+    network.lose(link());
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers[0].message.verdict.outcome == Outcome::Unknown);
+    CHECK(answers[0].message.verdict.reason == Reason::LinkLost);
+    CHECK(unreachable.at(0) == PEER);
+}
+
+// A link refuses a frame, as it does when it was lost before its opening was reported. That call
+// was not run, and the next one opens a new link instead of failing on the old one for ever.
+TEST(PeerCalls, LinkThatRefusesIsReplaced)
+{
+    send(PEER, "1");
+    const LinkId before = link();
+    network.isCongested = true;
+    send(PEER, "2");
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers[0].message.verdict.outcome == Outcome::NotRun);
+    network.isCongested = false;
+    network.links.erase(PEER_ENDPOINT);
+    const StreamId third = send(PEER, "3");
+    CHECK(link() != before);
+    peerAnswers(link(), third, "for 3");
+    STRCMP_EQUAL("for 3", answers.at(1).message.response.body.c_str());
+}
+
+// A peer sends bytes that are no frame. Its link is closed and what was open on it is unknown; it
+// is not left waiting for an answer that may have been in those bytes.
+TEST(PeerCalls, GarbageEndsTheLink)
+{
+    send(PEER, "1");
+    network.receive(link(), "garbage");
+    CHECK(network.links.empty());
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers[0].message.verdict.outcome == Outcome::Unknown);
+}
+
+// The entry of an incoming call goes away. Nobody can hear the answer, so the call is cancelled.
+TEST(PeerCalls, CallsOfALostLinkAreCancelled)
+{
+    const LinkId incoming = incomingCall(StreamId(5));
+    LONGS_EQUAL(1, gates.calls.size());
+    network.lose(incoming);
+    LONGS_EQUAL(1, gates.cancelled.size());
+}
+
+TEST(PeerCalls, IncomingCallIsAnsweredOnItsLink)
+{
+    const LinkId incoming = incomingCall(StreamId(5));
+    AnswerMessage answer;
+    answer.verdict.outcome = Outcome::Answered;
+    gates.answer(gates.calls.begin()->first, answer);
+    const auto sent = codec.decode(network.framesOn(incoming).back());
+    CHECK(sent.has_value());
+    CHECK(std::get<AnswerMessage>(*sent).stream == StreamId(5));
+}
+
+TEST(PeerCalls, CallToThisDaemonSkipsTheLink)
+{
+    send(SELF, "1");
+    LONGS_EQUAL(0, network.links.size());
+    AnswerMessage answer;
+    answer.verdict.outcome = Outcome::Answered;
+    gates.answer(gates.calls.begin()->first, answer);
+    CHECK(answers.at(0).message.verdict.outcome == Outcome::Answered);
+}
