--- a/bench/overloadbench.cpp
+++ b/bench/overloadbench.cpp
@@ -341,7 +341,8 @@
     if (options.has("json")) {
         std::ofstream(options.text("json", "")) << toJson(runs);
     }
-    if (!bench.isVerbose) std::filesystem::remove_all(folder);
+    if (!bench.isVerbose)
+        std::filesystem::remove_all(folder);
     return runs.empty() ? 1 : 0;
 }
 
--- a/src/transport/tests/httplogservicetest.cpp
+++ b/src/transport/tests/httplogservicetest.cpp
@@ -111,6 +111,20 @@
     }
 }
 
+// A daemon that stops must not wait for a read that the log holds back, nor ask the next endpoint.
+TEST(HttpLogService, AWaitingReadCanBeCancelled)
+{
+    m_client.answer = [this](const MockHttpClient::Call &call) -> HttpResult {
+        m_log->cancelReads();
+        CHECK(call.cancellation->isCancelled());
+        return tl::unexpected<HttpFailure>(
+            HttpFailure{ HttpFailureStage::MaybeSent, HttpFailureCause::Cancelled, "test" });
+    };
+    const auto page = m_log->read(m_stream, LogOffset(0), 1, std::chrono::seconds(30));
+    CHECK(page.error().code == ErrorCode::Cancelled);
+    CHECK_EQUAL(1, m_client.calls.size());
+}
+
 TEST(HttpLogService, Base64RoundTrip)
 {
     for (const std::string &bytes : { std::string(), std::string("a"), std::string("ab\0", 3),
