--- a/bench/controlbench.cpp
+++ b/bench/controlbench.cpp
@@ -27,6 +27,8 @@
 using Json = nlohmann::json;
 
 constexpr std::uint32_t DOMAINS = 6;
+/// Hosts of each of the two services in the measurement of calls.
+constexpr std::uint32_t SERVERS = 2;
 constexpr Duration SETTLE = std::chrono::seconds(4);
 constexpr Duration WINDOW = std::chrono::seconds(10);
 constexpr Duration OPERATOR_TIMEOUT = std::chrono::seconds(5);
@@ -193,11 +195,10 @@
         return true;
     }
 
-    /// Calls enter at one daemon of four and mostly go to another one.
+    /// Each call enters at one of two daemons and is served behind another one of two.
     bool measureCalls()
     {
-        constexpr std::uint32_t DAEMONS = 4;
-        const CallGraph graph = makeFlatGraph(DAEMONS, DOMAINS);
+        const CallGraph graph = makePairGraph(SERVERS);
         Deployment deployment(makeOptions(graph), graph);
         if (!start(deployment)) {
             return false;
@@ -210,18 +211,27 @@
         return true;
     }
 
+    static std::vector<Endpoint> frontEndpoints(Deployment &deployment)
+    {
+        std::vector<Endpoint> endpoints;
+        for (const DeployedHost &host : deployment.hosts()) {
+            if (host.service == "front") {
+                endpoints.push_back(host.caller);
+            }
+        }
+        return endpoints;
+    }
+
     void measureRate(Deployment &deployment, const CallGraph &graph, double rate, bool isDirect)
     {
         LoadPlan plan;
         plan.kinds = { LoadKind{ "standard", graph.nodes.front().call, 1, false } };
-        plan.phases = { LoadPhase{ WINDOW, rate * static_cast<double>(deployment.hosts().size()),
-                                   "", 1 } };
+        plan.phases = { LoadPhase{ WINDOW, rate * SERVERS, "", 1 } };
         plan.isDirect = isDirect;
-        plan.entries =
-            isDirect ? deployment.upstreamEndpoints("work") : deployment.callerEndpoints();
+        plan.entries = isDirect ? deployment.upstreamEndpoints("work") : frontEndpoints(deployment);
         const auto before = takeSamples(deployment);
         const std::vector<LoadRecord> records = runLoad(graph, plan, 1);
-        Json record = toRecord(isDirect ? "calls-direct" : "calls", 4, rate,
+        Json record = toRecord(isDirect ? "calls-direct" : "calls", 2 * SERVERS, rate,
                                compare(before, takeSamples(deployment), seconds(WINDOW)));
         std::vector<Duration> latencies;
         for (const LoadRecord &one : records) {
--- a/bench/overloadbench.cpp
+++ b/bench/overloadbench.cpp
@@ -341,8 +341,9 @@
     if (options.has("json")) {
         std::ofstream(options.text("json", "")) << toJson(runs);
     }
-    if (!bench.isVerbose)
+    if (!bench.isVerbose) {
         std::filesystem::remove_all(folder);
+    }
     return runs.empty() ? 1 : 0;
 }
 
--- a/bench/runfigures.cpp
+++ b/bench/runfigures.cpp
@@ -1,6 +1,7 @@
 #include "bench/runfigures.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -230,7 +231,7 @@
             chart += '|';
         }
         const double level = run.completedOverTime[i] * double(levels.size() - 1);
-        chart += levels[static_cast<std::size_t>(level + 0.5)];
+        chart += levels[static_cast<std::size_t>(std::lround(level))];
     }
     return chart;
 }
--- a/standins/deployment/generatedfiles.cpp
+++ b/standins/deployment/generatedfiles.cpp
@@ -59,4 +59,13 @@
     return graph;
 }
 
+CallGraph makePairGraph(std::uint32_t servers)
+{
+    CallGraph graph = makeFlatGraph(servers, 1);
+    graph.deployment = "pair-" + std::to_string(servers);
+    graph.services.push_back({ "front", servers, 200, 1000 });
+    graph.nodes.push_back({ { "front", "GET", "/front" }, Duration::zero(), {} });
+    return graph;
+}
+
 } // namespace ivyspar::lab
--- a/standins/deployment/generatedfiles.h
+++ b/standins/deployment/generatedfiles.h
@@ -14,4 +14,8 @@
 /// domains.
 CallGraph makeFlatGraph(std::uint32_t servers, std::uint32_t domains);
 
+/// `makeFlatGraph`, with as many hosts of a second service, at which callers enter: each of their
+/// calls goes over a link between daemons.
+CallGraph makePairGraph(std::uint32_t servers);
+
 } // namespace ivyspar::lab
--- a/standins/graph/callgraph.h
+++ b/standins/graph/callgraph.h
@@ -59,7 +59,8 @@
 /// Calls in the whole tree, `call` included.
 std::uint32_t countCalls(const CallGraph &graph, const GraphCall &call);
 
-/// `tallowood` and `bottega` as the brief describes them, `flat-N` for one service of N servers.
+/// `tallowood` and `bottega` as the brief describes them, `flat-N` for one service of N servers,
+/// `pair-N` for one that is called from hosts of another.
 /// Nothing for another name.
 CallGraph makeDeploymentGraph(const std::string &deployment);
 
--- a/standins/graph/deployments.cpp
+++ b/standins/graph/deployments.cpp
@@ -83,6 +83,11 @@
         const auto servers = std::strtoul(deployment.c_str() + flat.size(), nullptr, 10);
         return makeFlatGraph(static_cast<std::uint32_t>(servers), DOMAINS);
     }
+    const std::string pair = "pair-";
+    if (deployment.rfind(pair, 0) == 0) {
+        const auto servers = std::strtoul(deployment.c_str() + pair.size(), nullptr, 10);
+        return makePairGraph(static_cast<std::uint32_t>(servers));
+    }
     return {};
 }
 
