Membership: a reference into the table was used after the entry was replaced

Found by the address sanitizer over the module's tests (heap-use-after-free in setHealth). Symptom without it: none in the tests, as the freed memory still held the old health.

--- a/src/coordination/membership/internal/membership.h
+++ b/src/coordination/membership/internal/membership.h
@@ -58,7 +58,7 @@
                      MembershipActions &actions);
     void applyToSelf(const MemberUpdate &update, MembershipActions &actions);
     bool isAcceptable(const MemberUpdate &update, const MemberEntry *known) const;
-    void setHealth(TimePoint now, const MemberEntry &entry, MemberHealth health,
+    void setHealth(TimePoint now, MemberEntry entry, MemberHealth health,
                    MembershipActions &actions);
     void refute(std::uint64_t counter);
     const MemberEntry &self() const { return *m_table.find(m_self); }
--- a/src/coordination/membership/internal/membershipexchange.cpp
+++ b/src/coordination/membership/internal/membershipexchange.cpp
@@ -133,18 +133,18 @@
     m_queue.push(makeUpdate(entry, false));
 }
 
-void Membership::setHealth(TimePoint now, const MemberEntry &entry, MemberHealth health,
+void Membership::setHealth(TimePoint now, MemberEntry entry, MemberHealth health,
                            MembershipActions &actions)
 {
-    MemberEntry changed = entry;
-    changed.health = health;
-    changed.since = now;
-    changed.isOwnSuspicion = false;
-    m_table.put(changed);
+    const bool wasUp = isUp(entry.health);
+    entry.health = health;
+    entry.since = now;
+    entry.isOwnSuspicion = false;
     if (health == MemberHealth::Suspect) {
-        m_queue.push(makeUpdate(changed, false));
+        m_queue.push(makeUpdate(entry, false));
     }
-    if (isUp(entry.health) != isUp(health)) {
+    m_table.put(std::move(entry));
+    if (wasUp != isUp(health)) {
         actions.changed = true;
         m_areRingsStale = true;
     }
