Stand-ins: links that can be cut, chains of any depth, restarts that servers follow

A TcpLink stands in front of a daemon's peer endpoint and keeps back the bytes of connections that chosen processes opened, as a partition does; Deployment::separate cuts failure domains off both ways. Frozen processes are no partition: their callers would be cut off as well. Servers can fail one path after the work, tell which server started what, and follow a daemon that was started again with other ports.

--- a/standins/deployment/deployment.cpp
+++ b/standins/deployment/deployment.cpp
@@ -87,6 +87,9 @@
     if (m_options.hasLog) {
         flags.push_back("--log_endpoints=" + m_logEndpoint.text());
     }
+    if (host.link) {
+        flags.push_back("--peer_advertise=" + host.link->endpoint().text());
+    }
     for (const DeployedHost &other : m_hosts) {
         if (other.peer.port != 0 && other.name != host.name) {
             flags.push_back("--seeds=" + other.peer.text());
@@ -102,6 +105,9 @@
     const std::string ready =
         m_options.folder + '/' + host.name + '.' + std::to_string(++m_starts) + ".ready";
     const std::string output = m_options.folder + '/' + host.name + ".out";
+    if (m_options.hasLinks && !host.link) {
+        host.link = std::make_unique<TcpLink>();
+    }
     host.process = ChildProcess(m_options.binary, makeDaemonFlags(host, ready), output);
     const Json document = Json::parse(waitForFile(ready, START_TIMEOUT), nullptr, false);
     if (!document.is_object()) {
@@ -112,9 +118,40 @@
     host.upstream = endpointOf(document, "upstream");
     host.peer = endpointOf(document, "peer");
     host.operators = endpointOf(document, "operator");
+    if (host.link) {
+        host.link->setTarget(host.peer);
+        host.peer = host.link->endpoint();
+    }
     return true;
 }
 
+bool Deployment::restartHost(DeployedHost &host, std::string &error)
+{
+    if (!startHost(host, error)) {
+        return false;
+    }
+    const HttpRequest request{ "POST", "/daemon?server=" + host.name, {}, host.upstream.text() };
+    const auto answer = exchangeBlocking(m_upstreamControl, request, STATUS_TIMEOUT);
+    if (!answer) {
+        error = "the stand-in upstreams do not answer";
+    }
+    return answer.has_value();
+}
+
+void Deployment::separate(const std::set<std::string> &domains)
+{
+    const auto isInside = [&](const DeployedHost &host) { return domains.count(host.domain) > 0; };
+    for (const DeployedHost &host : m_hosts) {
+        std::set<pid_t> others;
+        for (const DeployedHost &other : m_hosts) {
+            if (isInside(other) != isInside(host)) {
+                others.insert(other.process.pid());
+            }
+        }
+        host.link->setSilentFor(std::move(others));
+    }
+}
+
 bool Deployment::startUpstreams(std::string &error)
 {
     const std::string ready = m_options.folder + "/upstreams.ready";
--- a/standins/deployment/deployment.h
+++ b/standins/deployment/deployment.h
@@ -2,11 +2,14 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "standins/deployment/childprocess.h"
 #include "standins/graph/callgraph.h"
+#include "standins/link/tcplink.h"
 #include "state/endpoint.h"
 
 namespace ivyspar::lab {
@@ -24,6 +27,8 @@
     std::vector<std::string> daemonFlags;
     std::vector<std::string> upstreamFlags;
     bool hasLog = true;
+    /// Other daemons reach each daemon through a link that can be cut.
+    bool hasLinks = false;
 };
 
 /// One host: its daemon, and the name of the server that announces itself there.
@@ -37,6 +42,8 @@
     Endpoint upstream;
     Endpoint peer;
     Endpoint operators;
+    /// Null without links.
+    std::unique_ptr<TcpLink> link;
 };
 
 /// A whole deployment as processes on loopback: a daemon for each server, one process with all
@@ -59,6 +66,11 @@
     const Endpoint &logEndpoint() const { return m_logEndpoint; }
     ChildProcess &upstreams() { return m_upstreams; }
     ChildProcess &log() { return m_log; }
+    /// Cuts the daemons of these failure domains off from all other daemons, both ways. An empty
+    /// set ends the partition. Needs links.
+    void separate(const std::set<std::string> &domains);
+    /// Starts a host's daemon again after its end, and tells its server.
+    bool restartHost(DeployedHost &host, std::string &error);
     /// Restarts a host's daemon with fresh ports, as after a crash.
     bool startHost(DeployedHost &host, std::string &error);
     /// Ends all processes in an orderly way.
--- a/standins/graph/callgraph.h
+++ b/standins/graph/callgraph.h
@@ -59,7 +59,7 @@
 /// Calls in the whole tree, `call` included.
 std::uint32_t countCalls(const CallGraph &graph, const GraphCall &call);
 
-/// Deployments as the brief describes them. Nothing for another name.
+/// Deployments as the brief describes them, and the graphs of trials.h. Nothing for another name.
 CallGraph makeDeploymentGraph(const std::string &deployment);
 
 } // namespace ivyspar::lab
--- a/standins/graph/deployments.cpp
+++ b/standins/graph/deployments.cpp
@@ -1,4 +1,7 @@
+#include <cstdlib>
+
 #include "standins/graph/callgraph.h"
+#include "standins/graph/trials.h"
 
 namespace ivyspar::lab {
 
@@ -64,6 +67,11 @@
     return graph;
 }
 
+std::uint32_t numberAfter(const std::string &name, const std::string &prefix)
+{
+    return static_cast<std::uint32_t>(std::strtoul(name.c_str() + prefix.size(), nullptr, 10));
+}
+
 } // namespace
 
 CallGraph makeDeploymentGraph(const std::string &deployment)
@@ -74,6 +82,14 @@
     if (deployment == "bottega") {
         return makeBottega();
     }
+    const std::string trial = "trial-";
+    if (deployment.rfind(trial, 0) == 0) {
+        return makeTrialGraph(numberAfter(deployment, trial));
+    }
+    const std::string chain = "chain-";
+    if (deployment.rfind(chain, 0) == 0) {
+        return makeChainGraph(numberAfter(deployment, chain));
+    }
     return {};
 }
 
--- a/standins/upstream/upstreamcommand.cpp
+++ b/standins/upstream/upstreamcommand.cpp
@@ -58,9 +58,39 @@
     behaviour.isDraining = document.value("draining", behaviour.isDraining);
     behaviour.isSilent = document.value("silent", behaviour.isSilent);
     behaviour.isContextDropped = document.value("contextDropped", behaviour.isContextDropped);
+    behaviour.failPath = document.value("failPath", behaviour.failPath);
     return behaviour;
 }
 
+/// A line `server service path token` for each start of work.
+HttpResponse listStarts(const Servers &servers)
+{
+    HttpResponse response;
+    for (const auto &server : servers) {
+        for (const Execution &execution : server->executions()) {
+            response.body += server->spec().name + ' ' + execution.service + ' ' + execution.path
+                + ' ' + execution.token + '\n';
+        }
+    }
+    return response;
+}
+
+/// `POST /daemon?server=NAME`: the body names where the daemon of that server's host listens now.
+HttpResponse moveDaemon(const HttpRequest &request, const Servers &servers)
+{
+    const auto at = request.target.find('=');
+    const auto daemon = Endpoint::parse(request.body);
+    for (const auto &server : servers) {
+        const bool isNamed =
+            at != std::string::npos && server->spec().name == request.target.substr(at + 1);
+        if (isNamed && daemon) {
+            server->setDaemon(*daemon);
+            return HttpResponse{ 204, {}, {} };
+        }
+    }
+    return HttpResponse{ 404, {}, "no such server\n" };
+}
+
 HttpResponse listExecutions(const Servers &servers)
 {
     HttpResponse response;
@@ -83,6 +113,12 @@
         }
         return HttpResponse{ 204, {}, {} };
     }
+    if (request.method == "GET" && request.target == "/starts") {
+        return listStarts(servers);
+    }
+    if (request.method == "POST" && request.target.rfind("/daemon", 0) == 0) {
+        return moveDaemon(request, servers);
+    }
     const std::string mark = "/behaviour";
     if (request.method != "POST" || request.target.rfind(mark, 0) != 0) {
         return HttpResponse{ 404, {}, "no such control\n" };
--- a/standins/upstream/upstreamserver.cpp
+++ b/standins/upstream/upstreamserver.cpp
@@ -108,6 +108,12 @@
     m_server->drain(timeout);
 }
 
+void UpstreamServer::setDaemon(const Endpoint &daemon)
+{
+    m_spec.daemon = daemon;
+    m_client->setConnectionLimit(daemon, m_spec.slots * 4 + 16);
+}
+
 HttpResponse UpstreamServer::handle(IHttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
@@ -171,12 +177,15 @@
 
 HttpResponse UpstreamServer::work(const GraphNode &node, const std::string &token, Work &current)
 {
-    m_executions.push_back(Execution{ token, m_spec.service });
+    m_executions.push_back(Execution{ token, m_spec.service, node.call.path });
     // Exponential-like spread around the mean, bounded so that runs stay comparable.
     const double spread = 0.5 + m_random.unit();
     const auto serviceTime =
         std::chrono::duration_cast<Duration>(node.serviceTime * (factor() * spread));
     current.gone.wait(serviceTime);
+    if (node.call.path == m_behaviour.failPath) {
+        return makeText(SERVER_ERROR, "failing as told");
+    }
     std::string answer = answerHead(node.call, token) + " [";
     for (const GraphCall &call : node.calls) {
         if (current.isGone) {
--- a/standins/upstream/upstreamserver.h
+++ b/standins/upstream/upstreamserver.h
@@ -44,6 +44,8 @@
     bool isSilent = false;
     /// Drops the context header on the calls that it makes.
     bool isContextDropped = false;
+    /// Requests for this path are answered 500 after the work; empty for none.
+    std::string failPath;
 };
 
 /// One start of work on a request.
@@ -51,6 +53,7 @@
 {
     std::string token;
     std::string service;
+    std::string path;
 };
 
 /// Stand-in for a server of the operators: works with a limited number of slots, queues what comes
@@ -63,6 +66,8 @@
 
     RetVal<Endpoint> start(const Endpoint &listen);
     void stop(Duration timeout);
+    /// The daemon of the host was replaced by one with other ports.
+    void setDaemon(const Endpoint &daemon);
     const UpstreamSpec &spec() const { return m_spec; }
     void setBehaviour(const UpstreamBehaviour &behaviour) { m_behaviour = behaviour; }
     const UpstreamBehaviour &behaviour() const { return m_behaviour; }
