--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -7,6 +7,7 @@
 #include "bench/gatebench.h"
 #include "bench/overloadbench.h"
 #include "standins/demo/demo.h"
+#include "standins/history/historyrun.h"
 #include "standins/log/logstandin.h"
 #include "standins/upstream/upstreamcommand.h"
 
@@ -29,6 +30,7 @@
     { "gate", runGateBench, "policies of one gate under fake time, compared" },
     { "configuration", runConfigurationBench, "publish until in force at all daemons" },
     { "bench", runOverloadBench, "the overload experiments" },
+    { "histories", runHistories, "random faults from seeds, with history checks" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
 
