--- a/standins/graph/callgraph.h
+++ b/standins/graph/callgraph.h
@@ -60,8 +60,8 @@
 std::uint32_t countCalls(const CallGraph &graph, const GraphCall &call);
 
 /// `tallowood` and `bottega` as the brief describes them, `flat-N` for one service of N servers,
-/// `pair-N` for one that is called from hosts of another.
-/// Nothing for another name.
+/// `pair-N` for one that is called from hosts of another, and the graphs of trials.h. Nothing for
+/// another name.
 CallGraph makeDeploymentGraph(const std::string &deployment);
 
 } // namespace ivyspar::lab
--- a/standins/graph/deployments.cpp
+++ b/standins/graph/deployments.cpp
@@ -2,6 +2,7 @@
 
 #include "standins/deployment/generatedfiles.h"
 #include "standins/graph/callgraph.h"
+#include "standins/graph/trials.h"
 
 namespace ivyspar::lab {
 
@@ -67,6 +68,11 @@
     return graph;
 }
 
+std::uint32_t numberAfter(const std::string &name, const std::string &prefix)
+{
+    return static_cast<std::uint32_t>(std::strtoul(name.c_str() + prefix.size(), nullptr, 10));
+}
+
 } // namespace
 
 CallGraph makeDeploymentGraph(const std::string &deployment)
@@ -80,13 +86,19 @@
     const std::string flat = "flat-";
     if (deployment.rfind(flat, 0) == 0) {
         constexpr std::uint32_t DOMAINS = 6;
-        const auto servers = std::strtoul(deployment.c_str() + flat.size(), nullptr, 10);
-        return makeFlatGraph(static_cast<std::uint32_t>(servers), DOMAINS);
+        return makeFlatGraph(numberAfter(deployment, flat), DOMAINS);
     }
     const std::string pair = "pair-";
     if (deployment.rfind(pair, 0) == 0) {
-        const auto servers = std::strtoul(deployment.c_str() + pair.size(), nullptr, 10);
-        return makePairGraph(static_cast<std::uint32_t>(servers));
+        return makePairGraph(numberAfter(deployment, pair));
+    }
+    const std::string trial = "trial-";
+    if (deployment.rfind(trial, 0) == 0) {
+        return makeTrialGraph(numberAfter(deployment, trial));
+    }
+    const std::string chain = "chain-";
+    if (deployment.rfind(chain, 0) == 0) {
+        return makeChainGraph(numberAfter(deployment, chain));
     }
     return {};
 }
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -11,6 +11,7 @@
 #include "bench/overloadbench.h"
 #include "bench/transportbench.h"
 #include "standins/demo/demo.h"
+#include "standins/history/historyrun.h"
 #include "standins/log/logstandin.h"
 #include "standins/upstream/upstreamcommand.h"
 
@@ -37,6 +38,7 @@
     { "once", runOnceBench, "appends and bytes of claims under fake time" },
     { "transport", runTransportBench, "HTTP and peer links beside a bare socket" },
     { "bench", runOverloadBench, "the overload experiments" },
+    { "histories", runHistories, "random faults from seeds, with history checks" },
     { "demo", runDemo, "a whole deployment with a few hundred requests" },
 };
 
