--- /dev/null
+++ b/tests/process/acceptedconfigurationtest.cpp
@@ -0,0 +1,124 @@
+#include <csignal>
+#include <fstream>
+
+#include <nlohmann/json.hpp>
+
+#include "standins/deployment/blockinghttp.h"
+#include "tests/process/failuretest.h"
+
+using namespace ivyspar;
+using namespace ivyspar::lab;
+using std::chrono::seconds;
+
+struct AcceptedConfigurationFixture : FailureTest
+{
+
+    History m_seen;
+
+    ChildProcess publish(const std::string &name, const std::string &base)
+    {
+        const std::string folder = m_trial->folder() + '/';
+        return ChildProcess(IVYSPAR_BINARY,
+                            { "publish",
+                              "--log_endpoints=" + m_trial->deployment().logEndpoint().text(),
+                              "--base=" + base, folder + "inventory.toml", folder + "rules.toml" },
+                            folder + name + ".out");
+    }
+    int publishAndWait(const std::string &base)
+    {
+        return publish("publish", base).wait(seconds(30));
+    }
+    /// Looks at every daemon that answers and notes its version.
+    bool isInForce(std::uint64_t version)
+    {
+        bool isEverywhere = true;
+        for (const DeployedHost &host : m_trial->deployment().hosts()) {
+            const auto answer =
+                exchangeBlocking(host.operators, { "GET", "/status", {}, {} }, seconds(5));
+            const auto status = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+            if (!status.is_object()) {
+                isEverywhere = false;
+                continue;
+            }
+            const std::uint64_t seen = status.value("configuration_version", std::uint64_t(0));
+            m_seen.versions[host.name].push_back(seen);
+            isEverywhere = isEverywhere && seen == version;
+        }
+        return isEverywhere;
+    }
+    void checkInForce(std::uint64_t version)
+    {
+        CHECK(waitUntil([this, version] { return isInForce(version); }));
+    }
+    void restart(DeployedHost &host)
+    {
+        std::string error;
+        CHECK_TRUE_TEXT(m_trial->deployment().restartHost(host, error), error.c_str());
+    }
+};
+
+TEST_GROUP_BASE(AcceptedConfiguration, AcceptedConfigurationFixture){};
+
+// Two operators publish on the same base at once, five times. Exactly one wins each time and the
+// other is told so; every daemon of every domain has the winner's version, and none goes back.
+TEST(AcceptedConfiguration, OneOfTwoRacingOperatorsWins)
+{
+    startTrial(makeTrialGraph());
+    for (std::uint64_t version = 1; version <= 5; ++version) {
+        const std::string base = std::to_string(version - 1);
+        ChildProcess first = publish("first", base);
+        ChildProcess second = publish("second", base);
+        const int firstCode = first.wait(seconds(30));
+        const int secondCode = second.wait(seconds(30));
+        CHECK_EQUAL(3, firstCode + secondCode);
+        CHECK(firstCode == 0 || secondCode == 0);
+        checkInForce(version);
+    }
+    checkClean(checkVersions(m_seen));
+}
+
+// All daemons are killed, one after another, and then all at once: hosts keep nothing, and what was
+// accepted is in the platform's log.
+TEST(AcceptedConfiguration, SurvivesTheDeathOfEveryDaemon)
+{
+    startTrial(makeTrialGraph());
+    CHECK_EQUAL(0, publishAndWait("0"));
+    checkInForce(1);
+    for (DeployedHost &host : m_trial->deployment().hosts()) {
+        host.process.signal(SIGKILL);
+        host.process.wait(seconds(10));
+        restart(host);
+    }
+    CHECK_EQUAL(0, publishAndWait("1"));
+    checkInForce(2);
+    for (DeployedHost &host : m_trial->deployment().hosts()) {
+        host.process.signal(SIGKILL);
+    }
+    for (DeployedHost &host : m_trial->deployment().hosts()) {
+        host.process.wait(seconds(10));
+        restart(host);
+    }
+    checkInForce(2);
+    CHECK_EQUAL(3, publishAndWait("1"));
+}
+
+// Reads of the log are stale and its answers lost while daemons are killed and changes accepted: a
+// daemon that knows a version never takes an older one for the current.
+TEST(AcceptedConfiguration, NeverRevertsUnderStaleReads)
+{
+    startTrial(makeTrialGraph());
+    CHECK_EQUAL(0, publishAndWait("0"));
+    checkInForce(1);
+    CHECK(m_trial->setLogFaults(R"({"stale_ms":1000,"lost_after":2})"));
+    CHECK_EQUAL(0, publishAndWait("1"));
+    checkInForce(2);
+    DeployedHost &victim = m_trial->host(2);
+    victim.process.signal(SIGKILL);
+    victim.process.wait(seconds(10));
+    CHECK_EQUAL(0, publishAndWait("2"));
+    CHECK(m_trial->setLogFaults(R"({"stale_ms":0})"));
+    restart(victim);
+    checkInForce(3);
+    m_seen.versions.erase(victim.name);
+    checkClean(checkVersions(m_seen));
+}
--- /dev/null
+++ b/tests/process/atmostoncetest.cpp
@@ -0,0 +1,181 @@
+#include <csignal>
+
+#include "standins/deployment/blockinghttp.h"
+#include "tests/process/failuretest.h"
+
+using namespace ivyspar;
+using namespace ivyspar::lab;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t BOOKINGS = 15;
+constexpr std::size_t VICTIM = 1;
+
+std::string tokenOf(std::uint32_t i)
+{
+    return "booking-" + std::to_string(i);
+}
+
+} // namespace
+
+/// Bookings with an idempotency key, each sent through all three daemons at once by callers that
+/// come back until they have an answer.
+struct AtMostOnceFixture : FailureTest
+{
+    std::uint32_t m_attempts = 60;
+
+    void sendBooking(std::uint32_t number)
+    {
+        for (std::size_t i = 0; i < m_trial->deployment().hosts().size(); ++i) {
+            CallerPlan plan = m_trial->planOnce(tokenOf(number), VICTIM + i);
+            plan.pause = std::chrono::milliseconds(100);
+            plan.attempts = m_attempts;
+            m_trial->callers().send(plan);
+        }
+    }
+    void sendBookings()
+    {
+        for (std::uint32_t i = 0; i < BOOKINGS; ++i) {
+            sendBooking(i);
+        }
+    }
+    /// Which daemon wins a claim is left to chance, so bookings are sent until the victim has one.
+    void sendUntilTheVictimWorks()
+    {
+        startTrial(makeTrialGraph());
+        CHECK(m_trial->setBehaviour("", R"({"slowdown":10})"));
+        sendBookings();
+        std::uint32_t next = BOOKINGS;
+        CHECK(waitUntil([&] {
+            sendBooking(next++);
+            return startsAt(m_trial->host(VICTIM).name) > 0;
+        }));
+    }
+    History checkedHistory()
+    {
+        History history = m_trial->history();
+        checkClean(checkAll(history, m_trial->graph()));
+        return history;
+    }
+    void setFaults(const std::string &faults) { CHECK(m_trial->setLogFaults(faults)); }
+    void checkLive() { CHECK(m_trial->isServingAgain("after")); }
+    std::string fetchTicket(std::size_t entry)
+    {
+        const auto answer = exchangeBlocking(m_trial->host(entry).caller,
+                                             { "POST", "/tickets", {}, {} }, seconds(5));
+        CHECK(answer && answer->status == 201);
+        return answer->body.substr(0, answer->body.find('\n'));
+    }
+};
+
+TEST_GROUP_BASE(AtMostOnce, AtMostOnceFixture){};
+
+// The same key arrives at three daemons at once. The first claim in the log wins; the others wait
+// for it or are told that the key is busy, and then get the stored answer.
+TEST(AtMostOnce, OneKeyThroughAllDaemonsRunsOnce)
+{
+    startTrial(makeTrialGraph());
+    sendBookings();
+    const History history = checkedHistory();
+    CHECK_EQUAL(BOOKINGS, countServed(history));
+}
+
+// Counter-check: without the key the same callers make the same bookings run several times.
+TEST(AtMostOnce, WithoutTheKeyTheCheckFails)
+{
+    startTrial(makeTrialGraph());
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        CallerPlan plan = m_trial->planOnce("booking", entry);
+        plan.key.clear();
+        m_trial->callers().send(plan);
+    }
+    CHECK_EQUAL(1, checkOnce(m_trial->history()).size());
+}
+
+// A daemon that holds claims is killed while its server works. Callers come back elsewhere; what it
+// may have sent is never sent again, what it had not sent may run after it is known to be gone.
+TEST(AtMostOnce, HoldsWhenTheHolderIsKilled)
+{
+    sendUntilTheVictimWorks();
+    m_trial->host(VICTIM).process.signal(SIGKILL);
+    checkedHistory();
+    std::string error;
+    CHECK_TRUE_TEXT(m_trial->deployment().restartHost(m_trial->host(VICTIM), error), error.c_str());
+    checkLive();
+}
+
+// A daemon that holds claims is frozen until every caller has given up or was served, then wakes
+// and still believes that it holds them. It may not start what others could have run meanwhile.
+TEST(AtMostOnce, HoldsWhenTheHolderIsFrozenPastEveryTimeout)
+{
+    // Each attempt may take the whole of its three seconds while the holder is frozen.
+    m_attempts = 2;
+    sendUntilTheVictimWorks();
+    m_trial->host(VICTIM).process.signal(SIGSTOP);
+    m_trial->callers().waitForAll();
+    m_trial->host(VICTIM).process.signal(SIGCONT);
+    checkLive();
+    checkedHistory();
+}
+
+// Answers of the log are lost, of five appends after the effect and of five before it. A claim
+// whose answer is lost is read back; nobody concludes from silence that it was not made.
+TEST(AtMostOnce, HoldsWhenAnswersOfTheLogAreLost)
+{
+    startTrial(makeTrialGraph());
+    setFaults(R"({"lost_after":5,"lost_before":5})");
+    sendBookings();
+    checkedHistory();
+    checkLive();
+    checkedHistory();
+}
+
+// The log goes down while bookings arrive, and is slow when it comes back. Bookings with keys are
+// refused meanwhile, with proof that they did not run; afterwards all of them are served.
+TEST(AtMostOnce, HoldsWhenTheLogIsDownThenSlow)
+{
+    startTrial(makeTrialGraph());
+    setFaults(R"({"down":true})");
+    sendBookings();
+    CHECK(waitUntil([this] { return m_trial->callers().attemptCount() >= 3 * BOOKINGS; }));
+    CHECK_EQUAL(0, m_trial->starts().size());
+    setFaults(R"({"down":false,"answer_delay_ms":200,"effect_delay_ms":100})");
+    const History history = checkedHistory();
+    CHECK_EQUAL(BOOKINGS, countServed(history));
+}
+
+// Two faults at once: the log goes silent and the holder of claims is killed, then both come back.
+TEST(AtMostOnce, HoldsWhenTheHolderIsKilledWhileTheLogIsSilent)
+{
+    sendUntilTheVictimWorks();
+    setFaults(R"({"silent":true})");
+    m_trial->host(VICTIM).process.signal(SIGKILL);
+    std::string error;
+    CHECK_TRUE_TEXT(m_trial->deployment().restartHost(m_trial->host(VICTIM), error), error.c_str());
+    setFaults(R"({"silent":false})");
+    checkedHistory();
+    checkLive();
+}
+
+// Tickets were fetched with the page; then the log goes down. The booking with a ticket needs no
+// log: it runs at the daemon named in it, once, however many daemons get it.
+TEST(AtMostOnce, TicketsWorkWhileTheLogIsDown)
+{
+    startTrial(makeTrialGraph());
+    std::vector<std::string> tickets;
+    for (std::uint32_t i = 0; i < BOOKINGS; ++i) {
+        tickets.push_back(fetchTicket(i % 3));
+    }
+    setFaults(R"({"down":true})");
+    for (std::uint32_t i = 0; i < BOOKINGS; ++i) {
+        for (std::size_t entry = 0; entry < 3; ++entry) {
+            CallerPlan plan = m_trial->planOnce(tokenOf(i), entry);
+            plan.key.clear();
+            plan.ticket = tickets[i];
+            m_trial->callers().send(plan);
+        }
+    }
+    const History history = checkedHistory();
+    CHECK_EQUAL(BOOKINGS, countServed(history));
+}
--- /dev/null
+++ b/tests/process/plannedstoptest.cpp
@@ -0,0 +1,103 @@
+#include <csignal>
+
+#include <nlohmann/json.hpp>
+
+#include "standins/deployment/blockinghttp.h"
+#include "tests/process/failuretest.h"
+
+using namespace ivyspar;
+using namespace ivyspar::lab;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t REQUESTS = 45;
+
+} // namespace
+
+struct PlannedStopFixture : FailureTest
+{
+
+    void sendRecords(const std::string &prefix)
+    {
+        for (std::uint32_t i = 0; i < REQUESTS; ++i) {
+            CallerPlan plan = m_trial->plan(m_record, prefix + std::to_string(i), i);
+            plan.attempts = 20;
+            m_trial->callers().send(plan);
+        }
+    }
+    bool isGateIdleAndDraining(std::size_t host)
+    {
+        const auto answer = exchangeBlocking(m_trial->host(host).operators,
+                                             { "GET", "/status", {}, {} }, seconds(5));
+        const auto status = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+        if (!status.is_object() || status["gates"].empty()) {
+            return false;
+        }
+        const auto &gate = status["gates"][0];
+        return gate["draining"] == true && gate["in_flight"] == 0 && gate["queued"] == 0;
+    }
+};
+
+TEST_GROUP_BASE(PlannedStop, PlannedStopFixture){};
+
+// 1. A server works on requests and announces that it drains.
+// 2. What it has ends normally. From then on it gets nothing, whichever daemon is asked.
+TEST(PlannedStop, ADrainingServerFinishesAndGetsNothingNew)
+{
+    startTrial(makeTrialGraph(), {}, false);
+    CHECK(m_trial->setBehaviour("", R"({"slowdown":10})"));
+    sendRecords("before-");
+    CHECK(waitUntil([this] { return startsAt("desk-1") > 0; }));
+    CHECK(m_trial->setBehaviour("desk-1", R"({"draining":true})"));
+    CHECK(waitUntil([this] { return isGateIdleAndDraining(0); }));
+    const std::size_t startsBefore = startsAt("desk-1");
+    sendRecords("after-");
+    const History history = m_trial->history();
+    checkClean(checkAll(history, m_trial->graph()));
+    CHECK_EQUAL(2 * REQUESTS, countServed(history));
+    CHECK_EQUAL(0, countTold(history, Told::Unknown));
+    CHECK_EQUAL(startsBefore, startsAt("desk-1"));
+}
+
+// A daemon is stopped by SIGTERM with requests in flight: those that callers sent to it, and those
+// that others sent to its server. None is cut, and it ends with 0.
+TEST(PlannedStop, ADaemonThatIsStoppedCutsNothing)
+{
+    startTrial(makeTrialGraph(), {}, false);
+    CHECK(m_trial->setBehaviour("", R"({"slowdown":20})"));
+    sendRecords("record-");
+    CHECK(waitUntil([this] { return startsAt("desk-1") > 0; }));
+    m_trial->host(0).process.signal(SIGTERM);
+    CHECK_EQUAL(0, m_trial->host(0).process.wait(seconds(30)));
+    const History history = m_trial->history();
+    checkClean(checkAll(history, m_trial->graph()));
+    CHECK_EQUAL(0, countTold(history, Told::Unknown));
+    CHECK_EQUAL(REQUESTS, countServed(history));
+}
+
+// Two faults at once: the daemon is stopped while the platform's log is silent.
+TEST(PlannedStop, AStopWhileTheLogIsSilentCutsNothing)
+{
+    startTrial(makeTrialGraph());
+    CHECK(m_trial->setBehaviour("", R"({"slowdown":20})"));
+    CHECK(m_trial->setLogFaults(R"({"silent":true})"));
+    sendRecords("record-");
+    CHECK(waitUntil([this] { return startsAt("desk-1") > 0; }));
+    m_trial->host(0).process.signal(SIGTERM);
+    CHECK_EQUAL(0, m_trial->host(0).process.wait(seconds(30)));
+    const History history = m_trial->history();
+    checkClean(checkAll(history, m_trial->graph()));
+    CHECK_EQUAL(0, countTold(history, Told::Unknown));
+}
+
+// Counter-check: killed in place of stopped, requests are cut and the check sees it.
+TEST(PlannedStop, ADaemonThatIsKilledCutsRequests)
+{
+    startTrial(makeTrialGraph(), {}, false);
+    CHECK(m_trial->setBehaviour("", R"({"slowdown":20})"));
+    sendRecords("record-");
+    CHECK(waitUntil([this] { return startsAt("desk-1") > 0; }));
+    m_trial->host(0).process.signal(SIGKILL);
+    CHECK(countTold(m_trial->history(), Told::Unknown) > 0);
+}
