--- a/tests/process/atmostoncetest.cpp
+++ b/tests/process/atmostoncetest.cpp
@@ -41,8 +41,9 @@
         }
     }
     /// Which daemon wins a claim is left to chance, so bookings are sent until the victim has one.
-    void sendUntilTheVictimWorks()
+    void sendUntilTheVictimWorks(std::uint32_t attempts)
     {
+        m_attempts = attempts;
         startTrial(makeTrialGraph());
         CHECK(m_trial->setBehaviour("", R"({"slowdown":10})"));
         sendBookings();
@@ -97,7 +98,7 @@
 // may have sent is never sent again, what it had not sent may run after it is known to be gone.
 TEST(AtMostOnce, HoldsWhenTheHolderIsKilled)
 {
-    sendUntilTheVictimWorks();
+    sendUntilTheVictimWorks(20);
     m_trial->host(VICTIM).process.signal(SIGKILL);
     checkedHistory();
     std::string error;
@@ -110,8 +111,8 @@
 TEST(AtMostOnce, HoldsWhenTheHolderIsFrozenPastEveryTimeout)
 {
     // Each attempt may take the whole of its three seconds while the holder is frozen.
-    m_attempts = 2;
-    sendUntilTheVictimWorks();
+    constexpr std::uint32_t ATTEMPTS = 2;
+    sendUntilTheVictimWorks(ATTEMPTS);
     m_trial->host(VICTIM).process.signal(SIGSTOP);
     m_trial->callers().waitForAll();
     m_trial->host(VICTIM).process.signal(SIGCONT);
@@ -148,7 +149,7 @@
 // Two faults at once: the log goes silent and the holder of claims is killed, then both come back.
 TEST(AtMostOnce, HoldsWhenTheHolderIsKilledWhileTheLogIsSilent)
 {
-    sendUntilTheVictimWorks();
+    sendUntilTheVictimWorks(20);
     setFaults(R"({"silent":true})");
     m_trial->host(VICTIM).process.signal(SIGKILL);
     std::string error;
--- a/tests/process/partitiontest.cpp
+++ b/tests/process/partitiontest.cpp
@@ -1,3 +1,8 @@
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "standins/deployment/blockinghttp.h"
 #include "tests/process/failuretest.h"
 
 using namespace ivyspar::lab;
@@ -12,12 +17,27 @@
 struct PartitionFixture : FailureTest
 {
 
+    std::uint32_t m_pages = 0;
+
     void startPartitioned(const std::set<std::string> &domains)
     {
         const bool hasLinks = true;
         startTrial(makeTrialGraph(), {}, true, hasLinks);
         CHECK(m_trial->setBehaviour("", R"({"slowdown":5})"));
         m_trial->deployment().separate(domains);
+        CHECK(waitUntil([this] { return aliveMembers(0) == 1 && aliveMembers(1) == 2; }));
+    }
+    /// Daemons that this one takes for alive, itself included.
+    std::size_t aliveMembers(std::size_t host)
+    {
+        const auto answer = exchangeBlocking(m_trial->host(host).operators,
+                                             { "GET", "/status", {}, {} }, std::chrono::seconds(5));
+        const auto status = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+        std::size_t alive = 0;
+        for (const auto &member : status.is_object() ? status["members"] : nlohmann::json()) {
+            alive += member.value("health", "") == "alive" ? 1 : 0;
+        }
+        return alive;
     }
     void sendBookings(std::uint32_t first)
     {
@@ -29,6 +49,19 @@
             }
         }
     }
+    bool isPageServed()
+    {
+        const std::string token = "page-" + std::to_string(++m_pages);
+        CallerPlan plan = m_trial->plan(m_page, token);
+        plan.entries = { m_trial->host(0).caller };
+        m_trial->callers().send(plan);
+        const auto isTold = [&](const CallerAction &action) { return action.token == token; };
+        const bool isEnded = waitUntil([&] {
+            const auto actions = m_trial->callers().actions();
+            return std::any_of(actions.begin(), actions.end(), isTold);
+        });
+        return isEnded && m_trial->startCount(token) == 1;
+    }
     void checkMerged()
     {
         std::string error;
@@ -61,22 +94,7 @@
     startPartitioned({ "hall-a" });
     CHECK(m_trial->setLogFaults(R"({"cut_clients":["desk-1"]})"));
     sendBookings(0);
-    std::uint32_t tries = 0;
-    CHECK(waitUntil([&] {
-        const std::string token = "page-" + std::to_string(++tries);
-        CallerPlan plan = m_trial->plan(m_page, token);
-        plan.entries = { m_trial->host(0).caller };
-        m_trial->callers().send(plan);
-        return waitUntil([&] {
-                   for (const CallerAction &action : m_trial->callers().actions()) {
-                       if (action.token == token) {
-                           return true;
-                       }
-                   }
-                   return false;
-               })
-            && m_trial->startCount(token) == 1;
-    }));
+    CHECK(waitUntil([this] { return isPageServed(); }));
     CHECK(m_trial->setLogFaults(R"({"cut_clients":[]})"));
     checkMerged();
     CHECK(m_trial->isServingAgain("after"));
--- /dev/null
+++ b/tests/process/triggerstest.cpp
@@ -0,0 +1,75 @@
+#include "tests/process/failuretest.h"
+
+using namespace ivyspar::lab;
+
+namespace {
+
+constexpr std::uint32_t DEPTH = 8;
+constexpr std::uint32_t BOUND = chainAttempts(DEPTH) * CHAIN_CALLER_ATTEMPTS;
+constexpr std::uint32_t CALLERS = 150;
+
+} // namespace
+
+struct TriggersFixture : FailureTest
+{
+    void sendHard(const std::string &prefix, std::uint32_t callers)
+    {
+        for (std::uint32_t i = 0; i < callers; ++i) {
+            CallerPlan plan =
+                m_trial->plan({ "chain", "GET", chainPath(0) }, prefix + std::to_string(i), i);
+            plan.attempts = 10;
+            plan.isRepeatingErrors = true;
+            plan.isRepeatingUnknown = true;
+            plan.budget = BOUND;
+            m_trial->callers().send(plan);
+        }
+    }
+    std::size_t countServedWith(const History &history, const std::string &prefix)
+    {
+        History part;
+        for (const CallerAction &action : history.actions) {
+            if (action.token.rfind(prefix, 0) == 0) {
+                part.actions.push_back(action);
+            }
+        }
+        return countServed(part);
+    }
+};
+
+TEST_GROUP_BASE(Triggers, TriggersFixture){};
+
+// All at once: every call of a chain takes sixty times as long, more callers than slots arrive, and
+// they come back whatever they are told. Attempts stay bounded; when the slowness is gone a new
+// request is served whole.
+TEST(Triggers, SlownessASurgeAndHardRetriesStayBoundedAndEnd)
+{
+    startTrial(makeChainGraph(DEPTH), {}, false);
+    CHECK(m_trial->setBehaviour("", R"({"slowdown":60})"));
+    sendHard("surge-", CALLERS);
+    CHECK(waitUntil([this] { return m_trial->callers().attemptCount() >= CALLERS; }));
+    CHECK(m_trial->setBehaviour("", R"({"slowdown":1})"));
+    std::uint32_t tries = 0;
+    CHECK(waitUntil([&] {
+        const std::string token = "later-" + std::to_string(++tries) + '-';
+        sendHard(token, 1);
+        return countServedWith(m_trial->history(), token) == 1;
+    }));
+    checkClean(checkAll(m_trial->history(), m_trial->graph()));
+}
+
+// A server is as slow as after a cold start, many times slower than the others, and announces slots
+// that it does not have. Requests are refused or served whole; none is told "not run" that ran.
+TEST(Triggers, AColdServerWithAMisleadingAnnouncementIsSurvived)
+{
+    startTrial(makeTrialGraph(), {}, false);
+    CHECK(m_trial->setBehaviour("desk-1", R"({"slowdown":40,"announcedSlots":400})"));
+    for (std::uint32_t i = 0; i < CALLERS; ++i) {
+        CallerPlan plan = m_trial->plan(m_record, "record-" + std::to_string(i), i);
+        plan.attempts = 30;
+        plan.pause = std::chrono::milliseconds(100);
+        m_trial->callers().send(plan);
+    }
+    const History history = m_trial->history();
+    checkClean(checkAll(history, m_trial->graph()));
+    CHECK(countServed(history) > CALLERS / 2);
+}
