Gate: a server that moved to another port keeps its connection limit

Cause: the limit was set only when slots, connections or draining changed. Before: GateService, AServerThatMovedKeepsItsConnections read 0 in place of 2000; after: 2000.

--- a/src/app/internal/gateservice.cpp
+++ b/src/app/internal/gateservice.cpp
@@ -110,6 +110,7 @@
     const bool isNew = m_upstreams.count(service) == 0;
     Upstream &upstream = m_upstreams[service];
     const UpstreamInfo before = upstream.announcement.info;
+    const bool hasMoved = upstream.announcement.endpoint != announcement.endpoint;
     upstream.announcement = announcement;
     upstream.heardAt = now;
     if (isNew) {
@@ -118,10 +119,15 @@
     const bool isChanged = isNew || before.slots != announcement.info.slots
         || before.connections != announcement.info.connections
         || before.draining != announcement.info.draining;
+    // A server that was started again on another port announces nothing else that is new. Without
+    // its own limit the new endpoint would get that of an unknown one, and requests beyond it would
+    // be refused while the server is idle.
+    if (isChanged || hasMoved) {
+        m_client.setConnectionLimit(announcement.endpoint, announcement.info.connections);
+    }
     if (!isChanged) {
         return;
     }
-    m_client.setConnectionLimit(announcement.endpoint, announcement.info.connections);
     upstream.gate->setDraining(announcement.info.draining || m_isDraining);
     perform(
         service,
--- /dev/null
+++ b/src/app/tests/gateservicetest.cpp
@@ -0,0 +1,96 @@
+#include <map>
+#include <memory>
+
+#include "app/internal/gateservice.h"
+#include "coordination/admission/gatefactory.h"
+#include "state/internal/seededrandom.h"
+#include "state/metricsfactory.h"
+#include "state/tests/mocks/recordingdecisionlog.h"
+#include "transport/transportfactory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+/// Notes the limits that it is given; nothing can be reached.
+class LimitRecorder : public IHttpClient
+{
+public:
+    HttpResult exchange(const Endpoint & /*endpoint*/, const HttpRequest & /*request*/,
+                        Duration /*timeout*/, HttpCancellationPtr /*cancellation*/) override
+    {
+        return tl::unexpected<HttpFailure>(
+            HttpFailure{ HttpFailureStage::NotSent, HttpFailureCause::Connect, "unreachable" });
+    }
+    void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) override
+    {
+        m_limits[endpoint] = connections;
+    }
+    void warm(const Endpoint & /*endpoint*/, std::size_t /*connections*/) override { }
+
+    std::size_t limitOf(const Endpoint &endpoint) { return m_limits[endpoint]; }
+
+private:
+    std::map<Endpoint, std::size_t> m_limits;
+};
+
+class NoOnce : public IOnceService
+{
+public:
+    void setListener(IOnceListener * /*listener*/) override { }
+    void request(CallId /*call*/, const CallMessage & /*message*/, TimePoint /*deadline*/) override
+    {
+    }
+    bool start(CallId /*call*/) override { return false; }
+    void finished(CallId /*call*/, const Verdict & /*verdict*/,
+                  const HttpResponse & /*response*/) override
+    {
+    }
+    void notRun(CallId /*call*/) override { }
+    void cancel(CallId /*call*/) override { }
+    std::string issueTicket() override { return {}; }
+    void setMembers(const std::vector<Member> & /*members*/) override { }
+};
+
+class NoLog : public ILog
+{
+public:
+    void write(LogLevel /*level*/, std::string /*text*/) override { }
+};
+
+std::unique_ptr<IGate> makeDefaultGate(const UpstreamInfo & /*info*/)
+{
+    return makeGate(GateOptions{});
+}
+
+} // namespace
+
+TEST_GROUP(GateService)
+{
+    std::unique_ptr<IEventLoop> m_loop = makeEventLoop();
+    LimitRecorder m_client;
+    SeededRandom m_random{ 1 };
+    NoOnce m_once;
+    NoLog m_log;
+    RecordingDecisionLog m_decisions;
+    std::unique_ptr<IMetrics> m_metrics = makeMetrics();
+    std::unique_ptr<GateService> m_gates = std::make_unique<GateService>(
+        *m_loop, m_client, m_random, m_once, makeDefaultGate,
+        Observers{ m_log, m_decisions, *m_metrics }, GateServiceOptions{});
+};
+
+// 1. A server is stopped, and started again with the same capacity on another port.
+// 2. It may be sent as many requests at a time as it announces. With the limit that an unknown
+//    endpoint has, callers would be refused although the server is idle.
+TEST(GateService, AServerThatMovedKeepsItsConnections)
+{
+    const UpstreamInfo info{ ServiceName("cassa"), 300, 2000, false };
+    const Endpoint before{ "127.0.0.1", 9000 };
+    const Endpoint after{ "127.0.0.1", 9001 };
+    m_gates->announce(Announcement{ info, before });
+    CHECK_EQUAL(2000, m_client.limitOf(before));
+    m_gates->announce(Announcement{ info, after });
+    CHECK_EQUAL(2000, m_client.limitOf(after));
+}
