--- a/src/protocol/internal/fieldcodec.h
+++ b/src/protocol/internal/fieldcodec.h
@@ -26,7 +26,11 @@
     FieldWriter &add(nlohmann::json value) { return push(std::move(value)); }
     template <typename T, typename Tag> FieldWriter &add(const StrongType<T, Tag> &value)
     {
-        return add(value.value());
+        if constexpr (std::is_integral_v<T>) {
+            return add(std::uint64_t(value.value()));
+        } else {
+            return add(value.value());
+        }
     }
 
     nlohmann::json take() { return std::move(m_fields); }
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -1,10 +1,10 @@
 #include "protocol/internal/peercodec.h"
 
-#include <limits>
-#include <type_traits>
+#include <algorithm>
 #include <utility>
 
 #include "protocol/internal/boundedcbor.h"
+#include "protocol/internal/fieldcodec.h"
 
 namespace ivyspar {
 
@@ -14,172 +14,69 @@
 
 enum class FrameKind : std::uint8_t { Hello = 1, Call, Answer, Cancel, Probe, Load, Control };
 
-/// Appends fields to a frame.
-class FrameWriter
+FieldWriter startFrame(FrameKind kind)
 {
-public:
-    explicit FrameWriter(FrameKind kind)
-        : m_fields(Json::array({ static_cast<std::uint8_t>(kind) }))
-    {
-    }
-
-    FrameWriter &add(std::uint64_t value) { return push(value); }
-    FrameWriter &add(bool value) { return push(value); }
-    FrameWriter &add(const std::string &value) { return push(value); }
-    FrameWriter &add(Duration value)
-    {
-        return push(std::uint64_t(std::max<Duration::rep>(0, value.count())));
-    }
-
-    template <typename T, typename Tag> FrameWriter &add(const StrongType<T, Tag> &value)
-    {
-        return push(value.value());
-    }
-
-    FrameWriter &addBytes(const std::string &value)
-    {
-        return push(Json::binary({ value.begin(), value.end() }));
-    }
-
-    /// Header values are bytes of the network: CBOR text must be UTF-8, so they go as binary.
-    FrameWriter &add(const std::vector<HttpHeader> &headers)
-    {
-        Json list = Json::array();
-        for (const HttpHeader &header : headers) {
-            list.push_back(Json::binary({ header.name.begin(), header.name.end() }));
-            list.push_back(Json::binary({ header.value.begin(), header.value.end() }));
-        }
-        return push(std::move(list));
-    }
-
-    std::string frame() const { return toCbor(m_fields); }
-
-private:
-    template <typename T> FrameWriter &push(T &&value)
-    {
-        m_fields.push_back(std::forward<T>(value));
-        return *this;
-    }
-
-    Json m_fields;
-};
+    FieldWriter writer;
+    writer.add(std::uint64_t(kind));
+    return writer;
+}
 
-/// Takes fields from a frame in order. The first one that is missing or of a wrong type or range
-/// makes the whole frame bad; the reads after it do nothing.
-class FrameReader
+std::string endFrame(FieldWriter &writer)
 {
-public:
-    explicit FrameReader(const Json &fields)
-        : m_fields(fields)
-    {
-    }
-
-    bool isGood() const { return m_isGood; }
-
-    template <typename T>
-    std::enable_if_t<std::is_unsigned_v<T> && !std::is_same_v<T, bool>> read(T &value)
-    {
-        const Json *field = next();
-        if (!field || !field->is_number_unsigned()
-            || field->get<std::uint64_t>() > std::numeric_limits<T>::max()) {
-            m_isGood = false;
-            return;
-        }
-        value = static_cast<T>(field->get<std::uint64_t>());
-    }
-
-    void read(bool &value)
-    {
-        const Json *field = next();
-        if (!field || !field->is_boolean()) {
-            m_isGood = false;
-            return;
-        }
-        value = field->get<bool>();
-    }
-
-    void read(std::string &value)
-    {
-        const Json *field = next();
-        if (!field || !field->is_string()) {
-            m_isGood = false;
-            return;
-        }
-        value = field->get_ref<const std::string &>();
-    }
+    return toCbor(writer.take());
+}
 
-    void read(Duration &value)
-    {
-        std::uint64_t micros = 0;
-        read(micros);
-        constexpr std::uint64_t MAX_MICROS = 1ULL << 62U;
-        m_isGood = m_isGood && micros <= MAX_MICROS;
-        value = Duration(static_cast<Duration::rep>(m_isGood ? micros : 0));
-    }
+void addDuration(FieldWriter &writer, Duration duration)
+{
+    writer.add(std::uint64_t(std::max<Duration::rep>(0, duration.count())));
+}
 
-    template <typename T, typename Tag> void read(StrongType<T, Tag> &value)
-    {
-        T plain{};
-        read(plain);
-        value = StrongType<T, Tag>(std::move(plain));
+void readDuration(FieldReader &reader, Duration &duration)
+{
+    constexpr std::uint64_t MAX_MICROS = 1ULL << 62U;
+    std::uint64_t micros = 0;
+    reader.read(micros);
+    if (micros > MAX_MICROS) {
+        reader.fail();
+        return;
     }
+    duration = Duration(static_cast<Duration::rep>(micros));
+}
 
-    template <typename Enum> std::enable_if_t<std::is_enum_v<Enum>> read(Enum &value, Enum last)
-    {
-        std::uint8_t plain = 0;
-        read(plain);
-        m_isGood = m_isGood && plain <= static_cast<std::uint8_t>(last);
-        value = static_cast<Enum>(m_isGood ? plain : 0);
+void addHeaders(FieldWriter &writer, const std::vector<HttpHeader> &headers)
+{
+    FieldWriter list;
+    for (const HttpHeader &header : headers) {
+        list.add(header.name).add(header.value);
     }
+    writer.add(list.take());
+}
 
-    void readBytes(std::string &value)
-    {
-        const Json *field = next();
-        if (!field || !field->is_binary()) {
-            m_isGood = false;
-            return;
-        }
-        const auto &bytes = field->get_binary();
-        value.assign(bytes.begin(), bytes.end());
+void readHeaders(FieldReader &reader, std::vector<HttpHeader> &headers)
+{
+    const Json *list = reader.readArray();
+    if (!list || list->size() % 2 != 0) {
+        reader.fail();
+        return;
     }
-
-    void read(std::vector<HttpHeader> &headers)
-    {
-        const Json *field = next();
-        if (!field || !field->is_array() || field->size() % 2 != 0) {
-            m_isGood = false;
-            return;
-        }
-        FrameReader items(*field);
-        headers.resize(field->size() / 2);
-        for (HttpHeader &header : headers) {
-            items.readBytes(header.name);
-            items.readBytes(header.value);
-        }
-        m_isGood = m_isGood && items.isGood();
+    FieldReader items(*list);
+    headers.resize(list->size() / 2);
+    for (HttpHeader &header : headers) {
+        items.read(header.name);
+        items.read(header.value);
     }
-
-private:
-    const Json *next()
-    {
-        if (!m_isGood || m_at >= m_fields.size()) {
-            return nullptr;
-        }
-        return &m_fields[m_at++];
+    if (!items.isGood()) {
+        reader.fail();
     }
+}
 
-    const Json &m_fields;
-    std::size_t m_at = 0;
-    bool m_isGood = true;
-};
-
-void addLoad(FrameWriter &writer, const LoadReport &load)
+void addLoad(FieldWriter &writer, const LoadReport &load)
 {
     writer.add(std::uint64_t(load.inFlight)).add(std::uint64_t(load.queued));
     writer.add(std::uint64_t(load.limit)).add(load.floor).add(load.draining);
 }
 
-void readLoad(FrameReader &reader, LoadReport &load)
+void readLoad(FieldReader &reader, LoadReport &load)
 {
     reader.read(load.inFlight);
     reader.read(load.queued);
@@ -190,63 +87,81 @@
 
 std::string encodeOne(const HelloMessage &message)
 {
-    FrameWriter writer(FrameKind::Hello);
+    FieldWriter writer = startFrame(FrameKind::Hello);
     writer.add(std::uint64_t(message.protocol)).add(message.daemon);
     writer.add(message.incarnation).add(message.domain);
-    return writer.frame();
+    return endFrame(writer);
+}
+
+void addOnce(FieldWriter &writer, const std::optional<OnceTerms> &once)
+{
+    writer.add(once.has_value());
+    if (!once) {
+        return;
+    }
+    writer.add(once->key);
+    addDuration(writer, once->keyLifetime);
+    writer.add(once->ticket);
 }
 
 std::string encodeOne(const CallMessage &message)
 {
-    FrameWriter writer(FrameKind::Call);
+    FieldWriter writer = startFrame(FrameKind::Call);
     writer.add(message.stream).add(message.root).add(message.service).add(message.rule);
-    writer.add(message.rank).add(message.depth).add(message.remaining).add(message.granted);
-    writer.addBytes(message.request.method).addBytes(message.request.target);
-    writer.add(message.request.headers).addBytes(message.request.body);
-    writer.add(message.once.has_value());
-    if (message.once) {
-        writer.addBytes(message.once->key.value()).add(message.once->keyLifetime);
-        writer.addBytes(message.once->ticket);
-    }
-    return writer.frame();
+    writer.add(message.rank).add(message.depth);
+    addDuration(writer, message.remaining);
+    writer.add(message.granted).add(message.request.method).add(message.request.target);
+    addHeaders(writer, message.request.headers);
+    writer.add(message.request.body);
+    addOnce(writer, message.once);
+    return endFrame(writer);
 }
 
 std::string encodeOne(const AnswerMessage &message)
 {
-    FrameWriter writer(FrameKind::Answer);
+    FieldWriter writer = startFrame(FrameKind::Answer);
     writer.add(message.stream);
     writer.add(std::uint64_t(message.verdict.outcome)).add(std::uint64_t(message.verdict.reason));
-    writer.add(message.verdict.retryAfter).add(message.unspent).add(message.serviceTime);
+    addDuration(writer, message.verdict.retryAfter);
+    writer.add(message.unspent);
+    addDuration(writer, message.serviceTime);
     addLoad(writer, message.load);
     writer.add(message.holder).add(std::uint64_t(message.response.status));
-    writer.add(message.response.headers).addBytes(message.response.body);
-    return writer.frame();
+    addHeaders(writer, message.response.headers);
+    writer.add(message.response.body);
+    return endFrame(writer);
 }
 
 std::string encodeOne(const CancelMessage &message)
 {
-    return FrameWriter(FrameKind::Cancel).add(message.stream).frame();
+    FieldWriter writer = startFrame(FrameKind::Cancel);
+    writer.add(message.stream);
+    return endFrame(writer);
 }
 
 std::string encodeOne(const ProbeMessage &message)
 {
-    return FrameWriter(FrameKind::Probe).add(message.stream).add(message.service).frame();
+    FieldWriter writer = startFrame(FrameKind::Probe);
+    writer.add(message.stream).add(message.service);
+    return endFrame(writer);
 }
 
 std::string encodeOne(const LoadMessage &message)
 {
-    FrameWriter writer(FrameKind::Load);
+    FieldWriter writer = startFrame(FrameKind::Load);
     writer.add(message.stream).add(message.service);
     addLoad(writer, message.load);
-    return writer.frame();
+    return endFrame(writer);
 }
 
 std::string encodeOne(const ControlMessage &message)
 {
-    return FrameWriter(FrameKind::Control).add(message.from).addBytes(message.payload).frame();
+    FieldWriter writer = startFrame(FrameKind::Control);
+    writer.add(message.from).add(message.payload);
+    return endFrame(writer);
 }
 
-HelloMessage readHello(FrameReader &reader)
+HelloMessage readHello(FieldReader &reader)
 {
     HelloMessage message;
     reader.read(message.protocol);
@@ -256,22 +171,20 @@
     return message;
 }
 
-void readOnce(FrameReader &reader, std::optional<OnceTerms> &once)
+void readOnce(FieldReader &reader, std::optional<OnceTerms> &once)
 {
     bool isPresent = false;
     reader.read(isPresent);
     if (!isPresent) {
         return;
     }
-    std::string key;
     once.emplace();
-    reader.readBytes(key);
-    once->key = IdempotencyKey(std::move(key));
-    reader.read(once->keyLifetime);
-    reader.readBytes(once->ticket);
+    reader.read(once->key);
+    readDuration(reader, once->keyLifetime);
+    reader.read(once->ticket);
 }
 
-CallMessage readCall(FrameReader &reader)
+CallMessage readCall(FieldReader &reader)
 {
     CallMessage message;
     reader.read(message.stream);
@@ -280,34 +193,34 @@
     reader.read(message.rule);
     reader.read(message.rank);
     reader.read(message.depth);
-    reader.read(message.remaining);
+    readDuration(reader, message.remaining);
     reader.read(message.granted);
-    reader.readBytes(message.request.method);
-    reader.readBytes(message.request.target);
-    reader.read(message.request.headers);
-    reader.readBytes(message.request.body);
+    reader.read(message.request.method);
+    reader.read(message.request.target);
+    readHeaders(reader, message.request.headers);
+    reader.read(message.request.body);
     readOnce(reader, message.once);
     return message;
 }
 
-AnswerMessage readAnswer(FrameReader &reader)
+AnswerMessage readAnswer(FieldReader &reader)
 {
     AnswerMessage message;
     reader.read(message.stream);
     reader.read(message.verdict.outcome, Outcome::Unknown);
     reader.read(message.verdict.reason, Reason::ShuttingDown);
-    reader.read(message.verdict.retryAfter);
+    readDuration(reader, message.verdict.retryAfter);
     reader.read(message.unspent);
-    reader.read(message.serviceTime);
+    readDuration(reader, message.serviceTime);
     readLoad(reader, message.load);
     reader.read(message.holder);
     reader.read(message.response.status);
-    reader.read(message.response.headers);
-    reader.readBytes(message.response.body);
+    readHeaders(reader, message.response.headers);
+    reader.read(message.response.body);
     return message;
 }
 
-ProbeMessage readProbe(FrameReader &reader)
+ProbeMessage readProbe(FieldReader &reader)
 {
     ProbeMessage message;
     reader.read(message.stream);
@@ -315,7 +228,7 @@
     return message;
 }
 
-LoadMessage readLoadMessage(FrameReader &reader)
+LoadMessage readLoadMessage(FieldReader &reader)
 {
     LoadMessage message;
     reader.read(message.stream);
@@ -324,22 +237,22 @@
     return message;
 }
 
-ControlMessage readControl(FrameReader &reader)
+ControlMessage readControl(FieldReader &reader)
 {
     ControlMessage message;
     reader.read(message.from);
-    reader.readBytes(message.payload);
+    reader.read(message.payload);
     return message;
 }
 
-CancelMessage readCancel(FrameReader &reader)
+CancelMessage readCancel(FieldReader &reader)
 {
     CancelMessage message;
     reader.read(message.stream);
     return message;
 }
 
-PeerMessage readMessage(FrameKind kind, FrameReader &reader)
+PeerMessage readMessage(FrameKind kind, FieldReader &reader)
 {
     switch (kind) {
     case FrameKind::Hello:
@@ -373,7 +286,7 @@
     if (!fields || !fields->is_array()) {
         return makeError(ErrorCode::InvalidArgument, "the frame is not a CBOR array");
     }
-    FrameReader reader(*fields);
+    FieldReader reader(*fields);
     std::uint8_t kind = 0;
     reader.read(kind);
     if (!reader.isGood() || kind < static_cast<std::uint8_t>(FrameKind::Hello)
