--- a/src/app/internal/flags.cpp
+++ b/src/app/internal/flags.cpp
@@ -18,7 +18,8 @@
 DEFINE_string(peer_listen, "127.0.0.1:7403", "IP:PORT for other daemons.");
 DEFINE_string(peer_advertise, "",
               "IP:PORT at which other daemons reach this one, if not --peer_listen.");
-DEFINE_string(seeds, "", "IP:PORT,... of other daemons to join by; without any it waits to be found.");
+DEFINE_string(seeds, "",
+              "IP:PORT,... of other daemons to join by; without any it waits to be found.");
 DEFINE_string(log_endpoints, "", "IP:PORT,... of the platform's log.");
 DEFINE_string(log_retention, "1h",
               "For how long the platform's log keeps a record (1min to 8760h).");
