ivyspar_configuration_age_seconds is set

It was always 0: nothing set it. The test failed after its 30 s with the line that sets it taken out, and passes with it (process tests: 20 ran, 20 passed).

--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/controlnode.cpp
@@ -141,6 +141,7 @@
 void ControlNode::useConfiguration(const ConfigurationPtr &configuration)
 {
     m_configuration = configuration;
+    m_configuredAt = m_loop.now();
     m_observers.metrics.set(Gauge::ConfigurationVersion,
                             static_cast<std::int64_t>(configuration->version.value()));
     recordChange(DecisionKind::Configuration, configuration->version.value(), "in-force");
@@ -190,6 +191,11 @@
     metrics.set(Gauge::RequestsInFlight, static_cast<std::int64_t>(traffic.requests));
     metrics.set(Gauge::CallerConnections, static_cast<std::int64_t>(traffic.callerConnections));
     metrics.set(Gauge::PeerLinks, static_cast<std::int64_t>(traffic.links));
+    if (m_configuration) {
+        const auto age =
+            std::chrono::duration_cast<std::chrono::seconds>(m_loop.now() - m_configuredAt);
+        metrics.set(Gauge::ConfigurationAgeSeconds, age.count());
+    }
     LoadReport sum;
     for (const auto &[service, load] : traffic.gates) {
         sum.inFlight += load.inFlight;
--- a/src/app/internal/controlnode.h
+++ b/src/app/internal/controlnode.h
@@ -74,6 +74,7 @@
     ConfigurationDriver m_configurationDriver;
     std::unique_ptr<IHttpServer> m_operatorServer;
     ConfigurationPtr m_configuration;
+    TimePoint m_configuredAt;
     bool m_isLeaving = false;
 };
 
--- a/tests/process/operatortest.cpp
+++ b/tests/process/operatortest.cpp
@@ -1,10 +1,12 @@
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 #include <sys/wait.h>
 
@@ -22,6 +24,7 @@
 namespace {
 
 constexpr Duration PATIENCE = seconds(30);
+constexpr Duration POLL = std::chrono::milliseconds(20);
 
 std::string readFile(const std::string &path)
 {
@@ -105,6 +108,19 @@
     bodyOf(m_operators, "/other", 404);
 }
 
+// The age tells an operator when a change did not arrive. It has to grow without any event.
+TEST(OperatorProcess, AgeOfTheConfigurationGrows)
+{
+    const std::string young = "\nivyspar_configuration_age_seconds 0\n";
+    const auto deadline = std::chrono::steady_clock::now() + PATIENCE;
+    bool isOlder = false;
+    while (!isOlder && std::chrono::steady_clock::now() < deadline) {
+        isOlder = bodyOf(m_operators, "/metrics", 200).find(young) == std::string::npos;
+        std::this_thread::sleep_for(POLL);
+    }
+    CHECK_TRUE(isOlder);
+}
+
 // No server of the service is there. The caller hears at once that its request was not run, and
 // the operator finds it in the metrics and, by its id, in the decision log.
 TEST(OperatorProcess, RefusalIsCountedAndLogged)
