--- a/standins/history/historycaller.cpp
+++ b/standins/history/historycaller.cpp
@@ -114,6 +114,9 @@
     request.method = plan.call.method;
     request.target = '/' + plan.call.service + plan.call.path + "?token=" + plan.token;
     request.headers.push_back({ headers::ATTEMPT, std::to_string(attempt) });
+    if (plan.deadline.count() > 0) {
+        request.headers.push_back({ headers::DEADLINE_MS, std::to_string(plan.deadline.count()) });
+    }
     if (!plan.key.empty()) {
         request.headers.push_back({ headers::IDEMPOTENCY_KEY, plan.key });
     }
--- a/standins/history/historycaller.h
+++ b/standins/history/historycaller.h
@@ -37,6 +37,8 @@
     bool isRepeatingErrors = false;
     Duration pause = std::chrono::milliseconds(20);
     Duration patience = std::chrono::seconds(5);
+    /// Sent as `Ivyspar-Deadline-Ms`; zero for none.
+    std::chrono::milliseconds deadline{ 0 };
 };
 
 /// Sends callers' actions, many at a time, and records what each attempt was told.
--- a/tests/process/failuretest.h
+++ b/tests/process/failuretest.h
@@ -47,6 +47,21 @@
         return count;
     }
 
+    /// Token and reason of each attempt that was told this.
+    static std::string reasonsOf(const History &history, Told told)
+    {
+        std::string text;
+        for (const CallerAction &action : history.actions) {
+            for (const CallerAttempt &attempt : action.attempts) {
+                if (attempt.told == told) {
+                    text += action.token + ' ' + std::to_string(attempt.status) + ' '
+                        + attempt.reason + '\n';
+                }
+            }
+        }
+        return text;
+    }
+
     /// Actions whose last attempt brought a 200.
     static std::size_t countServed(const History &history)
     {
--- a/tests/process/wholeanswerstest.cpp
+++ b/tests/process/wholeanswerstest.cpp
@@ -112,6 +112,30 @@
     CHECK_EQUAL(REQUESTS, countServed(history));
 }
 
+// Requests take about as long as their callers wait, so that about half of the answers come after
+// their caller was told "unknown". A late answer goes nowhere; above all not to the next request on
+// the same connections, for which the same callers then wait long enough.
+TEST(WholeAnswers, LateAnswersReachNobodyElse)
+{
+    startTrial(makeTrialGraph(), {}, false);
+    constexpr std::uint32_t REQUESTS = 100;
+    const auto sendAll = [this](const std::string &prefix, std::chrono::milliseconds deadline) {
+        for (std::uint32_t i = 0; i < REQUESTS; ++i) {
+            CallerPlan plan =
+                m_trial->plan({ "desk", "GET", "/wait/5" }, prefix + std::to_string(i));
+            plan.entries = { m_trial->host(0).caller };
+            plan.deadline = deadline;
+            plan.attempts = 40;
+            m_trial->callers().send(plan);
+        }
+    };
+    sendAll("late-", std::chrono::milliseconds(200));
+    m_trial->callers().waitForAll();
+    CHECK(countTold(m_trial->history(), Told::Unknown) > 0);
+    sendAll("next-", std::chrono::milliseconds(3000));
+    checkClean(checkAll(m_trial->history(), m_trial->graph()));
+}
+
 // The server dies in the middle of its answer. It did start the request, so the caller hears
 // "unknown": neither a short answer nor "not run".
 TEST(WholeAnswers, AnAnswerThatIsCutOffIsUnknown)
