Early refusals are counted and logged; stand-in upstreams check their options

Cause: requests refused before routing (no rule, bad request, too many attempts, draining) left no line in the decision log and were not counted. They are answered in one place now, which does both.

--- a/src/app/internal/entryservice.cpp
+++ b/src/app/internal/entryservice.cpp
@@ -100,7 +100,8 @@
 HttpResponse EntryService::handleCaller(IHttpExchange &exchange)
 {
     if (m_isDraining) {
-        return refuse(RootId(m_policies.random.next()), notRun(Reason::ShuttingDown));
+        return refuse(
+            EarlyRefusal{ RootId(m_policies.random.next()), notRun(Reason::ShuttingDown) }, false);
     }
     return serve(exchange, false);
 }
@@ -113,11 +114,12 @@
 HttpResponse EntryService::serve(IHttpExchange &exchange, bool isFromUpstream)
 {
     if (m_requestCount >= m_options.maxRequests) {
-        return refuse(RootId(m_policies.random.next()), notRun(Reason::QueueFull));
+        return refuse(EarlyRefusal{ RootId(m_policies.random.next()), notRun(Reason::QueueFull) },
+                      isFromUpstream);
     }
     auto incoming = readRequest(exchange.request(), isFromUpstream);
     if (!incoming) {
-        return incoming.error();
+        return refuse(incoming.error(), isFromUpstream);
     }
     ++m_requestCount;
     HttpResponse response = runRequest(exchange, std::move(*incoming));
@@ -125,7 +127,7 @@
     return response;
 }
 
-tl::expected<EntryService::Incoming, HttpResponse>
+tl::expected<EntryService::Incoming, EntryService::EarlyRefusal>
 EntryService::readRequest(const HttpRequest &request, bool isFromUpstream)
 {
     auto incoming = readTarget(request);
@@ -133,7 +135,7 @@
         return incoming;
     }
     if (!readCallerTerms(request, *incoming)) {
-        return Refusal(refuse(incoming->root, notRun(Reason::BadRequest)));
+        return Refusal(EarlyRefusal{ incoming->root, notRun(Reason::BadRequest) });
     }
     incoming->priority = incoming->rule.priority;
     if (isFromUpstream) {
@@ -142,7 +144,7 @@
                && incoming->callerAttempt > incoming->rule.callerAttempts) {
         // Past the bound the answer is final: without it a client that retries for ever would make
         // the number of attempts for one tap unbounded.
-        return Refusal(refuse(incoming->root, notRun(Reason::CallerAttempts)));
+        return Refusal(EarlyRefusal{ incoming->root, notRun(Reason::CallerAttempts) });
     }
     if (!incoming->ledger) {
         incoming->ledger = new CallLedger(incoming->rule.attempts);
@@ -150,7 +152,7 @@
     return incoming;
 }
 
-tl::expected<EntryService::Incoming, HttpResponse>
+tl::expected<EntryService::Incoming, EntryService::EarlyRefusal>
 EntryService::readTarget(const HttpRequest &request)
 {
     Incoming incoming;
@@ -159,18 +161,18 @@
         incoming.root = RootId(m_policies.random.next());
     }
     if (!m_configuration) {
-        return Refusal(refuse(incoming.root, notRun(Reason::NoConfiguration)));
+        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::NoConfiguration) });
     }
     std::string service;
     incoming.request = request;
     if (!splitTarget(request.target, service, incoming.request.target)) {
-        return Refusal(refuse(incoming.root, notRun(Reason::BadRequest)));
+        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::BadRequest) });
     }
     incoming.service = ServiceName(service);
     const std::string path = incoming.request.target.substr(0, incoming.request.target.find('?'));
     const RuleSpec *rule = findRule(m_configuration->rules, incoming.service, request.method, path);
     if (!rule) {
-        return Refusal(refuse(incoming.root, notRun(Reason::NoRule)));
+        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::NoRule) });
     }
     incoming.rule = *rule;
     removeOwnHeaders(incoming.request.headers);
@@ -387,9 +389,20 @@
     });
 }
 
-HttpResponse EntryService::refuse(RootId root, const Verdict &verdict) const
+HttpResponse EntryService::refuse(const EarlyRefusal &refusal, bool isFromUpstream)
 {
-    return makeVerdictResponse(root, verdict, 0);
+    if (!isFromUpstream) {
+        m_observers.metrics.countRequest(refusal.verdict, Priority());
+    }
+    if (m_observers.decisions.isEnabled()) {
+        Decision decision;
+        decision.kind = DecisionKind::Refuse;
+        decision.root = refusal.root;
+        decision.choice = toText(refusal.verdict.outcome);
+        decision.reason = toText(refusal.verdict.reason);
+        m_observers.decisions.write(std::move(decision));
+    }
+    return makeVerdictResponse(refusal.root, refusal.verdict, 0);
 }
 
 HttpResponse EntryService::compose(const Run &run) const
--- a/src/app/internal/entryservice.h
+++ b/src/app/internal/entryservice.h
@@ -67,11 +67,16 @@
     struct Run;
     using RunPtr = boost::intrusive_ptr<Run>;
     /// A request that is answered without being routed.
-    using Refusal = tl::unexpected<HttpResponse>;
+    struct EarlyRefusal
+    {
+        RootId root;
+        Verdict verdict;
+    };
+    using Refusal = tl::unexpected<EarlyRefusal>;
 
-    tl::expected<Incoming, HttpResponse> readRequest(const HttpRequest &request,
+    tl::expected<Incoming, EarlyRefusal> readRequest(const HttpRequest &request,
                                                      bool isFromUpstream);
-    tl::expected<Incoming, HttpResponse> readTarget(const HttpRequest &request);
+    tl::expected<Incoming, EarlyRefusal> readTarget(const HttpRequest &request);
     Ret readCallerTerms(const HttpRequest &request, Incoming &incoming);
     void applyContext(const HttpRequest &request, Incoming &incoming);
     HttpResponse serve(IHttpExchange &exchange, bool isFromUpstream);
@@ -82,7 +87,8 @@
     void armTimer(const RunPtr &run);
     void recordAttempt(const Run &run, const EntryAction &action);
     void recordEnd(const Run &run);
-    HttpResponse refuse(RootId root, const Verdict &verdict) const;
+    /// Answers, counts and logs a request that is not routed.
+    HttpResponse refuse(const EarlyRefusal &refusal, bool isFromUpstream);
     HttpResponse compose(const Run &run) const;
 
     IEventLoop &m_loop;
--- a/standins/upstream/upstreamcommand.cpp
+++ b/standins/upstream/upstreamcommand.cpp
@@ -24,6 +24,7 @@
 using Servers = std::vector<std::unique_ptr<UpstreamServer>>;
 
 constexpr int EXIT_FAILURE_AT_START = 1;
+constexpr int EXIT_USAGE = 2;
 constexpr Duration STOP_TIMEOUT = std::chrono::seconds(1);
 
 /// `name,service,slots,connections,IP:PORT`
@@ -147,6 +148,19 @@
         node.serviceTime =
             std::chrono::duration_cast<Duration>(node.serviceTime * options.number("scale", 1));
     }
+    if (graph.nodes.empty()) {
+        std::fprintf(stderr, "upstreams: no such graph; try tallowood or bottega\n");
+        return EXIT_USAGE;
+    }
+    for (const std::string &text : options.texts("server")) {
+        const UpstreamSpec spec = parseSpec(text);
+        if (spec.slots == 0 || spec.connections == 0 || spec.daemon.port == 0) {
+            std::fprintf(stderr,
+                         "upstreams: --server is NAME,SERVICE,SLOTS,CONNECTIONS,IP:PORT, not %s\n",
+                         text.c_str());
+            return EXIT_USAGE;
+        }
+    }
     const auto loop = makeEventLoop();
     SeededRandom random(static_cast<std::uint64_t>(options.number("seed", 1)));
     Servers servers;
@@ -176,7 +190,13 @@
                 return handleControl(exchange.request(), servers);
             });
         ready["control"] = bound ? bound->text() : "";
-        std::ofstream(options.text("ready_file", "/dev/stdout")) << ready.dump() << '\n';
+        const std::string readyFile = options.text("ready_file", "");
+        if (readyFile.empty()) {
+            std::printf("%s\n", ready.dump().c_str());
+            std::fflush(stdout);
+        } else {
+            std::ofstream(readyFile) << ready.dump() << '\n';
+        }
     });
     std::thread waiter([&] {
         waitForStopSignal();
