--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/controlnode.cpp
@@ -1,13 +1,12 @@
 #include "app/internal/controlnode.h"
 
 #include <cstdio>
-#include <random>
 #include <utility>
 
 #include "app/internal/logaccess.h"
 #include "app/internal/statusdocument.h"
 #include "protocol/configurationreaderfactory.h"
-#include "state/internal/seededrandom.h"
+#include "state/randomfactory.h"
 #include "state/rank.h"
 #include "transport/oneshot.h"
 #include "transport/transportfactory.h"
@@ -21,12 +20,6 @@
 constexpr std::uint16_t NOT_FOUND = 404;
 constexpr std::uint16_t UNAVAILABLE = 503;
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (std::uint64_t(device()) << 32U) | device();
-}
-
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
     return HttpResponse{ status, { { "Content-Type", type } }, std::move(body) };
@@ -40,7 +33,7 @@
     , m_settings(settings)
     , m_traffic(std::move(traffic))
     , m_observers(observers)
-    , m_random(std::make_unique<SeededRandom>(randomSeed()))
+    , m_random(makeRandom())
     , m_membership(loop, *m_random, std::move(self), makeControlEvents())
     , m_logClient(makeLogClient(loop))
     , m_log(makeLog(m_settings, *m_logClient))
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -1,6 +1,5 @@
 #include "app/internal/trafficnode.h"
 
-#include <random>
 #include <utility>
 
 #include "app/internal/announcementreader.h"
@@ -8,7 +7,7 @@
 #include "app/internal/policies.h"
 #include "coordination/once/oncefactory.h"
 #include "protocol/internal/peercodec.h"
-#include "state/internal/seededrandom.h"
+#include "state/randomfactory.h"
 #include "transport/transportfactory.h"
 
 namespace ivyspar {
@@ -24,12 +23,6 @@
 
 constexpr Duration DRAIN_POLL = std::chrono::milliseconds(5);
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (std::uint64_t(device()) << 32U) | device();
-}
-
 HttpClientLimits makeClientLimits(const DaemonSettings &settings)
 {
     HttpClientLimits limits;
@@ -84,7 +77,7 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_events(std::move(events))
-    , m_random(std::make_unique<SeededRandom>(randomSeed()))
+    , m_random(makeRandom())
     , m_codec(std::make_unique<PeerCodec>())
     , m_client(makeHttpClient(loop, makeClientLimits(settings)))
     , m_network(makePeerNetwork(loop))
