--- a/bench/controlbench.cpp
+++ b/bench/controlbench.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint32_t DOMAINS = 6;
 /// Hosts of each of the two services in the measurement of calls.
 constexpr std::uint32_t SERVERS = 2;
+constexpr std::size_t LOAD_THREADS = 2;
 constexpr Duration SETTLE = std::chrono::seconds(4);
 constexpr Duration WINDOW = std::chrono::seconds(10);
 constexpr Duration OPERATOR_TIMEOUT = std::chrono::seconds(5);
@@ -140,7 +141,7 @@
                 isDone = measureIdle(daemons) && isDone;
             }
         }
-        isDone = measureCalls() && isDone;
+        isDone = measureCalls(m_options.number("least_rate", 0)) && isDone;
         std::filesystem::remove_all(m_folder);
         if (m_options.has("json")) {
             std::ofstream(m_options.text("json", "")) << m_records.dump(1) << '\n';
@@ -196,14 +197,17 @@
     }
 
     /// Each call enters at one of two daemons and is served behind another one of two.
-    bool measureCalls()
+    bool measureCalls(double leastRate)
     {
         const CallGraph graph = makePairGraph(SERVERS);
         Deployment deployment(makeOptions(graph), graph);
         if (!start(deployment)) {
             return false;
         }
-        for (const double rate : { 40.0, 80.0, 160.0, 320.0, 640.0, 1280.0 }) {
+        for (const double rate : { 40.0, 80.0, 160.0, 320.0, 640.0, 1280.0, 2560.0, 5120.0, 7680.0 }) {
+            if (rate < leastRate) {
+                continue;
+            }
             measureRate(deployment, graph, rate, false);
             measureRate(deployment, graph, rate, true);
         }
@@ -230,7 +234,7 @@
         plan.isDirect = isDirect;
         plan.entries = isDirect ? deployment.upstreamEndpoints("work") : frontEndpoints(deployment);
         const auto before = takeSamples(deployment);
-        const std::vector<LoadRecord> records = runLoad(graph, plan, 1);
+        const std::vector<LoadRecord> records = runLoad(graph, plan, LOAD_THREADS);
         Json record = toRecord(isDirect ? "calls-direct" : "calls", 2 * SERVERS, rate,
                                compare(before, takeSamples(deployment), seconds(WINDOW)));
         std::vector<Duration> latencies;
