--- a/bench/controlbench.cpp
+++ b/bench/controlbench.cpp
@@ -204,7 +204,8 @@
         if (!start(deployment)) {
             return false;
         }
-        for (const double rate : { 40.0, 80.0, 160.0, 320.0, 640.0, 1280.0, 2560.0, 5120.0, 7680.0 }) {
+        for (const double rate :
+             { 40.0, 80.0, 160.0, 320.0, 640.0, 1280.0, 2560.0, 5120.0, 7680.0 }) {
             if (rate < leastRate) {
                 continue;
             }
--- a/standins/demo/demo.cpp
+++ b/standins/demo/demo.cpp
@@ -136,6 +136,8 @@
             waitForStopSignal();
             if (!deployment.isFinished()) {
                 deployment.killAll();
+                std::error_code ignored;
+                std::filesystem::remove_all(folder, ignored);
                 std::_Exit(EXIT_INTERRUPTED);
             }
         });
