--- a/src/app/internal/gateservice.cpp
+++ b/src/app/internal/gateservice.cpp
@@ -101,9 +101,6 @@
 GateService::~GateService()
 {
     m_loop.cancelTimer(m_silenceTimer);
-    for (const auto &[service, upstream] : m_upstreams) {
-        m_loop.cancelTimer(upstream.tickTimer);
-    }
 }
 
 void GateService::announce(const Announcement &announcement)
@@ -118,6 +115,8 @@
     upstream.heardAt = now;
     if (isNew) {
         upstream.gate = m_makeGate(announcement.info);
+        upstream.tickTimer =
+            std::make_unique<WakeTimer>(m_loop, [this, service] { tick(service); });
     }
     const bool isChanged = isNew || before.slots != announcement.info.slots
         || before.connections != announcement.info.connections
@@ -441,32 +440,16 @@
 
 void GateService::armTick(const ServiceName &service)
 {
-    Upstream *upstream = findUpstream(service);
-    if (!upstream) {
-        return;
-    }
-    const TimePoint next = upstream->gate->nextTick();
-    if (next == upstream->tickAt) {
-        return;
-    }
-    m_loop.cancelTimer(upstream->tickTimer);
-    upstream->tickAt = next;
-    if (next == TimePoint::max()) {
-        return;
+    if (Upstream *upstream = findUpstream(service)) {
+        upstream->tickTimer->wakeAt(upstream->gate->nextTick());
     }
-    const auto delay = std::chrono::duration_cast<Duration>(next - m_loop.now());
-    upstream->tickTimer =
-        m_loop.callLater(std::max(delay, Duration::zero()), [this, service] { tick(service); });
 }
 
 void GateService::tick(const ServiceName &service)
 {
-    Upstream *upstream = findUpstream(service);
-    if (!upstream) {
-        return;
+    if (Upstream *upstream = findUpstream(service)) {
+        perform(service, upstream->gate->tick(m_loop.now()));
     }
-    upstream->tickAt = TimePoint::max();
-    perform(service, upstream->gate->tick(m_loop.now()));
 }
 
 void GateService::dropSilentUpstreams()
@@ -478,7 +461,6 @@
         const LoadReport load = it->second.gate->load(m_loop.now());
         const bool isIdle = load.inFlight == 0 && load.queued == 0;
         if (it->second.heardAt < oldest && isIdle) {
-            m_loop.cancelTimer(it->second.tickTimer);
             it = m_upstreams.erase(it);
             isChanged = true;
         } else {
--- a/src/app/internal/gateservice.h
+++ b/src/app/internal/gateservice.h
@@ -9,6 +9,7 @@
 #include "app/internal/igateservice.h"
 #include "app/internal/ionceservice.h"
 #include "app/internal/observers.h"
+#include "app/internal/waketimer.h"
 #include "coordination/admission/igate.h"
 #include "state/irandom.h"
 #include "state/member.h"
@@ -68,8 +69,7 @@
         Announcement announcement;
         std::unique_ptr<IGate> gate;
         TimePoint heardAt;
-        TimerId tickTimer;
-        TimePoint tickAt = TimePoint::max();
+        std::unique_ptr<WakeTimer> tickTimer;
     };
     struct Call
     {
