--- a/src/app/internal/checkcommand.cpp
+++ b/src/app/internal/commands/checkcommand.cpp
@@ -1,9 +1,9 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "app/internal/commands.h"
-#include "app/internal/configurationfiles.h"
-#include "app/internal/flagset.h"
+#include "app/internal/commands/commands.h"
+#include "app/internal/settings/configurationfiles.h"
+#include "app/internal/settings/flagset.h"
 
 namespace ivyspar {
 
--- a/src/app/internal/commandline.cpp
+++ b/src/app/internal/commands/commandline.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdio>
 
-#include "app/internal/commands.h"
+#include "app/internal/commands/commands.h"
 
 namespace ivyspar {
 
--- a/src/app/internal/daemoncommand.cpp
+++ b/src/app/internal/commands/daemoncommand.cpp
@@ -1,8 +1,9 @@
 #include <cstdio>
 
 #include "app/daemon.h"
-#include "app/internal/commands.h"
-#include "app/internal/daemonsettings.h"
+#include "app/internal/commands/commands.h"
+#include "app/internal/settings/daemonsettings.h"
+#include "app/iplatform.h"
 
 namespace ivyspar {
 
@@ -42,7 +43,7 @@
     if (!result.errors.empty()) {
         return failUsage("daemon", result.errors);
     }
-    return runDaemon(result.settings);
+    return runDaemon(result.settings, *makeOwnPlatform());
 }
 
 } // namespace ivyspar
--- a/src/app/internal/linediff.cpp
+++ b/src/app/internal/commands/linediff.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/linediff.h"
+#include "app/internal/commands/linediff.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/app/internal/operatorclient.cpp
+++ b/src/app/internal/commands/operatorclient.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/operatorclient.h"
+#include "app/internal/commands/operatorclient.h"
 
 #include <optional>
 #include <thread>
--- a/src/app/internal/publish.cpp
+++ b/src/app/internal/commands/publish.cpp
@@ -2,8 +2,8 @@
 
 #include <cstdio>
 
-#include "app/internal/configurationpublisher.h"
-#include "app/internal/linediff.h"
+#include "app/internal/commands/linediff.h"
+#include "app/internal/control/configurationpublisher.h"
 #include "transport/logservicefactory.h"
 #include "transport/transportfactory.h"
 
--- a/src/app/internal/publishcommand.cpp
+++ b/src/app/internal/commands/publishcommand.cpp
@@ -1,7 +1,7 @@
 #include <cstdio>
 
-#include "app/internal/commands.h"
-#include "app/internal/publishsettings.h"
+#include "app/internal/commands/commands.h"
+#include "app/internal/settings/publishsettings.h"
 #include "app/publish.h"
 
 namespace ivyspar {
--- a/src/app/internal/statuscommand.cpp
+++ b/src/app/internal/commands/statuscommand.cpp
@@ -1,11 +1,11 @@
 #include <cstdio>
 
-#include "app/internal/commands.h"
-#include "app/internal/flags.h"
-#include "app/internal/flagset.h"
-#include "app/internal/operatorclient.h"
-#include "app/internal/settingvalues.h"
-#include "app/internal/statustext.h"
+#include "app/internal/commands/commands.h"
+#include "app/internal/commands/operatorclient.h"
+#include "app/internal/commands/statustext.h"
+#include "app/internal/settings/flags.h"
+#include "app/internal/settings/flagset.h"
+#include "app/internal/settings/settingvalues.h"
 
 namespace ivyspar {
 
--- a/src/app/internal/statustext.cpp
+++ b/src/app/internal/commands/statustext.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/statustext.h"
+#include "app/internal/commands/statustext.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/src/app/internal/control/backgroundfiber.cpp
@@ -0,0 +1,59 @@
+#include "app/internal/control/backgroundfiber.h"
+
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+/// Only a broken body takes longer than its cancelled call.
+constexpr Duration LONGEST_STOP = std::chrono::seconds(3);
+
+} // namespace
+
+BackgroundFiber::BackgroundFiber(IEventLoop &loop)
+    : m_loop(loop)
+{
+}
+
+void BackgroundFiber::start(std::function<void()> body)
+{
+    m_isRunning = true;
+    m_loop.spawn([this, body = std::move(body)] {
+        body();
+        m_isRunning = false;
+        if (m_ended) {
+            m_ended->set(true);
+        }
+    });
+}
+
+void BackgroundFiber::pause(Duration duration)
+{
+    if (m_isStopped) {
+        return;
+    }
+    m_pause = std::make_unique<OneShot<bool>>(m_loop);
+    m_pause->wait(duration);
+}
+
+void BackgroundFiber::wake()
+{
+    if (m_pause) {
+        m_pause->set(true);
+    }
+}
+
+void BackgroundFiber::stop(const std::function<void()> &cancel)
+{
+    m_isStopped = true;
+    if (!m_isRunning) {
+        return;
+    }
+    m_ended = std::make_unique<OneShot<bool>>(m_loop);
+    wake();
+    cancel();
+    m_ended->wait(LONGEST_STOP);
+}
+
+} // namespace ivyspar
--- a/src/app/internal/configurationfollower.cpp
+++ b/src/app/internal/control/configurationfollower.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/configurationfollower.h"
+#include "app/internal/control/configurationfollower.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,7 +24,7 @@
                                              IEventLoop &loop, ILogService &log,
                                              const IConfigurationReader &reader,
                                              IControlExchange &exchange, IRandom &random,
-                                             ConfigurationFollowerEvents events)
+                                             ConfigurationEvents events)
     : m_settings(std::move(settings))
     , m_loop(loop)
     , m_log(log)
--- a/src/app/internal/configurationfollower.h
+++ b/src/app/internal/control/configurationfollower.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "app/icontrolexchange.h"
+#include "app/internal/control/iconfigurationdriver.h"
 #include "coordination/configuration/iconfigurationfold.h"
 #include "coordination/configuration/internal/pollschedule.h"
 #include "coordination/configuration/internal/snapshotschedule.h"
@@ -32,53 +33,23 @@
     std::uint32_t changeFanout = 6;
 };
 
-struct ConfigurationFollowerEvents
-{
-    /// A new version is in force. Never goes back.
-    std::function<void(ConfigurationPtr)> onConfiguration;
-    /// One line for the log.
-    std::function<void(std::string)> onNotice;
-};
-
-/// For operators.
-struct ConfigurationStatus
-{
-    /// In force here; 0 for none.
-    ConfigurationVersion inForce;
-    /// Accepted and passed on, also if this program cannot read it; 0 for none.
-    ConfigurationVersion accepted;
-    std::string changeId;
-    /// Why the accepted version is not in force; empty if it is.
-    std::string unreadable;
-    /// What the log's records say can be judged.
-    bool isJudging = false;
-    bool isFastPoller = false;
-    LogOffset nextOffset;
-    /// A daemon that starts can judge the stream if the log still has the records from here on.
-    LogOffset anchor;
-    /// Why the log cannot be read now; empty if it can.
-    std::string logError;
-    std::uint64_t snapshotsAppended = 0;
-};
-
 /// Keeps this daemon's configuration up to date: follows the stream in the platform's log, folds
 /// it, exchanges versions with other daemons, and renews the snapshot in the log. Runs in two
 /// fibers of the control thread.
-class ConfigurationFollower
+class ConfigurationFollower : public IConfigurationDriver
 {
 public:
     ConfigurationFollower(ConfigurationFollowerSettings settings, IEventLoop &loop,
                           ILogService &log, const IConfigurationReader &reader,
-                          IControlExchange &exchange, IRandom &random,
-                          ConfigurationFollowerEvents events);
-    ~ConfigurationFollower();
+                          IControlExchange &exchange, IRandom &random, ConfigurationEvents events);
+    ~ConfigurationFollower() override;
 
-    void start();
+    void start() override;
     /// Suspends until both fibers have ended; to be called before destruction, once started.
-    void stop();
+    void stop() override;
     /// A control payload from another daemon. False if it is not for the configuration.
-    bool receive(const DaemonId &from, const std::string &payload);
-    ConfigurationStatus status() const;
+    bool receive(const DaemonId &from, const std::string &payload) override;
+    ConfigurationStatus status() const override;
 
 private:
     /// A fiber's sleep that `stop` can end.
@@ -114,7 +85,7 @@
     const IConfigurationReader &m_reader;
     IControlExchange &m_exchange;
     IRandom &m_random;
-    ConfigurationFollowerEvents m_events;
+    ConfigurationEvents m_events;
 
     std::unique_ptr<IConfigurationFold> m_fold;
     PollSchedule m_poll;
--- a/src/app/internal/configurationpublisher.cpp
+++ b/src/app/internal/control/configurationpublisher.cpp
@@ -1,9 +1,9 @@
-#include "app/internal/configurationpublisher.h"
+#include "app/internal/control/configurationpublisher.h"
 
 #include <algorithm>
 #include <chrono>
 
-#include "app/internal/configurationfollower.h"
+#include "app/internal/control/configurationfollower.h"
 #include "coordination/configuration/configurationdigest.h"
 #include "coordination/configuration/configurationfoldfactory.h"
 #include "protocol/internal/configurationrecordcodec.h"
--- a/src/app/internal/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -1,10 +1,12 @@
-#include "app/internal/controlnode.h"
+#include "app/internal/control/controlnode.h"
 
 #include <cstdio>
 #include <utility>
 
-#include "app/internal/logaccess.h"
-#include "app/internal/statusdocument.h"
+#include "app/internal/control/configurationfollower.h"
+#include "app/internal/control/documentfollower.h"
+#include "app/internal/control/logaccess.h"
+#include "app/internal/control/statusdocument.h"
 #include "protocol/configurationreaderfactory.h"
 #include "state/randomfactory.h"
 #include "state/rank.h"
@@ -27,24 +29,65 @@
 
 } // namespace
 
-ControlNode::ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self,
-                         TrafficPort traffic, Observers observers)
+ControlNode::ControlNode(IEventLoop &loop, const DaemonSettings &settings,
+                         const IPlatform &platform, Member self, TrafficPort traffic,
+                         Observers observers)
     : m_loop(loop)
     , m_settings(settings)
     , m_traffic(std::move(traffic))
     , m_observers(observers)
     , m_random(makeRandom())
     , m_membership(loop, *m_random, std::move(self), makeControlEvents())
-    , m_logClient(makeLogClient(loop))
-    , m_log(makeLog(m_settings, *m_logClient))
-    , m_configurationDriver(m_settings, loop, *m_log, *m_random, m_membership, m_traffic.send,
-                            makeConfigurationEvents())
+    , m_exchange(m_membership, m_traffic.send)
     , m_operatorServer(makeHttpServer(loop))
+    , m_readinessServer(makeHttpServer(loop))
 {
+    makeConfigurationDriver(platform);
+    makeDirectory(platform);
 }
 
 ControlNode::~ControlNode() = default;
 
+void ControlNode::makeConfigurationDriver(const IPlatform &platform)
+{
+    m_documentReader = platform.makeDocumentReader();
+    if (m_documentReader) {
+        DocumentFollowerSettings follower;
+        follower.stream = m_settings.streams.configuration;
+        follower.key = m_settings.streams.configurationKey;
+        m_configurationLog = platform.makeKeyedLog(m_loop, m_settings);
+        m_configurationDriver = std::make_unique<DocumentFollower>(
+            follower, m_loop, *m_configurationLog, *m_documentReader, m_exchange, *m_random,
+            makeConfigurationEvents());
+        return;
+    }
+    ConfigurationFollowerSettings follower;
+    follower.self = m_settings.id;
+    follower.domain = m_settings.domain;
+    follower.snapshot.retention = m_settings.logRetention;
+    m_logClient = makeLogClient(m_loop);
+    m_log = makeLog(m_settings, *m_logClient);
+    m_configurationReader = makeConfigurationReader();
+    m_configurationDriver =
+        std::make_unique<ConfigurationFollower>(follower, m_loop, *m_log, *m_configurationReader,
+                                                m_exchange, *m_random, makeConfigurationEvents());
+}
+
+void ControlNode::makeDirectory(const IPlatform &platform)
+{
+    if (m_settings.streams.members.value().empty()) {
+        return;
+    }
+    m_directoryLog = platform.makeKeyedLog(m_loop, m_settings);
+    MemberDirectorySettings directory;
+    directory.stream = m_settings.streams.members;
+    directory.self = m_settings.id;
+    directory.endpoint = m_membership.self().peerEndpoint;
+    m_directory = std::make_unique<MemberDirectory>(
+        directory, m_loop, *m_directoryLog, m_observers,
+        [this](const Endpoint &endpoint) { m_membership.addSeed(endpoint); });
+}
+
 ControlEvents ControlNode::makeControlEvents()
 {
     ControlEvents events;
@@ -54,9 +97,9 @@
     return events;
 }
 
-ConfigurationFollowerEvents ControlNode::makeConfigurationEvents()
+ConfigurationEvents ControlNode::makeConfigurationEvents()
 {
-    ConfigurationFollowerEvents events;
+    ConfigurationEvents events;
     events.onConfiguration = [this](const ConfigurationPtr &configuration) {
         useConfiguration(configuration);
     };
@@ -65,24 +108,36 @@
 }
 
 RetVal<Endpoint> ControlNode::listen()
+{
+    const RetVal<Endpoint> bound = listenAt(*m_operatorServer, m_settings.operatorListen);
+    if (!bound || m_settings.readinessListen.port == 0) {
+        return bound;
+    }
+    const RetVal<Endpoint> readiness = listenAt(*m_readinessServer, m_settings.readinessListen);
+    return readiness ? bound : readiness;
+}
+
+RetVal<Endpoint> ControlNode::listenAt(IHttpServer &server, const Endpoint &endpoint)
 {
     HttpLimits limits;
     limits.connections = 64;
-    return m_operatorServer->listen(
-        m_settings.operatorListen, limits,
-        [this](IHttpExchange &exchange) { return handleOperator(exchange); });
+    return server.listen(endpoint, limits,
+                         [this](IHttpExchange &exchange) { return handleOperator(exchange); });
 }
 
 void ControlNode::start()
 {
     useBootstrap();
     m_membership.start(m_settings.seeds);
-    m_configurationDriver.start();
+    if (m_directory) {
+        m_directory->start();
+    }
+    m_configurationDriver->start();
 }
 
 void ControlNode::receive(const ControlMessage &message)
 {
-    if (!m_configurationDriver.receive(message.from, message.payload)) {
+    if (!m_configurationDriver->receive(message.from, message.payload)) {
         m_membership.receive(message.from, message.payload);
     }
 }
@@ -95,7 +150,11 @@
 
 void ControlNode::stop(Duration timeout)
 {
-    m_configurationDriver.stop();
+    m_configurationDriver->stop();
+    if (m_directory) {
+        m_directory->stop();
+    }
+    m_readinessServer->drain(timeout);
     m_operatorServer->drain(timeout);
 }
 
@@ -144,7 +203,9 @@
 HttpResponse ControlNode::handleOperator(IHttpExchange &exchange)
 {
     const std::string &target = exchange.request().target;
-    if (target == "/healthz") {
+    const bool isReadiness =
+        !m_settings.readinessPath.empty() && target == m_settings.readinessPath;
+    if (target == "/healthz" || isReadiness) {
         return answerHealth();
     }
     if (target == "/status") {
@@ -210,7 +271,7 @@
     status.self = m_membership.self();
     status.isLeaving = m_isLeaving;
     status.configuration = m_configuration;
-    status.configurationStatus = m_configurationDriver.status();
+    status.configurationStatus = m_configurationDriver->status();
     status.members = m_membership.all();
     return makeAnswer(OK, "application/json", makeStatusDocument(status));
 }
--- a/src/app/internal/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -4,10 +4,13 @@
 #include <memory>
 #include <string>
 
-#include "app/internal/configurationdriver.h"
-#include "app/internal/membershipdriver.h"
-#include "app/internal/observers.h"
+#include "app/internal/control/controlexchange.h"
+#include "app/internal/control/iconfigurationdriver.h"
+#include "app/internal/control/memberdirectory.h"
+#include "app/internal/control/membershipdriver.h"
+#include "app/internal/logs/observers.h"
 #include "app/internal/trafficnode.h"
+#include "app/iplatform.h"
 #include "app/settings.h"
 #include "state/configuration.h"
 #include "transport/ieventloop.h"
@@ -33,8 +36,8 @@
 class ControlNode
 {
 public:
-    ControlNode(IEventLoop &loop, const DaemonSettings &settings, Member self, TrafficPort traffic,
-                Observers observers);
+    ControlNode(IEventLoop &loop, const DaemonSettings &settings, const IPlatform &platform,
+                Member self, TrafficPort traffic, Observers observers);
     ~ControlNode();
 
     /// Opens the operators' listener.
@@ -51,8 +54,11 @@
     void stop(Duration timeout);
 
 private:
+    void makeConfigurationDriver(const IPlatform &platform);
+    void makeDirectory(const IPlatform &platform);
+    RetVal<Endpoint> listenAt(IHttpServer &server, const Endpoint &endpoint);
     ControlEvents makeControlEvents();
-    ConfigurationFollowerEvents makeConfigurationEvents();
+    ConfigurationEvents makeConfigurationEvents();
     void useConfiguration(const ConfigurationPtr &configuration);
     void useBootstrap();
     HttpResponse handleOperator(IHttpExchange &exchange);
@@ -71,8 +77,15 @@
     MembershipDriver m_membership;
     std::unique_ptr<IHttpClient> m_logClient;
     std::unique_ptr<ILogService> m_log;
-    ConfigurationDriver m_configurationDriver;
+    ControlExchange m_exchange;
+    std::unique_ptr<IConfigurationReader> m_configurationReader;
+    std::unique_ptr<IDocumentReader> m_documentReader;
+    std::unique_ptr<IKeyedLog> m_configurationLog;
+    std::unique_ptr<IKeyedLog> m_directoryLog;
+    std::unique_ptr<IConfigurationDriver> m_configurationDriver;
+    std::unique_ptr<MemberDirectory> m_directory;
     std::unique_ptr<IHttpServer> m_operatorServer;
+    std::unique_ptr<IHttpServer> m_readinessServer;
     ConfigurationPtr m_configuration;
     TimePoint m_configuredAt;
     bool m_isLeaving = false;
--- a/src/app/internal/logaccess.cpp
+++ b/src/app/internal/control/logaccess.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/logaccess.h"
+#include "app/internal/control/logaccess.h"
 
 #include "transport/logservicefactory.h"
 #include "transport/transportfactory.h"
--- a/src/app/internal/membershipdriver.cpp
+++ b/src/app/internal/control/membershipdriver.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/membershipdriver.h"
+#include "app/internal/control/membershipdriver.h"
 
 #include <utility>
 
--- a/src/app/internal/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/statusdocument.h"
+#include "app/internal/control/statusdocument.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/app/internal/statusdocument.h
+++ b/src/app/internal/control/statusdocument.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "app/internal/configurationfollower.h"
+#include "app/internal/control/iconfigurationdriver.h"
 #include "app/internal/trafficnode.h"
 #include "coordination/membership/imembership.h"
 #include "state/configuration.h"
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -27,10 +27,11 @@
         static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(now).count()));
 }
 
-sigset_t stopSignals()
+sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     return signals;
@@ -38,8 +39,10 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonSettings settings, IMetrics &metrics, IDaemonLogs &logs)
+Daemon::Daemon(DaemonSettings settings, const IPlatform &platform, IMetrics &metrics,
+               IDaemonLogs &logs)
     : m_settings(std::move(settings))
+    , m_platform(platform)
     , m_observers{ logs.log(), logs.decisions(), metrics }
     , m_self{ m_settings.id, currentIncarnation(), m_settings.domain }
     , m_trafficLoop(makeEventLoop())
@@ -52,7 +55,7 @@
 int Daemon::run()
 {
     // Before any thread starts, so that all of them inherit it and only sigwait takes the signals.
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
@@ -70,13 +73,49 @@
         stopThreads();
         return EXIT_STOPPED;
     }
-    int number = 0;
-    sigwait(&signals, &number);
+    m_observers.log.info("started");
+    waitForStop();
+    m_observers.log.info("stopping");
     const bool isDrained = drain();
     stopThreads();
     return isDrained && !m_isDuplicate ? 0 : EXIT_STOPPED;
 }
 
+void Daemon::waitForStop()
+{
+    const sigset_t signals = handledSignals();
+    constexpr timespec SETTINGS_POLL{ 1, 0 };
+    while (true) {
+        const int number = sigtimedwait(&signals, nullptr, &SETTINGS_POLL);
+        if (number == SIGTERM || number == SIGINT) {
+            return;
+        }
+        if (number == SIGHUP || m_platform.haveSettingsChanged()) {
+            reload();
+        }
+    }
+}
+
+/// Only what may change while the daemon runs is taken over. Settings that cannot be read leave
+/// all as it was: a file may be found half written.
+void Daemon::reload()
+{
+    const auto read = m_platform.reread();
+    if (!read) {
+        m_observers.log.info("reload: these settings do not change while the daemon runs");
+        return;
+    }
+    if (!read->errors.empty()) {
+        m_observers.log.error("reload: the settings are not used: " + read->errors.front());
+        return;
+    }
+    m_settings.hostService = read->settings.hostService;
+    m_observers.log.info("reload: the service of this host is " + m_settings.hostService.value());
+    onTraffic([service = m_settings.hostService](TrafficNode &traffic) {
+        traffic.setHostService(service);
+    });
+}
+
 RetVal<ListeningEndpoints> Daemon::startTraffic()
 {
     std::promise<RetVal<ListeningEndpoints>> started;
@@ -93,7 +132,7 @@
 
 void Daemon::runTraffic(std::promise<RetVal<ListeningEndpoints>> &started)
 {
-    m_traffic = std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_self,
+    m_traffic = std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_platform, m_self,
                                               makeTrafficEvents(), m_observers);
     started.set_value(m_traffic->listen());
     m_trafficLoop->run();
@@ -102,8 +141,8 @@
 
 void Daemon::runControl(const ListeningEndpoints &bound, std::promise<RetVal<Endpoint>> &started)
 {
-    m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, makeSelf(bound),
-                                              makeTrafficPort(), m_observers);
+    m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, m_platform,
+                                              makeSelf(bound), makeTrafficPort(), m_observers);
     const auto endpoint = m_control->listen();
     m_control->start();
     started.set_value(endpoint);
@@ -210,7 +249,11 @@
     // before they heard is refused as not run and goes elsewhere.
     runAndWait(*m_controlLoop, [this] { m_control->startLeaving(); });
     bool isDrained = true;
-    runAndWait(*m_trafficLoop, [this] { m_traffic->startDraining(); });
+    runAndWait(*m_trafficLoop, [this] {
+        m_traffic->startLeaving();
+        m_trafficLoop->sleepFor(m_settings.leaveTime);
+        m_traffic->startDraining();
+    });
     runAndWait(*m_trafficLoop, [&] { isDrained = m_traffic->drainCalls(m_settings.drainTimeout); });
     runAndWait(*m_controlLoop, [this] {
         m_control->leave();
@@ -243,7 +286,7 @@
     return writeReadyFile(m_settings.readyFile, bound);
 }
 
-int runDaemon(const DaemonSettings &settings)
+int runDaemon(const DaemonSettings &settings, const IPlatform &platform)
 {
     const auto metrics = makeMetrics();
     LogSettings logSettings;
@@ -254,7 +297,7 @@
         std::fprintf(stderr, "ivyspar: %s\n", logs.error().text.c_str());
         return EXIT_STOPPED;
     }
-    Daemon daemon(settings, *metrics, **logs);
+    Daemon daemon(settings, platform, *metrics, **logs);
     return daemon.run();
 }
 
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -6,8 +6,9 @@
 #include <thread>
 
 #include "app/daemonlogs.h"
-#include "app/internal/controlnode.h"
+#include "app/internal/control/controlnode.h"
 #include "app/internal/trafficnode.h"
+#include "app/iplatform.h"
 #include "app/settings.h"
 #include "transport/ieventloop.h"
 
@@ -18,7 +19,8 @@
 class Daemon
 {
 public:
-    Daemon(DaemonSettings settings, IMetrics &metrics, IDaemonLogs &logs);
+    Daemon(DaemonSettings settings, const IPlatform &platform, IMetrics &metrics,
+           IDaemonLogs &logs);
     ~Daemon();
 
     /// Runs until SIGTERM or SIGINT. Returns the exit code.
@@ -36,11 +38,15 @@
     void onControl(std::function<void(ControlNode &)> task);
     /// Runs `task` in a fiber of the loop and waits for its end.
     static void runAndWait(IEventLoop &loop, const std::function<void()> &task);
+    /// Handles signals and changes of the settings until one says stop.
+    void waitForStop();
+    void reload();
     bool drain();
     void stopThreads();
     Ret writeReady(const ListeningEndpoints &bound) const;
 
     DaemonSettings m_settings;
+    const IPlatform &m_platform;
     Observers m_observers;
     DaemonIdentity m_self;
     std::unique_ptr<IEventLoop> m_trafficLoop;
--- a/src/app/internal/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -1,14 +1,11 @@
-#include "app/internal/entryservice.h"
+#include "app/internal/entry/entryservice.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "app/internal/verdictresponse.h"
 #include "coordination/once/iticketoffice.h"
-#include "protocol/headers.h"
 #include "state/rank.h"
 #include "transport/oneshot.h"
 
@@ -24,44 +21,6 @@
     return Verdict{ Outcome::NotRun, reason, Duration::zero() };
 }
 
-/// A whole number in a header; `fallback` without the header. False on anything else.
-bool readNumber(const HttpRequest &request, const char *name, std::uint64_t fallback,
-                std::uint64_t &number)
-{
-    number = fallback;
-    const std::string *text = findHeader(request.headers, name);
-    if (!text) {
-        return true;
-    }
-    const char *last = text->data() + text->size();
-    const auto [end, error] = std::from_chars(text->data(), last, number);
-    return error == std::errc() && end == last && !text->empty();
-}
-
-/// Splits `/service/path?query` into the service and what its upstream receives.
-bool splitTarget(const std::string &target, std::string &service, std::string &rest)
-{
-    if (target.empty() || target.front() != '/') {
-        return false;
-    }
-    const auto end = target.find_first_of("/?", 1);
-    service = target.substr(1, end == std::string::npos ? std::string::npos : end - 1);
-    rest = end == std::string::npos ? "/" : target.substr(end);
-    if (rest.front() != '/') {
-        rest.insert(rest.begin(), '/');
-    }
-    return !service.empty();
-}
-
-/// What only concerns ivyspar does not go to the upstream as the caller wrote it.
-void removeOwnHeaders(std::vector<HttpHeader> &headers)
-{
-    for (const char *name : { headers::DEADLINE_MS, headers::ATTEMPT, headers::TICKET,
-                              headers::CONTEXT, headers::OUTCOME, headers::REASON }) {
-        removeHeader(headers, name);
-    }
-}
-
 } // namespace
 
 /// One request from its arrival to the end of its last attempt, which may come after its answer.
@@ -86,10 +45,13 @@
     TimePoint timerAt = TimePoint::max();
 };
 
-EntryService::EntryService(IEventLoop &loop, EntryPolicies policies, ICallSender &sender,
-                           IGateService &gates, Observers observers, EntryOptions options)
+EntryService::EntryService(IEventLoop &loop, const IRequestDialect &dialect, EntryPolicies policies,
+                           ICallSender &sender, IGateService &gates, Observers observers,
+                           EntryOptions options)
     : m_loop(loop)
+    , m_dialect(dialect)
     , m_policies(policies)
+    , m_split(makeWeightedSplit())
     , m_sender(sender)
     , m_gates(gates)
     , m_observers(observers)
@@ -127,95 +89,54 @@
     return response;
 }
 
-tl::expected<EntryService::Incoming, EntryService::EarlyRefusal>
+tl::expected<EntryService::Incoming, EarlyRefusal>
 EntryService::readRequest(const HttpRequest &request, bool isFromUpstream)
 {
-    auto incoming = readTarget(request);
-    if (!incoming) {
-        return incoming;
-    }
-    if (!readCallerTerms(request, *incoming)) {
-        return Refusal(EarlyRefusal{ incoming->root, notRun(Reason::BadRequest) });
+    auto read = m_dialect.read(request, m_origin, m_configuration.get());
+    if (!read) {
+        return Refusal(read.error());
     }
-    incoming->priority = incoming->rule.priority;
+    const std::string context = read->context;
+    Incoming incoming = makeIncoming(std::move(*read));
     if (isFromUpstream) {
-        applyContext(request, *incoming);
-    } else if (m_options.hasSharedBudget
-               && incoming->callerAttempt > incoming->rule.callerAttempts) {
+        applyContext(context, incoming);
+    } else if (m_options.hasSharedBudget && incoming.callerAttempt > incoming.rule.callerAttempts) {
         // Past the bound the answer is final: without it a client that retries for ever would make
         // the number of attempts for one tap unbounded.
-        return Refusal(EarlyRefusal{ incoming->root, notRun(Reason::CallerAttempts) });
+        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::CallerAttempts) });
     }
-    if (!incoming->ledger) {
-        incoming->ledger = new CallLedger(incoming->rule.attempts);
+    if (!incoming.ledger) {
+        incoming.ledger = new CallLedger(incoming.rule.attempts);
     }
     return incoming;
 }
 
-tl::expected<EntryService::Incoming, EntryService::EarlyRefusal>
-EntryService::readTarget(const HttpRequest &request)
+EntryService::Incoming EntryService::makeIncoming(CallerRequest request)
 {
     Incoming incoming;
-    const std::string *requestId = findHeader(request.headers, headers::REQUEST_ID);
-    if (!requestId || !parseRootId(*requestId, incoming.root)) {
-        incoming.root = RootId(m_policies.random.next());
-    }
-    if (!m_configuration) {
-        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::NoConfiguration) });
-    }
-    std::string service;
-    incoming.request = request;
-    if (!splitTarget(request.target, service, incoming.request.target)) {
-        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::BadRequest) });
-    }
-    incoming.service = ServiceName(service);
-    const std::string path = incoming.request.target.substr(0, incoming.request.target.find('?'));
-    const RuleSpec *rule = findRule(m_configuration->rules, incoming.service, request.method, path);
-    if (!rule) {
-        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::NoRule) });
-    }
-    incoming.rule = *rule;
-    removeOwnHeaders(incoming.request.headers);
+    incoming.root = request.root == RootId() ? RootId(m_policies.random.next()) : request.root;
+    incoming.rule = *request.rule;
+    if (!incoming.rule.split.empty()) {
+        incoming.rule.service = m_split->choose(incoming.rule, m_policies.random);
+    }
+    incoming.service = incoming.rule.service;
+    incoming.priority = incoming.rule.priority;
+    incoming.deadline = m_loop.now() + request.wait;
+    incoming.callerAttempt = request.callerAttempt;
+    incoming.once = std::move(request.once);
+    incoming.request = std::move(request.forwarded);
     return incoming;
 }
 
-Ret EntryService::readCallerTerms(const HttpRequest &request, Incoming &incoming)
+void EntryService::setConfiguration(ConfigurationPtr configuration)
 {
-    const auto waitMs =
-        std::chrono::duration_cast<std::chrono::milliseconds>(incoming.rule.wait).count();
-    std::uint64_t deadlineMs = 0;
-    std::uint64_t attempt = 0;
-    if (!readNumber(request, headers::DEADLINE_MS, static_cast<std::uint64_t>(waitMs),
-                    deadlineMs)) {
-        return makeError(ErrorCode::InvalidArgument, "the deadline is not a number");
-    }
-    if (!readNumber(request, headers::ATTEMPT, 1, attempt) || attempt == 0
-        || attempt > UINT32_MAX) {
-        return makeError(ErrorCode::InvalidArgument, "the attempt is not a number from 1");
-    }
-    incoming.callerAttempt = static_cast<std::uint32_t>(attempt);
-    const auto wait = std::min<std::uint64_t>(deadlineMs, static_cast<std::uint64_t>(waitMs));
-    incoming.deadline = m_loop.now() + std::chrono::milliseconds(wait);
-
-    if (incoming.rule.repetition != Repetition::Once) {
-        return {};
-    }
-    const std::string *key = findHeader(request.headers, headers::IDEMPOTENCY_KEY);
-    const std::string *ticket = findHeader(request.headers, headers::TICKET);
-    if (key && (key->empty() || key->size() > m_options.maxKeyBytes)) {
-        return makeError(ErrorCode::InvalidArgument, "the idempotency key is empty or too long");
-    }
-    if (key || ticket) {
-        incoming.once = OnceTerms{ IdempotencyKey(key ? *key : std::string()),
-                                   incoming.rule.keyLifetime, ticket ? *ticket : std::string() };
-    }
-    return {};
+    m_configuration = std::move(configuration);
+    m_split->reset();
 }
 
-void EntryService::applyContext(const HttpRequest &request, Incoming &incoming)
+void EntryService::applyContext(const std::string &token, Incoming &incoming)
 {
-    const std::string *token = findHeader(request.headers, headers::CONTEXT);
-    const auto context = token ? m_gates.findContext(*token) : std::nullopt;
+    const auto context = token.empty() ? std::nullopt : m_gates.findContext(token);
     if (!context) {
         // Nothing ties this call to a request's budget: one attempt, or a hop that drops the header
         // would start a fresh budget at each level and attempts would multiply with depth.
@@ -309,6 +230,8 @@
     end.hasLoad = answer.isFromDaemon;
     end.status = answer.message.response.status;
     end.holder = answer.message.holder;
+    end.hasReachedUpstream =
+        end.verdict.outcome != Outcome::NotRun || answer.message.serviceTime > Duration::zero();
     const bool isWanted = !run->call.isFinished();
     const EntryActions actions = run->call.onEnd(m_loop.now(), attempt, end);
     if (isWanted && end.verdict.outcome == Outcome::Answered) {
@@ -389,8 +312,11 @@
     });
 }
 
-HttpResponse EntryService::refuse(const EarlyRefusal &refusal, bool isFromUpstream)
+HttpResponse EntryService::refuse(EarlyRefusal refusal, bool isFromUpstream)
 {
+    if (refusal.root == RootId()) {
+        refusal.root = RootId(m_policies.random.next());
+    }
     if (!isFromUpstream) {
         m_observers.metrics.countRequest(refusal.verdict, Priority());
     }
@@ -402,18 +328,16 @@
         decision.reason = toText(refusal.verdict.reason);
         m_observers.decisions.write(std::move(decision));
     }
-    return makeVerdictResponse(refusal.root, refusal.verdict, 0);
+    return m_dialect.makeRefusal(refusal.root, refusal.verdict, 0);
 }
 
 HttpResponse EntryService::compose(const Run &run) const
 {
     if (run.verdict.outcome != Outcome::Answered) {
-        return makeVerdictResponse(run.incoming.root, run.verdict, run.call.attempts());
+        return m_dialect.makeRefusal(run.incoming.root, run.verdict, run.call.attempts());
     }
     HttpResponse response = run.response;
-    response.headers.push_back({ headers::OUTCOME, toText(Outcome::Answered) });
-    response.headers.push_back({ headers::REQUEST_ID, toText(run.incoming.root) });
-    response.headers.push_back({ headers::ATTEMPTS, std::to_string(run.call.attempts()) });
+    m_dialect.completeAnswer(run.incoming.root, run.call.attempts(), response);
     return response;
 }
 
--- a/src/app/internal/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -1,15 +1,18 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
-#include "app/internal/icallsender.h"
-#include "app/internal/igateservice.h"
-#include "app/internal/observers.h"
+#include "app/internal/entry/icallsender.h"
+#include "app/internal/gate/igateservice.h"
+#include "app/internal/logs/observers.h"
 #include "coordination/calls/internal/entrycall.h"
+#include "coordination/routing/iweightedsplit.h"
+#include "protocol/irequestdialect.h"
 #include "state/configuration.h"
 #include "transport/ieventloop.h"
 #include "transport/ihttpserver.h"
@@ -20,8 +23,6 @@
 {
     /// Requests that may be in work here at a time.
     std::size_t maxRequests = 20000;
-    /// Longest `Idempotency-Key` in bytes.
-    std::size_t maxKeyBytes = 200;
     /// Off, for measurements: each call of an upstream starts a budget of its own.
     bool hasSharedBudget = true;
 };
@@ -31,13 +32,13 @@
 class EntryService
 {
 public:
-    EntryService(IEventLoop &loop, EntryPolicies policies, ICallSender &sender, IGateService &gates,
-                 Observers observers, EntryOptions options);
+    EntryService(IEventLoop &loop, const IRequestDialect &dialect, EntryPolicies policies,
+                 ICallSender &sender, IGateService &gates, Observers observers,
+                 EntryOptions options);
 
-    void setConfiguration(ConfigurationPtr configuration)
-    {
-        m_configuration = std::move(configuration);
-    }
+    void setConfiguration(ConfigurationPtr configuration);
+    /// Whose server runs on this host, and so where requests that arrive here come from.
+    void setHostService(ServiceName service) { m_origin.hostService = std::move(service); }
     /// Refuses new requests of callers from now on; calls of upstreams for running requests go on.
     void startDraining() { m_isDraining = true; }
     std::size_t requestCount() const { return m_requestCount; }
@@ -66,19 +67,12 @@
     };
     struct Run;
     using RunPtr = boost::intrusive_ptr<Run>;
-    /// A request that is answered without being routed.
-    struct EarlyRefusal
-    {
-        RootId root;
-        Verdict verdict;
-    };
     using Refusal = tl::unexpected<EarlyRefusal>;
 
     tl::expected<Incoming, EarlyRefusal> readRequest(const HttpRequest &request,
                                                      bool isFromUpstream);
-    tl::expected<Incoming, EarlyRefusal> readTarget(const HttpRequest &request);
-    Ret readCallerTerms(const HttpRequest &request, Incoming &incoming);
-    void applyContext(const HttpRequest &request, Incoming &incoming);
+    Incoming makeIncoming(CallerRequest request);
+    void applyContext(const std::string &token, Incoming &incoming);
     HttpResponse serve(IHttpExchange &exchange, bool isFromUpstream);
     HttpResponse runRequest(IHttpExchange &exchange, Incoming incoming);
     void perform(const RunPtr &run, const EntryActions &actions);
@@ -88,16 +82,19 @@
     void recordAttempt(const Run &run, const EntryAction &action);
     void recordEnd(const Run &run);
     /// Answers, counts and logs a request that is not routed.
-    HttpResponse refuse(const EarlyRefusal &refusal, bool isFromUpstream);
+    HttpResponse refuse(EarlyRefusal refusal, bool isFromUpstream);
     HttpResponse compose(const Run &run) const;
 
     IEventLoop &m_loop;
+    const IRequestDialect &m_dialect;
     EntryPolicies m_policies;
+    std::unique_ptr<IWeightedSplit> m_split;
     ICallSender &m_sender;
     IGateService &m_gates;
     Observers m_observers;
     EntryOptions m_options;
     ConfigurationPtr m_configuration;
+    RequestOrigin m_origin;
     std::size_t m_requestCount = 0;
     bool m_isDraining = false;
 };
--- a/src/app/internal/peercalls.h
+++ b/src/app/internal/entry/peercalls.h
@@ -7,9 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "app/internal/icallsender.h"
-#include "app/internal/igateservice.h"
-#include "app/internal/observers.h"
+#include "app/internal/entry/icallsender.h"
+#include "app/internal/gate/igateservice.h"
+#include "app/internal/logs/observers.h"
 #include "protocol/ipeercodec.h"
 #include "state/member.h"
 #include "transport/ieventloop.h"
--- a/src/app/internal/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -1,20 +1,17 @@
-#include "app/internal/gateservice.h"
+#include "app/internal/gate/gateservice.h"
 
 #include <algorithm>
 #include <cinttypes>
 #include <cstdio>
 #include <utility>
 
-#include "protocol/headers.h"
 #include "state/rank.h"
 
 namespace ivyspar {
 
 namespace {
 
-constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
 constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
-constexpr char NOT_RUN[] = "not-run";
 /// A claim that is not settled by then is refused while the entry can still pass on that it was not
 /// run; at the deadline itself the entry could only say "unknown".
 constexpr int CLAIM_SHARE_PERCENT = 90;
@@ -36,23 +33,6 @@
     return CallId(std::strtoull(token.c_str(), nullptr, 16));
 }
 
-/// An upstream passes on headers of the inner calls that it made. Taken at face value they would
-/// tell the caller that its own request was not run, although it ran.
-void removeInnerHeaders(std::vector<HttpHeader> &headers)
-{
-    for (const char *name :
-         { headers::OUTCOME, headers::REASON, headers::ATTEMPTS, headers::RETRY_AFTER_MS,
-           headers::REQUEST_ID, headers::UPSTREAM_OUTCOME, headers::CONTEXT }) {
-        removeHeader(headers, name);
-    }
-}
-
-bool isRefusedByUpstream(const HttpResponse &response)
-{
-    const std::string *outcome = findHeader(response.headers, headers::UPSTREAM_OUTCOME);
-    return response.status == SERVICE_UNAVAILABLE && outcome && *outcome == NOT_RUN;
-}
-
 Reason reasonOf(const HttpFailure &failure)
 {
     switch (failure.cause) {
@@ -85,22 +65,23 @@
 } // namespace
 
 GateService::GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
-                         GateMaker makeGate, Observers observers, GateServiceOptions options)
+                         const IUpstreamDialect &dialect, GateMaker makeGate, Observers observers,
+                         GateServiceOptions options)
     : m_loop(loop)
     , m_client(client)
     , m_random(random)
     , m_once(once)
+    , m_dialect(dialect)
     , m_makeGate(std::move(makeGate))
     , m_observers(observers)
     , m_options(options)
 {
-    m_silenceTimer =
-        m_loop.callLater(m_options.heartbeatTimeout / 2, [this] { dropSilentUpstreams(); });
+    m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { dropGoneUpstreams(); });
 }
 
 GateService::~GateService()
 {
-    m_loop.cancelTimer(m_silenceTimer);
+    m_loop.cancelTimer(m_sweepTimer);
 }
 
 void GateService::announce(const Announcement &announcement)
@@ -111,6 +92,7 @@
     Upstream &upstream = m_upstreams[service];
     const UpstreamInfo before = upstream.announcement.info;
     const bool hasMoved = upstream.announcement.endpoint != announcement.endpoint;
+    const bool isOtherRun = upstream.announcement.instance != announcement.instance;
     upstream.announcement = announcement;
     upstream.heardAt = now;
     if (isNew) {
@@ -118,7 +100,7 @@
         upstream.tickTimer =
             std::make_unique<WakeTimer>(m_loop, [this, service] { tick(service); });
     }
-    const bool isChanged = isNew || before.slots != announcement.info.slots
+    const bool isChanged = isNew || isOtherRun || before.slots != announcement.info.slots
         || before.connections != announcement.info.connections
         || before.draining != announcement.info.draining;
     // A server that was started again on another port announces nothing else that is new. Without
@@ -130,6 +112,7 @@
     if (!isChanged) {
         return;
     }
+    upstream.isWithdrawn = false;
     upstream.gate->setDraining(announcement.info.draining || m_isDraining);
     perform(
         service,
@@ -137,6 +120,19 @@
     reportUpstreams();
 }
 
+void GateService::withdraw(const ServiceName &service, const UpstreamId &instance)
+{
+    Upstream *upstream = findUpstream(service);
+    if (!upstream || upstream->announcement.instance != instance) {
+        return;
+    }
+    upstream->isWithdrawn = true;
+    upstream->announcement.info.draining = true;
+    upstream->gate->setDraining(true);
+    perform(service, upstream->gate->setCapacity(m_loop.now(), 0, 0));
+    reportUpstreams();
+}
+
 void GateService::startDraining()
 {
     m_isDraining = true;
@@ -324,14 +320,18 @@
         return;
     }
     const TimePoint startedAt = m_loop.now();
-    const Endpoint endpoint = upstream->announcement.endpoint;
+    const Announcement server = upstream->announcement;
     RunEnd end;
-    if (found->second.isHolding && !m_once.start(id)) {
+    if (upstream->isWithdrawn) {
+        // It was withdrawn after the gate had let the call through.
+        end.verdict = Verdict{ Outcome::NotRun, Reason::Draining, Duration::zero() };
+        end.result = CallResult::Cancelled;
+    } else if (found->second.isHolding && !m_once.start(id)) {
         // The process was paused past the time in which the key is its own.
         end.verdict = Verdict{ Outcome::NotRun, Reason::DeadlineExceeded, Duration::zero() };
         end.result = CallResult::Cancelled;
     } else {
-        end = exchange(endpoint, id, found->second);
+        end = exchange(server, id, found->second);
     }
 
     const TimePoint now = m_loop.now();
@@ -360,39 +360,66 @@
     endCall(id, std::move(answer));
 }
 
-GateService::RunEnd GateService::exchange(const Endpoint &endpoint, CallId id, const Call &call)
+GateService::RunEnd GateService::exchange(const Announcement &server, CallId id, const Call &call)
 {
-    HttpRequest request = call.message.request;
-    request.headers.push_back({ headers::CONTEXT, toToken(id) });
     const auto remaining = std::chrono::duration_cast<Duration>(call.deadline - m_loop.now());
-    const auto remainingMs =
-        std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-    request.headers.push_back(
-        { headers::DEADLINE_MS, std::to_string(std::max<long long>(0, remainingMs)) });
-
+    HttpRequest request = call.message.request;
+    m_dialect.address(UpstreamSend{ toToken(id), remaining, server.instance }, request);
+    // The call may be gone when the exchange ends.
     const HttpCancellationPtr cancellation = call.cancellation;
-    HttpResult result = m_client.exchange(endpoint, request, remaining, cancellation);
+    HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
+    return result ? judge(server.instance, std::move(*result))
+                  : judgeFailure(server.instance, result.error());
+}
+
+GateService::RunEnd GateService::judge(const UpstreamId &instance, HttpResponse response)
+{
     RunEnd end;
-    if (!result) {
-        const bool isProven = result.error().stage == HttpFailureStage::NotSent;
-        end.verdict.outcome = isProven ? Outcome::NotRun : Outcome::Unknown;
-        end.verdict.reason = reasonOf(result.error());
-        end.result = resultOf(result.error());
-        return end;
-    }
-    if (isRefusedByUpstream(*result)) {
-        end.verdict.outcome = Outcome::NotRun;
-        end.verdict.reason = Reason::UpstreamRefused;
+    switch (m_dialect.judge(response)) {
+    case UpstreamAnswer::Refused:
+        end.verdict = Verdict{ Outcome::NotRun, Reason::UpstreamRefused, Duration::zero() };
         end.result = CallResult::Overloaded;
         return end;
+    case UpstreamAnswer::OtherInstance:
+        tellDoubt(instance);
+        end.verdict = Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() };
+        end.result = CallResult::Failure;
+        return end;
+    case UpstreamAnswer::Broken:
+        end.verdict = Verdict{ Outcome::Unknown, Reason::BrokenAnswer, Duration::zero() };
+        end.result = CallResult::Failure;
+        return end;
+    case UpstreamAnswer::Ran:
+        break;
     }
     end.verdict.outcome = Outcome::Answered;
-    end.result = result->status >= FIRST_SERVER_ERROR ? CallResult::Failure : CallResult::Success;
-    end.response = std::move(*result);
-    removeInnerHeaders(end.response.headers);
+    end.result = response.status >= FIRST_SERVER_ERROR ? CallResult::Failure : CallResult::Success;
+    end.response = std::move(response);
+    m_dialect.clean(end.response);
     return end;
 }
 
+GateService::RunEnd GateService::judgeFailure(const UpstreamId &instance,
+                                              const HttpFailure &failure)
+{
+    if (failure.cause == HttpFailureCause::Connect) {
+        tellDoubt(instance);
+    }
+    RunEnd end;
+    const bool isProven = failure.stage == HttpFailureStage::NotSent;
+    end.verdict.outcome = isProven ? Outcome::NotRun : Outcome::Unknown;
+    end.verdict.reason = reasonOf(failure);
+    end.result = resultOf(failure);
+    return end;
+}
+
+void GateService::tellDoubt(const UpstreamId &instance)
+{
+    if (m_onDoubt && !instance.value().empty()) {
+        m_onDoubt(instance);
+    }
+}
+
 void GateService::refuseCall(CallId id, const Verdict &verdict)
 {
     m_observers.metrics.add(Counter::GateRefusals);
@@ -452,26 +479,36 @@
     }
 }
 
-void GateService::dropSilentUpstreams()
+bool GateService::isGone(const Upstream &upstream) const
+{
+    const bool isSilent = m_options.heartbeatTimeout > Duration::zero()
+        && m_loop.now() - upstream.heardAt > m_options.heartbeatTimeout;
+    if (!isSilent && !upstream.isWithdrawn) {
+        return false;
+    }
+    // Calls that run there keep their gate: its counts must outlive a missed heartbeat.
+    const LoadReport load = upstream.gate->load(m_loop.now());
+    return load.inFlight == 0 && load.queued == 0;
+}
+
+Duration GateService::sweepInterval() const
+{
+    const bool dropsSilent = m_options.heartbeatTimeout > Duration::zero();
+    return dropsSilent ? m_options.heartbeatTimeout / 2 : m_options.sweepInterval;
+}
+
+void GateService::dropGoneUpstreams()
 {
-    const TimePoint oldest = m_loop.now() - m_options.heartbeatTimeout;
     bool isChanged = false;
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
-        // Calls that run there keep their gate: its counts must outlive a missed heartbeat.
-        const LoadReport load = it->second.gate->load(m_loop.now());
-        const bool isIdle = load.inFlight == 0 && load.queued == 0;
-        if (it->second.heardAt < oldest && isIdle) {
-            it = m_upstreams.erase(it);
-            isChanged = true;
-        } else {
-            ++it;
-        }
+        const bool isDropped = isGone(it->second);
+        isChanged = isChanged || isDropped;
+        it = isDropped ? m_upstreams.erase(it) : std::next(it);
     }
     if (isChanged) {
         reportUpstreams();
     }
-    m_silenceTimer =
-        m_loop.callLater(m_options.heartbeatTimeout / 2, [this] { dropSilentUpstreams(); });
+    m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { dropGoneUpstreams(); });
 }
 
 void GateService::reportUpstreams()
--- a/src/app/internal/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -6,11 +6,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/internal/igateservice.h"
-#include "app/internal/ionceservice.h"
-#include "app/internal/observers.h"
+#include "app/internal/gate/igateservice.h"
+#include "app/internal/gate/ionceservice.h"
+#include "app/internal/logs/observers.h"
 #include "app/internal/waketimer.h"
 #include "coordination/admission/igate.h"
+#include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
 #include "state/member.h"
 #include "state/result.h"
@@ -19,17 +20,23 @@
 
 namespace ivyspar {
 
-/// What a server says of itself to the daemon on its host.
+/// A server of this host that takes calls.
 struct Announcement
 {
     UpstreamInfo info;
     Endpoint endpoint;
+    /// The run of the server; empty if servers do not name their runs.
+    UpstreamId instance;
 };
 
 struct GateServiceOptions
 {
-    /// An upstream that has not announced itself for this long is gone.
+    /// An upstream that has not announced itself for this long is gone. Zero: it stays until it is
+    /// withdrawn.
     Duration heartbeatTimeout = std::chrono::seconds(3);
+    /// How often upstreams that are gone and idle are dropped, when they are not dropped for
+    /// silence.
+    Duration sweepInterval = std::chrono::seconds(1);
     /// Calls that may be here at a time, waiting or running.
     std::size_t maxCalls = 20000;
     /// Passes deadlines and cancels on to the upstream.
@@ -42,14 +49,21 @@
 public:
     using GateMaker = std::function<std::unique_ptr<IGate>(const UpstreamInfo &)>;
     using OnUpstreams = std::function<void(std::vector<UpstreamInfo>)>;
+    using OnDoubt = std::function<void(const UpstreamId &)>;
 
     GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
-                GateMaker makeGate, Observers observers, GateServiceOptions options);
+                const IUpstreamDialect &dialect, GateMaker makeGate, Observers observers,
+                GateServiceOptions options);
     ~GateService() override;
 
     /// Runs whenever the announced upstreams, or what they announced, changed.
     void setOnUpstreams(OnUpstreams onUpstreams) { m_onUpstreams = std::move(onUpstreams); }
+    /// Runs when a call met no server, or another run than the one that was announced.
+    void setOnDoubt(OnDoubt onDoubt) { m_onDoubt = std::move(onDoubt); }
     void announce(const Announcement &announcement);
+    /// That run of the service's server takes no more calls: those that wait are refused, those
+    /// that run go on.
+    void withdraw(const ServiceName &service, const UpstreamId &instance);
     /// Refuses new calls of all services from now on.
     void startDraining();
     std::size_t callCount() const { return m_calls.size(); }
@@ -70,6 +84,7 @@
         std::unique_ptr<IGate> gate;
         TimePoint heardAt;
         std::unique_ptr<WakeTimer> tickTimer;
+        bool isWithdrawn = false;
     };
     struct Call
     {
@@ -98,7 +113,10 @@
     void perform(const ServiceName &service, const GateActions &actions);
     void startCall(const ServiceName &service, CallId id);
     void runCall(const ServiceName &service, CallId id);
-    RunEnd exchange(const Endpoint &endpoint, CallId id, const Call &call);
+    RunEnd exchange(const Announcement &server, CallId id, const Call &call);
+    RunEnd judge(const UpstreamId &instance, HttpResponse response);
+    RunEnd judgeFailure(const UpstreamId &instance, const HttpFailure &failure);
+    void tellDoubt(const UpstreamId &instance);
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
     void record(DecisionKind kind, const Call &call, const char *reason);
@@ -106,20 +124,24 @@
     void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
     void tick(const ServiceName &service);
-    void dropSilentUpstreams();
+    bool isGone(const Upstream &upstream) const;
+    Duration sweepInterval() const;
+    void dropGoneUpstreams();
     void reportUpstreams();
 
     IEventLoop &m_loop;
     IHttpClient &m_client;
     IRandom &m_random;
     IOnceService &m_once;
+    const IUpstreamDialect &m_dialect;
     GateMaker m_makeGate;
     Observers m_observers;
     GateServiceOptions m_options;
     OnUpstreams m_onUpstreams;
+    OnDoubt m_onDoubt;
     std::unordered_map<ServiceName, Upstream> m_upstreams;
     std::unordered_map<CallId, Call> m_calls;
-    TimerId m_silenceTimer;
+    TimerId m_sweepTimer;
     bool m_isDraining = false;
 };
 
--- a/src/app/internal/igateservice.h
+++ b/src/app/internal/gate/igateservice.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "app/internal/callledger.h"
+#include "app/internal/gate/callledger.h"
 #include "protocol/messages.h"
 #include "state/time.h"
 
--- a/src/app/internal/onceservice.cpp
+++ b/src/app/internal/gate/onceservice.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/onceservice.h"
+#include "app/internal/gate/onceservice.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/app/internal/onceservice.h
+++ b/src/app/internal/gate/onceservice.h
@@ -5,8 +5,8 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "app/internal/ionceservice.h"
-#include "app/internal/observers.h"
+#include "app/internal/gate/ionceservice.h"
+#include "app/internal/logs/observers.h"
 #include "app/internal/waketimer.h"
 #include "coordination/once/ioncecoordinator.h"
 #include "coordination/once/iticketoffice.h"
--- /dev/null
+++ b/src/app/internal/gate/upstreamwatch.cpp
@@ -0,0 +1,129 @@
+#include "app/internal/gate/upstreamwatch.h"
+
+#include <utility>
+
+#include "coordination/upstreams/upstreamregisterfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr Duration HEALTH_TIMEOUT = std::chrono::seconds(1);
+constexpr std::uint16_t OK = 200;
+
+const char *toText(UpstreamVerb verb)
+{
+    switch (verb) {
+    case UpstreamVerb::Serve:
+        return "serve";
+    case UpstreamVerb::Stop:
+        return "stop";
+    case UpstreamVerb::Check:
+        return "check";
+    }
+    return "";
+}
+
+} // namespace
+
+UpstreamWatch::UpstreamWatch(IEventLoop &loop, IHttpClient &client, const IUpstreamDialect &dialect,
+                             GateService &gates, Observers observers)
+    : m_loop(loop)
+    , m_client(client)
+    , m_dialect(dialect)
+    , m_gates(gates)
+    , m_observers(observers)
+    , m_register(makeUpstreamRegister(UpstreamRegisterOptions()))
+    , m_timer(loop, [this] { perform(m_register->tick(m_loop.now())); })
+{
+    m_gates.setOnDoubt([this](const UpstreamId &instance) {
+        perform(m_register->onDoubt(m_loop.now(), instance));
+    });
+}
+
+void UpstreamWatch::setConfiguration(const ConfigurationPtr &configuration)
+{
+    m_configuration = configuration;
+}
+
+void UpstreamWatch::take(const UpstreamReport &report)
+{
+    if (report.instance.value().empty()) {
+        // Such a server is told from others by its service alone, and its word is taken.
+        serve(report);
+        return;
+    }
+    perform(m_register->onReport(m_loop.now(), report));
+}
+
+void UpstreamWatch::perform(const UpstreamActions &actions)
+{
+    for (const UpstreamAction &action : actions) {
+        record(action);
+        switch (action.verb) {
+        case UpstreamVerb::Serve:
+            serve(action.report);
+            break;
+        case UpstreamVerb::Stop:
+            m_gates.withdraw(action.report.service, action.report.instance);
+            break;
+        case UpstreamVerb::Check:
+            m_loop.spawn([this, report = action.report] { check(report); });
+            break;
+        }
+    }
+    m_timer.wakeAt(m_register->nextTick());
+}
+
+void UpstreamWatch::serve(const UpstreamReport &report)
+{
+    Announcement announcement;
+    announcement.info.service = report.service;
+    announcement.info.slots = report.slots;
+    announcement.info.connections = report.connections > 0 ? report.connections : report.slots;
+    announcement.info.draining = report.phase != UpstreamPhase::Ready;
+    announcement.endpoint = report.endpoint;
+    announcement.instance = report.instance;
+    m_gates.announce(announcement);
+}
+
+void UpstreamWatch::check(const UpstreamReport &report)
+{
+    const UpstreamHealth health = askHealth(report);
+    perform(m_register->onHealth(m_loop.now(), report.instance, health));
+}
+
+UpstreamHealth UpstreamWatch::askHealth(const UpstreamReport &report)
+{
+    UpstreamHealth health;
+    health.isSilent = true;
+    const ServiceSpec *service =
+        m_configuration ? findService(m_configuration->inventory, report.service) : nullptr;
+    if (!service || service->healthPath.empty()) {
+        return health;
+    }
+    const HttpRequest request{ "GET", service->healthPath, {}, {} };
+    const HttpResult result = m_client.exchange(report.endpoint, request, HEALTH_TIMEOUT, {});
+    if (!result) {
+        return health;
+    }
+    health.isSilent = false;
+    health.isHealthy = result->status == OK;
+    health.instance = m_dialect.instance(*result);
+    return health;
+}
+
+void UpstreamWatch::record(const UpstreamAction &action)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Membership;
+    decision.service = action.report.service;
+    decision.choice = std::string(toText(action.verb)) + ' ' + action.report.instance.value();
+    decision.reason = action.why;
+    m_observers.decisions.write(std::move(decision));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/gate/upstreamwatch.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <memory>
+
+#include "app/internal/gate/gateservice.h"
+#include "app/internal/logs/observers.h"
+#include "app/internal/waketimer.h"
+#include "coordination/upstreams/iupstreamregister.h"
+#include "protocol/iupstreamdialect.h"
+#include "state/configuration.h"
+#include "transport/ieventloop.h"
+#include "transport/ihttpclient.h"
+
+namespace ivyspar {
+
+/// Takes the reports of the servers on this host, checks their health when the register asks for
+/// it, and tells the gates which of them take calls. Traffic thread only.
+class UpstreamWatch
+{
+public:
+    /// All references outlive the watch.
+    UpstreamWatch(IEventLoop &loop, IHttpClient &client, const IUpstreamDialect &dialect,
+                  GateService &gates, Observers observers);
+
+    void setConfiguration(const ConfigurationPtr &configuration);
+    void take(const UpstreamReport &report);
+
+private:
+    void perform(const UpstreamActions &actions);
+    void serve(const UpstreamReport &report);
+    void check(const UpstreamReport &report);
+    UpstreamHealth askHealth(const UpstreamReport &report);
+    void record(const UpstreamAction &action);
+
+    IEventLoop &m_loop;
+    IHttpClient &m_client;
+    const IUpstreamDialect &m_dialect;
+    GateService &m_gates;
+    Observers m_observers;
+    std::unique_ptr<IUpstreamRegister> m_register;
+    WakeTimer m_timer;
+    ConfigurationPtr m_configuration;
+};
+
+} // namespace ivyspar
--- a/src/app/internal/asynclogs.cpp
+++ b/src/app/internal/logs/asynclogs.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/asynclogs.h"
+#include "app/internal/logs/asynclogs.h"
 
 #include <pthread.h>
 
@@ -6,7 +6,7 @@
 
 #include <log4cplus/spi/loggingevent.h>
 
-#include "app/internal/decisiontext.h"
+#include "app/internal/logs/decisiontext.h"
 
 namespace ivyspar {
 
--- a/src/app/internal/daemonlogs.cpp
+++ b/src/app/internal/logs/daemonlogs.cpp
@@ -9,7 +9,7 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 
-#include "app/internal/asynclogs.h"
+#include "app/internal/logs/asynclogs.h"
 
 namespace ivyspar {
 
--- a/src/app/internal/decisiontext.cpp
+++ b/src/app/internal/logs/decisiontext.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/decisiontext.h"
+#include "app/internal/logs/decisiontext.h"
 
 #include <cctype>
 #include <cstdio>
--- a/src/app/internal/configurationfiles.cpp
+++ b/src/app/internal/settings/configurationfiles.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/configurationfiles.h"
+#include "app/internal/settings/configurationfiles.h"
 
 #include <cerrno>
 #include <cstdio>
--- a/src/app/internal/daemonsettings.cpp
+++ b/src/app/internal/settings/daemonsettings.cpp
@@ -1,10 +1,10 @@
-#include "app/internal/daemonsettings.h"
+#include "app/internal/settings/daemonsettings.h"
 
 #include <algorithm>
 
-#include "app/internal/configurationfiles.h"
-#include "app/internal/flags.h"
-#include "app/internal/settingvalues.h"
+#include "app/internal/settings/configurationfiles.h"
+#include "app/internal/settings/flags.h"
+#include "app/internal/settings/settingvalues.h"
 
 namespace ivyspar {
 
--- a/src/app/internal/daemonsettings.h
+++ b/src/app/internal/settings/daemonsettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "app/internal/flagset.h"
+#include "app/internal/settings/flagset.h"
 
 namespace ivyspar {
 
--- a/src/app/internal/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/flags.h"
+#include "app/internal/settings/flags.h"
 
 #include <gflags/gflags.h>
 
--- a/src/app/internal/flagset.cpp
+++ b/src/app/internal/settings/flagset.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/flagset.h"
+#include "app/internal/settings/flagset.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/app/internal/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -1,7 +1,17 @@
-#include "app/internal/policies.h"
+#include "app/internal/settings/policies.h"
 
 namespace ivyspar {
 
+namespace {
+
+/// A repeated run repeats the calls that it makes, and these count for the services below: each
+/// daemon leaves them half of the budget.
+constexpr double OWN_SHARE_OF_BUDGET = 0.5;
+/// Daemons that draw on the shared slack at the same time.
+constexpr double EXPECTED_DAEMONS = 16;
+
+} // namespace
+
 GateOptions makeGateOptions(const Ablations &ablations)
 {
     GateOptions options;
@@ -31,9 +41,16 @@
     return options;
 }
 
-RetryOptions makeRetryOptions(const Ablations &ablations)
+RetryOptions makeRetryOptions(const DaemonSettings &settings)
 {
+    const Ablations &ablations = settings.ablations;
     RetryOptions options;
+    if (settings.retryBudget) {
+        options.countsArrivalsOnly = true;
+        options.retryShare = settings.retryBudget->ratio * OWN_SHARE_OF_BUDGET;
+        options.initialRetries = settings.retryBudget->slack / EXPECTED_DAEMONS;
+        options.mostRetries = options.initialRetries;
+    }
     if (ablations.retryTokens) {
         options.hasRetryTokens = false;
         options.isNextHopOnly = false;
--- a/src/app/internal/policies.h
+++ b/src/app/internal/settings/policies.h
@@ -10,6 +10,6 @@
 /// The options of the decisions, with the policies switched off that the settings name.
 GateOptions makeGateOptions(const Ablations &ablations);
 RouterOptions makeRouterOptions(const Ablations &ablations, const DomainName &domain);
-RetryOptions makeRetryOptions(const Ablations &ablations);
+RetryOptions makeRetryOptions(const DaemonSettings &settings);
 
 } // namespace ivyspar
--- a/src/app/internal/publishsettings.cpp
+++ b/src/app/internal/settings/publishsettings.cpp
@@ -1,12 +1,12 @@
-#include "app/internal/publishsettings.h"
+#include "app/internal/settings/publishsettings.h"
 
 #include <charconv>
 #include <cstdio>
 #include <random>
 
-#include "app/internal/configurationfiles.h"
-#include "app/internal/flags.h"
-#include "app/internal/settingvalues.h"
+#include "app/internal/settings/configurationfiles.h"
+#include "app/internal/settings/flags.h"
+#include "app/internal/settings/settingvalues.h"
 #include "app/publish.h"
 
 namespace ivyspar {
--- a/src/app/internal/settingvalues.cpp
+++ b/src/app/internal/settings/settingvalues.cpp
@@ -1,10 +1,10 @@
-#include "app/internal/settingvalues.h"
+#include "app/internal/settings/settingvalues.h"
 
 #include <algorithm>
 #include <cctype>
 #include <sstream>
 
-#include "app/internal/flagset.h"
+#include "app/internal/settings/flagset.h"
 #include "state/durationtext.h"
 
 namespace ivyspar {
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -2,9 +2,9 @@
 
 #include <utility>
 
-#include "app/internal/announcementreader.h"
-#include "app/internal/logaccess.h"
-#include "app/internal/policies.h"
+#include "app/internal/control/logaccess.h"
+#include "app/internal/gate/noonceservice.h"
+#include "app/internal/settings/policies.h"
 #include "coordination/once/oncefactory.h"
 #include "protocol/internal/peercodec.h"
 #include "state/randomfactory.h"
@@ -14,18 +14,19 @@
 
 namespace {
 
-constexpr char ANNOUNCE_PATH[] = "/announce";
 constexpr char TICKETS_PATH[] = "/tickets";
 constexpr std::uint16_t CREATED = 201;
-constexpr std::uint16_t NO_CONTENT = 204;
-constexpr std::uint16_t BAD_REQUEST = 400;
 constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
 
 constexpr Duration DRAIN_POLL = std::chrono::milliseconds(5);
 
-HttpClientLimits makeClientLimits(const DaemonSettings &settings)
+HttpClientLimits makeClientLimits(const DaemonSettings &settings, const IUpstreamDialect &dialect)
 {
     HttpClientLimits limits;
+    limits.echoHeader = dialect.echoHeader();
+    // A server that repeats the request's id in each answer can also be told from the rest of an
+    // answer to somebody else.
+    limits.takesUnframedAnswers = !limits.echoHeader.empty();
     limits.bodyBytes = settings.limits.bodyBytes;
     return limits;
 }
@@ -73,18 +74,20 @@
 } // namespace
 
 TrafficNode::TrafficNode(IEventLoop &loop, const DaemonSettings &settings,
-                         const DaemonIdentity &self, TrafficEvents events, Observers observers)
+                         const IPlatform &platform, const DaemonIdentity &self,
+                         TrafficEvents events, Observers observers)
     : m_loop(loop)
     , m_settings(settings)
     , m_events(std::move(events))
+    , m_requestDialect(platform.makeRequestDialect())
+    , m_upstreamDialect(platform.makeUpstreamDialect())
+    , m_reportDialect(platform.makeReportDialect())
     , m_random(makeRandom())
     , m_codec(std::make_unique<PeerCodec>())
-    , m_client(makeHttpClient(loop, makeClientLimits(settings)))
+    , m_client(makeHttpClient(loop, makeClientLimits(settings, *m_upstreamDialect)))
     , m_network(makePeerNetwork(loop))
     , m_router(makeRouter(makeRouterOptions(settings.ablations, settings.domain)))
-    , m_retries(makeRetryPolicy(makeRetryOptions(settings.ablations)))
-    , m_logClient(makeLogClient(loop))
-    , m_log(makeLog(settings, *m_logClient))
+    , m_retries(makeRetryPolicy(makeRetryOptions(settings)))
 {
     const auto makeLocalGate = [ablations = settings.ablations](const UpstreamInfo &info) {
         GateOptions options = makeGateOptions(ablations);
@@ -92,20 +95,35 @@
         options.connections = info.connections;
         return makeGate(options);
     };
-    m_once = makeOnceService(loop, *m_log, observers, self, *m_random);
-    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, *m_once, makeLocalGate,
-                                            observers, makeGateServiceOptions(settings));
+    if (settings.streams.configuration.value().empty()) {
+        m_logClient = makeLogClient(loop);
+        m_log = makeLog(settings, *m_logClient);
+        m_once = makeOnceService(loop, *m_log, observers, self, *m_random);
+    } else {
+        m_once = std::make_unique<NoOnceService>();
+    }
+    m_gates =
+        std::make_unique<GateService>(loop, *m_client, *m_random, *m_once, *m_upstreamDialect,
+                                      makeLocalGate, observers, makeGateServiceOptions(settings));
+    m_watch =
+        std::make_unique<UpstreamWatch>(loop, *m_client, *m_upstreamDialect, *m_gates, observers);
     m_once->setListener(m_gates.get());
     m_gates->setOnUpstreams(m_events.onUpstreams);
+    makePeers(self, observers);
+    m_callerServer = makeHttpServer(loop);
+    m_upstreamServer = makeHttpServer(loop);
+}
+
+void TrafficNode::makePeers(const DaemonIdentity &self, Observers observers)
+{
     m_peerCalls =
-        std::make_unique<PeerCalls>(loop, *m_network, *m_codec, *m_gates, observers, self);
+        std::make_unique<PeerCalls>(m_loop, *m_network, *m_codec, *m_gates, observers, self);
     m_peerCalls->setOnControl(m_events.onControl);
     m_peerCalls->setOnUnreachable(m_events.onUnreachable);
     m_entry = std::make_unique<EntryService>(
-        loop, EntryPolicies{ *m_router, *m_retries, *m_random }, *m_peerCalls, *m_gates, observers,
-        makeEntryOptions(settings));
-    m_callerServer = makeHttpServer(loop);
-    m_upstreamServer = makeHttpServer(loop);
+        m_loop, *m_requestDialect, EntryPolicies{ *m_router, *m_retries, *m_random }, *m_peerCalls,
+        *m_gates, observers, makeEntryOptions(m_settings));
+    m_entry->setHostService(m_settings.hostService);
 }
 
 TrafficNode::~TrafficNode() = default;
@@ -119,10 +137,29 @@
     return limits;
 }
 
+/// What operators set in the configuration goes before the settings of this daemon.
+HttpLimits TrafficNode::makeCallerLimits(const CallerLimits &limits) const
+{
+    HttpLimits bounds = makeLimits();
+    if (limits.headerBytes > 0) {
+        bounds.headerBytes = limits.headerBytes;
+    }
+    if (limits.bodyBytes > 0) {
+        bounds.bodyBytes = limits.bodyBytes;
+    }
+    if (limits.idleTimeout > Duration::zero()) {
+        bounds.idleTimeout = limits.idleTimeout;
+    }
+    return bounds;
+}
+
 RetVal<ListeningEndpoints> TrafficNode::listen()
 {
     ListeningEndpoints bound;
-    const auto peer = m_network->listen(m_settings.peerListen, PeerLimits());
+    PeerLimits peerLimits;
+    peerLimits.connectTimeout = m_settings.peerConnectTimeout;
+    peerLimits.heartbeat = m_settings.peerHeartbeat;
+    const auto peer = m_network->listen(m_settings.peerListen, peerLimits);
     if (!peer) {
         return tl::unexpected<Error>(peer.error());
     }
@@ -154,6 +191,8 @@
 void TrafficNode::setConfiguration(const ConfigurationPtr &configuration)
 {
     m_entry->setConfiguration(configuration);
+    m_watch->setConfiguration(configuration);
+    m_callerServer->setLimits(makeCallerLimits(configuration->limits));
 }
 
 void TrafficNode::sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload)
@@ -172,6 +211,12 @@
     return status;
 }
 
+void TrafficNode::startLeaving()
+{
+    m_gates->startDraining();
+    m_callerServer->startLeaving();
+}
+
 void TrafficNode::startDraining()
 {
     m_gates->startDraining();
@@ -217,23 +262,20 @@
 
 HttpResponse TrafficNode::handleUpstream(IHttpExchange &exchange)
 {
-    if (exchange.request().target == ANNOUNCE_PATH) {
-        return handleAnnouncement(exchange.request());
+    if (m_reportDialect->isReport(exchange.request())) {
+        return handleReport(exchange.request());
     }
     return m_entry->handleUpstream(exchange);
 }
 
-HttpResponse TrafficNode::handleAnnouncement(const HttpRequest &request)
+HttpResponse TrafficNode::handleReport(const HttpRequest &request)
 {
-    if (request.method != "PUT") {
-        return makeText(METHOD_NOT_ALLOWED, "announcements are PUT");
-    }
-    const auto announcement = readAnnouncement(request.body);
-    if (!announcement) {
-        return makeText(BAD_REQUEST, announcement.error().text);
+    const RetVal<UpstreamReport> report = m_reportDialect->read(request);
+    if (!report) {
+        return m_reportDialect->acknowledge(tl::unexpected<Error>(report.error()));
     }
-    m_gates->announce(*announcement);
-    return HttpResponse{ NO_CONTENT, {}, {} };
+    m_watch->take(*report);
+    return m_reportDialect->acknowledge({});
 }
 
 } // namespace ivyspar
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -4,10 +4,12 @@
 #include <memory>
 #include <vector>
 
-#include "app/internal/entryservice.h"
-#include "app/internal/gateservice.h"
-#include "app/internal/onceservice.h"
-#include "app/internal/peercalls.h"
+#include "app/internal/entry/entryservice.h"
+#include "app/internal/entry/peercalls.h"
+#include "app/internal/gate/gateservice.h"
+#include "app/internal/gate/onceservice.h"
+#include "app/internal/gate/upstreamwatch.h"
+#include "app/iplatform.h"
 #include "app/readyfile.h"
 #include "app/settings.h"
 #include "state/configuration.h"
@@ -42,17 +44,21 @@
 class TrafficNode
 {
 public:
-    TrafficNode(IEventLoop &loop, const DaemonSettings &settings, const DaemonIdentity &self,
-                TrafficEvents events, Observers observers);
+    TrafficNode(IEventLoop &loop, const DaemonSettings &settings, const IPlatform &platform,
+                const DaemonIdentity &self, TrafficEvents events, Observers observers);
     ~TrafficNode();
 
     /// Opens the listeners.
     RetVal<ListeningEndpoints> listen();
     void setMembers(const std::vector<Member> &members);
     void setConfiguration(const ConfigurationPtr &configuration);
+    void setHostService(const ServiceName &service) { m_entry->setHostService(service); }
     void sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload);
     TrafficStatus status() const;
-    /// New calls are refused from now on; those in flight go on.
+    /// Calls of other daemons are refused from now on, and callers are sent elsewhere with their
+    /// next request; what is in flight goes on.
+    void startLeaving();
+    /// New requests are refused from now on; those in flight go on.
     void startDraining();
     /// Waits for the end of what is in flight and closes the listeners of callers and upstreams;
     /// suspends for `timeout` at most. False when something was still in flight then.
@@ -60,15 +66,20 @@
     void closeLinks(Duration timeout);
 
 private:
+    void makePeers(const DaemonIdentity &self, Observers observers);
     HttpLimits makeLimits() const;
+    HttpLimits makeCallerLimits(const CallerLimits &limits) const;
     HttpResponse handleCaller(IHttpExchange &exchange);
     HttpResponse handleUpstream(IHttpExchange &exchange);
     HttpResponse issueTicket(const HttpRequest &request);
-    HttpResponse handleAnnouncement(const HttpRequest &request);
+    HttpResponse handleReport(const HttpRequest &request);
 
     IEventLoop &m_loop;
     DaemonSettings m_settings;
     TrafficEvents m_events;
+    std::unique_ptr<IRequestDialect> m_requestDialect;
+    std::unique_ptr<IUpstreamDialect> m_upstreamDialect;
+    std::unique_ptr<IReportDialect> m_reportDialect;
     std::unique_ptr<IRandom> m_random;
     std::unique_ptr<IPeerCodec> m_codec;
     std::unique_ptr<IHttpClient> m_client;
@@ -77,8 +88,9 @@
     std::unique_ptr<IRetryPolicy> m_retries;
     std::unique_ptr<IHttpClient> m_logClient;
     std::unique_ptr<ILogService> m_log;
-    std::unique_ptr<OnceService> m_once;
+    std::unique_ptr<IOnceService> m_once;
     std::unique_ptr<GateService> m_gates;
+    std::unique_ptr<UpstreamWatch> m_watch;
     std::unique_ptr<PeerCalls> m_peerCalls;
     std::unique_ptr<EntryService> m_entry;
     std::unique_ptr<IHttpServer> m_callerServer;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -26,6 +26,25 @@
     std::size_t inFlight = 0;
 };
 
+/// The bound on repeated sends that all daemons share, for each service.
+struct RetryBudget
+{
+    /// Repeats allowed for each request.
+    double ratio = 0.1;
+    /// Repeats allowed besides, over all daemons.
+    double slack = 0;
+};
+
+/// Where the platform keeps what daemons share, in keyed streams. Empty names: nowhere.
+struct SharedStreams
+{
+    StreamName configuration;
+    /// Key of the newest configuration in its stream.
+    std::string configurationKey;
+    /// Where daemons enter themselves to be found by others.
+    StreamName members;
+};
+
 /// Policies that are switched off to measure what they are worth. Not for production.
 struct Ablations
 {
@@ -57,7 +76,17 @@
     /// Where other daemons reach this one; port 0 means the port that `peerListen` got.
     Endpoint peerAdvertise;
 
+    /// A listener for health checks alone; none while its port is 0.
+    Endpoint readinessListen;
+    /// Besides `/healthz`; empty for none.
+    std::string readinessPath;
+    /// The service whose server runs on this host, if that is known before its first report.
+    ServiceName hostService;
+    /// IP address of the server on this host, if calls that it makes arrive at `callerListen`.
+    std::string hostAddress;
+
     std::vector<Endpoint> seeds;
+    SharedStreams streams;
     std::vector<Endpoint> logEndpoints;
     /// For how long the log keeps a record.
     Duration logRetention = std::chrono::hours(1);
@@ -72,6 +101,14 @@
     Duration heartbeatTimeout{ 0 };
     /// Longest time for requests in flight to end at a planned stop.
     Duration drainTimeout{ 0 };
+    /// After a stop signal: for how long new requests are still taken, while those who watch the
+    /// health of this daemon find out that it leaves.
+    Duration leaveTime{ 0 };
+    std::optional<RetryBudget> retryBudget;
+    /// For opening a link to a peer.
+    Duration peerConnectTimeout = std::chrono::seconds(1);
+    /// A link on which nothing arrived is probed after this time and closed after twice this time.
+    Duration peerHeartbeat = std::chrono::seconds(2);
     DaemonLimits limits;
     Ablations ablations;
 
--- a/src/app/tests/asynclogstest.cpp
+++ b/src/app/tests/asynclogstest.cpp
@@ -6,8 +6,8 @@
 #include <log4cplus/appender.h>
 #include <log4cplus/spi/loggingevent.h>
 
-#include "app/internal/asynclogs.h"
-#include "app/internal/decisiontext.h"
+#include "app/internal/logs/asynclogs.h"
+#include "app/internal/logs/decisiontext.h"
 #include "state/metricsfactory.h"
 
 #include <CppUTest/TestHarness.h>
--- a/src/app/tests/documentationtest.cpp
+++ b/src/app/tests/documentationtest.cpp
@@ -2,8 +2,8 @@
 #include <set>
 #include <sstream>
 
-#include "app/internal/daemonsettings.h"
-#include "app/internal/publishsettings.h"
+#include "app/internal/settings/daemonsettings.h"
+#include "app/internal/settings/publishsettings.h"
 #include "state/metricsfactory.h"
 
 #include <CppUTest/TestHarness.h>
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -1,8 +1,10 @@
 #include <map>
 #include <memory>
 
-#include "app/internal/gateservice.h"
+#include "app/internal/gate/gateservice.h"
+#include "app/internal/gate/noonceservice.h"
 #include "coordination/admission/gatefactory.h"
+#include "protocol/owndialects.h"
 #include "state/internal/seededrandom.h"
 #include "state/metricsfactory.h"
 #include "state/tests/mocks/recordingdecisionlog.h"
@@ -36,24 +38,6 @@
     std::map<Endpoint, std::size_t> m_limits;
 };
 
-class NoOnce : public IOnceService
-{
-public:
-    void setListener(IOnceListener * /*listener*/) override { }
-    void request(CallId /*call*/, const CallMessage & /*message*/, TimePoint /*deadline*/) override
-    {
-    }
-    bool start(CallId /*call*/) override { return false; }
-    void finished(CallId /*call*/, const Verdict & /*verdict*/,
-                  const HttpResponse & /*response*/) override
-    {
-    }
-    void notRun(CallId /*call*/) override { }
-    void cancel(CallId /*call*/) override { }
-    std::string issueTicket() override { return {}; }
-    void setMembers(const std::vector<Member> & /*members*/) override { }
-};
-
 class NoLog : public ILog
 {
 public:
@@ -72,12 +56,13 @@
     std::unique_ptr<IEventLoop> m_loop = makeEventLoop();
     LimitRecorder m_client;
     SeededRandom m_random{ 1 };
-    NoOnce m_once;
+    NoOnceService m_once;
+    std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
     NoLog m_log;
     RecordingDecisionLog m_decisions;
     std::unique_ptr<IMetrics> m_metrics = makeMetrics();
     std::unique_ptr<GateService> m_gates = std::make_unique<GateService>(
-        *m_loop, m_client, m_random, m_once, makeDefaultGate,
+        *m_loop, m_client, m_random, m_once, *m_dialect, makeDefaultGate,
         Observers{ m_log, m_decisions, *m_metrics }, GateServiceOptions{});
 };
 
@@ -89,8 +74,8 @@
     const UpstreamInfo info{ ServiceName("cassa"), 300, 2000, false };
     const Endpoint before{ "127.0.0.1", 9000 };
     const Endpoint after{ "127.0.0.1", 9001 };
-    m_gates->announce(Announcement{ info, before });
+    m_gates->announce(Announcement{ info, before, {} });
     CHECK_EQUAL(2000, m_client.limitOf(before));
-    m_gates->announce(Announcement{ info, after });
+    m_gates->announce(Announcement{ info, after, {} });
     CHECK_EQUAL(2000, m_client.limitOf(after));
 }
--- a/src/app/tests/mocks/fakegateservice.h
+++ b/src/app/tests/mocks/fakegateservice.h
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include "app/internal/igateservice.h"
+#include "app/internal/gate/igateservice.h"
 
 namespace ivyspar {
 
--- a/src/app/tests/mocks/silentobservers.h
+++ b/src/app/tests/mocks/silentobservers.h
@@ -2,7 +2,7 @@
 
 #include <memory>
 
-#include "app/internal/observers.h"
+#include "app/internal/logs/observers.h"
 #include "state/metricsfactory.h"
 
 namespace ivyspar {
--- a/src/app/tests/operatorclienttest.cpp
+++ b/src/app/tests/operatorclienttest.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
-#include "app/internal/operatorclient.h"
+#include "app/internal/commands/operatorclient.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/app/tests/peercallstest.cpp
+++ b/src/app/tests/peercallstest.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/peercalls.h"
+#include "app/internal/entry/peercalls.h"
 
 #include "app/tests/mocks/fakegateservice.h"
 #include "app/tests/mocks/inlineeventloop.h"
--- a/src/coordination/calls/ientrycall.h
+++ b/src/coordination/calls/ientrycall.h
@@ -45,6 +45,8 @@
     bool hasLoad = false;
     /// HTTP status of an `Answered` attempt.
     std::uint16_t status = 0;
+    /// An upstream was sent the call, or may have been.
+    bool hasReachedUpstream = false;
     /// The upstream was not asked, as the key's result is kept by this other daemon.
     DaemonId holder;
 };
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -71,11 +71,12 @@
         return {};
     }
     settle(now, attempt, end);
+    m_arrivals += end.hasReachedUpstream ? 1 : 0;
     if (m_isFinished) {
         return {};
     }
     if (end.verdict.outcome == Outcome::Answered) {
-        if (end.status >= FIRST_SERVER_ERROR && mayRetry(now, end.verdict, true)) {
+        if (end.status >= FIRST_SERVER_ERROR && mayRetry(now, end, true)) {
             Verdict failure;
             if (auto action = sendNext(now, failure)) {
                 return { *action };
@@ -104,7 +105,7 @@
     if (!end.holder.value().empty() && !m_isRedirected) {
         return redirectTo(now, end.holder);
     }
-    if (mayRetry(now, end.verdict, false)) {
+    if (mayRetry(now, end, false)) {
         Verdict failure;
         if (auto action = sendNext(now, failure)) {
             return { *action };
@@ -265,14 +266,18 @@
     return action;
 }
 
-bool EntryCall::mayRetry(TimePoint now, const Verdict &verdict, bool isFromBelow)
+bool EntryCall::mayRetry(TimePoint now, const AttemptEnd &end, bool isFromBelow)
 {
     if (m_terms.isSingleAttempt || now >= m_terms.deadline) {
         return false;
     }
+    if (m_terms.rule.servers > 0 && m_arrivals >= m_terms.rule.servers) {
+        return false;
+    }
     RetryQuestion question;
     question.service = m_terms.rule.service;
-    question.verdict = verdict;
+    question.verdict = end.verdict;
+    question.hasArrived = end.hasReachedUpstream;
     question.repetition = m_terms.rule.repetition;
     question.attempts = attempts();
     question.isFromBelow = isFromBelow;
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -61,7 +61,7 @@
     EntryActions redirectTo(TimePoint now, const DaemonId &holder);
     std::optional<EntryAction> launch(TimePoint now, const DaemonId &target, const char *why);
     /// `isFromBelow`: the upstream answered with an error of its own or of a call that it made.
-    bool mayRetry(TimePoint now, const Verdict &verdict, bool isFromBelow);
+    bool mayRetry(TimePoint now, const AttemptEnd &end, bool isFromBelow);
     /// Attempts that the calls below this one need at the least.
     AttemptCount neededBelow() const;
     void settle(TimePoint now, Attempt &attempt, const AttemptEnd &end);
@@ -76,6 +76,8 @@
     std::optional<TimePoint> m_hedgeAt;
     /// An attempt may have run without our knowing how it ended.
     bool m_mayHaveRun = false;
+    /// Attempts that reached an upstream, or may have.
+    std::uint32_t m_arrivals = 0;
     bool m_isRedirected = false;
     bool m_isFinished = false;
 };
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -69,9 +69,15 @@
     return m_services.try_emplace(name, m_options).first->second;
 }
 
+bool RetryPolicy::isFree(const RetryQuestion &question) const
+{
+    return m_options.countsArrivalsOnly && !question.hasArrived;
+}
+
 bool RetryPolicy::isWorthwhile(const RetryQuestion &question) const
 {
-    if (!m_options.hasRetries || question.attempts >= m_options.attempts) {
+    const std::uint32_t most = isFree(question) ? m_options.unseenAttempts : m_options.attempts;
+    if (!m_options.hasRetries || question.attempts >= most) {
         return false;
     }
     // If each of n hops made three attempts, the last service would see 3ⁿ of them.
@@ -90,7 +96,7 @@
     if (question.remaining <= service.latencies.quantile(MEDIAN)) {
         return false;
     }
-    if (!m_options.hasRetryTokens) {
+    if (!m_options.hasRetryTokens || isFree(question)) {
         return true;
     }
     if (service.retries < 1) {
--- a/src/coordination/retries/internal/retrypolicy.h
+++ b/src/coordination/retries/internal/retrypolicy.h
@@ -32,6 +32,7 @@
     };
 
     Service &serviceOf(const ServiceName &name);
+    bool isFree(const RetryQuestion &question) const;
     bool isWorthwhile(const RetryQuestion &question) const;
 
     RetryOptions m_options;
--- a/src/coordination/retries/iretrypolicy.h
+++ b/src/coordination/retries/iretrypolicy.h
@@ -16,6 +16,8 @@
     /// Attempts made of this call at this hop so far.
     std::uint32_t attempts = 1;
     Duration remaining{ 0 };
+    /// The attempt that failed reached an upstream, or may have: the next one is a repeat there.
+    bool hasArrived = true;
     /// The failure came from a call below the upstream: only the hop next to it retries.
     bool isFromBelow = false;
 };
--- a/src/coordination/retries/retrypolicyfactory.h
+++ b/src/coordination/retries/retrypolicyfactory.h
@@ -18,6 +18,11 @@
     bool isNextHopOnly = true;
     bool hasHedging = true;
 
+    /// On: an attempt that no upstream saw costs no token, since the next one is the first that an
+    /// upstream sees. Such attempts are bounded by `unseenAttempts` alone.
+    bool countsArrivalsOnly = false;
+    std::uint32_t unseenAttempts = 6;
+
     /// Attempts of one call at this hop, the first included.
     std::uint32_t attempts = 3;
     /// Retries per success.
--- /dev/null
+++ b/src/coordination/upstreams/internal/upstreamregister.cpp
@@ -0,0 +1,181 @@
+#include "coordination/upstreams/internal/upstreamregister.h"
+
+#include <algorithm>
+
+namespace ivyspar {
+
+std::unique_ptr<IUpstreamRegister> makeUpstreamRegister(const UpstreamRegisterOptions &options)
+{
+    return std::make_unique<UpstreamRegister>(options);
+}
+
+UpstreamRegister::UpstreamRegister(const UpstreamRegisterOptions &options)
+    : m_options(options)
+{
+}
+
+UpstreamActions UpstreamRegister::say(UpstreamVerb verb, const UpstreamReport &report,
+                                      const char *why) const
+{
+    return { UpstreamAction{ verb, report, why } };
+}
+
+UpstreamActions UpstreamRegister::onReport(TimePoint now, const UpstreamReport &report)
+{
+    // A late report of a run that has ended must not bring it back: its address may already
+    // belong to another service.
+    if (m_gone.count(report.instance) > 0) {
+        return {};
+    }
+    const auto found = m_runs.find(report.instance);
+    if (report.phase != UpstreamPhase::Ready) {
+        remember(report.instance);
+        if (found == m_runs.end()) {
+            return {};
+        }
+        return end(found, report.phase == UpstreamPhase::Gone ? "goodbye" : "draining");
+    }
+    if (found == m_runs.end()) {
+        Run run;
+        run.report = report;
+        run.heardAt = now;
+        Run &added = m_runs.emplace(report.instance, std::move(run)).first->second;
+        return startCheck(added, "new");
+    }
+    Run &run = found->second;
+    if (report.sequence <= run.report.sequence) {
+        return {};
+    }
+    const bool isChanged =
+        run.report.slots != report.slots || run.report.endpoint != report.endpoint;
+    run.report = report;
+    run.heardAt = now;
+    return run.isServing && isChanged ? say(UpstreamVerb::Serve, report, "changed")
+                                      : UpstreamActions();
+}
+
+UpstreamActions UpstreamRegister::onHealth(TimePoint now, const UpstreamId &instance,
+                                           const UpstreamHealth &health)
+{
+    const auto found = m_runs.find(instance);
+    if (found == m_runs.end()) {
+        return {};
+    }
+    Run &run = found->second;
+    run.isChecking = false;
+    run.nextCheck = now + m_options.checkInterval;
+    const bool isOther = !health.instance.value().empty() && health.instance != instance;
+    if (isOther) {
+        remember(instance);
+        return end(found, "other-instance");
+    }
+    if (health.isHealthy) {
+        run.failedChecks = 0;
+        run.heardAt = now;
+        if (run.isServing) {
+            return {};
+        }
+        run.isServing = true;
+        UpstreamActions actions = supersede(run.report);
+        actions.push_back(UpstreamAction{ UpstreamVerb::Serve, run.report, "confirmed" });
+        return actions;
+    }
+    ++run.failedChecks;
+    // A server that answers but is not healthy may be full; one that serves already goes on.
+    if (run.isServing && !health.isSilent) {
+        run.heardAt = now;
+        return {};
+    }
+    if (run.failedChecks >= m_options.failedChecks && run.isServing) {
+        return end(found, "silent");
+    }
+    if (run.failedChecks >= m_options.failedChecks && now - run.heardAt >= m_options.silence) {
+        m_runs.erase(found);
+    }
+    return {};
+}
+
+UpstreamActions UpstreamRegister::onDoubt(TimePoint /*now*/, const UpstreamId &instance)
+{
+    const auto found = m_runs.find(instance);
+    if (found == m_runs.end() || found->second.isChecking) {
+        return {};
+    }
+    return startCheck(found->second, "doubt");
+}
+
+UpstreamActions UpstreamRegister::tick(TimePoint now)
+{
+    UpstreamActions actions;
+    for (auto &[instance, run] : m_runs) {
+        const bool isSilent = now - run.heardAt >= m_options.silence;
+        const bool isDue = !run.isChecking && now >= run.nextCheck;
+        const bool isDoubtful = !run.isServing || run.failedChecks > 0 || isSilent;
+        if (isDue && isDoubtful) {
+            const UpstreamActions check = startCheck(run, isSilent ? "silent" : "unconfirmed");
+            actions.insert(actions.end(), check.begin(), check.end());
+        }
+    }
+    return actions;
+}
+
+TimePoint UpstreamRegister::nextTick() const
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &[instance, run] : m_runs) {
+        if (run.isChecking) {
+            continue;
+        }
+        const bool isDoubtful = !run.isServing || run.failedChecks > 0;
+        const TimePoint silentAt = run.heardAt + m_options.silence;
+        next = std::min(next, isDoubtful ? run.nextCheck : std::max(run.nextCheck, silentAt));
+    }
+    return next;
+}
+
+UpstreamActions UpstreamRegister::startCheck(Run &run, const char *why)
+{
+    run.isChecking = true;
+    return say(UpstreamVerb::Check, run.report, why);
+}
+
+UpstreamActions UpstreamRegister::end(Runs::iterator run, const char *why)
+{
+    UpstreamActions actions;
+    if (run->second.isServing) {
+        actions = say(UpstreamVerb::Stop, run->second.report, why);
+    }
+    m_runs.erase(run);
+    return actions;
+}
+
+/// A run that has confirmed itself at an address proves that the runs before it there have ended.
+UpstreamActions UpstreamRegister::supersede(const UpstreamReport &report)
+{
+    UpstreamActions actions;
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        const auto current = run++;
+        const bool isOlder =
+            current->first != report.instance && current->second.report.endpoint == report.endpoint;
+        if (isOlder) {
+            remember(current->first);
+            const UpstreamActions ended = end(current, "superseded");
+            actions.insert(actions.end(), ended.begin(), ended.end());
+        }
+    }
+    return actions;
+}
+
+void UpstreamRegister::remember(const UpstreamId &instance)
+{
+    if (!m_gone.insert(instance).second) {
+        return;
+    }
+    m_goneOrder.push_back(instance);
+    if (m_goneOrder.size() > m_options.maxGone) {
+        m_gone.erase(m_goneOrder.front());
+        m_goneOrder.pop_front();
+    }
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/upstreams/internal/upstreamregister.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+
+#include "coordination/upstreams/upstreamregisterfactory.h"
+
+namespace ivyspar {
+
+class UpstreamRegister : public IUpstreamRegister
+{
+public:
+    explicit UpstreamRegister(const UpstreamRegisterOptions &options);
+
+    UpstreamActions onReport(TimePoint now, const UpstreamReport &report) override;
+    UpstreamActions onHealth(TimePoint now, const UpstreamId &instance,
+                             const UpstreamHealth &health) override;
+    UpstreamActions onDoubt(TimePoint now, const UpstreamId &instance) override;
+    UpstreamActions tick(TimePoint now) override;
+    TimePoint nextTick() const override;
+
+private:
+    /// A run that has not said goodbye.
+    struct Run
+    {
+        UpstreamReport report;
+        TimePoint heardAt;
+        /// Confirmed by itself: takes work.
+        bool isServing = false;
+        bool isChecking = false;
+        std::uint32_t failedChecks = 0;
+        TimePoint nextCheck;
+    };
+    using Runs = std::map<UpstreamId, Run>;
+
+    UpstreamActions say(UpstreamVerb verb, const UpstreamReport &report, const char *why) const;
+    UpstreamActions startCheck(Run &run, const char *why);
+    UpstreamActions end(Runs::iterator run, const char *why);
+    UpstreamActions supersede(const UpstreamReport &report);
+    void remember(const UpstreamId &instance);
+
+    UpstreamRegisterOptions m_options;
+    Runs m_runs;
+    std::set<UpstreamId> m_gone;
+    std::deque<UpstreamId> m_goneOrder;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/upstreams/upstreamregisterfactory.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+
+#include "coordination/upstreams/iupstreamregister.h"
+
+namespace ivyspar {
+
+struct UpstreamRegisterOptions
+{
+    /// A run that has not reported for this long is asked for its health.
+    Duration silence = std::chrono::milliseconds(4500);
+    /// Time between two checks of a run that has not confirmed itself, and of a silent one.
+    Duration checkInterval = std::chrono::milliseconds(500);
+    /// A run in doubt that does not answer this many checks in a row is gone until it reports anew.
+    std::uint32_t failedChecks = 3;
+    /// Runs that said goodbye and are remembered.
+    std::size_t maxGone = 256;
+};
+
+std::unique_ptr<IUpstreamRegister> makeUpstreamRegister(const UpstreamRegisterOptions &options);
+
+} // namespace ivyspar
--- a/src/app/internal/announcementreader.cpp
+++ b/src/protocol/internal/announcementreader.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/announcementreader.h"
+#include "protocol/internal/announcementreader.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,18 +38,18 @@
 
 } // namespace
 
-RetVal<Announcement> readAnnouncement(const std::string &json)
+RetVal<UpstreamReport> readAnnouncement(const std::string &json)
 {
     const Json document = Json::parse(json, nullptr, false);
     if (!document.is_object()) {
         return wrong("expected a JSON object");
     }
-    Announcement announcement;
+    UpstreamReport announcement;
     std::string service;
     if (!readText(document, "service", service)) {
         return wrong("\"service\" must be a non-empty string");
     }
-    announcement.info.service = ServiceName(service);
+    announcement.service = ServiceName(service);
     std::string address;
     if (!readText(document, "address", address)) {
         return wrong("\"address\" must be a string, IP:PORT");
@@ -59,17 +59,18 @@
         return wrong("\"address\": " + endpoint.error().text);
     }
     announcement.endpoint = *endpoint;
-    if (!readCount(document, "slots", announcement.info.slots)) {
+    if (!readCount(document, "slots", announcement.slots)) {
         return wrong("\"slots\" must be a whole number from 1 to 1000000");
     }
-    if (!readCount(document, "connections", announcement.info.connections)) {
+    if (!readCount(document, "connections", announcement.connections)) {
         return wrong("\"connections\" must be a whole number from 1 to 1000000");
     }
     const auto draining = document.find("draining");
     if (draining != document.end() && !draining->is_boolean()) {
         return wrong("\"draining\" must be true or false");
     }
-    announcement.info.draining = draining != document.end() && draining->get<bool>();
+    const bool isDraining = draining != document.end() && draining->get<bool>();
+    announcement.phase = isDraining ? UpstreamPhase::Draining : UpstreamPhase::Ready;
     return announcement;
 }
 
--- a/src/app/internal/announcementreader.h
+++ b/src/protocol/internal/announcementreader.h
@@ -2,13 +2,13 @@
 
 #include <string>
 
-#include "app/internal/gateservice.h"
+#include "coordination/upstreams/upstreamreport.h"
 #include "state/result.h"
 
 namespace ivyspar {
 
 /// Reads the JSON with which an upstream announces itself; docs/INTERFACES.md describes it.
 /// Fails with `InvalidArgument` and a text for the upstream's developer.
-RetVal<Announcement> readAnnouncement(const std::string &json);
+RetVal<UpstreamReport> readAnnouncement(const std::string &json);
 
 } // namespace ivyspar
--- /dev/null
+++ b/src/protocol/internal/documentexchange.cpp
@@ -0,0 +1,84 @@
+#include "protocol/documentexchange.h"
+
+#include <utility>
+
+#include "protocol/internal/boundedcbor.h"
+#include "protocol/internal/fieldcodec.h"
+
+namespace ivyspar {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// First field of each message, so that other exchanges on the same links are told apart.
+constexpr char EXCHANGE[] = "document";
+
+enum class MessageKind : std::uint8_t { Offer = 1, Request, Push };
+
+FieldWriter startMessage(MessageKind kind)
+{
+    FieldWriter writer;
+    writer.add(std::string(EXCHANGE)).add(std::uint64_t(kind));
+    return writer;
+}
+
+std::string encodeOne(const DocumentOffer &offer)
+{
+    return toCbor(startMessage(MessageKind::Offer).add(offer.version).take());
+}
+
+std::string encodeOne(const DocumentRequest &request)
+{
+    return toCbor(startMessage(MessageKind::Request).add(request.version).take());
+}
+
+std::string encodeOne(const DocumentPush &push)
+{
+    return toCbor(startMessage(MessageKind::Push).add(push.document).take());
+}
+
+DocumentMessage readBody(MessageKind kind, FieldReader &reader)
+{
+    if (kind == MessageKind::Push) {
+        DocumentPush push;
+        reader.read(push.document);
+        return push;
+    }
+    ConfigurationVersion version;
+    reader.read(version);
+    if (kind == MessageKind::Offer) {
+        return DocumentOffer{ version };
+    }
+    return DocumentRequest{ version };
+}
+
+} // namespace
+
+std::string encodeDocumentMessage(const DocumentMessage &message)
+{
+    return std::visit([](const auto &each) { return encodeOne(each); }, message);
+}
+
+RetVal<DocumentMessage> decodeDocumentMessage(const std::string &payload)
+{
+    const auto fields = parseCbor(payload);
+    if (!fields) {
+        return makeError(ErrorCode::NotFound, "not a message of ours");
+    }
+    FieldReader reader(*fields);
+    std::string exchange;
+    reader.read(exchange);
+    if (!reader.isGood() || exchange != EXCHANGE) {
+        return makeError(ErrorCode::NotFound, "a message of another exchange");
+    }
+    MessageKind kind = MessageKind::Offer;
+    reader.read(kind, MessageKind::Push);
+    DocumentMessage message = readBody(kind, reader);
+    if (!reader.isGood()) {
+        return makeError(ErrorCode::InvalidArgument, "malformed document message");
+    }
+    return message;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/protocol/internal/ownreportdialect.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "protocol/ireportdialect.h"
+
+namespace ivyspar {
+
+/// Announcements, as docs/INTERFACES.md describes them.
+class OwnReportDialect : public IReportDialect
+{
+public:
+    bool isReport(const HttpRequest &request) const override;
+    RetVal<UpstreamReport> read(const HttpRequest &request) const override;
+    HttpResponse acknowledge(const Ret &taken) const override;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/protocol/internal/ownupstreamdialect.cpp
@@ -0,0 +1,53 @@
+#include "protocol/internal/ownupstreamdialect.h"
+
+#include <algorithm>
+
+#include "protocol/headers.h"
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
+constexpr char NOT_RUN[] = "not-run";
+
+} // namespace
+
+void OwnUpstreamDialect::address(const UpstreamSend &send, HttpRequest &request) const
+{
+    request.headers.push_back({ headers::CONTEXT, send.context });
+    const auto remainingMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(send.remaining).count();
+    request.headers.push_back(
+        { headers::DEADLINE_MS, std::to_string(std::max<long long>(0, remainingMs)) });
+}
+
+UpstreamAnswer OwnUpstreamDialect::judge(const HttpResponse &response) const
+{
+    const std::string *outcome = findHeader(response.headers, headers::UPSTREAM_OUTCOME);
+    const bool isRefused = response.status == SERVICE_UNAVAILABLE && outcome && *outcome == NOT_RUN;
+    return isRefused ? UpstreamAnswer::Refused : UpstreamAnswer::Ran;
+}
+
+/// An upstream passes on headers of the inner calls that it made. Taken at face value they would
+/// tell the caller that its own request was not run, although it ran.
+void OwnUpstreamDialect::clean(HttpResponse &response) const
+{
+    for (const char *name :
+         { headers::OUTCOME, headers::REASON, headers::ATTEMPTS, headers::RETRY_AFTER_MS,
+           headers::REQUEST_ID, headers::UPSTREAM_OUTCOME, headers::CONTEXT }) {
+        removeHeader(response.headers, name);
+    }
+}
+
+std::optional<UpstreamLoad> OwnUpstreamDialect::load(const HttpResponse & /*response*/) const
+{
+    return std::nullopt;
+}
+
+UpstreamId OwnUpstreamDialect::instance(const HttpResponse & /*response*/) const
+{
+    return {};
+}
+
+} // namespace ivyspar
--- a/src/app/internal/verdictresponse.cpp
+++ b/src/protocol/internal/verdictresponse.cpp
@@ -1,4 +1,4 @@
-#include "app/internal/verdictresponse.h"
+#include "protocol/internal/verdictresponse.h"
 
 #include <cinttypes>
 #include <cstdio>
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -16,6 +19,8 @@
 struct ServiceSpec
 {
     ServiceName name;
+    /// Where a server tells whether it takes work; empty if the service has no such path.
+    std::string healthPath;
     /// Requests that one server works on at a time.
     std::uint32_t slots = 0;
     /// Connections that one server accepts.
@@ -63,11 +68,23 @@
     Idempotent, ///< May be repeated, and hedged where the rule allows it.
 };
 
+/// A part of the requests of a rule goes to this service, in proportion to the weights.
+struct SplitPart
+{
+    ServiceName service;
+    std::uint32_t weight = 0;
+};
+
 /// Rule for the requests of a service whose method and path match. The longest path prefix wins.
 struct RuleSpec
 {
     RuleName name;
     ServiceName service;
+    /// Requests with this `Host` match by it and by `path`, whatever service they name. Empty:
+    /// requests name the service themselves.
+    std::string host;
+    /// Instead of `service`; empty if the rule leads to one service.
+    std::vector<SplitPart> split;
     /// Empty matches every method.
     std::string method;
     /// Prefix of the path; empty matches every path.
@@ -77,6 +94,10 @@
     Priority priority;
     /// How long a caller waits when it names no deadline, and the longest deadline it may name.
     Duration wait{ 0 };
+    /// Time within which an answer is worth most; zero if the rule does not say.
+    Duration objective{ 0 };
+    /// Servers that one request of a caller may run on; 0 for no bound but the attempts.
+    std::uint32_t servers = 0;
     /// Calls that the whole request makes, this one included.
     std::uint32_t calls = 1;
     /// Attempts for the whole request, over all calls. By default 3 × calls.
@@ -89,24 +110,57 @@
     Duration keyLifetime{ 0 };
 };
 
+/// Bounds that operators set on what callers may send. Zero where they set none.
+struct CallerLimits
+{
+    std::size_t headerBytes = 0;
+    std::size_t bodyBytes = 0;
+    /// For the arrival of a request's header.
+    Duration headerTimeout{ 0 };
+    /// How long a connection may stay unused.
+    Duration idleTimeout{ 0 };
+};
+
 struct Rules
 {
     std::vector<ClassSpec> classes;
     std::vector<RuleSpec> rules;
 };
 
+/// Finds the rule with the longest path prefix among those of a host, in time that depends on the
+/// path alone: a configuration may have thousands of rules.
+class HostIndex
+{
+public:
+    HostIndex() = default;
+    explicit HostIndex(const Rules &rules);
+
+    /// Position in `Rules::rules`; nothing when no rule matches. `path` is without query.
+    std::optional<std::size_t> find(const std::string &host, const std::string &path) const;
+
+private:
+    std::unordered_map<std::string, std::size_t> m_rules;
+};
+
 /// One accepted version of inventory and rules. Immutable, shared between threads by count.
 struct Configuration : boost::intrusive_ref_counter<Configuration, boost::thread_safe_counter>
 {
     ConfigurationVersion version;
     Inventory inventory;
     Rules rules;
+    CallerLimits limits;
+    /// Finds the rules that have a host; built with `indexHosts`.
+    HostIndex hosts;
 };
 using ConfigurationPtr = boost::intrusive_ptr<const Configuration>;
 
 /// The rule for a request, or nullptr when no rule matches.
 const RuleSpec *findRule(const Rules &rules, const ServiceName &service, const std::string &method,
                          const std::string &path);
+/// The rule for a request to a host, or nullptr when no rule matches. Case and port of the host do
+/// not matter.
+const RuleSpec *findRuleOfHost(const Configuration &configuration, const std::string &host,
+                               const std::string &path);
 const ServiceSpec *findService(const Inventory &inventory, const ServiceName &service);
 
 } // namespace ivyspar
--- a/src/state/ids.h
+++ b/src/state/ids.h
@@ -13,6 +13,8 @@
 using RegionName = StrongType<std::string, struct RegionNameTag>;
 /// Name of a request class, as the rules define it.
 using ClassName = StrongType<std::string, struct ClassNameTag>;
+/// One run of an upstream, as the upstream names itself.
+using UpstreamId = StrongType<std::string, struct UpstreamIdTag>;
 using RuleName = StrongType<std::string, struct RuleNameTag>;
 
 /// A daemon's name: stays the same over restarts of the process on that host.
--- a/src/state/internal/configuration.cpp
+++ b/src/state/internal/configuration.cpp
@@ -1,6 +1,7 @@
 #include "state/configuration.h"
 
 #include <algorithm>
+#include <cctype>
 #include <tuple>
 
 namespace ivyspar {
@@ -10,7 +11,7 @@
 bool matches(const RuleSpec &rule, const ServiceName &service, const std::string &method,
              const std::string &path)
 {
-    if (rule.service != service) {
+    if (!rule.host.empty() || rule.service != service) {
         return false;
     }
     if (!rule.method.empty() && rule.method != method) {
@@ -19,6 +20,21 @@
     return path.compare(0, rule.path.size(), rule.path) == 0;
 }
 
+/// `Host` names are compared without case, and clients may add the port.
+std::string normalizedHost(const std::string &host)
+{
+    std::string name = host.substr(0, host.find(':'));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return name;
+}
+
+/// No host name contains a slash, so host and path cannot be confused.
+std::string indexKey(const std::string &host, const std::string &prefix)
+{
+    return host + prefix;
+}
+
 bool isMoreSpecific(const RuleSpec &a, const RuleSpec &b)
 {
     return std::make_tuple(a.path.size(), !a.method.empty())
@@ -42,6 +58,39 @@
     return best;
 }
 
+HostIndex::HostIndex(const Rules &rules)
+{
+    for (std::size_t i = 0; i < rules.rules.size(); ++i) {
+        const RuleSpec &rule = rules.rules[i];
+        if (!rule.host.empty()) {
+            m_rules.emplace(indexKey(normalizedHost(rule.host), rule.path), i);
+        }
+    }
+}
+
+std::optional<std::size_t> HostIndex::find(const std::string &host, const std::string &path) const
+{
+    const std::string name = normalizedHost(host);
+    // Prefixes end with a slash: only the path's beginnings up to one of its slashes can match.
+    for (auto end = path.rfind('/'); end != std::string::npos; end = path.rfind('/', end - 1)) {
+        const auto found = m_rules.find(indexKey(name, path.substr(0, end + 1)));
+        if (found != m_rules.end()) {
+            return found->second;
+        }
+        if (end == 0) {
+            break;
+        }
+    }
+    return std::nullopt;
+}
+
+const RuleSpec *findRuleOfHost(const Configuration &configuration, const std::string &host,
+                               const std::string &path)
+{
+    const auto found = configuration.hosts.find(host, path);
+    return found ? &configuration.rules.rules[*found] : nullptr;
+}
+
 const ServiceSpec *findService(const Inventory &inventory, const ServiceName &service)
 {
     const auto found = std::find_if(inventory.services.begin(), inventory.services.end(),
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -57,6 +57,12 @@
     std::size_t headerBytes = 64 * 1024;
     std::size_t bodyBytes = 1024 * 1024;
     Duration connectTimeout = std::chrono::seconds(1);
+    /// Header that servers repeat from the request. An answer with another value belongs to another
+    /// request and is dropped. Empty: answers are not checked.
+    std::string echoHeader;
+    /// Takes an answer without length that ends with its connection; without it such an answer is
+    /// broken, as its sender may have died in the middle.
+    bool takesUnframedAnswers = false;
     /// An unused connection is closed after this time.
     Duration idleTimeout = std::chrono::seconds(30);
 };
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -30,6 +30,8 @@
     virtual ~IHttpExchange() = default;
 
     virtual const HttpRequest &request() const = 0;
+    /// IP address of the client.
+    virtual const std::string &clientAddress() const = 0;
     /// Runs `callback` once when the client goes away before its answer was ready.
     /// Replaced by each call; an empty function removes it.
     virtual void onDisconnect(std::function<void()> callback) = 0;
@@ -46,6 +48,11 @@
     /// Starts to accept; port 0 takes a free one. Returns the endpoint that it listens on.
     virtual RetVal<Endpoint> listen(const Endpoint &endpoint, const HttpLimits &limits,
                                     HttpHandler handler) = 0;
+    /// Connections opened from now on, and the next requests of the others, are bound by these.
+    virtual void setLimits(const HttpLimits &limits) = 0;
+    /// From now on each answer ends its connection, so that clients go elsewhere with their next
+    /// request; new connections are still taken.
+    virtual void startLeaving() = 0;
     /// Graceful stop: accepts no more, ends idle connections, answers what is being worked on with
     /// `Connection: close`. Suspends until all are done or `timeout` is over.
     virtual void drain(Duration timeout) = 0;
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/asio/error.hpp>
+
 #include "transport/internal/httpclient.h"
 #include "transport/internal/httpfields.h"
 #include "transport/internal/httpparser.h"
@@ -129,6 +131,31 @@
 }
 
 HttpResult HttpClientExchange::receive()
+{
+    HttpResult result = receiveFinal();
+    // A server may answer an earlier request a second time, late: taken for the answer to this one
+    // it would reach the wrong caller. The right one may follow on the same connection.
+    bool isClean = true;
+    while (result && !isEchoed(*result)) {
+        isClean = false;
+        result = receiveFinal();
+    }
+    m_isReusable = m_isReusable && isClean;
+    return result;
+}
+
+bool HttpClientExchange::isEchoed(const HttpResponse &response) const
+{
+    const std::string &name = m_client.limits().echoHeader;
+    if (name.empty()) {
+        return true;
+    }
+    const std::string *sent = findHeader(m_request.headers, name);
+    const std::string *echoed = findHeader(response.headers, name);
+    return !sent || !echoed || *sent == *echoed;
+}
+
+HttpResult HttpClientExchange::receiveFinal()
 {
     HttpResult result = receiveOne();
     while (result && result->status < FIRST_FINAL_STATUS) {
@@ -145,7 +172,8 @@
 {
     m_isReusable = false;
     const HttpClientLimits &limits = m_client.limits();
-    HttpResponseParser parser({ limits.headerBytes, limits.bodyBytes }, m_request.method != "HEAD");
+    HttpResponseParser parser({ limits.headerBytes, limits.bodyBytes }, m_request.method != "HEAD",
+                              limits.takesUnframedAnswers);
     HttpParseStatus status = HttpParseStatus::NeedMore;
     while (true) {
         std::size_t consumed = 0;
@@ -155,6 +183,10 @@
             break;
         }
         const auto error = m_stream->read();
+        if (error == boost::asio::error::eof && !m_abortCause
+            && parser.finish() == HttpParseStatus::Done) {
+            return std::move(parser.response());
+        }
         if (error || m_abortCause) {
             return fail(HttpFailureCause::Broken, "the answer is not whole: " + error.message());
         }
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -32,6 +32,8 @@
     HttpResult runOnNewConnection();
     HttpResult sendAndReceive();
     HttpResult receive();
+    HttpResult receiveFinal();
+    bool isEchoed(const HttpResponse &response) const;
     /// One answer, which may be an interim one. Sets `m_isReusable`.
     HttpResult receiveOne();
     bool mayUseFreshConnection(const HttpResult &result) const;
--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -65,6 +65,7 @@
 HttpConnection::HttpConnection(boost::intrusive_ptr<HttpServerCore> server, TcpStreamPtr stream)
     : m_server(std::move(server))
     , m_stream(std::move(stream))
+    , m_clientAddress(m_stream->remoteAddress())
 {
 }
 
@@ -127,7 +128,7 @@
         return false;
     }
     const HttpResponse response = handle();
-    m_framing.isKeepAlive = m_framing.isKeepAlive && !m_server->isDraining();
+    m_framing.isKeepAlive = m_framing.isKeepAlive && !m_server->endsConnections();
     return respond(response) && m_framing.isKeepAlive;
 }
 
--- a/src/transport/internal/httpconnection.h
+++ b/src/transport/internal/httpconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 #include <string_view>
 
 #include <boost/intrusive/list_hook.hpp>
@@ -53,6 +54,7 @@
 
     // IHttpExchange
     const HttpRequest &request() const override { return m_request; }
+    const std::string &clientAddress() const override { return m_clientAddress; }
     void onDisconnect(std::function<void()> callback) override;
 
     void waitForRequest();
@@ -78,6 +80,7 @@
 
     boost::intrusive_ptr<HttpServerCore> m_server;
     TcpStreamPtr m_stream;
+    std::string m_clientAddress;
     State m_state = State::Idle;
     HttpRequest m_request;
     ResponseFraming m_framing;
--- a/src/transport/internal/httpparser.cpp
+++ b/src/transport/internal/httpparser.cpp
@@ -53,6 +53,18 @@
 
     bool expectsContinue() const { return m_expectsContinue && this->is_header_done(); }
 
+    void takeUnframed() { m_takesUnframed = true; }
+
+    HttpParseStatus finish()
+    {
+        if (!m_takesUnframed || !this->is_header_done() || !this->need_eof()) {
+            return HttpParseStatus::Malformed;
+        }
+        ErrorCode error;
+        this->put_eof(error);
+        return error ? HttpParseStatus::Malformed : HttpParseStatus::Done;
+    }
+
 private:
     HttpParseStatus status(const ErrorCode &error, std::size_t leftBytes) const
     {
@@ -77,7 +89,7 @@
         // A body that ends with the connection looks the same when the sender died in the middle:
         // half an answer would be passed on as whole.
         if (this->need_eof()) {
-            return HttpParseStatus::Malformed;
+            return m_takesUnframed ? HttpParseStatus::NeedMore : HttpParseStatus::Malformed;
         }
         // Chunk extensions and trailers are kept in the input until they are complete.
         return leftBytes <= m_limits.headerBytes ? HttpParseStatus::NeedMore
@@ -146,6 +158,7 @@
     std::string m_connection;
     std::size_t m_headerBytes = 0;
     bool m_expectsContinue = false;
+    bool m_takesUnframed = false;
 };
 
 /// Bases, so that they exist before the parser that refers to their parts.
@@ -237,9 +250,18 @@
     }
 };
 
-HttpResponseParser::HttpResponseParser(const HttpParseLimits &limits, bool hasBody)
+HttpResponseParser::HttpResponseParser(const HttpParseLimits &limits, bool hasBody,
+                                       bool takesUnframed)
     : m_p(std::make_unique<Private>(limits, hasBody))
 {
+    if (takesUnframed) {
+        m_p->takeUnframed();
+    }
+}
+
+HttpParseStatus HttpResponseParser::finish()
+{
+    return m_p->finish();
 }
 
 HttpResponseParser::~HttpResponseParser() = default;
--- a/src/transport/internal/httpparser.h
+++ b/src/transport/internal/httpparser.h
@@ -51,13 +51,16 @@
 class HttpResponseParser
 {
 public:
-    /// `hasBody` is false for the response to a HEAD request.
-    HttpResponseParser(const HttpParseLimits &limits, bool hasBody);
+    /// `hasBody` is false for the response to a HEAD request. With `takesUnframed` a body without
+    /// length is read until `finish`.
+    HttpResponseParser(const HttpParseLimits &limits, bool hasBody, bool takesUnframed = false);
     ~HttpResponseParser();
     HttpResponseParser(const HttpResponseParser &) = delete;
     HttpResponseParser &operator=(const HttpResponseParser &) = delete;
 
     HttpParseStatus put(std::string_view input, std::size_t &consumed);
+    /// The connection ended in good order. `Done` if the response may end so.
+    HttpParseStatus finish();
     // Once the response is done:
     bool isKeepAlive() const;
     HttpResponse &response();
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -174,6 +174,16 @@
     return m_core->listen(endpoint, limits, std::move(handler));
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_core->setLimits(limits);
+}
+
+void HttpServer::startLeaving()
+{
+    m_core->startLeaving();
+}
+
 void HttpServer::drain(Duration timeout)
 {
     m_core->drain(timeout);
--- a/standins/control/followercluster.cpp
+++ b/standins/control/followercluster.cpp
@@ -55,7 +55,7 @@
     ConfigurationFollowerSettings settings = m_settings.follower;
     settings.self = host.peer.id;
     settings.domain = host.peer.domain;
-    ConfigurationFollowerEvents events;
+    ConfigurationEvents events;
     events.onConfiguration = [this, &host](const ConfigurationPtr &configuration) {
         host.history.push_back(configuration->version);
         host.lastChange = m_loop.now();
--- a/standins/control/followercluster.h
+++ b/standins/control/followercluster.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "app/internal/configurationfollower.h"
+#include "app/internal/control/configurationfollower.h"
 #include "standins/control/localcontrolnetwork.h"
 #include "standins/log/inprocesshttpclient.h"
 #include "standins/log/logserver.h"
--- a/standins/control/tests/configurationpublishertest.cpp
+++ b/standins/control/tests/configurationpublishertest.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <map>
 
-#include "app/internal/configurationpublisher.h"
-#include "app/internal/linediff.h"
+#include "app/internal/commands/linediff.h"
+#include "app/internal/control/configurationpublisher.h"
 #include "coordination/configuration/configurationfoldfactory.h"
 #include "protocol/internal/configurationrecordcodec.h"
 #include "standins/log/inprocesshttpclient.h"
--- a/standins/log/inprocesshttpclient.cpp
+++ b/standins/log/inprocesshttpclient.cpp
@@ -17,6 +17,7 @@
     }
 
     const HttpRequest &request() const override { return m_request; }
+    const std::string &clientAddress() const override { return m_address; }
     void onDisconnect(std::function<void()> callback) override
     {
         m_onDisconnect = std::move(callback);
@@ -37,6 +38,7 @@
     }
 
     HttpRequest m_request;
+    std::string m_address = "127.0.0.1";
     std::function<void()> m_onDisconnect;
     bool m_isDisconnected = false;
     /// Nothing when the exchange was cancelled.
