--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -15,6 +15,7 @@
 
 /// Waiting ends by the call's own deadline; this only bounds a broken invariant.
 constexpr Duration WAIT_MARGIN = std::chrono::seconds(10);
+constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
 
 Verdict notRun(Reason reason)
 {
@@ -52,6 +53,7 @@
     , m_dialect(dialect)
     , m_policies(policies)
     , m_split(makeWeightedSplit())
+    , m_admission(makeRootAdmission())
     , m_sender(sender)
     , m_gates(gates)
     , m_observers(observers)
@@ -79,7 +81,7 @@
         return refuse(EarlyRefusal{ RootId(m_policies.random.next()), notRun(Reason::QueueFull) },
                       isFromUpstream);
     }
-    auto incoming = readRequest(exchange.request(), isFromUpstream);
+    auto incoming = readRequest(exchange, isFromUpstream);
     if (!incoming) {
         return refuse(incoming.error(), isFromUpstream);
     }
@@ -90,9 +92,9 @@
 }
 
 tl::expected<EntryService::Incoming, EarlyRefusal>
-EntryService::readRequest(const HttpRequest &request, bool isFromUpstream)
+EntryService::readRequest(IHttpExchange &exchange, bool isFromUpstream)
 {
-    auto read = m_dialect.read(request, m_origin, m_configuration.get());
+    auto read = m_dialect.read(exchange.request(), m_origin, m_configuration.get());
     if (!read) {
         return Refusal(read.error());
     }
@@ -100,6 +102,8 @@
     Incoming incoming = makeIncoming(std::move(*read));
     if (isFromUpstream) {
         applyContext(context, incoming);
+    } else if (m_options.infersParents) {
+        inferContext(exchange.tally(), incoming);
     } else if (m_options.hasSharedBudget && incoming.callerAttempt > incoming.rule.callerAttempts) {
         // Past the bound the answer is final: without it a client that retries for ever would make
         // the number of attempts for one tap unbounded.
@@ -108,6 +112,9 @@
     if (!incoming.ledger) {
         incoming.ledger = new CallLedger(incoming.rule.attempts);
     }
+    if (!letIn(incoming)) {
+        return Refusal(EarlyRefusal{ incoming.root, refusalOf(incoming) });
+    }
     return incoming;
 }
 
@@ -144,20 +151,89 @@
         incoming.ledger = new CallLedger(AttemptCount(1));
         return;
     }
-    incoming.root = context->root;
-    incoming.priority = context->priority;
-    incoming.depth = Depth(static_cast<std::uint8_t>(std::min(context->depth.value() + 1, 255)));
-    incoming.deadline = std::min(incoming.deadline, context->deadline);
+    inherit(*context, incoming);
     if (m_options.hasSharedBudget) {
         incoming.ledger = context->ledger;
     }
 }
 
+void EntryService::inferContext(ConnectionTally &tally, Incoming &incoming)
+{
+    const InferredContext inferred =
+        m_gates.inferContext(tally, incoming.rule.name, incoming.deadline);
+    if (!inferred.isInner) {
+        return;
+    }
+    incoming.depth = Depth(1);
+    if (inferred.parent) {
+        inherit(*inferred.parent, incoming);
+    }
+}
+
+void EntryService::inherit(const CallContext &context, Incoming &incoming)
+{
+    incoming.root = context.root;
+    incoming.priority = context.priority;
+    incoming.depth = Depth(static_cast<std::uint8_t>(std::min(context.depth.value() + 1, 255)));
+    incoming.deadline = std::min(incoming.deadline, context.deadline);
+    incoming.tree = context.tree;
+    incoming.letIn = context.letIn == DemandShare() ? WHOLE_DEMAND : context.letIn;
+}
+
+bool EntryService::letIn(Incoming &incoming)
+{
+    if (!m_options.hasRootAdmission || incoming.depth > Depth(0)) {
+        return true;
+    }
+    const TimePoint now = m_loop.now();
+    const RootTarget target = targetOf(incoming);
+    if (!m_admission->admit(now, target)) {
+        return false;
+    }
+    incoming.letIn = m_admission->letIn(now, target);
+    return true;
+}
+
+RootTarget EntryService::targetOf(const Incoming &incoming)
+{
+    return RootTarget{ incoming.rule.name, incoming.rule.service, incoming.priority };
+}
+
+Verdict EntryService::refusalOf(const Incoming &incoming)
+{
+    return Verdict{ Outcome::NotRun, Reason::BelowFloor,
+                    m_policies.retries.retryAfter(m_loop.now(), incoming.rule.service,
+                                                  m_policies.random) };
+}
+
+/// The cost goes up to the call during which this one was made, and at last to the entry of the
+/// caller's request, which learns from it.
+void EntryService::bookUsage(const Run &run, const AttemptAnswer &answer)
+{
+    const TreeUsage &usage = answer.message.usage;
+    if (run.incoming.tree) {
+        addUsage(run.incoming.tree->usage, usage);
+        return;
+    }
+    if (m_options.hasRootAdmission && run.incoming.depth == Depth(0)) {
+        const bool isWhole = answer.message.verdict.outcome == Outcome::Answered
+            && answer.message.response.status < FIRST_SERVER_ERROR;
+        m_admission->onEnd(m_loop.now(), targetOf(run.incoming), usage, isWhole);
+    }
+}
+
+Rank EntryService::rankOf(const Incoming &incoming) const
+{
+    const bool isCommitted = m_options.hasRootAdmission && incoming.depth > Depth(0);
+    return isCommitted ? makeCommittedRank(incoming.priority, incoming.depth, incoming.root)
+                       : makeRank(incoming.priority, incoming.depth, incoming.root);
+}
+
 HttpResponse EntryService::runRequest(IHttpExchange &exchange, Incoming incoming)
 {
     EntryCallTerms terms;
     terms.rule = incoming.rule;
-    terms.rank = makeRank(incoming.priority, incoming.depth, incoming.root);
+    terms.rank = rankOf(incoming);
     terms.deadline = incoming.deadline;
     terms.isSingleAttempt = incoming.isSingleAttempt;
     if (incoming.once && !incoming.once->ticket.empty()) {
@@ -204,9 +280,10 @@
     call.root = incoming.root;
     call.service = incoming.service;
     call.rule = incoming.rule.name;
-    call.rank = makeRank(incoming.priority, incoming.depth, incoming.root);
+    call.rank = rankOf(incoming);
     call.depth = incoming.depth;
     call.remaining = std::chrono::duration_cast<Duration>(incoming.deadline - m_loop.now());
+    call.letIn = action.attempt == AttemptIndex(0) ? incoming.letIn : DemandShare();
     call.granted = action.granted;
     call.once = incoming.once;
     call.request = incoming.request;
@@ -232,6 +309,7 @@
     end.holder = answer.message.holder;
     end.hasReachedUpstream =
         end.verdict.outcome != Outcome::NotRun || answer.message.serviceTime > Duration::zero();
+    bookUsage(*run, answer);
     const bool isWanted = !run->call.isFinished();
     const EntryActions actions = run->call.onEnd(m_loop.now(), attempt, end);
     if (isWanted && end.verdict.outcome == Outcome::Answered) {
@@ -257,7 +335,7 @@
                             : DecisionKind::Retry;
     decision.root = run.incoming.root;
     decision.service = run.incoming.service;
-    decision.rank = makeRank(run.incoming.priority, run.incoming.depth, run.incoming.root);
+    decision.rank = rankOf(run.incoming);
     decision.attempt = action.attempt.value() + 1;
     for (const RouteCandidate &candidate : action.candidates) {
         decision.candidates.push_back(DecisionCandidate{ candidate.daemon, candidate.score });
@@ -286,7 +364,7 @@
     decision.kind = DecisionKind::Refuse;
     decision.root = run.incoming.root;
     decision.service = run.incoming.service;
-    decision.rank = makeRank(run.incoming.priority, run.incoming.depth, run.incoming.root);
+    decision.rank = rankOf(run.incoming);
     decision.attempt = run.call.attempts();
     decision.choice = toText(run.verdict.outcome);
     decision.reason = toText(run.verdict.reason);
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -10,6 +10,7 @@
 #include "app/internal/entry/icallsender.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/logs/observers.h"
+#include "coordination/admission/irootadmission.h"
 #include "coordination/calls/internal/entrycall.h"
 #include "coordination/routing/iweightedsplit.h"
 #include "protocol/irequestdialect.h"
@@ -25,6 +26,11 @@
     std::size_t maxRequests = 20000;
     /// Off, for measurements: each call of an upstream starts a budget of its own.
     bool hasSharedBudget = true;
+    /// Requests are let in by what their whole call tree costs, and calls of requests that were let
+    /// in go before others.
+    bool hasRootAdmission = false;
+    /// Calls of upstreams arrive together with requests of callers and name no context.
+    bool infersParents = false;
 };
 
 /// Takes requests of callers, and calls of the upstreams on this host, and sees each to its answer.
@@ -61,6 +67,9 @@
         Depth depth;
         TimePoint deadline;
         CallLedgerPtr ledger;
+        /// Where the cost of this request is booked; null at depth 0.
+        CallTreePtr tree;
+        DemandShare letIn = WHOLE_DEMAND;
         std::optional<OnceTerms> once;
         bool isSingleAttempt = false;
         std::uint32_t callerAttempt = 1;
@@ -69,11 +78,17 @@
     using RunPtr = boost::intrusive_ptr<Run>;
     using Refusal = tl::unexpected<EarlyRefusal>;
 
-    tl::expected<Incoming, EarlyRefusal> readRequest(const HttpRequest &request,
-                                                     bool isFromUpstream);
+    tl::expected<Incoming, EarlyRefusal> readRequest(IHttpExchange &exchange, bool isFromUpstream);
     Incoming makeIncoming(CallerRequest request);
     void applyContext(const std::string &token, Incoming &incoming);
     HttpResponse serve(IHttpExchange &exchange, bool isFromUpstream);
+    void inferContext(ConnectionTally &tally, Incoming &incoming);
+    void inherit(const CallContext &context, Incoming &incoming);
+    bool letIn(Incoming &incoming);
+    static RootTarget targetOf(const Incoming &incoming);
+    Verdict refusalOf(const Incoming &incoming);
+    void bookUsage(const Run &run, const AttemptAnswer &answer);
+    Rank rankOf(const Incoming &incoming) const;
     HttpResponse runRequest(IHttpExchange &exchange, Incoming incoming);
     void perform(const RunPtr &run, const EntryActions &actions);
     void sendAttempt(const RunPtr &run, const EntryAction &action);
@@ -89,6 +104,7 @@
     const IRequestDialect &m_dialect;
     EntryPolicies m_policies;
     std::unique_ptr<IWeightedSplit> m_split;
+    std::unique_ptr<IRootAdmission> m_admission;
     ICallSender &m_sender;
     IGateService &m_gates;
     Observers m_observers;
--- a/src/app/internal/gate/callledger.h
+++ b/src/app/internal/gate/callledger.h
@@ -4,6 +4,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "coordination/retries/internal/attemptledger.h"
+#include "state/usage.h"
 
 namespace ivyspar {
 
@@ -17,6 +18,13 @@
 
     AttemptLedger ledger;
 };
+/// What the calls below one call cost, summed up while it runs.
+struct CallTree : boost::intrusive_ref_counter<CallTree, boost::thread_unsafe_counter>
+{
+    TreeUsage usage;
+};
+using CallTreePtr = boost::intrusive_ptr<CallTree>;
+
 using CallLedgerPtr = boost::intrusive_ptr<CallLedger>;
 
 } // namespace ivyspar
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -75,6 +75,7 @@
     , m_makeGate(std::move(makeGate))
     , m_observers(observers)
     , m_options(options)
+    , m_parents(makeParentFinder())
 {
     m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { dropGoneUpstreams(); });
 }
@@ -157,6 +158,7 @@
     Call &call = m_calls[id];
     call.reply = std::move(reply);
     call.ledger = new CallLedger(message.granted);
+    call.tree = new CallTree;
     call.arrivedAt = now;
     call.deadline = now + message.remaining;
     call.message = std::move(message);
@@ -194,7 +196,8 @@
     }
     perform(
         service,
-        upstream->gate->offer(m_loop.now(), GateRequest{ id, call.message.rank, call.deadline }));
+        upstream->gate->offer(
+            m_loop.now(), GateRequest{ id, call.message.rank, call.deadline, call.message.letIn }));
 }
 
 void GateService::onOnceProceed(CallId id)
@@ -249,16 +252,35 @@
     if (found == m_calls.end() || !found->second.cancellation) {
         return std::nullopt;
     }
-    const Call &call = found->second;
+    return makeContext(found->second);
+}
+
+CallContext GateService::makeContext(const Call &call) const
+{
     CallContext context;
     context.root = call.message.root;
     context.priority = priorityOf(call.message.rank);
     context.depth = call.message.depth;
     context.deadline = call.deadline;
     context.ledger = call.ledger;
+    context.tree = call.tree;
+    context.letIn = call.message.letIn;
     return context;
 }
 
+InferredContext GateService::inferContext(ConnectionTally &tally, const RuleName &rule,
+                                          TimePoint deadline)
+{
+    const Parentage parentage = m_parents->find(tally, rule, deadline);
+    InferredContext inferred;
+    inferred.isInner = parentage.isInner;
+    const auto found = parentage.parent ? m_calls.find(*parentage.parent) : m_calls.end();
+    if (found != m_calls.end()) {
+        inferred.parent = makeContext(found->second);
+    }
+    return inferred;
+}
+
 LoadReport GateService::load(const ServiceName &service) const
 {
     const auto found = m_upstreams.find(service);
@@ -367,7 +389,9 @@
     m_dialect.address(UpstreamSend{ toToken(id), remaining, server.instance }, request);
     // The call may be gone when the exchange ends.
     const HttpCancellationPtr cancellation = call.cancellation;
+    m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
+    m_parents->onEnd(id);
     return result ? judge(server.instance, std::move(*result))
                   : judgeFailure(server.instance, result.error());
 }
@@ -448,6 +472,9 @@
     answer.stream = call.message.stream;
     answer.unspent = call.ledger->ledger.close();
     answer.load = load(call.message.service);
+    answer.usage = std::move(call.tree->usage);
+    addUsage(answer.usage,
+             { ServiceUsage{ call.message.service, answer.serviceTime, answer.load.demand } });
     call.reply(std::move(answer));
 }
 
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -11,6 +11,7 @@
 #include "app/internal/logs/observers.h"
 #include "app/internal/waketimer.h"
 #include "coordination/admission/igate.h"
+#include "coordination/calls/iparentfinder.h"
 #include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
 #include "state/member.h"
@@ -72,6 +73,8 @@
     CallId handle(CallMessage call, Reply reply) override;
     void cancel(CallId call) override;
     std::optional<CallContext> findContext(const std::string &token) const override;
+    InferredContext inferContext(ConnectionTally &tally, const RuleName &rule,
+                                 TimePoint deadline) override;
     LoadReport load(const ServiceName &service) const override;
 
     void onOnceProceed(CallId call) override;
@@ -91,6 +94,7 @@
         CallMessage message;
         Reply reply;
         CallLedgerPtr ledger;
+        CallTreePtr tree;
         TimePoint arrivedAt;
         TimePoint deadline;
         HttpCancellationPtr cancellation;
@@ -109,6 +113,7 @@
     };
 
     Upstream *findUpstream(const ServiceName &service);
+    CallContext makeContext(const Call &call) const;
     CallId newCallId();
     void perform(const ServiceName &service, const GateActions &actions);
     void startCall(const ServiceName &service, CallId id);
@@ -141,6 +146,7 @@
     OnDoubt m_onDoubt;
     std::unordered_map<ServiceName, Upstream> m_upstreams;
     std::unordered_map<CallId, Call> m_calls;
+    std::unique_ptr<IParentFinder> m_parents;
     TimerId m_sweepTimer;
     bool m_isDraining = false;
 };
--- a/src/app/internal/gate/igateservice.h
+++ b/src/app/internal/gate/igateservice.h
@@ -6,6 +6,7 @@
 
 #include "app/internal/gate/callledger.h"
 #include "protocol/messages.h"
+#include "state/connectiontally.h"
 #include "state/time.h"
 
 namespace ivyspar {
@@ -18,6 +19,18 @@
     Depth depth;
     TimePoint deadline;
     CallLedgerPtr ledger;
+    CallTreePtr tree;
+    DemandShare letIn;
+};
+
+/// What a request that names no context was found to be.
+struct InferredContext
+{
+    /// An upstream of this host made it.
+    bool isInner = false;
+    /// The call during which it was made, if that is known. Its ledger is not shared: a wrong guess
+    /// would spend the budget of another request.
+    std::optional<CallContext> parent;
 };
 
 /// Runs calls on the upstreams of this host, through their gates.
@@ -33,6 +46,9 @@
     virtual void cancel(CallId call) = 0;
     /// The running call to which an upstream's context token belongs.
     virtual std::optional<CallContext> findContext(const std::string &token) const = 0;
+    /// For a request of that rule that arrived now, without a token, over the tally's connection.
+    virtual InferredContext inferContext(ConnectionTally &tally, const RuleName &rule,
+                                         TimePoint deadline) = 0;
     virtual LoadReport load(const ServiceName &service) const = 0;
 };
 
--- a/src/app/internal/settings/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -10,10 +10,17 @@
 /// Daemons that draw on the shared slack at the same time.
 constexpr double EXPECTED_DAEMONS = 16;
 
+/// Root admission does what the floor of the next service does, and for the services behind it too.
+bool hasFloor(const DaemonSettings &settings)
+{
+    return !settings.ablations.floor && !settings.hasRootAdmission;
+}
+
 } // namespace
 
-GateOptions makeGateOptions(const Ablations &ablations)
+GateOptions makeGateOptions(const DaemonSettings &settings)
 {
+    const Ablations &ablations = settings.ablations;
     GateOptions options;
     if (ablations.admission) {
         options.limit = LimitKind::Fixed;
@@ -22,16 +29,17 @@
     if (ablations.rank) {
         options.order = QueueOrder::Fifo;
     }
-    options.hasFloor = !ablations.floor;
+    options.hasFloor = hasFloor(settings);
     options.isDoomedDropped = !ablations.doomed;
     return options;
 }
 
-RouterOptions makeRouterOptions(const Ablations &ablations, const DomainName &domain)
+RouterOptions makeRouterOptions(const DaemonSettings &settings)
 {
+    const Ablations &ablations = settings.ablations;
     RouterOptions options;
-    options.domain = domain;
-    options.hasFloor = !ablations.floor;
+    options.domain = settings.domain;
+    options.hasFloor = hasFloor(settings);
     if (ablations.routing) {
         options.hasTwoChoices = false;
         options.isOwnDomainFirst = false;
--- a/src/app/internal/settings/policies.h
+++ b/src/app/internal/settings/policies.h
@@ -8,8 +8,8 @@
 namespace ivyspar {
 
 /// The options of the decisions, with the policies switched off that the settings name.
-GateOptions makeGateOptions(const Ablations &ablations);
-RouterOptions makeRouterOptions(const Ablations &ablations, const DomainName &domain);
+GateOptions makeGateOptions(const DaemonSettings &settings);
+RouterOptions makeRouterOptions(const DaemonSettings &settings);
 RetryOptions makeRetryOptions(const DaemonSettings &settings);
 
 } // namespace ivyspar
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -44,6 +44,8 @@
     EntryOptions options;
     options.maxRequests = settings.limits.inFlight;
     options.hasSharedBudget = !settings.ablations.budget;
+    options.hasRootAdmission = settings.hasRootAdmission;
+    options.infersParents = settings.infersParents;
     return options;
 }
 
@@ -86,11 +88,11 @@
     , m_codec(std::make_unique<PeerCodec>())
     , m_client(makeHttpClient(loop, makeClientLimits(settings, *m_upstreamDialect)))
     , m_network(makePeerNetwork(loop))
-    , m_router(makeRouter(makeRouterOptions(settings.ablations, settings.domain)))
+    , m_router(makeRouter(makeRouterOptions(settings)))
     , m_retries(makeRetryPolicy(makeRetryOptions(settings)))
 {
-    const auto makeLocalGate = [ablations = settings.ablations](const UpstreamInfo &info) {
-        GateOptions options = makeGateOptions(ablations);
+    const auto makeLocalGate = [settings](const UpstreamInfo &info) {
+        GateOptions options = makeGateOptions(settings);
         options.slots = info.slots;
         options.connections = info.connections;
         return makeGate(options);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -82,8 +82,11 @@
     std::string readinessPath;
     /// The service whose server runs on this host, if that is known before its first report.
     ServiceName hostService;
-    /// IP address of the server on this host, if calls that it makes arrive at `callerListen`.
-    std::string hostAddress;
+    /// Calls of the server on this host arrive at `callerListen`, among those of callers, and name
+    /// no context.
+    bool infersParents = false;
+    /// Callers' requests are let in by what their whole call tree costs.
+    bool hasRootAdmission = false;
 
     std::vector<Endpoint> seeds;
     SharedStreams streams;
--- a/src/app/tests/mocks/fakegateservice.h
+++ b/src/app/tests/mocks/fakegateservice.h
@@ -27,6 +27,11 @@
     {
         return std::nullopt;
     }
+    InferredContext inferContext(ConnectionTally & /*tally*/, const RuleName & /*rule*/,
+                                 TimePoint /*deadline*/) override
+    {
+        return {};
+    }
     LoadReport load(const ServiceName & /*service*/) const override { return {}; }
 
     void answer(CallId id, AnswerMessage message)
--- /dev/null
+++ b/src/app/tests/mocks/fakekeyedlog.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include "transport/ieventloop.h"
+#include "transport/ikeyedlog.h"
+
+namespace ivyspar {
+
+/// Keyed streams in memory. Used on the loop's thread, or before anything runs there.
+class FakeKeyedLog : public IKeyedLog
+{
+public:
+    explicit FakeKeyedLog(IEventLoop &loop)
+        : m_loop(loop)
+    {
+    }
+
+    /// Answers nothing but errors.
+    bool isDown = false;
+    /// The next read finds its records forgotten.
+    bool isForgetful = false;
+
+    void write(const StreamName &stream, const std::string &key, const std::string &value)
+    {
+        m_streams[stream].push_back({ key, value });
+    }
+    std::size_t writes(const StreamName &stream) { return m_streams[stream].size(); }
+
+    RetVal<KeyedPage> newest(const StreamName &stream) override
+    {
+        if (isDown) {
+            return makeError(ErrorCode::Unavailable, "down");
+        }
+        std::map<std::string, std::string> values;
+        for (const KeyedRecord &record : m_streams[stream]) {
+            values[record.key] = record.value;
+        }
+        KeyedPage page;
+        for (const auto &[key, value] : values) {
+            page.records.push_back({ key, value });
+        }
+        page.next = LogOffset(m_streams[stream].size());
+        return page;
+    }
+
+    RetVal<KeyedPage> read(const StreamName &stream, LogOffset from, Duration wait) override
+    {
+        const std::uint64_t calls = m_cancels;
+        const TimePoint end = m_loop.now() + wait;
+        while (m_streams[stream].size() <= from.value() && m_loop.now() < end
+               && calls == m_cancels) {
+            m_loop.sleepFor(std::chrono::milliseconds(1));
+        }
+        if (isForgetful) {
+            isForgetful = false;
+            return makeError(ErrorCode::NotFound, "forgotten");
+        }
+        if (calls != m_cancels) {
+            return makeError(ErrorCode::Cancelled, "cancelled");
+        }
+        KeyedPage page;
+        const auto &records = m_streams[stream];
+        page.records.assign(records.begin() + static_cast<std::ptrdiff_t>(from.value()),
+                            records.end());
+        page.next = LogOffset(records.size());
+        return page;
+    }
+
+    Ret put(const StreamName &stream, const KeyedRecord &record) override
+    {
+        write(stream, record.key, record.value);
+        return {};
+    }
+
+    void cancel() override { ++m_cancels; }
+
+private:
+    IEventLoop &m_loop;
+    std::map<StreamName, std::vector<KeyedRecord>> m_streams;
+    std::uint64_t m_cancels = 0;
+};
+
+} // namespace ivyspar
--- a/src/coordination/admission/igate.h
+++ b/src/coordination/admission/igate.h
@@ -7,6 +7,7 @@
 #include "state/load.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "state/usage.h"
 
 namespace ivyspar {
 
@@ -16,6 +17,8 @@
     Rank rank;
     /// The moment by which the caller must have its answer.
     TimePoint deadline;
+    /// Of requests like the caller's, which share its entry lets in; 0 in a repeated attempt.
+    DemandShare letIn;
 };
 
 enum class GateVerb {
--- /dev/null
+++ b/src/coordination/admission/internal/demandestimate.cpp
@@ -0,0 +1,64 @@
+#include "coordination/admission/internal/demandestimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr double MICROS_PER_SECOND = 1e6;
+constexpr double LARGEST_LOAD = 100;
+
+double ratio(Duration a, Duration b)
+{
+    return static_cast<double>(a.count()) / static_cast<double>(b.count());
+}
+
+} // namespace
+
+DemandEstimate::DemandEstimate(const DemandEstimateOptions &options)
+    : m_options(options)
+{
+}
+
+void DemandEstimate::advance(TimePoint now, double calls, double slots)
+{
+    const Duration step = now - m_at;
+    if (!m_isStarted || slots <= 0) {
+        m_at = now;
+        m_isStarted = true;
+        return;
+    }
+    if (step <= Duration::zero()) {
+        return;
+    }
+    m_at = now;
+    const double kept = std::exp(-ratio(step, m_options.occupancyMemory));
+    m_occupancy = m_occupancy * kept + calls / slots * (1 - kept);
+    const double off = m_occupancy - m_options.rightOccupancy;
+    const Duration time = off > 0 ? m_options.raise : m_options.lower;
+    m_correction *= std::exp(off * ratio(step, time));
+    m_correction = std::clamp(m_correction, 1.0, m_options.largestCorrection);
+}
+
+void DemandEstimate::onArrival(TimePoint now, DemandShare letIn, Duration serviceTime)
+{
+    const DemandShare known = letIn == DemandShare() ? WHOLE_DEMAND : letIn;
+    const double standsFor =
+        static_cast<double>(WHOLE_DEMAND.value()) / static_cast<double>(known.value());
+    m_demand.add(now, standsFor * static_cast<double>(serviceTime.count()), m_options.memory);
+}
+
+DemandLoad DemandEstimate::load(TimePoint now, double slots) const
+{
+    if (slots <= 0) {
+        return DemandLoad();
+    }
+    const double busy = m_demand.rate(now, m_options.memory) / MICROS_PER_SECOND;
+    const double load = m_correction * busy / (m_options.target * slots);
+    return DemandLoad(
+        static_cast<std::uint32_t>(std::lround(std::min(load, LARGEST_LOAD) * FULL_LOAD.value())));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/internal/demandrate.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "state/time.h"
+
+namespace ivyspar {
+
+/// Amount per second, averaged with weights that fall exponentially with age.
+class DemandRate
+{
+public:
+    void add(TimePoint now, double amount, Duration memory);
+    /// Per second.
+    double rate(TimePoint now, Duration memory) const;
+
+private:
+    double m_sum = 0;
+    TimePoint m_at;
+    TimePoint m_since;
+    bool m_isStarted = false;
+};
+
+} // namespace ivyspar
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -54,6 +54,7 @@
     , m_limit(makeLimit(options))
     , m_queue(options.order)
     , m_floor({ options.floorMargin, options.floorWindow, options.floorQuietWindows })
+    , m_demand(DemandEstimateOptions())
     , m_ceiling(ceilingOf(options.slots, options.connections))
     , m_serviceTime(static_cast<double>(options.assumedServiceTime.count()))
 {
@@ -81,6 +82,9 @@
         return actions;
     }
     m_floor.onArrival(request.rank);
+    if (request.letIn != DemandShare()) {
+        m_demand.onArrival(now, request.letIn, Duration(std::llround(m_serviceTime)));
+    }
     m_queue.push(request);
     startWaiting(actions);
     dropExcess(actions);
@@ -150,6 +154,7 @@
     while (!m_held.empty() && m_held.top() <= now) {
         m_held.pop();
     }
+    m_demand.advance(now, static_cast<double>(occupied() + m_queue.size()), m_ceiling);
     dropDoomed(now, actions);
     if (m_options.hasFloor) {
         m_floor.advance(now, Duration(std::llround(m_serviceTime)));
@@ -259,13 +264,14 @@
     m_isDraining = draining;
 }
 
-LoadReport Gate::load(TimePoint /*now*/) const
+LoadReport Gate::load(TimePoint now) const
 {
     LoadReport report;
     report.inFlight = occupied();
     report.queued = static_cast<std::uint32_t>(m_queue.size());
     report.limit = m_limit->limit();
     report.floor = m_options.hasFloor ? m_floor.floor() : Rank();
+    report.demand = m_demand.load(now, m_ceiling);
     report.draining = m_isDraining;
     return report;
 }
--- a/src/coordination/admission/internal/gate.h
+++ b/src/coordination/admission/internal/gate.h
@@ -10,6 +10,7 @@
 #include "coordination/admission/gatefactory.h"
 #include "coordination/admission/iconcurrencylimit.h"
 #include "coordination/admission/igate.h"
+#include "coordination/admission/internal/demandestimate.h"
 #include "coordination/admission/internal/floorcontrol.h"
 #include "coordination/admission/internal/rankqueue.h"
 
@@ -50,6 +51,7 @@
     std::unique_ptr<IConcurrencyLimit> m_limit;
     RankQueue m_queue;
     FloorControl m_floor;
+    DemandEstimate m_demand;
     std::unordered_set<CallId> m_running;
     Releases m_held;
     std::uint32_t m_ceiling = 0;
--- /dev/null
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -0,0 +1,150 @@
+#include "coordination/admission/internal/rootadmission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivyspar {
+
+namespace {
+
+/// With room for this multiple of the usual demand nothing has to be counted.
+constexpr double AMPLE = 3;
+/// A request that got through against all odds must not stand for thousands.
+constexpr long LEAST_TOLD = 20;
+
+} // namespace
+
+std::unique_ptr<IRootAdmission> makeRootAdmission(const RootAdmissionOptions &options)
+{
+    return std::make_unique<RootAdmission>(options);
+}
+
+RootAdmission::RootAdmission(const RootAdmissionOptions &options)
+    : m_options(options)
+{
+}
+
+bool RootAdmission::admit(TimePoint now, const RootTarget &target)
+{
+    const auto found = m_profiles.find(ProfileKey(target.rule, target.service));
+    if (found == m_profiles.end()) {
+        // Nothing is known of its tree: it is let in to be learnt from.
+        return true;
+    }
+    Profile &profile = found->second;
+    profile.arrivals.add(now, 1, m_options.demandMemory);
+    profile.recent.add(now, 1, m_options.recentMemory);
+    double share = AMPLE;
+    for (const auto &[name, cost] : profile.costs) {
+        if (cost.reached < m_options.leastReached) {
+            continue;
+        }
+        Service &service = m_services[name];
+        service.demand[target.priority].add(now, cost.busy, m_options.demandMemory);
+        share = std::min(share, fitting(now, service, target.priority));
+    }
+    profile.share = share;
+    return take(now, profile, share);
+}
+
+/// The share is taken of the usual arrivals and not of those of this moment. A service that is full
+/// at the usual demand would be overrun by a burst until it could tell.
+bool RootAdmission::take(TimePoint now, Profile &profile, double share) const
+{
+    const double rate = share * profile.arrivals.rate(now, m_options.demandMemory);
+    const double passed = std::chrono::duration<double>(now - profile.savedAt).count();
+    const double most = std::max(m_options.leastBurst,
+                                 rate * std::chrono::duration<double>(m_options.burst).count());
+    profile.saved = std::min(profile.saved + rate * passed, most);
+    profile.savedAt = now;
+    if (profile.saved < 1 && share < AMPLE) {
+        return false;
+    }
+    profile.saved = std::max(profile.saved - 1, 0.0);
+    return true;
+}
+
+DemandShare RootAdmission::letIn(TimePoint now, const RootTarget &target) const
+{
+    const auto found = m_profiles.find(ProfileKey(target.rule, target.service));
+    if (found == m_profiles.end()) {
+        return WHOLE_DEMAND;
+    }
+    const Profile &profile = found->second;
+    const double usual = profile.arrivals.rate(now, m_options.demandMemory);
+    const double recent = profile.recent.rate(now, m_options.recentMemory);
+    const double share = recent > 0 ? std::min(profile.share * usual / recent, 1.0) : 1;
+    const auto told = std::lround(share * static_cast<double>(WHOLE_DEMAND.value()));
+    return DemandShare(static_cast<std::uint32_t>(std::max(told, LEAST_TOLD)));
+}
+
+void RootAdmission::onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
+                          bool isWhole)
+{
+    for (const ServiceUsage &each : usage) {
+        learnLoad(now, each);
+    }
+    if (isWhole) {
+        learnCosts(m_profiles[ProfileKey(target.rule, target.service)], usage);
+    }
+}
+
+void RootAdmission::learnCosts(Profile &profile, const TreeUsage &usage) const
+{
+    ++profile.samples;
+    const double weight = std::max(m_options.costWeight, 1.0 / profile.samples);
+    // A service that was not reached this time cost nothing.
+    for (auto &[name, cost] : profile.costs) {
+        cost.busy *= 1 - weight;
+        cost.reached *= 1 - weight;
+    }
+    for (const ServiceUsage &each : usage) {
+        Cost &cost = profile.costs[each.service];
+        cost.busy += weight * static_cast<double>(each.busy.count());
+        cost.reached += weight;
+    }
+}
+
+void RootAdmission::learnLoad(TimePoint now, const ServiceUsage &usage)
+{
+    Service &service = m_services[usage.service];
+    const double told =
+        static_cast<double>(usage.load.value()) / static_cast<double>(FULL_LOAD.value());
+    const double known = loadOf(now, service);
+    service.load = known + m_options.loadWeight * (told - known);
+    service.toldAt = now;
+}
+
+double RootAdmission::demandOf(TimePoint now, const Service &service) const
+{
+    double total = 0;
+    for (const auto &[priority, demand] : service.demand) {
+        total += demand.rate(now, m_options.demandMemory);
+    }
+    return total;
+}
+
+double RootAdmission::fitting(TimePoint now, const Service &service, Priority priority) const
+{
+    double above = 0;
+    double own = 0;
+    for (const auto &[each, demand] : service.demand) {
+        const double rate = demand.rate(now, m_options.demandMemory);
+        above += each > priority ? rate : 0;
+        own += each == priority ? rate : 0;
+    }
+    const double load = std::max(loadOf(now, service), 1 / AMPLE);
+    const double room = demandOf(now, service) / load - above;
+    return own <= 0 ? AMPLE : std::max(room / own, 0.0);
+}
+
+double RootAdmission::loadOf(TimePoint now, const Service &service) const
+{
+    // Where nothing more is heard, nothing may be refused for good.
+    const auto old = static_cast<double>((now - service.toldAt - m_options.loadHold).count());
+    const double forgotten =
+        std::clamp(old / static_cast<double>(m_options.loadDecay.count()), 0.0, 1.0);
+    return service.load * (1 - forgotten);
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "coordination/admission/internal/demandrate.h"
+#include "coordination/admission/irootadmission.h"
+
+namespace ivyspar {
+
+class RootAdmission : public IRootAdmission
+{
+public:
+    explicit RootAdmission(const RootAdmissionOptions &options);
+
+    bool admit(TimePoint now, const RootTarget &target) override;
+    DemandShare letIn(TimePoint now, const RootTarget &target) const override;
+    void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
+               bool isWhole) override;
+    void reset() override { m_profiles.clear(); }
+
+private:
+    struct Service
+    {
+        /// What callers ask of it, in µs of slots a second, by priority.
+        std::map<Priority, DemandRate> demand;
+        /// The whole demand over what the service can take.
+        double load = 0;
+        TimePoint toldAt;
+    };
+    /// What a request of a rule costs a service.
+    struct Cost
+    {
+        /// In µs of slots.
+        double busy = 0;
+        /// Share of the requests that reach the service.
+        double reached = 0;
+    };
+    struct Profile
+    {
+        std::unordered_map<ServiceName, Cost> costs;
+        std::uint32_t samples = 0;
+        DemandRate arrivals;
+        DemandRate recent;
+        /// Of the usual arrivals, what fits.
+        double share = 1;
+        /// Requests that may be let in at once.
+        double saved = 0;
+        TimePoint savedAt;
+    };
+    using ProfileKey = std::pair<RuleName, ServiceName>;
+
+    double loadOf(TimePoint now, const Service &service) const;
+    /// Of the usual demand of this priority, the share that fits; above 1 with room for more.
+    double fitting(TimePoint now, const Service &service, Priority priority) const;
+    double demandOf(TimePoint now, const Service &service) const;
+    /// Takes one request from what is saved up at `share` of the usual arrivals.
+    bool take(TimePoint now, Profile &profile, double share) const;
+    void learnCosts(Profile &profile, const TreeUsage &usage) const;
+    void learnLoad(TimePoint now, const ServiceUsage &usage);
+
+    RootAdmissionOptions m_options;
+    std::map<ProfileKey, Profile> m_profiles;
+    std::unordered_map<ServiceName, Service> m_services;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/irootadmission.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+
+#include "state/ids.h"
+#include "state/time.h"
+#include "state/usage.h"
+
+namespace ivyspar {
+
+/// Where a caller's request leads.
+struct RootTarget
+{
+    RuleName rule;
+    ServiceName service;
+    Priority priority;
+};
+
+/// Decides at the entry whether a caller's request is let in, by what its whole call tree costs
+/// each service and by what these services can take. Plain object.
+///
+/// A request that will lose one of its calls four hops down costs all the services above before it
+/// fails. What a tree costs is learnt from the answers, which carry it up.
+class IRootAdmission
+{
+public:
+    virtual ~IRootAdmission() = default;
+
+    /// A request arrived. False: it is to be refused before anything is spent.
+    virtual bool admit(TimePoint now, const RootTarget &target) = 0;
+    /// Which share of such requests is let in here now. Goes with the request, so that the services
+    /// of its tree know what demand it stands for.
+    virtual DemandShare letIn(TimePoint now, const RootTarget &target) const = 0;
+    /// An attempt of a request ended; `isWhole` when all its calls were made.
+    virtual void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
+                       bool isWhole) = 0;
+    /// Forgets rules that are not seen any more.
+    virtual void reset() = 0;
+};
+
+struct RootAdmissionOptions
+{
+    /// Time over which the demand is averaged, the same as at the gates.
+    Duration demandMemory = std::chrono::seconds(1);
+    /// Time over which the arrivals of this moment are counted.
+    Duration recentMemory = std::chrono::milliseconds(250);
+    /// Time for which requests may be saved up: chance brings some together without more demand.
+    Duration burst = std::chrono::milliseconds(200);
+    /// Requests of a rule that may be saved up at least.
+    double leastBurst = 2;
+    /// A load that a service told is believed for this time …
+    Duration loadHold = std::chrono::milliseconds(1000);
+    /// … and then falls to nothing within this time.
+    Duration loadDecay = std::chrono::seconds(1);
+    /// Weight of one answer in the cost of a rule's tree.
+    double costWeight = 0.05;
+    /// A service that a smaller share of a rule's requests reaches does not hold the others up: a
+    /// call may have been booked to the wrong request.
+    double leastReached = 0.25;
+    /// Weight of one report in the load of a service: its servers report in turn.
+    double loadWeight = 0.1;
+};
+
+std::unique_ptr<IRootAdmission> makeRootAdmission(const RootAdmissionOptions &options = {});
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/tests/rootadmissiontest.cpp
@@ -0,0 +1,143 @@
+#include "coordination/admission/internal/demandestimate.h"
+#include "coordination/admission/irootadmission.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+const ServiceName NARROW("narrow");
+const ServiceName WIDE("wide");
+const RootTarget BROWSING{ RuleName("browse"), WIDE, Priority(10) };
+const RootTarget BOOKING{ RuleName("book"), WIDE, Priority(90) };
+constexpr Duration STEP = std::chrono::milliseconds(5);
+
+TreeUsage makeUsage(std::uint32_t narrowLoad)
+{
+    return { { WIDE, std::chrono::milliseconds(100), DemandLoad(300) },
+             { NARROW, std::chrono::milliseconds(80), DemandLoad(narrowLoad) } };
+}
+
+} // namespace
+
+TEST_GROUP(RootAdmission)
+{
+    TimePoint m_now{ std::chrono::seconds(10) };
+    std::unique_ptr<IRootAdmission> m_admission = makeRootAdmission();
+
+    /// Both rules ask equally often for `seconds`; the share of each that is let in at the end.
+    void run(int seconds, std::uint32_t narrowLoad, double &browsing, double &booking)
+    {
+        int let[2] = { 0, 0 };
+        int asked = 0;
+        const TimePoint end = m_now + std::chrono::seconds(seconds);
+        for (; m_now < end; m_now += STEP) {
+            const bool isCounted = m_now > end - std::chrono::seconds(1);
+            asked += isCounted ? 1 : 0;
+            const RootTarget *targets[2] = { &BROWSING, &BOOKING };
+            for (int i = 0; i < 2; ++i) {
+                const bool isIn = m_admission->admit(m_now, *targets[i]);
+                let[i] += isIn && isCounted ? 1 : 0;
+                if (isIn) {
+                    m_admission->onEnd(m_now, *targets[i], makeUsage(narrowLoad), true);
+                }
+            }
+        }
+        browsing = static_cast<double>(let[0]) / asked;
+        booking = static_cast<double>(let[1]) / asked;
+    }
+};
+
+TEST(RootAdmission, WhatFitsIsAllLetIn)
+{
+    double browsing = 0;
+    double booking = 0;
+    run(3, 900, browsing, booking);
+    CHECK(browsing > 0.95);
+    CHECK(booking > 0.95);
+}
+
+// 1. A service four hops down can take half of what is asked of it.
+// 2. The entry lets in that half: of the unimportant requests none, of the important ones all.
+//    Let in anyway, trees of both would fail there, after all services above had worked for them.
+TEST(RootAdmission, TheNarrowestServiceOfTheTreeDecidesAndTheImportantComeFirst)
+{
+    double browsing = 0;
+    double booking = 0;
+    run(4, 2000, browsing, booking);
+    CHECK(booking > 0.95);
+    CHECK(browsing < 0.1);
+}
+
+TEST(RootAdmission, WhatRemainsGoesToTheNextImportant)
+{
+    double browsing = 0;
+    double booking = 0;
+    run(4, 1333, browsing, booking);
+    CHECK(booking > 0.95);
+    DOUBLES_EQUAL(0.5, browsing, 0.1);
+}
+
+// No threshold may lock a route out: with nothing let in, nothing more is heard of the service.
+TEST(RootAdmission, AServiceOfWhichNothingIsHeardHoldsNobodyBack)
+{
+    double browsing = 0;
+    double booking = 0;
+    run(4, 100000, browsing, booking);
+    CHECK(browsing < 0.1);
+    m_now += std::chrono::seconds(3);
+    CHECK(m_admission->admit(m_now, BROWSING));
+}
+
+// An inner call that was booked to the wrong request must not make its rule depend on a service.
+TEST(RootAdmission, AServiceThatIsRarelyReachedDoesNotHoldTheRuleBack)
+{
+    const TreeUsage usual{ { WIDE, std::chrono::milliseconds(100), DemandLoad(300) } };
+    for (int i = 0; i < 100; ++i) {
+        m_admission->onEnd(m_now, BROWSING, i % 10 == 0 ? makeUsage(9000) : usual, true);
+    }
+    CHECK(m_admission->admit(m_now, BROWSING));
+    CHECK(m_admission->admit(m_now, BROWSING));
+    CHECK(m_admission->admit(m_now, BROWSING));
+}
+
+TEST_GROUP(DemandEstimate)
+{
+    TimePoint m_now{ std::chrono::seconds(10) };
+    DemandEstimate m_estimate{ DemandEstimateOptions() };
+
+    /// 200 requests a second are wanted, of 50 ms each, of 20 slots; `letIn` thousandths come.
+    DemandLoad run(std::uint32_t letIn)
+    {
+        for (int i = 0; i < 1000; ++i) {
+            m_now += std::chrono::milliseconds(5);
+            m_estimate.advance(m_now, 10.0 * letIn / 1000, 20);
+            if (i * letIn / 1000 != (i + 1) * letIn / 1000) {
+                m_estimate.onArrival(m_now, DemandShare(letIn), std::chrono::milliseconds(50));
+            }
+        }
+        return m_estimate.load(m_now, 20);
+    }
+};
+
+// If entries that refuse more made the demand look smaller, they would open again at once, and the
+// gate would be overrun and empty by turns.
+TEST(DemandEstimate, IsTheSameWhateverEntriesLetIn)
+{
+    const double whole = run(1000).value();
+    DOUBLES_EQUAL(10 / 19.0 * 1000, whole, 60);
+    DOUBLES_EQUAL(whole, run(500).value(), 60);
+    DOUBLES_EQUAL(whole, run(100).value(), 90);
+}
+
+// Trees that fail half way make fewer calls: a gate that is full sees less than the demand.
+TEST(DemandEstimate, AGateThatStaysFullAsksForLess)
+{
+    for (int i = 0; i < 400; ++i) {
+        m_now += std::chrono::milliseconds(5);
+        m_estimate.advance(m_now, 40, 20);
+        m_estimate.onArrival(m_now, WHOLE_DEMAND, std::chrono::milliseconds(50));
+    }
+    CHECK(m_estimate.load(m_now, 20) > FULL_LOAD);
+}
--- /dev/null
+++ b/src/coordination/upstreams/tests/upstreamregistertest.cpp
@@ -0,0 +1,144 @@
+#include "coordination/upstreams/upstreamregisterfactory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+const Endpoint ADDRESS{ "10.1.0.8", 8301 };
+
+UpstreamReport makeReport(const char *instance, std::uint64_t sequence,
+                          UpstreamPhase phase = UpstreamPhase::Ready)
+{
+    UpstreamReport report;
+    report.instance = UpstreamId(instance);
+    report.service = ServiceName("cassa");
+    report.endpoint = ADDRESS;
+    report.slots = 10;
+    report.phase = phase;
+    report.sequence = sequence;
+    return report;
+}
+
+UpstreamHealth healthy(const char *instance)
+{
+    return { true, false, UpstreamId(instance) };
+}
+
+} // namespace
+
+TEST_GROUP(UpstreamRegister)
+{
+    TimePoint m_now{ std::chrono::seconds(10) };
+    std::unique_ptr<IUpstreamRegister> m_register = makeUpstreamRegister({});
+
+    void serve(const char *instance)
+    {
+        m_register->onReport(m_now, makeReport(instance, 1));
+        const UpstreamActions actions =
+            m_register->onHealth(m_now, UpstreamId(instance), healthy(instance));
+        CHECK(!actions.empty());
+        CHECK(actions.back().verb == UpstreamVerb::Serve);
+    }
+};
+
+TEST(UpstreamRegister, ANewRunIsCheckedBeforeItTakesWork)
+{
+    const UpstreamActions actions = m_register->onReport(m_now, makeReport("a", 1));
+    CHECK_EQUAL(1, actions.size());
+    CHECK(actions[0].verb == UpstreamVerb::Check);
+    const UpstreamActions confirmed = m_register->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    CHECK_EQUAL(1, confirmed.size());
+    CHECK(confirmed[0].verb == UpstreamVerb::Serve);
+}
+
+// 1. A daemon acknowledges that its server drains, and is killed at once.
+// 2. A late report from before, `ready`, reaches the restarted daemon, which knows nothing.
+// 3. The server itself says that it leaves. Without the check callers would be sent to it again.
+TEST(UpstreamRegister, ALateReportDoesNotReviveADrainingServerAfterARestart)
+{
+    m_register->onReport(m_now, makeReport("a", 1));
+    const UpstreamHealth leaving{ false, false, UpstreamId("a") };
+    CHECK(m_register->onHealth(m_now, UpstreamId("a"), leaving).empty());
+    CHECK(m_register->nextTick() > m_now);
+}
+
+// 1. A server crashes, and its address is given to another one.
+// 2. A report of the first, delayed by a partition, arrives. The other answers the health check.
+// 3. Nothing may be sent there under the first one's name, then or later.
+TEST(UpstreamRegister, AReportWhoseAddressHasAnotherServerIsNotBelieved)
+{
+    m_register->onReport(m_now, makeReport("a", 1));
+    CHECK(m_register->onHealth(m_now, UpstreamId("a"), healthy("b")).empty());
+    CHECK(m_register->onReport(m_now, makeReport("a", 2)).empty());
+}
+
+TEST(UpstreamRegister, DrainingStopsAtOnceAndForGood)
+{
+    serve("a");
+    const auto stopped = m_register->onReport(m_now, makeReport("a", 2, UpstreamPhase::Draining));
+    CHECK_EQUAL(1, stopped.size());
+    CHECK(stopped[0].verb == UpstreamVerb::Stop);
+    CHECK(m_register->onReport(m_now, makeReport("a", 3)).empty());
+}
+
+// A server that is taken away without notice says goodbye first and serves on for a while.
+TEST(UpstreamRegister, AGoodbyeWithoutDrainingStopsToo)
+{
+    serve("a");
+    const auto stopped = m_register->onReport(m_now, makeReport("a", 0, UpstreamPhase::Gone));
+    CHECK_EQUAL(1, stopped.size());
+    CHECK(stopped[0].verb == UpstreamVerb::Stop);
+    CHECK(m_register->onReport(m_now, makeReport("a", 9)).empty());
+}
+
+TEST(UpstreamRegister, AnOlderReportChangesNothing)
+{
+    serve("a");
+    UpstreamReport late = makeReport("a", 1);
+    late.slots = 99;
+    CHECK(m_register->onReport(m_now, late).empty());
+    late.sequence = 2;
+    const UpstreamActions changed = m_register->onReport(m_now, late);
+    CHECK_EQUAL(1, changed.size());
+    CHECK_EQUAL(99, changed[0].report.slots);
+}
+
+TEST(UpstreamRegister, ARunThatConfirmedItselfEndsTheOneBeforeItAtItsAddress)
+{
+    serve("a");
+    m_register->onReport(m_now, makeReport("b", 1));
+    const UpstreamActions actions = m_register->onHealth(m_now, UpstreamId("b"), healthy("b"));
+    CHECK_EQUAL(2, actions.size());
+    CHECK(actions[0].verb == UpstreamVerb::Stop);
+    CHECK(actions[0].report.instance == UpstreamId("a"));
+    CHECK(actions[1].verb == UpstreamVerb::Serve);
+}
+
+// Reports may be seconds late: silence alone is no proof, and the server answers for itself.
+TEST(UpstreamRegister, ASilentServerIsAskedAndKeptIfItAnswers)
+{
+    serve("a");
+    m_now = m_register->nextTick();
+    const UpstreamActions asked = m_register->tick(m_now);
+    CHECK_EQUAL(1, asked.size());
+    CHECK(asked[0].verb == UpstreamVerb::Check);
+    CHECK(m_register->onHealth(m_now, UpstreamId("a"), healthy("a")).empty());
+    CHECK(m_register->nextTick() > m_now + std::chrono::seconds(1));
+}
+
+TEST(UpstreamRegister, AServerThatAnswersNoCheckIsStopped)
+{
+    serve("a");
+    CHECK_EQUAL(1, m_register->onDoubt(m_now, UpstreamId("a")).size());
+    const UpstreamHealth silent{ false, true, {} };
+    UpstreamActions actions;
+    for (int i = 0; i < 3; ++i) {
+        actions = m_register->onHealth(m_now, UpstreamId("a"), silent);
+        m_now += std::chrono::seconds(1);
+        m_register->tick(m_now);
+    }
+    CHECK_EQUAL(1, actions.size());
+    CHECK(actions[0].verb == UpstreamVerb::Stop);
+}
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -74,6 +74,7 @@
 {
     writer.add(std::uint64_t(load.inFlight)).add(std::uint64_t(load.queued));
     writer.add(std::uint64_t(load.limit)).add(load.floor).add(load.draining);
+    writer.add(load.demand);
 }
 
 void readLoad(FieldReader &reader, LoadReport &load)
@@ -83,6 +84,37 @@
     reader.read(load.limit);
     reader.read(load.floor);
     reader.read(load.draining);
+    reader.read(load.demand);
+}
+
+void addUsage(FieldWriter &writer, const TreeUsage &usage)
+{
+    FieldWriter list;
+    for (const ServiceUsage &each : usage) {
+        list.add(each.service);
+        addDuration(list, each.busy);
+        list.add(each.load);
+    }
+    writer.add(list.take());
+}
+
+void readUsage(FieldReader &reader, TreeUsage &usage)
+{
+    const Json *list = reader.readArray();
+    if (!list) {
+        return;
+    }
+    FieldReader items(*list);
+    while (items.isGood() && !items.isAtEnd()) {
+        ServiceUsage each;
+        items.read(each.service);
+        readDuration(items, each.busy);
+        items.read(each.load);
+        usage.push_back(std::move(each));
+    }
+    if (!items.isGood()) {
+        reader.fail();
+    }
 }
 
 std::string encodeOne(const HelloMessage &message)
@@ -110,7 +142,10 @@
     writer.add(message.stream).add(message.root).add(message.service).add(message.rule);
     writer.add(message.rank).add(message.depth);
     addDuration(writer, message.remaining);
-    writer.add(message.granted).add(message.request.method).add(message.request.target);
+    writer.add(message.letIn)
+        .add(message.granted)
+        .add(message.request.method)
+        .add(message.request.target);
     addHeaders(writer, message.request.headers);
     writer.add(message.request.body);
     addOnce(writer, message.once);
@@ -126,6 +161,7 @@
     writer.add(message.unspent);
     addDuration(writer, message.serviceTime);
     addLoad(writer, message.load);
+    addUsage(writer, message.usage);
     writer.add(message.holder).add(std::uint64_t(message.response.status));
     addHeaders(writer, message.response.headers);
     writer.add(message.response.body);
@@ -194,6 +230,7 @@
     reader.read(message.rank);
     reader.read(message.depth);
     readDuration(reader, message.remaining);
+    reader.read(message.letIn);
     reader.read(message.granted);
     reader.read(message.request.method);
     reader.read(message.request.target);
@@ -213,6 +250,7 @@
     reader.read(message.unspent);
     readDuration(reader, message.serviceTime);
     readLoad(reader, message.load);
+    readUsage(reader, message.usage);
     reader.read(message.holder);
     reader.read(message.response.status);
     readHeaders(reader, message.response.headers);
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -12,6 +12,7 @@
 #include "state/member.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "state/usage.h"
 
 namespace ivyspar {
 
@@ -48,6 +49,9 @@
     Depth depth;
     /// Time left until the caller's deadline when this frame was sent.
     Duration remaining{ 0 };
+    /// Of requests like the caller's, which share its entry lets in. 0 in a repeated attempt: its
+    /// first one has been counted.
+    DemandShare letIn;
     /// Attempts handed over for the calls below this one.
     AttemptCount granted;
     /// Present when the rule says at most once and the caller gave a key or a ticket.
@@ -67,6 +71,8 @@
     /// Time that the upstream took; zero when it was not asked.
     Duration serviceTime{ 0 };
     LoadReport load;
+    /// What the call and those below it cost, and how their services are.
+    TreeUsage usage;
     /// The daemon that holds the key's result, for reason `KeyBusy`; empty if none.
     DaemonId holder;
 };
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -18,6 +18,7 @@
     call.rank = Rank(0x5A010203);
     call.depth = Depth(3);
     call.remaining = std::chrono::milliseconds(250);
+    call.letIn = DemandShare(250);
     call.granted = AttemptCount(12);
     call.once = OnceTerms{ IdempotencyKey("k-1"), std::chrono::hours(1), "ticket" };
     call.request = HttpRequest{
@@ -34,7 +35,9 @@
     answer.response = HttpResponse{ 503, { { "A", "b" } }, "body" };
     answer.unspent = AttemptCount(11);
     answer.serviceTime = std::chrono::microseconds(1234);
-    answer.load = LoadReport{ 5, 6, 7, Rank(99), true };
+    answer.load = LoadReport{ 5, 6, 7, Rank(99), DemandLoad(1300), true };
+    answer.usage = { { ServiceName("cassa"), std::chrono::microseconds(1234), DemandLoad(1300) },
+                     { ServiceName("scheda"), std::chrono::microseconds(9), DemandLoad(7) } };
     answer.holder = DaemonId("d-3");
     return answer;
 }
@@ -58,6 +61,7 @@
     CHECK(call.rank == Rank(0x5A010203));
     CHECK(call.depth == Depth(3));
     CHECK(call.remaining == std::chrono::milliseconds(250));
+    CHECK(call.letIn == DemandShare(250));
     CHECK(call.granted == AttemptCount(12));
     CHECK(call.once.has_value());
     CHECK(call.once->key == IdempotencyKey("k-1"));
@@ -86,6 +90,11 @@
     CHECK(answer.load.inFlight == 5 && answer.load.queued == 6 && answer.load.limit == 7);
     CHECK(answer.load.floor == Rank(99));
     CHECK(answer.load.draining);
+    CHECK(answer.load.demand == DemandLoad(1300));
+    CHECK_EQUAL(2, answer.usage.size());
+    CHECK(answer.usage.at(1).service == ServiceName("scheda"));
+    CHECK(answer.usage.at(1).busy == std::chrono::microseconds(9));
+    CHECK(answer.usage.at(1).load == DemandLoad(7));
     CHECK(answer.holder == DaemonId("d-3"));
 }
 
--- /dev/null
+++ b/src/state/connectiontally.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace ivyspar {
+
+/// What the requests of one connection told of its other end: a caller, or the server of this host.
+struct ConnectionTally
+{
+    /// Requests that no running call of this host's server can have made.
+    std::uint32_t strangers = 0;
+    /// Requests that end with a running call.
+    std::uint32_t fits = 0;
+    /// Requests that a running call may have made, but that do not end with it.
+    std::uint32_t misfits = 0;
+};
+
+} // namespace ivyspar
--- a/src/state/internal/rank.cpp
+++ b/src/state/internal/rank.cpp
@@ -10,6 +10,9 @@
 constexpr unsigned PRIORITY_SHIFT = 24;
 constexpr unsigned DEPTH_SHIFT = 16;
 constexpr std::uint32_t HASH_MASK = 0xFFFF;
+/// Above the 100 priorities.
+constexpr std::uint32_t COMMITTED = 0x80000000;
+constexpr std::uint32_t PRIORITY_MASK = 0x7F;
 } // namespace
 
 Rank makeRank(Priority priority, Depth depth, RootId root)
@@ -20,6 +23,11 @@
                 | (std::uint32_t(depth.value()) << DEPTH_SHIFT) | hash);
 }
 
+Rank makeCommittedRank(Priority priority, Depth depth, RootId root)
+{
+    return Rank(makeRank(priority, depth, root).value() | COMMITTED);
+}
+
 Rank lowestRankOf(Priority priority)
 {
     return Rank(std::uint32_t(priority.value()) << PRIORITY_SHIFT);
@@ -27,7 +35,7 @@
 
 Priority priorityOf(Rank rank)
 {
-    return Priority(static_cast<std::uint8_t>(rank.value() >> PRIORITY_SHIFT));
+    return Priority(static_cast<std::uint8_t>((rank.value() >> PRIORITY_SHIFT) & PRIORITY_MASK));
 }
 
 } // namespace ivyspar
--- a/src/state/load.h
+++ b/src/state/load.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "state/ids.h"
+#include "state/usage.h"
 
 namespace ivyspar {
 
@@ -15,6 +16,8 @@
     std::uint32_t limit = 0;
     /// The lowest rank that the gate admits now; 0 while it admits all.
     Rank floor;
+    /// What entries would send here if they refused nothing, over what the gate can take.
+    DemandLoad demand;
     /// The server takes no new work.
     bool draining = false;
 };
--- a/src/state/rank.h
+++ b/src/state/rank.h
@@ -12,6 +12,9 @@
 /// The lowest rank that any call of this priority can have.
 Rank lowestRankOf(Priority priority);
 
+/// The same order among the calls of requests that were let in, above all ranks of `makeRank`.
+Rank makeCommittedRank(Priority priority, Depth depth, RootId root);
+
 Priority priorityOf(Rank rank);
 
 } // namespace ivyspar
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 
+#include "state/connectiontally.h"
 #include "state/endpoint.h"
 #include "state/http.h"
 #include "state/result.h"
@@ -30,8 +31,8 @@
     virtual ~IHttpExchange() = default;
 
     virtual const HttpRequest &request() const = 0;
-    /// IP address of the client.
-    virtual const std::string &clientAddress() const = 0;
+    /// Kept with the connection, for the handlers of its requests.
+    virtual ConnectionTally &tally() = 0;
     /// Runs `callback` once when the client goes away before its answer was ready.
     /// Replaced by each call; an empty function removes it.
     virtual void onDisconnect(std::function<void()> callback) = 0;
--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -65,7 +65,6 @@
 HttpConnection::HttpConnection(boost::intrusive_ptr<HttpServerCore> server, TcpStreamPtr stream)
     : m_server(std::move(server))
     , m_stream(std::move(stream))
-    , m_clientAddress(m_stream->remoteAddress())
 {
 }
 
--- a/src/transport/internal/httpconnection.h
+++ b/src/transport/internal/httpconnection.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <string>
 #include <string_view>
 
 #include <boost/intrusive/list_hook.hpp>
@@ -54,7 +53,7 @@
 
     // IHttpExchange
     const HttpRequest &request() const override { return m_request; }
-    const std::string &clientAddress() const override { return m_clientAddress; }
+    ConnectionTally &tally() override { return m_tally; }
     void onDisconnect(std::function<void()> callback) override;
 
     void waitForRequest();
@@ -80,7 +79,7 @@
 
     boost::intrusive_ptr<HttpServerCore> m_server;
     TcpStreamPtr m_stream;
-    std::string m_clientAddress;
+    ConnectionTally m_tally;
     State m_state = State::Idle;
     HttpRequest m_request;
     ResponseFraming m_framing;
--- a/src/transport/internal/tcpstream.cpp
+++ b/src/transport/internal/tcpstream.cpp
@@ -183,13 +183,6 @@
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-std::string TcpStream::remoteAddress() const
-{
-    ErrorCode error;
-    const auto endpoint = m_socket.remote_endpoint(error);
-    return error ? std::string() : endpoint.address().to_string();
-}
-
 std::size_t TcpStream::available()
 {
     ErrorCode ignored;
--- a/src/transport/internal/tcpstream.h
+++ b/src/transport/internal/tcpstream.h
@@ -53,8 +53,6 @@
     /// Tells the other side that no more comes.
     void shutdownSend();
     std::size_t available();
-    /// IP address of the other side; empty if there is none any more.
-    std::string remoteAddress() const;
     /// Gives up the socket, after which the stream is closed.
     boost::asio::ip::tcp::socket takeSocket() { return std::move(m_socket); }
 
--- a/standins/log/inprocesshttpclient.cpp
+++ b/standins/log/inprocesshttpclient.cpp
@@ -17,7 +17,7 @@
     }
 
     const HttpRequest &request() const override { return m_request; }
-    const std::string &clientAddress() const override { return m_address; }
+    ConnectionTally &tally() override { return m_tally; }
     void onDisconnect(std::function<void()> callback) override
     {
         m_onDisconnect = std::move(callback);
@@ -38,7 +38,7 @@
     }
 
     HttpRequest m_request;
-    std::string m_address = "127.0.0.1";
+    ConnectionTally m_tally;
     std::function<void()> m_onDisconnect;
     bool m_isDisconnected = false;
     /// Nothing when the exchange was cancelled.
