--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -109,11 +109,11 @@
 
 RetVal<Endpoint> ControlNode::listen()
 {
-    const RetVal<Endpoint> bound = listenAt(*m_operatorServer, m_settings.operatorListen);
+    RetVal<Endpoint> bound = listenAt(*m_operatorServer, m_settings.operatorListen);
     if (!bound || m_settings.readinessListen.port == 0) {
         return bound;
     }
-    const RetVal<Endpoint> readiness = listenAt(*m_readinessServer, m_settings.readinessListen);
+    RetVal<Endpoint> readiness = listenAt(*m_readinessServer, m_settings.readinessListen);
     return readiness ? bound : readiness;
 }
 
--- a/src/app/internal/control/memberdirectory.cpp
+++ b/src/app/internal/control/memberdirectory.cpp
@@ -74,8 +74,8 @@
 
 Ret MemberDirectory::enterSelf()
 {
-    const Ret written = m_log.put(
-        m_settings.stream, KeyedRecord{ m_settings.self.value(), m_settings.endpoint.text() });
+    Ret written = m_log.put(m_settings.stream,
+                            KeyedRecord{ m_settings.self.value(), m_settings.endpoint.text() });
     if (written) {
         m_isEntered = true;
     }
--- a/src/app/internal/control/membershipdriver.cpp
+++ b/src/app/internal/control/membershipdriver.cpp
@@ -7,12 +7,21 @@
 
 namespace ivyspar {
 
+namespace {
+
+/// Later than this after the start, a newer record under this daemon's id is not of its previous
+/// run.
+constexpr Duration PREVIOUS_RUN = std::chrono::seconds(30);
+
+} // namespace
+
 MembershipDriver::MembershipDriver(IEventLoop &loop, IRandom &random, Member self,
                                    ControlEvents events)
     : m_loop(loop)
     , m_random(random)
     , m_self(std::move(self))
     , m_events(std::move(events))
+    , m_startedAt(loop.now())
     , m_membership(makeMembership(loop.now(), m_self))
 {
 }
@@ -35,6 +44,7 @@
 void MembershipDriver::addSeed(const Endpoint &endpoint)
 {
     if (endpoint != m_self.peerEndpoint) {
+        m_seeds.insert(endpoint);
         perform(m_membership->addSeed(m_loop.now(), endpoint));
     }
 }
@@ -77,13 +87,35 @@
     m_timer = m_loop.callLater(MembershipOptions().gossipInterval, [this] { tick(); });
 }
 
+/// The clock of this host may have been set back since the previous run of this daemon, whose
+/// record then looks newer. Stopping for it would stop each new run too, until the clock has caught
+/// up.
+void MembershipDriver::onNewerSelf(Incarnation newer)
+{
+    if (m_loop.now() - m_startedAt > PREVIOUS_RUN) {
+        m_events.onDuplicate();
+        return;
+    }
+    for (const Member &member : m_working) {
+        m_seeds.insert(member.peerEndpoint);
+    }
+    m_self.incarnation = Incarnation(newer.value() + 1);
+    m_membership = makeMembership(m_loop.now(), m_self);
+    for (const Endpoint &seed : m_seeds) {
+        addSeed(seed);
+    }
+    m_working = m_membership->working();
+    m_events.onMembers(m_working);
+}
+
 void MembershipDriver::perform(const MembershipActions &actions)
 {
     for (const MembershipDatagram &datagram : actions.send) {
         m_events.send(datagram.to, datagram.endpoint, encodeMembership(datagram.message));
     }
     if (actions.newerSelf) {
-        m_events.onDuplicate();
+        onNewerSelf(*actions.newerSelf);
+        return;
     }
     if (actions.changed) {
         m_working = m_membership->working();
--- a/src/app/internal/control/membershipdriver.h
+++ b/src/app/internal/control/membershipdriver.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,12 +48,15 @@
 
 private:
     void tick();
+    void onNewerSelf(Incarnation newer);
     void perform(const MembershipActions &actions);
 
     IEventLoop &m_loop;
     IRandom &m_random;
     Member m_self;
     ControlEvents m_events;
+    TimePoint m_startedAt;
+    std::set<Endpoint> m_seeds;
     std::unique_ptr<IMembership> m_membership;
     std::vector<Member> m_working;
     TimerId m_timer;
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -77,6 +77,7 @@
     waitForStop();
     m_observers.log.info("stopping");
     const bool isDrained = drain();
+    m_observers.log.info(isDrained ? "drained" : "calls were still running when the time was over");
     stopThreads();
     return isDrained && !m_isDuplicate ? 0 : EXIT_STOPPED;
 }
--- a/src/app/internal/settings/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -9,7 +9,6 @@
 constexpr double OWN_SHARE_OF_BUDGET = 0.5;
 /// Daemons that draw on the shared slack at the same time.
 constexpr double EXPECTED_DAEMONS = 16;
-
 /// Root admission does what the floor of the next service does, and for the services behind it too.
 bool hasFloor(const DaemonSettings &settings)
 {
@@ -22,6 +21,10 @@
 {
     const Ablations &ablations = settings.ablations;
     GateOptions options;
+    if (settings.hasExactSlots) {
+        // A server that sheds calls for another reason is not helped by fewer at a time.
+        options.limit = LimitKind::Fixed;
+    }
     if (ablations.admission) {
         options.limit = LimitKind::Fixed;
         options.isQueueBounded = false;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -87,6 +87,8 @@
     bool infersParents = false;
     /// Callers' requests are let in by what their whole call tree costs.
     bool hasRootAdmission = false;
+    /// The slots that upstreams report are exact: no lower limit is tried.
+    bool hasExactSlots = false;
 
     std::vector<Endpoint> seeds;
     SharedStreams streams;
--- /dev/null
+++ b/src/app/tests/membershipdrivertest.cpp
@@ -0,0 +1,72 @@
+#include "app/internal/control/membershipdriver.h"
+
+#include "app/tests/mocks/inlineeventloop.h"
+#include "protocol/internal/membershipcodec.h"
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+Member makeSelf(std::uint64_t incarnation)
+{
+    Member self;
+    self.id = DaemonId("a");
+    self.incarnation = Incarnation(incarnation);
+    self.peerEndpoint = Endpoint{ "10.0.0.1", 7000 };
+    return self;
+}
+
+/// What a peer tells that still holds the record of another run of this daemon.
+std::string tellOf(std::uint64_t incarnation)
+{
+    MemberUpdate update;
+    update.id = DaemonId("a");
+    update.incarnation = Incarnation(incarnation);
+    update.counter = 7;
+    MembershipMessage message;
+    message.body = GossipMessage();
+    message.updates.push_back(update);
+    return encodeMembership(message);
+}
+
+} // namespace
+
+TEST_GROUP(MembershipDriver)
+{
+    InlineEventLoop m_loop;
+    SeededRandom m_random{ 5 };
+    int m_duplicates = 0;
+    std::unique_ptr<MembershipDriver> m_driver;
+
+    void setup() override
+    {
+        ControlEvents events;
+        events.onMembers = [](const std::vector<Member> & /*members*/) {};
+        events.send = [](const DaemonId & /*to*/, const Endpoint & /*endpoint*/,
+                         const std::string & /*payload*/) {};
+        events.onDuplicate = [this] { ++m_duplicates; };
+        m_driver = std::make_unique<MembershipDriver>(m_loop, m_random, makeSelf(500), events);
+        m_driver->start({});
+    }
+};
+
+// 1. A daemon is restarted, and the clock of its host was set back by two seconds meanwhile.
+// 2. A peer still holds the record of its previous run, which looks newer.
+// 3. The daemon goes on under a larger incarnation. Stopping for it, it would stop again at each
+//    start until the clock has caught up, and its server would get no calls.
+TEST(MembershipDriver, ADaemonWhoseClockWasSetBackOutbidsItsPreviousRun)
+{
+    CHECK(m_driver->receive(DaemonId("b"), tellOf(900)));
+    CHECK_EQUAL(0, m_duplicates);
+    CHECK(m_driver->self().incarnation > Incarnation(900));
+}
+
+TEST(MembershipDriver, ASecondDaemonUnderTheSameIdStopsThisOne)
+{
+    m_loop.advance(std::chrono::seconds(40));
+    CHECK(m_driver->receive(DaemonId("b"), tellOf(900)));
+    CHECK_EQUAL(1, m_duplicates);
+}
