Tests: one wait on a loop's thread for both groups that need it, checked on the test's own thread

The wait stood twice, and its check ran on the loop's thread, where a failure would end the whole run instead of the test. Bounds and assertions are the same.

--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -85,15 +85,6 @@
             m_follower->start();
         });
     }
-    void wait(const std::function<bool()> &isReached)
-    {
-        m_runner.run([&] {
-            for (int i = 0; i < 5000 && !isReached(); ++i) {
-                m_runner.loop().sleepFor(std::chrono::milliseconds(1));
-            }
-            CHECK(isReached());
-        });
-    }
     void teardown() override
     {
         m_runner.run([this] {
@@ -108,9 +99,9 @@
     m_log.write(STREAM, "other", "99");
     m_log.write(STREAM, "newest", "7");
     start();
-    wait([this] { return !m_versions.empty(); });
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
     m_runner.run([this] { m_log.write(STREAM, "newest", "9"); });
-    wait([this] { return m_versions.size() == 2; });
+    CHECK(m_runner.reaches([this] { return m_versions.size() == 2; }));
     CHECK_EQUAL(7, m_versions[0]);
     CHECK_EQUAL(9, m_versions[1]);
 }
@@ -122,13 +113,13 @@
 {
     m_log.write(STREAM, "newest", "7");
     start();
-    wait([this] { return !m_versions.empty(); });
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
     m_runner.run([this] {
         m_log.isForgetful = true;
         m_log.write(STREAM, "newest", "8");
         m_log.cancel();
     });
-    wait([this] { return m_versions.size() == 2; });
+    CHECK(m_runner.reaches([this] { return m_versions.size() == 2; }));
     CHECK_EQUAL(8, m_versions[1]);
 }
 
@@ -138,7 +129,7 @@
 {
     m_log.isDown = true;
     start();
-    wait([this] { return !m_exchange.sent.empty(); });
+    CHECK(m_runner.reaches([this] { return !m_exchange.sent.empty(); }));
     m_runner.run([this] {
         CHECK(std::holds_alternative<DocumentRequest>(m_exchange.sent[0]));
         const auto push = encodeDocumentMessage(DocumentPush{ "12" });
@@ -151,7 +142,7 @@
 {
     m_log.write(STREAM, "newest", "7");
     start();
-    wait([this] { return !m_versions.empty(); });
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
     m_runner.run([this] {
         m_follower->receive(DaemonId("peer"), encodeDocumentMessage(DocumentPush{ "5" }));
         m_follower->receive(DaemonId("peer"), encodeDocumentMessage(DocumentPush{ "rubbish" }));
@@ -163,7 +154,7 @@
 {
     m_log.write(STREAM, "newest", "7");
     start();
-    wait([this] { return !m_versions.empty(); });
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
     m_runner.run([this] {
         m_exchange.sent.clear();
         const DocumentRequest behind{ ConfigurationVersion(6) };
@@ -180,13 +171,13 @@
 {
     m_log.write(STREAM, "newest", "7");
     start();
-    wait([this] { return !m_versions.empty(); });
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
     m_runner.run([this] {
         m_exchange.sent.clear();
         const DocumentOffer offer{ ConfigurationVersion(8) };
         m_follower->receive(DaemonId("peer"), encodeDocumentMessage(offer));
     });
-    wait([this] { return !m_exchange.sent.empty(); });
+    CHECK(m_runner.reaches([this] { return !m_exchange.sent.empty(); }));
     CHECK(std::holds_alternative<DocumentRequest>(m_exchange.sent[0]));
 }
 
@@ -211,15 +202,6 @@
             m_directory->start();
         });
     }
-    void wait(const std::function<bool()> &isReached)
-    {
-        m_runner.run([&] {
-            for (int i = 0; i < 5000 && !isReached(); ++i) {
-                m_runner.loop().sleepFor(std::chrono::milliseconds(1));
-            }
-            CHECK(isReached());
-        });
-    }
     void teardown() override
     {
         m_runner.run([this] {
@@ -234,9 +216,9 @@
     m_log.write(STREAM, "b", "10.0.0.2:7000");
     m_log.write(STREAM, "c", "not an endpoint");
     start();
-    wait([this] { return m_log.writes(STREAM) == 3; });
+    CHECK(m_runner.reaches([this] { return m_log.writes(STREAM) == 3; }));
     m_runner.run([this] { m_log.write(STREAM, "d", "10.0.0.4:7000"); });
-    wait([this] { return m_found.size() == 2; });
+    CHECK(m_runner.reaches([this] { return m_found.size() == 2; }));
     STRCMP_EQUAL("10.0.0.2:7000", m_found[0].c_str());
     STRCMP_EQUAL("10.0.0.4:7000", m_found[1].c_str());
 }
@@ -247,6 +229,6 @@
     m_log.write(STREAM, "a", "10.0.0.1:7000");
     start();
     m_runner.run([this] { m_log.write(STREAM, "b", "10.0.0.2:7000"); });
-    wait([this] { return m_found.size() == 1; });
+    CHECK(m_runner.reaches([this] { return m_found.size() == 1; }));
     CHECK_EQUAL(2, m_log.writes(STREAM));
 }
--- a/src/transport/tests/looprunner.h
+++ b/src/transport/tests/looprunner.h
@@ -47,6 +47,20 @@
     /// Runs `task` in a fiber of the loop and waits for its end.
     void run(std::function<void()> task) { start(std::move(task)).wait(); }
 
+    /// Asks on the loop's thread, again and again, for five seconds at the most. To be checked on
+    /// the test's own thread: a check that fails on another one ends the whole run.
+    bool reaches(const std::function<bool()> &condition)
+    {
+        constexpr int TRIES = 5000;
+        bool isReached = false;
+        run([&] {
+            for (int i = 0; i < TRIES && !(isReached = condition()); ++i) {
+                m_loop->sleepFor(std::chrono::milliseconds(1));
+            }
+        });
+        return isReached;
+    }
+
 private:
     std::unique_ptr<IEventLoop> m_loop;
     std::thread m_thread;
