Retries: the part of the shared slack follows the number of daemons

Cause: each daemon took a sixteenth of the slack that all share (EXPECTED_DAEMONS), whatever the size of the deployment: with 81 daemons the sum is five times the slack. Now it is the slack over the members, sixteen at least, as a daemon that knows few others may just not have found them. Ruled out: the exact number of members alone; after a power failure or in a partition each knows few. The test fails without the change.

--- a/src/app/internal/settings/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -7,8 +7,6 @@
 /// A repeated run repeats the calls that it makes, and these count for the services below: each
 /// daemon leaves them half of the budget.
 constexpr double OWN_SHARE_OF_BUDGET = 0.5;
-/// Daemons that draw on the shared slack at the same time.
-constexpr double EXPECTED_DAEMONS = 16;
 /// Root admission does what the floor of the next service does, and for the services behind it too.
 bool hasFloor(const DaemonSettings &settings)
 {
@@ -59,8 +57,9 @@
     if (settings.retryBudget) {
         options.countsArrivalsOnly = true;
         options.retryShare = settings.retryBudget->ratio * OWN_SHARE_OF_BUDGET;
-        options.initialRetries = settings.retryBudget->slack / EXPECTED_DAEMONS;
-        options.mostRetries = options.initialRetries;
+        // A daemon that has just started does not know how many others start with it.
+        options.initialRetries = 0;
+        options.sharedSlack = settings.retryBudget->slack;
     }
     if (ablations.retryTokens) {
         options.hasRetryTokens = false;
--- a/src/coordination/calls/tests/mocks/fakeretrypolicy.h
+++ b/src/coordination/calls/tests/mocks/fakeretrypolicy.h
@@ -24,6 +24,7 @@
     {
         ++successes;
     }
+    void setDaemons(std::size_t /*daemons*/) override { }
     Duration hedgeDelay(TimePoint /*now*/, const RuleSpec & /*rule*/) override
     {
         return hedgeAfter;
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -64,6 +64,22 @@
 {
 }
 
+void RetryPolicy::setDaemons(std::size_t daemons)
+{
+    m_daemons = daemons;
+    for (auto &[name, service] : m_services) {
+        service.retries = std::min(service.retries, mostRetries());
+    }
+}
+
+double RetryPolicy::mostRetries() const
+{
+    if (m_options.sharedSlack <= 0) {
+        return m_options.mostRetries;
+    }
+    return m_options.sharedSlack / static_cast<double>(std::max(m_daemons, m_options.leastDaemons));
+}
+
 RetryPolicy::Service &RetryPolicy::serviceOf(const ServiceName &name)
 {
     return m_services.try_emplace(name, m_options).first->second;
@@ -109,7 +125,7 @@
 void RetryPolicy::onSuccess(TimePoint now, const ServiceName &service, Duration latency)
 {
     Service &known = serviceOf(service);
-    known.retries = std::min(known.retries + m_options.retryShare, m_options.mostRetries);
+    known.retries = std::min(known.retries + m_options.retryShare, mostRetries());
     known.hedges = std::min(known.hedges + m_options.hedgeShare, m_options.mostHedges);
     known.refusedShare *= 1 - REFUSED_WEIGHT;
     known.latencies.add(now, latency);
--- a/src/coordination/retries/internal/retrypolicy.h
+++ b/src/coordination/retries/internal/retrypolicy.h
@@ -15,6 +15,7 @@
 
     bool shouldRetry(TimePoint now, const RetryQuestion &question) override;
     void onSuccess(TimePoint now, const ServiceName &service, Duration latency) override;
+    void setDaemons(std::size_t daemons) override;
     Duration hedgeDelay(TimePoint now, const RuleSpec &rule) override;
     bool takeHedge(TimePoint now, const ServiceName &service) override;
     Duration retryAfter(TimePoint now, const ServiceName &service, IRandom &random) override;
@@ -31,11 +32,14 @@
         LatencyWindow latencies;
     };
 
+    /// Retries that a service may have saved up here.
+    double mostRetries() const;
     Service &serviceOf(const ServiceName &name);
     bool isFree(const RetryQuestion &question) const;
     bool isWorthwhile(const RetryQuestion &question) const;
 
     RetryOptions m_options;
+    std::size_t m_daemons = 0;
     std::unordered_map<ServiceName, Service> m_services;
 };
 
--- a/src/coordination/retries/iretrypolicy.h
+++ b/src/coordination/retries/iretrypolicy.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include "state/configuration.h"
 #include "state/ids.h"
 #include "state/irandom.h"
@@ -29,6 +31,8 @@
     virtual ~IRetryPolicy() = default;
 
     virtual bool shouldRetry(TimePoint now, const RetryQuestion &question) = 0;
+    /// How many daemons draw on the shared slack, this one included.
+    virtual void setDaemons(std::size_t daemons) = 0;
     /// A first attempt succeeded: earns the service a share of a retry token.
     virtual void onSuccess(TimePoint now, const ServiceName &service, Duration latency) = 0;
     /// After which time a second attempt may be sent in parallel; zero when none may.
--- a/src/coordination/retries/retrypolicyfactory.h
+++ b/src/coordination/retries/retrypolicyfactory.h
@@ -30,6 +30,11 @@
     /// Retries that a service has saved up at first, and at most.
     double initialRetries = 3;
     double mostRetries = 10;
+    /// Above 0: what all daemons together may save up, instead of `mostRetries` for each.
+    double sharedSlack = 0;
+    /// A daemon that knows of fewer others takes no larger part of it: after a power failure or in
+    /// a partition each knows few, and together they would save up a multiple.
+    std::size_t leastDaemons = 16;
 
     /// Hedges per success, and how many may be saved up.
     double hedgeShare = 0.05;
--- a/src/coordination/retries/tests/retrypolicytest.cpp
+++ b/src/coordination/retries/tests/retrypolicytest.cpp
@@ -217,3 +217,42 @@
     CHECK(*delays.rbegin() - *delays.begin() > 4s);
     CHECK(*delays.rbegin() <= 1.5 * RetryOptions().longestRetryAfter);
 }
+
+// All daemons of a large deployment lose answers of the same service. Each repeats what it saved
+// up, at the same moment; together they may not repeat more than the slack that operators allow.
+TEST(RetryPolicy, AllDaemonsTogetherSaveUpNoMoreThanTheSharedSlack)
+{
+    RetryOptions options;
+    options.initialRetries = 0;
+    options.sharedSlack = 111;
+    for (const std::size_t daemons : { 4, 16, 81, 790 }) {
+        const auto policy = makeRetryPolicy(options);
+        policy->setDaemons(daemons);
+        for (int i = 0; i < 10000; ++i) {
+            policy->onSuccess(now, SERVICE, 1ms);
+        }
+        double repeats = 0;
+        while (policy->shouldRetry(
+            now, question(Outcome::Unknown, Reason::LinkLost, Repetition::Idempotent))) {
+            ++repeats;
+        }
+        CHECK(repeats * static_cast<double>(daemons) <= options.sharedSlack);
+    }
+}
+
+// Daemons that start together save up before they know of each other. What they saved beyond their
+// part is taken back when they do.
+TEST(RetryPolicy, SavingsBeyondTheOwnPartEndWhenOthersAreFound)
+{
+    RetryOptions options;
+    options.initialRetries = 0;
+    options.sharedSlack = 64;
+    const auto policy = makeRetryPolicy(options);
+    for (int i = 0; i < 1000; ++i) {
+        policy->onSuccess(now, SERVICE, 1ms);
+    }
+    policy->setDaemons(64);
+    const auto asked = question(Outcome::Unknown, Reason::LinkLost, Repetition::Idempotent);
+    CHECK(policy->shouldRetry(now, asked));
+    CHECK_FALSE(policy->shouldRetry(now, asked));
+}
