Hedges answer silence: after twice the usual longest time, from the shared budget

Cause: a lost answer was noticed at the route's timeout only, with no time left for another attempt. Hedges go out after twice the 95th percentile and take from the same tokens as retries; the bound on servers per request now counts attempts under way.

--- a/src/app/internal/settings/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -7,6 +7,8 @@
 /// A repeated run repeats the calls that it makes, and these count for the services below: each
 /// daemon leaves them half of the budget.
 constexpr double OWN_SHARE_OF_BUDGET = 0.5;
+/// Hedges answer silence here: a late answer costs less than a repeat of the shared budget.
+constexpr double SILENCE_FACTOR = 2;
 /// Root admission does what the floor of the next service does, and for the services behind it too.
 bool hasFloor(const DaemonSettings &settings)
 {
@@ -60,6 +62,8 @@
         // A daemon that has just started does not know how many others start with it.
         options.initialRetries = 0;
         options.sharedSlack = settings.retryBudget->slack;
+        options.areHedgesRetries = true;
+        options.hedgeFactor = SILENCE_FACTOR;
     }
     if (ablations.retryTokens) {
         options.hasRetryTokens = false;
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -142,7 +142,7 @@
         return {};
     }
     m_hedgeAt.reset();
-    if (!m_policies.retries.takeHedge(now, m_terms.rule.service)) {
+    if (!mayReachAnother() || !m_policies.retries.takeHedge(now, m_terms.rule.service)) {
         return {};
     }
     Verdict failure;
@@ -271,7 +271,7 @@
     if (m_terms.isSingleAttempt || now >= m_terms.deadline) {
         return false;
     }
-    if (m_terms.rule.servers > 0 && m_arrivals >= m_terms.rule.servers) {
+    if (!mayReachAnother()) {
         return false;
     }
     RetryQuestion question;
@@ -310,6 +310,15 @@
     }
 }
 
+/// Attempts that are under way count as well: each may be running on a server.
+bool EntryCall::mayReachAnother() const
+{
+    const auto open = std::count_if(m_attempts.begin(), m_attempts.end(),
+                                    [](const Attempt &attempt) { return attempt.isOpen; });
+    return m_terms.rule.servers == 0
+        || m_arrivals + static_cast<std::uint32_t>(open) < m_terms.rule.servers;
+}
+
 bool EntryCall::hasOpenAttempt() const
 {
     return std::any_of(m_attempts.begin(), m_attempts.end(),
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -66,6 +66,8 @@
     AttemptCount neededBelow() const;
     void settle(TimePoint now, Attempt &attempt, const AttemptEnd &end);
     void armHedge(TimePoint now);
+    /// Whether the rule lets one more server be reached.
+    bool mayReachAnother() const;
     bool hasOpenAttempt() const;
 
     EntryPolicies m_policies;
--- a/src/coordination/calls/tests/entrycalltest.cpp
+++ b/src/coordination/calls/tests/entrycalltest.cpp
@@ -166,6 +166,35 @@
     CHECK(router.ends.back().second == RouteFeedback::Cancelled);
 }
 
+// The operators allow one server for a request. Its answer is late, but it may be running: a hedge
+// would be the second server.
+TEST(EntryCall, HedgeStaysWithinTheServersThatTheRuleAllows)
+{
+    terms.rule.repetition = Repetition::Idempotent;
+    terms.rule.servers = 1;
+    retries.hedgeAfter = milliseconds(20);
+    EntryCall call = makeCall();
+    call.start(now);
+    CHECK(findAction(call.onTimer(now + milliseconds(20)), EntryVerb::Send) == nullptr);
+    CHECK(call.nextTimer() == terms.deadline);
+}
+
+// Both attempts of a hedged call are at work, and the rule allows two servers. When one is lost, a
+// third server must not be asked while the other may still answer.
+TEST(EntryCall, LostAttemptBesideAnOpenOneIsNotRepeatedBeyondTheAllowedServers)
+{
+    router.daemons = { FIRST, SECOND, DaemonId("third") };
+    terms.rule.repetition = Repetition::Idempotent;
+    terms.rule.servers = 2;
+    retries.hedgeAfter = milliseconds(20);
+    EntryCall call = makeCall();
+    call.start(now);
+    call.onTimer(now + milliseconds(20));
+    AttemptEnd lost = endWith(Outcome::Unknown, Reason::LinkLost, 0);
+    lost.hasReachedUpstream = true;
+    CHECK(call.onEnd(now + milliseconds(25), AttemptIndex(0), lost).empty());
+}
+
 // The hedge's upstream fails while the first attempt is still at work. The caller gets the whole
 // answer of the first one, not the error.
 TEST(EntryCall, ErrorDoesNotWinOverAnOpenAttempt)
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -1,6 +1,7 @@
 #include "coordination/retries/internal/retrypolicy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ivyspar {
 
@@ -140,18 +141,20 @@
     if (service.latencies.count() < m_options.hedgeSamples) {
         return Duration(0);
     }
-    return std::max(m_options.shortestHedgeDelay,
-                    service.latencies.quantile(m_options.hedgeQuantile));
+    const Duration usual = service.latencies.quantile(m_options.hedgeQuantile);
+    const auto delay = m_options.hedgeFactor * static_cast<double>(usual.count());
+    return std::max(m_options.shortestHedgeDelay, Duration(std::llround(delay)));
 }
 
 bool RetryPolicy::takeHedge(TimePoint /*now*/, const ServiceName &service)
 {
     Service &known = serviceOf(service);
     // Under overload all calls are late: hedges would add load and help none.
-    if (known.refusedShare > m_options.hedgeRefusals || known.hedges < 1) {
+    double &saved = m_options.areHedgesRetries ? known.retries : known.hedges;
+    if (known.refusedShare > m_options.hedgeRefusals || saved < 1) {
         return false;
     }
-    known.hedges -= 1;
+    saved -= 1;
     return true;
 }
 
--- a/src/coordination/retries/retrypolicyfactory.h
+++ b/src/coordination/retries/retrypolicyfactory.h
@@ -40,6 +40,11 @@
     double hedgeShare = 0.05;
     double mostHedges = 5;
     double hedgeQuantile = 0.95;
+    /// A hedge is sent after this multiple of the quantile. Well above 1 it answers silence alone:
+    /// a lost answer, a frozen peer, a connection that was cut without notice.
+    double hedgeFactor = 1;
+    /// Hedges take from the retries that are saved up: a shared budget counts them all as repeats.
+    bool areHedgesRetries = false;
     /// Latencies needed before the quantile is believed.
     std::uint32_t hedgeSamples = 50;
     Duration shortestHedgeDelay = std::chrono::milliseconds(1);
--- a/src/coordination/retries/tests/retrypolicytest.cpp
+++ b/src/coordination/retries/tests/retrypolicytest.cpp
@@ -187,6 +187,38 @@
     CHECK(policy->hedgeDelay(now, rule) == Duration(0));
 }
 
+// Answers of a service are lost without a sign. Its hedges and its retries are all repeats for the
+// servers: where the budget is shared, they must not be saved up twice.
+TEST(RetryPolicy, HedgesOfASharedBudgetTakeFromTheRetries)
+{
+    RetryOptions options;
+    options.areHedgesRetries = true;
+    options.initialRetries = 0;
+    const auto policy = makeRetryPolicy(options);
+    // Ten tenths add up to a little less than one.
+    for (int i = 0; i < 11; ++i) {
+        policy->onSuccess(now, SERVICE, 20ms);
+    }
+    CHECK(policy->takeHedge(now, SERVICE));
+    CHECK_FALSE(policy->takeHedge(now, SERVICE));
+    CHECK_FALSE(policy->shouldRetry(
+        now, question(Outcome::Unknown, Reason::LinkLost, Repetition::Idempotent)));
+}
+
+TEST(RetryPolicy, HedgeForSilenceWaitsForAMultipleOfTheUsualTime)
+{
+    RetryOptions options;
+    options.hedgeFactor = 2;
+    const auto policy = makeRetryPolicy(options);
+    const auto plain = makeRetryPolicy({});
+    for (int i = 0; i < 1000; ++i) {
+        policy->onSuccess(now, SERVICE, 20ms);
+        plain->onSuccess(now, SERVICE, 20ms);
+    }
+    const RuleSpec rule = lookupRule();
+    CHECK(policy->hedgeDelay(now, rule) == 2 * plain->hedgeDelay(now, rule));
+}
+
 TEST(RetryPolicy, NoHedgesWhileCallsAreRefused)
 {
     const auto policy = makeRetryPolicy({});
