--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -191,6 +191,7 @@
     if (!m_admission->admit(now, target)) {
         return false;
     }
+    incoming.isLetIn = true;
     incoming.letIn = m_admission->letIn(now, target);
     return true;
 }
@@ -223,6 +224,20 @@
     }
 }
 
+void EntryService::tellEnd(const Run &run)
+{
+    if (!run.incoming.isLetIn) {
+        return;
+    }
+    const bool isWhole =
+        run.verdict.outcome == Outcome::Answered && run.response.status < FIRST_SERVER_ERROR;
+    const bool isAbandoned = run.verdict.reason == Reason::Cancelled;
+    m_admission->onFinish(targetOf(run.incoming),
+                          isWhole           ? RootEnd::Whole
+                              : isAbandoned ? RootEnd::Abandoned
+                                            : RootEnd::Failed);
+}
+
 Rank EntryService::rankOf(const Incoming &incoming) const
 {
     const bool isCommitted = m_options.hasRootAdmission && incoming.depth > Depth(0);
@@ -254,6 +269,7 @@
         m_gates.noteInnerAnswer(run->incoming.rule.name);
     }
     run->verdict = verdict.value_or(Verdict{ Outcome::Unknown, Reason::Timeout, Duration::zero() });
+    tellEnd(*run);
     recordEnd(*run);
     return compose(*run);
 }
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -74,6 +74,8 @@
         DemandShare letIn = WHOLE_DEMAND;
         std::optional<OnceTerms> once;
         bool isSingleAttempt = false;
+        /// Root admission let it in and waits for its end.
+        bool isLetIn = false;
         std::uint32_t callerAttempt = 1;
     };
     struct Run;
@@ -90,6 +92,8 @@
     static RootTarget targetOf(const Incoming &incoming);
     Verdict refusalOf(const Incoming &incoming);
     void bookUsage(const Run &run, const AttemptAnswer &answer);
+    /// Tells root admission that a request which it let in is over.
+    void tellEnd(const Run &run);
     Rank rankOf(const Incoming &incoming) const;
     HttpResponse runRequest(IHttpExchange &exchange, Incoming incoming);
     void perform(const RunPtr &run, const EntryActions &actions);
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -24,16 +24,32 @@
 {
 }
 
-bool RootAdmission::admit(TimePoint now, const RootTarget &target)
+RootAdmission::Profile &RootAdmission::profileOf(const RootTarget &target)
 {
-    const auto found = m_profiles.find(ProfileKey(target.rule, target.service));
-    if (found == m_profiles.end()) {
-        // Nothing is known of its tree: it is let in to be learnt from.
-        return true;
+    const auto [profile, isNew] = m_profiles.try_emplace(ProfileKey(target.rule, target.service));
+    if (isNew) {
+        profile->second.window = m_options.firstWindow;
     }
-    Profile &profile = found->second;
+    return profile->second;
+}
+
+bool RootAdmission::admit(TimePoint now, const RootTarget &target)
+{
+    Profile &profile = profileOf(target);
     profile.arrivals.add(now, 1, m_options.demandMemory);
     profile.recent.add(now, 1, m_options.recentMemory);
+    profile.share = shareOf(now, target, profile);
+    const bool isIn = isKnown(profile) ? take(now, profile, profile.share)
+                                       : profile.underWay + 1 <= profile.window;
+    if (isIn) {
+        ++profile.underWay;
+        profile.admitted.add(now, 1, m_options.recentMemory);
+    }
+    return isIn;
+}
+
+double RootAdmission::shareOf(TimePoint now, const RootTarget &target, const Profile &profile)
+{
     double share = AMPLE;
     for (const auto &[name, cost] : profile.costs) {
         if (cost.reached < m_options.leastReached) {
@@ -43,8 +59,23 @@
         service.demand[target.priority].add(now, cost.busy, m_options.demandMemory);
         share = std::min(share, fitting(now, service, target.priority));
     }
-    profile.share = share;
-    return take(now, profile, share);
+    return share;
+}
+
+void RootAdmission::onFinish(const RootTarget &target, RootEnd end)
+{
+    const auto found = m_profiles.find(ProfileKey(target.rule, target.service));
+    if (found == m_profiles.end()) {
+        return;
+    }
+    Profile &profile = found->second;
+    profile.underWay -= profile.underWay > 0 ? 1 : 0;
+    if (end == RootEnd::Whole) {
+        profile.window += 1;
+    }
+    if (end == RootEnd::Failed) {
+        profile.window = std::max(profile.window / 2, m_options.leastWindow);
+    }
 }
 
 /// The share is taken of the usual arrivals and not of those of this moment. A service that is full
@@ -71,9 +102,11 @@
         return WHOLE_DEMAND;
     }
     const Profile &profile = found->second;
-    const double usual = profile.arrivals.rate(now, m_options.demandMemory);
     const double recent = profile.recent.rate(now, m_options.recentMemory);
-    const double share = recent > 0 ? std::min(profile.share * usual / recent, 1.0) : 1;
+    const double fitting = isKnown(profile)
+        ? profile.share * profile.arrivals.rate(now, m_options.demandMemory)
+        : profile.admitted.rate(now, m_options.recentMemory);
+    const double share = recent > 0 ? std::min(fitting / recent, 1.0) : 1;
     const auto told = std::lround(share * static_cast<double>(WHOLE_DEMAND.value()));
     return DemandShare(static_cast<std::uint32_t>(std::max(told, LEAST_TOLD)));
 }
@@ -85,7 +118,7 @@
         learnLoad(now, each);
     }
     if (isWhole) {
-        learnCosts(m_profiles[ProfileKey(target.rule, target.service)], usage);
+        learnCosts(profileOf(target), usage);
     }
 }
 
@@ -110,8 +143,13 @@
     Service &service = m_services[usage.service];
     const double told =
         static_cast<double>(usage.load.value()) / static_cast<double>(FULL_LOAD.value());
+    if (now - service.toldAt > m_options.loadHold + m_options.loadDecay) {
+        service.reports = 0;
+    }
+    ++service.reports;
     const double known = loadOf(now, service);
-    service.load = known + m_options.loadWeight * (told - known);
+    const double weight = std::max(m_options.loadWeight, 1.0 / service.reports);
+    service.load = known + weight * (told - known);
     service.toldAt = now;
 }
 
--- a/src/coordination/admission/internal/rootadmission.h
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -18,6 +18,7 @@
     DemandShare letIn(TimePoint now, const RootTarget &target) const override;
     void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
                bool isWhole) override;
+    void onFinish(const RootTarget &target, RootEnd end) override;
     void reset() override { m_profiles.clear(); }
 
 private:
@@ -27,6 +28,7 @@
         std::map<Priority, DemandRate> demand;
         /// The whole demand over what the service can take.
         double load = 0;
+        std::uint32_t reports = 0;
         TimePoint toldAt;
     };
     /// What a request of a rule costs a service.
@@ -48,9 +50,17 @@
         /// Requests that may be let in at once.
         double saved = 0;
         TimePoint savedAt;
+        /// While the rule is not known yet: requests that may be under way, and those let in.
+        double window = 0;
+        DemandRate admitted;
+        std::uint32_t underWay = 0;
     };
     using ProfileKey = std::pair<RuleName, ServiceName>;
 
+    Profile &profileOf(const RootTarget &target);
+    bool isKnown(const Profile &profile) const { return profile.samples >= m_options.knownAfter; }
+    /// Of the usual arrivals, the share that the services of the rule's tree can take.
+    double shareOf(TimePoint now, const RootTarget &target, const Profile &profile);
     double loadOf(TimePoint now, const Service &service) const;
     /// Of the usual demand of this priority, the share that fits; above 1 with room for more.
     double fitting(TimePoint now, const Service &service, Priority priority) const;
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -16,6 +16,13 @@
     Priority priority;
 };
 
+/// How a request that was let in ended.
+enum class RootEnd {
+    Whole, ///< Answered, with all its calls.
+    Failed,
+    Abandoned, ///< Its caller left, which tells nothing.
+};
+
 /// Decides at the entry whether a caller's request is let in, by what its whole call tree costs
 /// each service and by what these services can take. Plain object.
 ///
@@ -34,6 +41,8 @@
     /// An attempt of a request ended; `isWhole` when all its calls were made.
     virtual void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
                        bool isWhole) = 0;
+    /// A request that was let in is over. To be called once for each.
+    virtual void onFinish(const RootTarget &target, RootEnd end) = 0;
     /// Forgets rules that are not seen any more.
     virtual void reset() = 0;
 };
@@ -57,6 +66,13 @@
     /// A service that a smaller share of a rule's requests reaches does not hold the others up: a
     /// call may have been booked to the wrong request.
     double leastReached = 0.25;
+    /// A rule is known after this many whole answers. Until then only a few of its requests are let
+    /// in at a time, more with each whole answer and half with each failure: entries that start
+    /// together, after a power failure, would otherwise let in all that comes, no tree would
+    /// be whole, and nothing would be learnt from them.
+    std::uint32_t knownAfter = 8;
+    double firstWindow = 2;
+    double leastWindow = 1;
     /// Weight of one report in the load of a service: its servers report in turn.
     double loadWeight = 0.1;
 };
--- a/src/coordination/admission/tests/rootadmissiontest.cpp
+++ b/src/coordination/admission/tests/rootadmissiontest.cpp
@@ -41,6 +41,7 @@
                 let[i] += isIn && isCounted ? 1 : 0;
                 if (isIn) {
                     m_admission->onEnd(m_now, *targets[i], makeUsage(narrowLoad), true);
+                    m_admission->onFinish(*targets[i], RootEnd::Whole);
                 }
             }
         }
@@ -102,6 +103,51 @@
     CHECK(m_admission->admit(m_now, BROWSING));
 }
 
+// 1. All hosts lose power. When they are back, no entry knows what a tree costs, and the servers
+// are
+//    still slow.
+// 2. Let in at once, the requests of all entries overrun the narrow service: no tree is whole, so
+//    nothing is learnt, and each new request meets the same.
+// 3. A few at a time are whole, and the rest hears at once when to come back.
+TEST(RootAdmission, AnUnknownRuleIsLetInAFewAtATime)
+{
+    int letIn = 0;
+    for (int i = 0; i < 100; ++i) {
+        letIn += m_admission->admit(m_now, BROWSING) ? 1 : 0;
+    }
+    CHECK_EQUAL(2, letIn);
+    CHECK(m_admission->letIn(m_now, BROWSING) < DemandShare(100));
+    m_admission->onFinish(BROWSING, RootEnd::Whole);
+    CHECK(m_admission->admit(m_now, BROWSING));
+    CHECK(m_admission->admit(m_now, BROWSING));
+    CHECK_FALSE(m_admission->admit(m_now, BROWSING));
+}
+
+// A rule whose trees all fail is tried by one request at a time: never by none, or it would be
+// locked out for good.
+TEST(RootAdmission, AnUnknownRuleThatFailsIsStillTried)
+{
+    for (int i = 0; i < 50; ++i) {
+        CHECK(m_admission->admit(m_now, BROWSING));
+        CHECK_EQUAL(i < 1, m_admission->admit(m_now, BROWSING));
+        m_admission->onFinish(BROWSING, RootEnd::Failed);
+        if (i < 1) {
+            m_admission->onFinish(BROWSING, RootEnd::Failed);
+        }
+    }
+}
+
+// Callers who leave say nothing of the services: their leaving must not close the window.
+TEST(RootAdmission, CallersThatLeaveDoNotNarrowAnUnknownRule)
+{
+    for (int i = 0; i < 50; ++i) {
+        CHECK(m_admission->admit(m_now, BROWSING));
+        CHECK(m_admission->admit(m_now, BROWSING));
+        m_admission->onFinish(BROWSING, RootEnd::Abandoned);
+        m_admission->onFinish(BROWSING, RootEnd::Abandoned);
+    }
+}
+
 TEST_GROUP(DemandEstimate)
 {
     TimePoint m_now{ std::chrono::seconds(10) };
