Peer links to other failure domains are compressed

Header names and ids repeat in each frame, so all frames of a link go through one deflate stream (zlib); links within a domain stay plain, as time matters more there. Ruled out: websocketpp's own extension (it offers no context takeover for clients and has no bound on what a frame unpacks to).

--- a/src/app/internal/entry/peercalls.cpp
+++ b/src/app/internal/entry/peercalls.cpp
@@ -26,6 +26,19 @@
     m_endpoints.clear();
     for (const Member &member : members) {
         m_endpoints.emplace(member.id, member.peerEndpoint);
+        const auto route = m_routes.find(member.peerEndpoint);
+        if (route != m_routes.end() && route->second.isOpen) {
+            compressIfFar(route->second.link, member.domain);
+        }
+    }
+    m_members = members;
+}
+
+/// Bytes between failure domains are dear, while in the own one the time matters more.
+void PeerCalls::compressIfFar(LinkId link, const DomainName &domain)
+{
+    if (domain != m_self.domain) {
+        m_network.compress(link);
     }
 }
 
@@ -105,6 +118,11 @@
     Route &route = m_routes[endpoint];
     route.link = link;
     route.isOpen = true;
+    for (const Member &member : m_members) {
+        if (member.peerEndpoint == endpoint) {
+            compressIfFar(link, member.domain);
+        }
+    }
     auto waiting = std::exchange(route.waiting, {});
     for (auto &[stream, frame] : waiting) {
         transmit(stream, link, std::move(frame));
@@ -264,7 +282,10 @@
     end(stream, std::move(answer));
 }
 
-void PeerCalls::receive(LinkId /*link*/, HelloMessage & /*message*/) { }
+void PeerCalls::receive(LinkId link, HelloMessage &message)
+{
+    compressIfFar(link, message.domain);
+}
 
 void PeerCalls::receive(LinkId link, CallMessage &message)
 {
--- a/src/app/internal/entry/peercalls.h
+++ b/src/app/internal/entry/peercalls.h
@@ -79,6 +79,7 @@
     };
     using InboundKey = std::pair<LinkId, StreamId>;
 
+    void compressIfFar(LinkId link, const DomainName &domain);
     void sendLocal(StreamId stream, CallMessage call);
     void sendRemote(StreamId stream, const Endpoint &endpoint, std::string frame);
     void openRoute(const Endpoint &endpoint);
@@ -107,6 +108,7 @@
     DaemonIdentity m_self;
     OnControl m_onControl;
     OnUnreachable m_onUnreachable;
+    std::vector<Member> m_members;
     std::unordered_map<DaemonId, Endpoint> m_endpoints;
     std::map<Endpoint, Route> m_routes;
     std::unordered_map<StreamId, Attempt> m_attempts;
--- a/src/app/tests/peercallstest.cpp
+++ b/src/app/tests/peercallstest.cpp
@@ -80,6 +80,47 @@
     }
 };
 
+// Bytes between failure domains are dear; within the own one the time that compression takes is.
+TEST(PeerCalls, OnlyLinksToOtherDomainsAreCompressed)
+{
+    const Endpoint neighbour{ "127.0.0.1", 10 };
+    Member near;
+    near.id = DaemonId("near");
+    near.domain = DomainName("a");
+    near.peerEndpoint = neighbour;
+    Member far;
+    far.id = PEER;
+    far.domain = DomainName("b");
+    far.peerEndpoint = PEER_ENDPOINT;
+    calls->setMembers({ near, far });
+    send(near.id, "1");
+    send(PEER, "2");
+    CHECK_EQUAL(0, network.compressed.count(network.links.at(neighbour)));
+    CHECK_EQUAL(1, network.compressed.count(link()));
+}
+
+// A link to a daemon of which nothing but the endpoint was known is compressed once it is known to
+// lead to another failure domain; one that such a daemon opens, when it says who it is.
+TEST(PeerCalls, LinksAreCompressedWhenTheOtherEndIsKnownToBeFar)
+{
+    calls->setMembers({});
+    calls->sendControl(DaemonId(), PEER_ENDPOINT, "who are you");
+    CHECK_EQUAL(0, network.compressed.count(link()));
+    Member far;
+    far.id = PEER;
+    far.domain = DomainName("b");
+    far.peerEndpoint = PEER_ENDPOINT;
+    calls->setMembers({ far });
+    CHECK_EQUAL(1, network.compressed.count(link()));
+
+    HelloMessage hello;
+    hello.daemon = PEER;
+    hello.domain = DomainName("b");
+    const LinkId incoming = network.addIncoming();
+    network.receive(incoming, codec.encode(PeerMessage(hello)));
+    CHECK_EQUAL(1, network.compressed.count(incoming));
+}
+
 // Two calls go out on one link and their answers come in the other order, then once more. Each
 // caller gets its own answer, once.
 TEST(PeerCalls, AnswersFindTheirCallsInAnyOrder)
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -37,6 +37,11 @@
     return m_core->send(link, frame);
 }
 
+void PeerNetwork::compress(LinkId link)
+{
+    m_core->compress(link);
+}
+
 void PeerNetwork::close(LinkId link)
 {
     m_core->close(link);
--- a/src/transport/internal/peernetworkcore.cpp
+++ b/src/transport/internal/peernetworkcore.cpp
@@ -12,7 +12,12 @@
 
 using boost::asio::ip::tcp;
 
-constexpr const char *RESOURCE = "/peer";
+constexpr const char *RESOURCE = "/peer/2";
+/// First byte of each message.
+constexpr char PLAIN = '\0';
+constexpr char COMPRESSED = '\1';
+/// The first byte, and what compression adds to bytes that cannot be made smaller.
+constexpr std::size_t MESSAGE_OVERHEAD = 4096;
 constexpr Duration ACCEPT_RETRY_DELAY = std::chrono::milliseconds(50);
 
 long toMilliseconds(Duration duration)
@@ -61,7 +66,7 @@
 template <typename WebSocketEndpoint> void PeerNetworkCore::applyLimits(WebSocketEndpoint &endpoint)
 {
     endpoint.set_open_handshake_timeout(toMilliseconds(m_limits.connectTimeout));
-    endpoint.set_max_message_size(m_limits.frameBytes);
+    endpoint.set_max_message_size(m_limits.frameBytes + MESSAGE_OVERHEAD);
 }
 
 PeerNetworkCore::ConnectionPtr PeerNetworkCore::fromHdl(const Hdl &hdl)
@@ -245,8 +250,45 @@
     connection->lastReceived = m_loop.now();
     connection->lastFrame = connection->lastReceived;
     connection->isPinged = false;
+    auto frame = unpack(connection, message->get_payload());
+    if (!frame) {
+        connection->terminate(make_error_code(websocketpp::error::general));
+        return;
+    }
     if (m_handler != nullptr) {
-        m_handler->onFrame(connection->id, std::move(message->get_raw_payload()));
+        m_handler->onFrame(connection->id, std::move(*frame));
+    }
+}
+
+RetVal<std::string> PeerNetworkCore::unpack(const ConnectionPtr &connection,
+                                            const std::string &message) const
+{
+    if (message.empty() || (message.front() != PLAIN && message.front() != COMPRESSED)) {
+        return makeError(ErrorCode::InvalidArgument, "the message does not say how to read it");
+    }
+    std::string frame = message.substr(1);
+    if (frame.size() > m_limits.frameBytes) {
+        return makeError(ErrorCode::InvalidArgument, "the frame is too large");
+    }
+    if (message.front() == PLAIN) {
+        return frame;
+    }
+    if (!connection->inflater) {
+        connection->inflater = std::make_unique<FrameInflater>();
+    }
+    return connection->inflater->inflate(frame, m_limits.frameBytes);
+}
+
+std::string PeerNetworkCore::pack(const ConnectionPtr &connection, const std::string &frame)
+{
+    return connection->deflater ? COMPRESSED + connection->deflater->deflate(frame) : PLAIN + frame;
+}
+
+void PeerNetworkCore::compress(LinkId link)
+{
+    const ConnectionPtr connection = findOpen(link);
+    if (connection && !connection->deflater) {
+        connection->deflater = std::make_unique<FrameDeflater>();
     }
 }
 
@@ -323,8 +365,9 @@
     if (connection->get_buffered_amount() + frame.size() > m_limits.sendBufferBytes) {
         return makeError(ErrorCode::Throttled, "too much waits to be sent on the link");
     }
+    const std::string message = pack(connection, frame);
     const auto error =
-        connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+        connection->send(message.data(), message.size(), websocketpp::frame::opcode::binary);
     if (error) {
         return makeError(ErrorCode::Unavailable, "the link is closing: " + error.message());
     }
--- a/src/transport/internal/peernetworkcore.h
+++ b/src/transport/internal/peernetworkcore.h
@@ -34,6 +34,7 @@
     RetVal<Endpoint> listen(const Endpoint &endpoint, const PeerLimits &limits);
     RetVal<LinkId> connect(const Endpoint &endpoint);
     Ret send(LinkId link, const std::string &frame);
+    void compress(LinkId link);
     void close(LinkId link) { close(link, CLOSE_TIMEOUT); }
     std::size_t linkCount() const { return m_establishedCount; }
     void shutdown(Duration timeout);
@@ -65,6 +66,8 @@
     bool onValidate(const Hdl &hdl);
     void onOpen(const Hdl &hdl);
     void onMessage(const Hdl &hdl, const Connection::message_ptr &message);
+    RetVal<std::string> unpack(const ConnectionPtr &connection, const std::string &message) const;
+    static std::string pack(const ConnectionPtr &connection, const std::string &frame);
     bool onPing(const Hdl &hdl);
     void onPong(const Hdl &hdl);
     void onTerminated(const ConnectionPtr &connection);
--- a/src/transport/internal/websocketconfig.h
+++ b/src/transport/internal/websocketconfig.h
@@ -3,6 +3,7 @@
 // Compiles slowly: for the implementation of the peer network only.
 
 #include <cstddef>
+#include <memory>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
@@ -14,6 +15,7 @@
 #include "state/endpoint.h"
 #include "state/ids.h"
 #include "state/time.h"
+#include "transport/internal/framecompression.h"
 
 namespace ivyspar {
 
@@ -35,6 +37,10 @@
     bool isOutgoing = false;
     bool isEstablished = false;
     bool isPinged = false;
+    /// Set while the frames to the other side are compressed.
+    std::unique_ptr<FrameDeflater> deflater;
+    /// Set from the first compressed frame of the other side on.
+    std::unique_ptr<FrameInflater> inflater;
 };
 
 /// One thread, no logging, small buffers. The base class has no extension; websocketpp 0.8.2 fails
--- a/src/transport/tests/mocks/mockpeernetwork.h
+++ b/src/transport/tests/mocks/mockpeernetwork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,7 @@
     /// `send` refuses while set.
     bool isCongested = false;
     std::vector<Sent> sent;
+    std::set<LinkId> compressed;
     std::map<Endpoint, LinkId> links;
     IPeerHandler *handler = nullptr;
 
@@ -108,6 +110,7 @@
         return {};
     }
 
+    void compress(LinkId link) override { compressed.insert(link); }
     void close(LinkId link) override { lose(link); }
     std::size_t linkCount() const override { return links.size() + m_incoming.size(); }
 
--- a/src/transport/tests/peernetworktest.cpp
+++ b/src/transport/tests/peernetworktest.cpp
@@ -110,12 +110,15 @@
 RawSocket openRawLink(const Endpoint &endpoint)
 {
     RawSocket socket = RawSocket::connectTo(endpoint);
-    socket.send("GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    socket.send("GET /peer/2 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
                 "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n");
     socket.readUntil("\r\n\r\n");
     return socket;
 }
 
+/// First byte of a message that is not compressed.
+const std::string PLAIN(1, '\0');
+
 /// A masked frame with an all-zero mask.
 std::string makeRawFrame(char opcode, const std::string &payload)
 {
@@ -151,6 +154,32 @@
     STRCMP_EQUAL("answer", answers.front().second.c_str());
 }
 
+// Compression starts in the middle of a link, on one side only. The other side reads the plain
+// frames before it and the compressed ones after it.
+TEST(PeerNetwork, CarriesPlainAndCompressedFramesInOrder)
+{
+    constexpr int COUNT = 200;
+    Node a;
+    Node b;
+    const LinkId link = a.linkTo(b.endpoint);
+    const auto makeFrame = [](int i) { return std::to_string(i) + std::string(i * 7, 'x'); };
+    a.runner.run([&] {
+        for (int i = 0; i < COUNT; ++i) {
+            if (i == COUNT / 2) {
+                a.network->compress(link);
+            }
+            a.network->send(link, makeFrame(i));
+        }
+    });
+    const auto received = b.handler.waitForFrames(COUNT);
+    CHECK_EQUAL(COUNT, received.size());
+    for (int i = 0; i < COUNT; ++i) {
+        CHECK(received[i].second == makeFrame(i));
+    }
+    CHECK(b.send(received.front().first, "answer").has_value());
+    STRCMP_EQUAL("answer", a.handler.waitForFrames(1).front().second.c_str());
+}
+
 TEST(PeerNetwork, ConcurrentConnectsShareOneLink)
 {
     Node a;
@@ -313,7 +342,7 @@
     limits.sendBufferBytes = 1024 * 1024;
     Node b(limits);
     RawSocket peer = openRawLink(b.endpoint);
-    peer.send(makeRawFrame(2, "hello"));
+    peer.send(makeRawFrame(2, PLAIN + "hello"));
     const LinkId link = b.handler.waitForFrames(1).front().first;
     bool isThrottled = false;
     b.runner.run([&] {
@@ -352,7 +381,7 @@
         CHECK(peer.readUntil(ping) == ping);
         peer.send(makeRawFrame(10, ""));
     }
-    peer.send(makeRawFrame(2, "alive"));
+    peer.send(makeRawFrame(2, PLAIN + "alive"));
     STRCMP_EQUAL("alive", b.handler.waitForFrames(1).front().second.c_str());
 }
 
