--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -43,6 +43,7 @@
                  EntryOptions options);
 
     void setConfiguration(ConfigurationPtr configuration);
+    void setMembers(const std::vector<Member> &members) { m_admission->setMembers(members); }
     /// Whose server runs on this host, and so where requests that arrive here come from.
     void setHostService(ServiceName service) { m_origin.hostService = std::move(service); }
     /// Refuses new requests of callers from now on; calls of upstreams for running requests go on.
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -21,16 +21,34 @@
 
 RootAdmission::RootAdmission(const RootAdmissionOptions &options)
     : m_options(options)
+    , m_firstWindow(options.firstWindow)
 {
 }
 
-RootAdmission::Profile &RootAdmission::profileOf(const RootTarget &target)
+void RootAdmission::setMembers(const std::vector<Member> &members)
 {
-    const auto [profile, isNew] = m_profiles.try_emplace(ProfileKey(target.rule, target.service));
-    if (isNew) {
-        profile->second.window = m_options.firstWindow;
+    std::unordered_map<ServiceName, double> slots;
+    for (const Member &member : members) {
+        for (const UpstreamInfo &upstream : member.upstreams) {
+            slots[upstream.service] += upstream.slots;
+        }
+    }
+    double narrowest = 0;
+    for (const auto &[name, count] : slots) {
+        narrowest = narrowest == 0 ? count : std::min(narrowest, count);
     }
-    return profile->second;
+    const auto daemons = static_cast<double>(std::max(members.size(), m_options.leastDaemons));
+    m_firstWindow = std::max(narrowest / daemons, m_options.firstWindow);
+}
+
+double RootAdmission::windowOf(const Profile &profile) const
+{
+    return profile.window.value_or(m_firstWindow);
+}
+
+RootAdmission::Profile &RootAdmission::profileOf(const RootTarget &target)
+{
+    return m_profiles[ProfileKey(target.rule, target.service)];
 }
 
 bool RootAdmission::admit(TimePoint now, const RootTarget &target)
@@ -40,7 +58,7 @@
     profile.recent.add(now, 1, m_options.recentMemory);
     profile.share = shareOf(now, target, profile);
     const bool isIn = isKnown(profile) ? take(now, profile, profile.share)
-                                       : profile.underWay + 1 <= profile.window;
+                                       : profile.underWay + 1 <= windowOf(profile);
     if (isIn) {
         ++profile.underWay;
         profile.admitted.add(now, 1, m_options.recentMemory);
@@ -71,10 +89,10 @@
     Profile &profile = found->second;
     profile.underWay -= profile.underWay > 0 ? 1 : 0;
     if (end == RootEnd::Whole) {
-        profile.window += 1;
+        profile.window = windowOf(profile) + 1;
     }
     if (end == RootEnd::Failed) {
-        profile.window = std::max(profile.window / 2, m_options.leastWindow);
+        profile.window = std::max(windowOf(profile) / 2, m_options.leastWindow);
     }
 }
 
--- a/src/coordination/admission/internal/rootadmission.h
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -14,6 +15,7 @@
 public:
     explicit RootAdmission(const RootAdmissionOptions &options);
 
+    void setMembers(const std::vector<Member> &members) override;
     bool admit(TimePoint now, const RootTarget &target) override;
     DemandShare letIn(TimePoint now, const RootTarget &target) const override;
     void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
@@ -50,8 +52,9 @@
         /// Requests that may be let in at once.
         double saved = 0;
         TimePoint savedAt;
-        /// While the rule is not known yet: requests that may be under way, and those let in.
-        double window = 0;
+        /// While the rule is not known yet: requests that may be under way, once one has ended, and
+        /// those let in.
+        std::optional<double> window;
         DemandRate admitted;
         std::uint32_t underWay = 0;
     };
@@ -70,7 +73,10 @@
     void learnCosts(Profile &profile, const TreeUsage &usage) const;
     void learnLoad(TimePoint now, const ServiceUsage &usage);
 
+    double windowOf(const Profile &profile) const;
+
     RootAdmissionOptions m_options;
+    double m_firstWindow;
     std::map<ProfileKey, Profile> m_profiles;
     std::unordered_map<ServiceName, Service> m_services;
 };
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <memory>
+#include <vector>
 
 #include "state/ids.h"
+#include "state/member.h"
 #include "state/time.h"
 #include "state/usage.h"
 
@@ -33,6 +35,8 @@
 public:
     virtual ~IRootAdmission() = default;
 
+    /// Which daemons work, and with which servers.
+    virtual void setMembers(const std::vector<Member> &members) = 0;
     /// A request arrived. False: it is to be refused before anything is spent.
     virtual bool admit(TimePoint now, const RootTarget &target) = 0;
     /// Which share of such requests is let in here now. Goes with the request, so that the services
@@ -71,8 +75,12 @@
     /// together, after a power failure, would otherwise let in all that comes, no tree would
     /// be whole, and nothing would be learnt from them.
     std::uint32_t knownAfter = 8;
+    /// The first window is this entry's part of the slots of the narrowest service, to which the
+    /// rule may lead, and at least this.
     double firstWindow = 2;
     double leastWindow = 1;
+    /// An entry that knows of fewer daemons takes no larger part: it may just not know the others.
+    std::size_t leastDaemons = 16;
     /// Weight of one report in the load of a service: its servers report in turn.
     double loadWeight = 0.1;
 };
--- a/src/coordination/admission/tests/rootadmissiontest.cpp
+++ b/src/coordination/admission/tests/rootadmissiontest.cpp
@@ -123,6 +123,36 @@
     CHECK_FALSE(m_admission->admit(m_now, BROWSING));
 }
 
+// 20 daemons share a wide and a narrow service. Of a rule that is not known yet, each lets in its
+// part of the narrow one: it may lead there.
+TEST(RootAdmission, TheFirstWindowIsThePartOfTheNarrowestService)
+{
+    std::vector<Member> members(20);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        members[i].upstreams = { UpstreamInfo{ i < 4 ? NARROW : WIDE, 25, 100, false } };
+    }
+    m_admission->setMembers(members);
+    int letIn = 0;
+    for (int i = 0; i < 100; ++i) {
+        letIn += m_admission->admit(m_now, BROWSING) ? 1 : 0;
+    }
+    CHECK_EQUAL(5, letIn);
+}
+
+// A daemon that has just started knows of itself alone. It must not take all slots of its server
+// for its own part: the others, which it does not know yet, do the same.
+TEST(RootAdmission, ADaemonThatKnowsNoOthersTakesNoLargerPart)
+{
+    std::vector<Member> members(1);
+    members[0].upstreams = { UpstreamInfo{ WIDE, 160, 1000, false } };
+    m_admission->setMembers(members);
+    int letIn = 0;
+    for (int i = 0; i < 100; ++i) {
+        letIn += m_admission->admit(m_now, BROWSING) ? 1 : 0;
+    }
+    CHECK_EQUAL(10, letIn);
+}
+
 // A rule whose trees all fail is tried by one request at a time: never by none, or it would be
 // locked out for good.
 TEST(RootAdmission, AnUnknownRuleThatFailsIsStillTried)
