--- a/src/app/daemonlogs.h
+++ b/src/app/daemonlogs.h
@@ -11,9 +11,15 @@
 
 namespace ivyspar {
 
+/// As the target of the decision log.
+constexpr char STANDARD_OUTPUT[] = "-";
+
 struct LogSettings
 {
-    /// Lines for people below this level are left out; they go to standard error.
+    /// Named in each line of the decision log.
+    DaemonId daemon;
+    /// Lines for people below this level are left out. They go to standard error, or, as JSON, to
+    /// standard output where the decision log goes there.
     LogLevel level = LogLevel::Info;
     /// A file to append to, `-` for standard output, or empty for none.
     std::string decisionLog;
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -172,6 +172,7 @@
     }
     Decision decision;
     decision.kind = kind;
+    decision.importance = Importance::Essential;
     decision.choice = std::to_string(choice);
     decision.reason = reason;
     m_observers.decisions.write(std::move(decision));
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -73,11 +73,11 @@
         stopThreads();
         return EXIT_STOPPED;
     }
-    m_observers.log.info("started");
+    tell("started", "");
     waitForStop();
-    m_observers.log.info("stopping");
+    tell("stopping", "");
     const bool isDrained = drain();
-    m_observers.log.info(isDrained ? "drained" : "calls were still running when the time was over");
+    tell(isDrained ? "drained" : "calls were still running when the time was over", "");
     stopThreads();
     return isDrained && !m_isDuplicate ? 0 : EXIT_STOPPED;
 }
@@ -97,21 +97,36 @@
     }
 }
 
+/// One line for people and one for the decision log.
+void Daemon::tell(const char *outcome, const std::string &detail)
+{
+    m_observers.log.info(detail.empty() ? outcome : std::string(outcome) + ": " + detail);
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Lifecycle;
+    decision.importance = Importance::Essential;
+    decision.outcome = outcome;
+    decision.detail = detail;
+    m_observers.decisions.write(std::move(decision));
+}
+
 /// Only what may change while the daemon runs is taken over. Settings that cannot be read leave
 /// all as it was: a file may be found half written.
 void Daemon::reload()
 {
     const auto read = m_platform.reread();
     if (!read) {
-        m_observers.log.info("reload: these settings do not change while the daemon runs");
+        tell("reload", "these settings do not change while the daemon runs");
         return;
     }
     if (!read->errors.empty()) {
-        m_observers.log.error("reload: the settings are not used: " + read->errors.front());
+        tell("reload", "the settings are not used: " + read->errors.front());
         return;
     }
     m_settings.hostService = read->settings.hostService;
-    m_observers.log.info("reload: the service of this host is " + m_settings.hostService.value());
+    tell("reload", "the service of this host is " + m_settings.hostService.value());
     onTraffic([service = m_settings.hostService](TrafficNode &traffic) {
         traffic.setHostService(service);
     });
@@ -291,6 +306,7 @@
 {
     const auto metrics = makeMetrics();
     LogSettings logSettings;
+    logSettings.daemon = settings.id;
     logSettings.level = settings.logLevel;
     logSettings.decisionLog = settings.decisionLog;
     const auto logs = openDaemonLogs(logSettings, *metrics);
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -64,8 +64,7 @@
 HttpResponse EntryService::handleCaller(IHttpExchange &exchange)
 {
     if (m_isDraining) {
-        return refuse(
-            EarlyRefusal{ RootId(m_policies.random.next()), notRun(Reason::ShuttingDown) }, false);
+        return refuse(reject(EarlyRefusal{ RootId(), notRun(Reason::ShuttingDown) }), false);
     }
     return serve(exchange, false);
 }
@@ -78,8 +77,7 @@
 HttpResponse EntryService::serve(IHttpExchange &exchange, bool isFromUpstream)
 {
     if (m_requestCount >= m_options.maxRequests) {
-        return refuse(EarlyRefusal{ RootId(m_policies.random.next()), notRun(Reason::QueueFull) },
-                      isFromUpstream);
+        return refuse(reject(EarlyRefusal{ RootId(), notRun(Reason::QueueFull) }), isFromUpstream);
     }
     auto incoming = readRequest(exchange, isFromUpstream);
     if (!incoming) {
@@ -91,12 +89,12 @@
     return response;
 }
 
-tl::expected<EntryService::Incoming, EarlyRefusal>
+tl::expected<EntryService::Incoming, EntryService::Rejection>
 EntryService::readRequest(IHttpExchange &exchange, bool isFromUpstream)
 {
     auto read = m_dialect.read(exchange.request(), m_origin, m_configuration.get());
     if (!read) {
-        return Refusal(read.error());
+        return Refusal(reject(read.error()));
     }
     const std::string context = read->context;
     Incoming incoming = makeIncoming(std::move(*read));
@@ -107,13 +105,13 @@
     } else if (m_options.hasSharedBudget && incoming.callerAttempt > incoming.rule.callerAttempts) {
         // Past the bound the answer is final: without it a client that retries for ever would make
         // the number of attempts for one tap unbounded.
-        return Refusal(EarlyRefusal{ incoming.root, notRun(Reason::CallerAttempts) });
+        return Refusal(reject(EarlyRefusal{ incoming.root, notRun(Reason::CallerAttempts) }));
     }
     if (!incoming.ledger) {
         incoming.ledger = new CallLedger(incoming.rule.attempts);
     }
     if (!letIn(incoming)) {
-        return Refusal(EarlyRefusal{ incoming.root, refusalOf(incoming) });
+        return Refusal(rejectionOf(incoming));
     }
     return incoming;
 }
@@ -122,6 +120,7 @@
 {
     Incoming incoming;
     incoming.root = request.root == RootId() ? RootId(m_policies.random.next()) : request.root;
+    incoming.own = incoming.root;
     incoming.rule = *request.rule;
     if (!incoming.rule.split.empty()) {
         incoming.rule.service = m_split->choose(incoming.rule, m_policies.random);
@@ -201,11 +200,33 @@
     return RootTarget{ incoming.rule.name, incoming.rule.service, incoming.priority };
 }
 
-Verdict EntryService::refusalOf(const Incoming &incoming)
+EntryService::Rejection EntryService::reject(const EarlyRefusal &refusal)
 {
-    return Verdict{ Outcome::NotRun, Reason::BelowFloor,
-                    m_policies.retries.retryAfter(m_loop.now(), incoming.rule.service,
-                                                  m_policies.random) };
+    Rejection rejection;
+    rejection.refusal = refusal;
+    return rejection;
+}
+
+EntryService::Rejection EntryService::rejectionOf(const Incoming &incoming)
+{
+    const TimePoint now = m_loop.now();
+    const ServiceName &service = incoming.rule.service;
+    const Verdict verdict{ Outcome::NotRun, Reason::BelowFloor,
+                           m_policies.retries.retryAfter(now, service, m_policies.random) };
+    Rejection rejection = reject(EarlyRefusal{ incoming.root, verdict });
+    rejection.service = service;
+    rejection.rule = incoming.rule.name;
+    const RootGrounds grounds = m_admission->grounds(now, targetOf(incoming));
+    rejection.choice = grounds.narrowest.value();
+    if (grounds.isKnown) {
+        rejection.inputs = { { "share", grounds.share },
+                             { "load", grounds.load },
+                             { "load_age_ms", toMillis(grounds.loadAge) } };
+    } else {
+        rejection.inputs = { { "window", grounds.window },
+                             { "under_way", static_cast<double>(grounds.underWay) } };
+    }
+    return rejection;
 }
 
 /// The cost goes up to the call during which this one was made, and at last to the entry of the
@@ -282,7 +303,7 @@
             sendAttempt(run, action);
             break;
         case EntryVerb::Cancel:
-            m_observers.metrics.add(Counter::Cancels);
+            recordCancel(*run, action);
             m_sender.cancel(run->streams.at(action.attempt.value()));
             break;
         case EntryVerb::Finish:
@@ -349,19 +370,32 @@
     if (!m_observers.decisions.isEnabled()) {
         return;
     }
-    Decision decision;
+    Decision decision = decisionOf(run.incoming);
     decision.kind = isFirst ? DecisionKind::Route
         : action.isHedge    ? DecisionKind::Hedge
                             : DecisionKind::Retry;
-    decision.root = run.incoming.root;
-    decision.service = run.incoming.service;
-    decision.rank = rankOf(run.incoming);
+    decision.importance = isFirst ? Importance::Routine : Importance::Essential;
     decision.attempt = action.attempt.value() + 1;
     for (const RouteCandidate &candidate : action.candidates) {
         decision.candidates.push_back(DecisionCandidate{ candidate.daemon, candidate.score });
     }
     decision.choice = action.target.value();
     decision.reason = action.why;
+    decision.inputs = { { "left_ms", toMillis(run.incoming.deadline - m_loop.now()) } };
+    m_observers.decisions.write(std::move(decision));
+}
+
+void EntryService::recordCancel(const Run &run, const EntryAction &action)
+{
+    m_observers.metrics.add(Counter::Cancels);
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision = decisionOf(run.incoming);
+    decision.kind = DecisionKind::Cancel;
+    decision.importance = Importance::Essential;
+    decision.attempt = action.attempt.value() + 1;
+    decision.choice = action.target.value();
     m_observers.decisions.write(std::move(decision));
 }
 
@@ -372,25 +406,42 @@
         m_observers.metrics.countRequest(run.verdict, run.incoming.priority);
         m_observers.metrics.observe(Timing::Request, took);
     }
-    if (run.verdict.outcome == Outcome::Answered) {
+    const bool isAnswered = run.verdict.outcome == Outcome::Answered;
+    if (isAnswered) {
         m_observers.metrics.observe(Timing::AddedByDaemons,
                                     std::max(took - run.serviceTime, Duration::zero()));
-        return;
     }
     if (!m_observers.decisions.isEnabled()) {
         return;
     }
-    Decision decision;
-    decision.kind = DecisionKind::Refuse;
-    decision.root = run.incoming.root;
-    decision.service = run.incoming.service;
-    decision.rank = rankOf(run.incoming);
+    const bool isWhole = isAnswered && run.response.status < FIRST_SERVER_ERROR;
+    Decision decision = decisionOf(run.incoming);
+    decision.kind = isAnswered ? DecisionKind::Answer : DecisionKind::Refuse;
+    decision.importance = isWhole ? Importance::Routine : Importance::Essential;
     decision.attempt = run.call.attempts();
-    decision.choice = toText(run.verdict.outcome);
+    decision.outcome = toText(run.verdict.outcome);
     decision.reason = toText(run.verdict.reason);
+    decision.inputs = { { "took_ms", toMillis(took) } };
+    if (isAnswered) {
+        decision.inputs.push_back({ "status", static_cast<double>(run.response.status) });
+        decision.inputs.push_back({ "served_ms", toMillis(run.serviceTime) });
+    } else {
+        decision.inputs.push_back({ "retry_after_ms", toMillis(run.verdict.retryAfter) });
+    }
     m_observers.decisions.write(std::move(decision));
 }
 
+Decision EntryService::decisionOf(const Incoming &incoming) const
+{
+    Decision decision;
+    decision.root = incoming.root;
+    decision.call = incoming.own == incoming.root ? RootId() : incoming.own;
+    decision.service = incoming.service;
+    decision.rule = incoming.rule.name;
+    decision.rank = rankOf(incoming);
+    return decision;
+}
+
 void EntryService::armTimer(const RunPtr &run)
 {
     const TimePoint next = run->call.nextTimer();
@@ -410,8 +461,9 @@
     });
 }
 
-HttpResponse EntryService::refuse(EarlyRefusal refusal, bool isFromUpstream)
+HttpResponse EntryService::refuse(Rejection rejection, bool isFromUpstream)
 {
+    EarlyRefusal &refusal = rejection.refusal;
     if (refusal.root == RootId()) {
         refusal.root = RootId(m_policies.random.next());
     }
@@ -421,9 +473,15 @@
     if (m_observers.decisions.isEnabled()) {
         Decision decision;
         decision.kind = DecisionKind::Refuse;
+        decision.importance = Importance::Essential;
         decision.root = refusal.root;
-        decision.choice = toText(refusal.verdict.outcome);
+        decision.service = rejection.service;
+        decision.rule = rejection.rule;
+        decision.choice = rejection.choice;
+        decision.outcome = toText(refusal.verdict.outcome);
         decision.reason = toText(refusal.verdict.reason);
+        decision.inputs = std::move(rejection.inputs);
+        decision.inputs.push_back({ "retry_after_ms", toMillis(refusal.verdict.retryAfter) });
         m_observers.decisions.write(std::move(decision));
     }
     return m_dialect.makeRefusal(refusal.root, refusal.verdict, 0);
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -63,6 +63,8 @@
         /// What the upstream receives.
         HttpRequest request;
         RootId root;
+        /// As it came: for a call of an upstream another one than `root`.
+        RootId own;
         RuleSpec rule;
         Priority priority;
         Depth depth;
@@ -79,11 +81,21 @@
         bool isLetIn = false;
         std::uint32_t callerAttempt = 1;
     };
+    /// A request that is refused before it is routed, and what that was based on.
+    struct Rejection
+    {
+        EarlyRefusal refusal;
+        ServiceName service;
+        RuleName rule;
+        std::vector<DecisionInput> inputs;
+        /// The service that had no room.
+        std::string choice;
+    };
     struct Run;
     using RunPtr = boost::intrusive_ptr<Run>;
-    using Refusal = tl::unexpected<EarlyRefusal>;
+    using Refusal = tl::unexpected<Rejection>;
 
-    tl::expected<Incoming, EarlyRefusal> readRequest(IHttpExchange &exchange, bool isFromUpstream);
+    tl::expected<Incoming, Rejection> readRequest(IHttpExchange &exchange, bool isFromUpstream);
     Incoming makeIncoming(CallerRequest request);
     void applyContext(const std::string &token, Incoming &incoming);
     HttpResponse serve(IHttpExchange &exchange, bool isFromUpstream);
@@ -91,7 +103,8 @@
     void inherit(const CallContext &context, Incoming &incoming);
     bool letIn(Incoming &incoming);
     static RootTarget targetOf(const Incoming &incoming);
-    Verdict refusalOf(const Incoming &incoming);
+    static Rejection reject(const EarlyRefusal &refusal);
+    Rejection rejectionOf(const Incoming &incoming);
     void bookUsage(const Run &run, const AttemptAnswer &answer);
     /// Tells root admission that a request which it let in is over.
     void tellEnd(const Run &run);
@@ -102,9 +115,11 @@
     void onAnswer(const RunPtr &run, AttemptIndex attempt, AttemptAnswer answer);
     void armTimer(const RunPtr &run);
     void recordAttempt(const Run &run, const EntryAction &action);
+    void recordCancel(const Run &run, const EntryAction &action);
     void recordEnd(const Run &run);
     /// Answers, counts and logs a request that is not routed.
-    HttpResponse refuse(EarlyRefusal refusal, bool isFromUpstream);
+    HttpResponse refuse(Rejection rejection, bool isFromUpstream);
+    Decision decisionOf(const Incoming &incoming) const;
     HttpResponse compose(const Run &run) const;
 
     IEventLoop &m_loop;
--- a/src/app/internal/entry/peercalls.cpp
+++ b/src/app/internal/entry/peercalls.cpp
@@ -113,11 +113,26 @@
     flushRoute(endpoint, *link);
 }
 
+void PeerCalls::recordLink(const DaemonId &peer, const char *outcome, const char *reason)
+{
+    if (!m_observers.decisions.isEnabled() || peer.value().empty()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Dependency;
+    decision.importance = Importance::Essential;
+    decision.choice = peer.value();
+    decision.outcome = outcome;
+    decision.reason = reason;
+    m_observers.decisions.write(std::move(decision));
+}
+
 void PeerCalls::flushRoute(const Endpoint &endpoint, LinkId link)
 {
     Route &route = m_routes[endpoint];
     route.link = link;
     route.isOpen = true;
+    recordLink(route.target, "open", "connected");
     for (const Member &member : m_members) {
         if (member.peerEndpoint == endpoint) {
             compressIfFar(link, member.domain);
@@ -140,6 +155,7 @@
     for (const auto &[stream, frame] : route.waiting) {
         endWithout(stream, Outcome::NotRun, Reason::ConnectFailed);
     }
+    recordLink(route.target, "lost", "connect-failed");
     if (m_onUnreachable && !route.target.value().empty()) {
         m_onUnreachable(route.target);
     }
@@ -257,6 +273,7 @@
     for (const CallId call : orphans) {
         m_gates.cancel(call);
     }
+    recordLink(lost, "lost", "link-lost");
     if (m_onUnreachable && !lost.value().empty()) {
         m_onUnreachable(lost);
     }
--- a/src/app/internal/entry/peercalls.h
+++ b/src/app/internal/entry/peercalls.h
@@ -83,6 +83,8 @@
     void sendLocal(StreamId stream, CallMessage call);
     void sendRemote(StreamId stream, const Endpoint &endpoint, std::string frame);
     void openRoute(const Endpoint &endpoint);
+    /// Tells that the way to a peer is open or lost.
+    void recordLink(const DaemonId &peer, const char *outcome, const char *reason);
     void flushRoute(const Endpoint &endpoint, LinkId link);
     void failRoute(const Endpoint &endpoint);
     /// Returns the daemon at the link's other end; empty if no route uses the link.
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -351,7 +351,7 @@
     m_observers.metrics.observe(
         Timing::GateWait,
         std::chrono::duration_cast<Duration>(m_loop.now() - found->second.arrivedAt));
-    record(DecisionKind::Admit, found->second, "admitted");
+    record(DecisionKind::Admit, found->second, "admitted", Importance::Routine);
     m_loop.spawn([this, service, id] { runCall(service, id); });
 }
 
@@ -383,6 +383,9 @@
     if (Upstream *gateOwner = findUpstream(service)) {
         next = gateOwner->gate->finish(now, id, end.result, serviceTime);
     }
+    if (const auto ended = m_calls.find(id); ended != m_calls.end()) {
+        recordRun(ended->second, server.instance, end, serviceTime);
+    }
     endRun(id, std::move(end), serviceTime);
     perform(service, next);
 }
@@ -470,7 +473,7 @@
     m_observers.metrics.add(Counter::GateRefusals);
     const auto found = m_calls.find(id);
     if (found != m_calls.end()) {
-        record(DecisionKind::Refuse, found->second, toText(verdict.reason));
+        record(DecisionKind::Refuse, found->second, toText(verdict.reason), Importance::Essential);
     }
     AnswerMessage answer;
     answer.verdict = verdict;
@@ -500,18 +503,52 @@
     call.reply(std::move(answer));
 }
 
-void GateService::record(DecisionKind kind, const Call &call, const char *reason)
+void GateService::record(DecisionKind kind, const Call &call, const char *reason,
+                         Importance importance)
 {
     if (!m_observers.decisions.isEnabled()) {
         return;
     }
-    Decision decision;
+    Decision decision = decisionOf(call);
     decision.kind = kind;
+    decision.importance = importance;
+    decision.reason = reason;
+    const LoadReport load = this->load(call.message.service);
+    decision.inputs = { { "waited_ms", toMillis(m_loop.now() - call.arrivedAt) },
+                        { "left_ms", toMillis(call.deadline - m_loop.now()) },
+                        { "in_flight", static_cast<double>(load.inFlight) },
+                        { "queued", static_cast<double>(load.queued) },
+                        { "limit", static_cast<double>(load.limit) } };
+    m_observers.decisions.write(std::move(decision));
+}
+
+void GateService::recordRun(const Call &call, const UpstreamId &instance, const RunEnd &end,
+                            Duration serviceTime)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    const bool isWhole =
+        end.verdict.outcome == Outcome::Answered && end.response.status < FIRST_SERVER_ERROR;
+    Decision decision = decisionOf(call);
+    decision.kind = DecisionKind::Run;
+    decision.importance = isWhole ? Importance::Routine : Importance::Essential;
+    decision.choice = instance.value();
+    decision.outcome = toText(end.verdict.outcome);
+    decision.reason = toText(end.verdict.reason);
+    decision.inputs = { { "served_ms", toMillis(serviceTime) },
+                        { "status", static_cast<double>(end.response.status) } };
+    m_observers.decisions.write(std::move(decision));
+}
+
+Decision GateService::decisionOf(const Call &call)
+{
+    Decision decision;
     decision.root = call.message.root;
     decision.service = call.message.service;
+    decision.rule = call.message.rule;
     decision.rank = call.message.rank;
-    decision.reason = reason;
-    m_observers.decisions.write(std::move(decision));
+    return decision;
 }
 
 void GateService::armTick(const ServiceName &service)
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -126,7 +126,10 @@
     void tellDoubt(const UpstreamId &instance);
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
-    void record(DecisionKind kind, const Call &call, const char *reason);
+    void record(DecisionKind kind, const Call &call, const char *reason, Importance importance);
+    void recordRun(const Call &call, const UpstreamId &instance, const RunEnd &end,
+                   Duration serviceTime);
+    static Decision decisionOf(const Call &call);
     void enterGate(CallId id);
     void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
--- a/src/app/internal/gate/upstreamwatch.cpp
+++ b/src/app/internal/gate/upstreamwatch.cpp
@@ -119,10 +119,14 @@
         return;
     }
     Decision decision;
-    decision.kind = DecisionKind::Membership;
+    decision.kind = DecisionKind::Upstream;
+    decision.importance = Importance::Essential;
     decision.service = action.report.service;
-    decision.choice = std::string(toText(action.verb)) + ' ' + action.report.instance.value();
+    decision.choice = action.report.instance.value();
+    decision.outcome = toText(action.verb);
     decision.reason = action.why;
+    decision.inputs = { { "sequence", static_cast<double>(action.report.sequence) },
+                        { "slots", static_cast<double>(action.report.slots) } };
     m_observers.decisions.write(std::move(decision));
 }
 
--- a/src/app/internal/logs/asynclogs.cpp
+++ b/src/app/internal/logs/asynclogs.cpp
@@ -6,8 +6,6 @@
 
 #include <log4cplus/spi/loggingevent.h>
 
-#include "app/internal/logs/decisiontext.h"
-
 namespace ivyspar {
 
 namespace {
@@ -67,11 +65,14 @@
 
 AsyncLogs::AsyncLogs(const LogSettings &settings, log4cplus::SharedAppenderPtr logAppender,
                      log4cplus::SharedAppenderPtr decisionAppender, IMetrics &metrics)
-    : m_level(settings.level)
+    : m_daemon(settings.daemon)
+    , m_level(settings.level)
+    , m_isAllJson(settings.decisionLog == STANDARD_OUTPUT)
     , m_capacity(settings.queueCapacity)
     , m_logAppender(std::move(logAppender))
     , m_decisionAppender(std::move(decisionAppender))
     , m_metrics(metrics)
+    , m_budget(LogBudgetOptions())
 {
     const SignalBlock block;
     m_writer = std::thread([this] { runWriter(); });
@@ -102,8 +103,24 @@
 
 void AsyncLogs::write(Decision decision)
 {
-    if (isEnabled()) {
-        push({ std::chrono::system_clock::now(), std::move(decision) });
+    if (!isEnabled()) {
+        return;
+    }
+    const TimePoint now(
+        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    const auto time = std::chrono::system_clock::now();
+    bool isKept = false;
+    SuppressedCounts suppressed;
+    {
+        const std::lock_guard lock(m_mutex);
+        suppressed = m_budget.takeSuppressed(now);
+        isKept = m_budget.take(now, decision);
+    }
+    if (!suppressed.empty()) {
+        push({ time, std::move(suppressed) });
+    }
+    if (isKept) {
+        push({ time, std::move(decision) });
     }
 }
 
@@ -144,12 +161,29 @@
 
 void AsyncLogs::append(const LogEntry &entry)
 {
-    if (const auto *line = std::get_if<LogLine>(&entry.content)) {
-        m_logAppender->doAppend(makeEvent(line->level, line->text, entry.time));
+    std::visit([&](const auto &content) { append(entry, content); }, entry.content);
+}
+
+void AsyncLogs::append(const LogEntry &entry, const LogLine &line)
+{
+    if (m_isAllJson) {
+        const std::string text = toLine(originOf(entry), line.level, line.text);
+        m_decisionAppender->doAppend(makeEvent(line.level, text, entry.time));
         return;
     }
-    const auto &decision = std::get<Decision>(entry.content);
-    m_decisionAppender->doAppend(makeEvent(LogLevel::Info, toText(decision), entry.time));
+    m_logAppender->doAppend(makeEvent(line.level, line.text, entry.time));
+}
+
+void AsyncLogs::append(const LogEntry &entry, const Decision &decision)
+{
+    const std::string text = toLine(originOf(entry), decision);
+    m_decisionAppender->doAppend(makeEvent(LogLevel::Info, text, entry.time));
+}
+
+void AsyncLogs::append(const LogEntry &entry, const SuppressedCounts &suppressed)
+{
+    const std::string text = toLine(originOf(entry), suppressed);
+    m_decisionAppender->doAppend(makeEvent(LogLevel::Info, text, entry.time));
 }
 
 } // namespace ivyspar
--- a/src/app/internal/logs/asynclogs.h
+++ b/src/app/internal/logs/asynclogs.h
@@ -10,6 +10,8 @@
 #include <log4cplus/appender.h>
 
 #include "app/daemonlogs.h"
+#include "app/internal/logs/logbudget.h"
+#include "app/internal/logs/logline.h"
 
 namespace ivyspar {
 
@@ -23,7 +25,7 @@
 struct LogEntry
 {
     std::chrono::system_clock::time_point time;
-    std::variant<LogLine, Decision> content;
+    std::variant<LogLine, Decision, SuppressedCounts> content;
 };
 
 /// log4cplus' own asynchronous appender makes the writer of a line wait when its queue is full: a
@@ -52,8 +54,15 @@
     void runWriter();
     std::vector<LogEntry> takeBatch();
     void append(const LogEntry &entry);
+    void append(const LogEntry &entry, const LogLine &line);
+    void append(const LogEntry &entry, const Decision &decision);
+    void append(const LogEntry &entry, const SuppressedCounts &suppressed);
+    LineOrigin originOf(const LogEntry &entry) const { return { m_daemon, entry.time }; }
 
+    const DaemonId m_daemon;
     const LogLevel m_level;
+    /// Lines for people are JSON as well.
+    const bool m_isAllJson;
     const std::size_t m_capacity;
     const log4cplus::SharedAppenderPtr m_logAppender;
     const log4cplus::SharedAppenderPtr m_decisionAppender;
@@ -62,6 +71,7 @@
     std::mutex m_mutex;
     std::condition_variable m_wakeUp;
     std::vector<LogEntry> m_queue;
+    LogBudget m_budget;
     bool m_isStopping = false;
     std::thread m_writer;
 };
--- a/src/app/internal/logs/daemonlogs.cpp
+++ b/src/app/internal/logs/daemonlogs.cpp
@@ -15,9 +15,8 @@
 
 namespace {
 
-const char STANDARD_OUTPUT[] = "-";
 const char LOG_PATTERN[] = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n";
-const char DECISION_PATTERN[] = "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n";
+const char DECISION_PATTERN[] = "%m%n";
 
 log4cplus::SharedAppenderPtr withLayout(log4cplus::SharedAppenderPtr appender, const char *pattern)
 {
--- /dev/null
+++ b/src/app/internal/logs/logbudget.cpp
@@ -0,0 +1,67 @@
+#include "app/internal/logs/logbudget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr Duration SECOND = std::chrono::seconds(1);
+
+/// Spreads ids evenly over [0, 1), the same at every daemon.
+double spread(RootId id)
+{
+    const std::uint64_t mixed = id.value() * 0x9E3779B97F4A7C15ULL;
+    return static_cast<double>(mixed >> 11) * 0x1.0p-53;
+}
+
+} // namespace
+
+LogBudget::LogBudget(const LogBudgetOptions &options)
+    : m_options(options)
+{
+}
+
+bool LogBudget::take(TimePoint now, const Decision &decision)
+{
+    startSecond(now);
+    const bool isRoutine = decision.importance == Importance::Routine;
+    m_routineSeen += isRoutine ? 1 : 0;
+    if (m_taken >= m_options.lines || (isRoutine && !isKept(decision))) {
+        ++m_suppressed[toText(decision.kind)];
+        return false;
+    }
+    ++m_taken;
+    m_routineTaken += isRoutine ? 1 : 0;
+    return true;
+}
+
+bool LogBudget::isKept(const Decision &decision) const
+{
+    return m_routineTaken < m_options.routineLines && spread(decision.root) < m_share;
+}
+
+void LogBudget::startSecond(TimePoint now)
+{
+    if (now < m_secondEnd) {
+        return;
+    }
+    m_secondEnd = now + SECOND;
+    const auto room = static_cast<double>(m_options.routineLines);
+    m_share = std::min(1.0, room / std::max(1.0, static_cast<double>(m_routineSeen)));
+    m_taken = 0;
+    m_routineTaken = 0;
+    m_routineSeen = 0;
+    for (const auto &[event, count] : std::exchange(m_suppressed, {})) {
+        m_finished[event] += count;
+    }
+}
+
+SuppressedCounts LogBudget::takeSuppressed(TimePoint now)
+{
+    startSecond(now);
+    return std::exchange(m_finished, {});
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/logs/logbudget.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+
+#include "app/internal/logs/logline.h"
+#include "state/idecisionlog.h"
+#include "state/time.h"
+
+namespace ivyspar {
+
+struct LogBudgetOptions
+{
+    /// Lines in each second, of which routine lines may take the second number.
+    std::size_t lines = 600;
+    std::size_t routineLines = 250;
+};
+
+/// Bounds the lines of a log in each second, and spends them on what goes wrong first. Plain
+/// object.
+///
+/// Of routine lines that do not fit, those of some requests are kept whole: which ones follows from
+/// the request's id, so all daemons keep the same requests and one of them can be followed.
+class LogBudget
+{
+public:
+    explicit LogBudget(const LogBudgetOptions &options);
+
+    /// Whether the line may be written.
+    bool take(TimePoint now, const Decision &decision);
+    /// The lines that were left out since the last call; empty within the second that goes on.
+    SuppressedCounts takeSuppressed(TimePoint now);
+
+private:
+    void startSecond(TimePoint now);
+    bool isKept(const Decision &decision) const;
+
+    LogBudgetOptions m_options;
+    TimePoint m_secondEnd;
+    std::size_t m_taken = 0;
+    std::size_t m_routineTaken = 0;
+    std::size_t m_routineSeen = 0;
+    /// Of requests, the share whose routine lines are kept in this second.
+    double m_share = 1;
+    SuppressedCounts m_suppressed;
+    SuppressedCounts m_finished;
+};
+
+} // namespace ivyspar
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -66,16 +66,21 @@
     return isIn;
 }
 
-double RootAdmission::shareOf(TimePoint now, const RootTarget &target, const Profile &profile)
+double RootAdmission::shareOf(TimePoint now, const RootTarget &target, Profile &profile)
 {
     double share = AMPLE;
+    profile.narrowest = ServiceName();
     for (const auto &[name, cost] : profile.costs) {
         if (cost.reached < m_options.leastReached) {
             continue;
         }
         Service &service = m_services[name];
         service.demand[target.priority].add(now, cost.busy, m_options.demandMemory);
-        share = std::min(share, fitting(now, service, target.priority));
+        const double own = fitting(now, service, target.priority);
+        if (own < share) {
+            share = own;
+            profile.narrowest = name;
+        }
     }
     return share;
 }
@@ -129,6 +134,27 @@
     return DemandShare(static_cast<std::uint32_t>(std::max(told, LEAST_TOLD)));
 }
 
+RootGrounds RootAdmission::grounds(TimePoint now, const RootTarget &target) const
+{
+    RootGrounds grounds;
+    const auto found = m_profiles.find(ProfileKey(target.rule, target.service));
+    if (found == m_profiles.end()) {
+        return grounds;
+    }
+    const Profile &profile = found->second;
+    grounds.isKnown = isKnown(profile);
+    grounds.underWay = profile.underWay;
+    grounds.window = windowOf(profile);
+    grounds.share = profile.share;
+    grounds.narrowest = profile.narrowest;
+    const auto service = m_services.find(profile.narrowest);
+    if (service != m_services.end()) {
+        grounds.load = loadOf(now, service->second);
+        grounds.loadAge = std::chrono::duration_cast<Duration>(now - service->second.toldAt);
+    }
+    return grounds;
+}
+
 void RootAdmission::onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
                           bool isWhole)
 {
--- a/src/coordination/admission/internal/rootadmission.h
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -18,6 +18,7 @@
     void setMembers(const std::vector<Member> &members) override;
     bool admit(TimePoint now, const RootTarget &target) override;
     DemandShare letIn(TimePoint now, const RootTarget &target) const override;
+    RootGrounds grounds(TimePoint now, const RootTarget &target) const override;
     void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
                bool isWhole) override;
     void onFinish(const RootTarget &target, RootEnd end) override;
@@ -49,6 +50,8 @@
         DemandRate recent;
         /// Of the usual arrivals, what fits.
         double share = 1;
+        /// The service that leaves least room; empty while none is known.
+        ServiceName narrowest;
         /// Requests that may be let in at once.
         double saved = 0;
         TimePoint savedAt;
@@ -63,7 +66,7 @@
     Profile &profileOf(const RootTarget &target);
     bool isKnown(const Profile &profile) const { return profile.samples >= m_options.knownAfter; }
     /// Of the usual arrivals, the share that the services of the rule's tree can take.
-    double shareOf(TimePoint now, const RootTarget &target, const Profile &profile);
+    double shareOf(TimePoint now, const RootTarget &target, Profile &profile);
     double loadOf(TimePoint now, const Service &service) const;
     /// Of the usual demand of this priority, the share that fits; above 1 with room for more.
     double fitting(TimePoint now, const Service &service, Priority priority) const;
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -25,6 +25,21 @@
     Abandoned, ///< Its caller left, which tells nothing.
 };
 
+/// What a decision was based on, for the logs.
+struct RootGrounds
+{
+    /// Whether the rule's tree is known; if not, `window` decides, else `share`.
+    bool isKnown = false;
+    std::uint32_t underWay = 0;
+    double window = 0;
+    /// Of the usual arrivals, the share that fits into `narrowest`; empty if no service is known.
+    double share = 0;
+    ServiceName narrowest;
+    /// Its whole demand over what it can take, and how long ago that was told.
+    double load = 0;
+    Duration loadAge{ 0 };
+};
+
 /// Decides at the entry whether a caller's request is let in, by what its whole call tree costs
 /// each service and by what these services can take. Plain object.
 ///
@@ -42,6 +57,7 @@
     /// Which share of such requests is let in here now. Goes with the request, so that the services
     /// of its tree know what demand it stands for.
     virtual DemandShare letIn(TimePoint now, const RootTarget &target) const = 0;
+    virtual RootGrounds grounds(TimePoint now, const RootTarget &target) const = 0;
     /// An attempt of a request ended; `isWhole` when all its calls were made.
     virtual void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
                        bool isWhole) = 0;
--- a/src/state/idecisionlog.h
+++ b/src/state/idecisionlog.h
@@ -14,33 +14,60 @@
     Refuse, ///< An entry daemon or a gate refused a call.
     Retry,
     Hedge,
-    Configuration, ///< A record of the configuration stream was judged.
-    Membership, ///< A daemon or its upstream joined, left or was given up.
+    Cancel, ///< An entry gave an attempt up whose answer is not wanted any more.
+    Run, ///< A server's run of a call ended.
+    Answer, ///< An entry answered a request.
+    Configuration, ///< A configuration was judged, or is in force.
+    Membership, ///< The daemons that are believed to work changed.
+    Upstream, ///< What is believed of a server of this host changed.
+    Dependency, ///< Something that this daemon needs was lost or is back.
+    Lifecycle, ///< Start, stop and reload of this daemon.
 };
 
 const char *toText(DecisionKind kind);
 
+/// Whether the line must be there when somebody asks why a request failed, or whether it is one of
+/// many that say that all went as usual.
+enum class Importance { Routine, Essential };
+
 struct DecisionCandidate
 {
     DaemonId daemon;
     double score = 0; ///< Lower is better.
 };
 
+/// A number that a decision was based on.
+struct DecisionInput
+{
+    /// Text that lives as long as the program; with its unit, as in `load_age_ms`.
+    const char *name = "";
+    double value = 0;
+};
+
 /// One decision and what it was based on. Fields that do not apply stay at their defaults and are
 /// left out of the log's line.
 struct Decision
 {
     DecisionKind kind = DecisionKind::Route;
+    Importance importance = Importance::Routine;
+    /// The caller's request, the same at every daemon that works for it.
     RootId root;
+    /// The call's own id, if it was made by an upstream for that request.
+    RootId call;
     ServiceName service;
+    RuleName rule;
     Rank rank;
     /// From 1.
     std::uint32_t attempt = 0;
     std::vector<DecisionCandidate> candidates;
-    /// What was chosen: a daemon, or a version of the configuration.
+    std::vector<DecisionInput> inputs;
+    /// What was chosen: a daemon, a server, or a version of the configuration.
     std::string choice;
     /// Text that lives as long as the program.
+    const char *outcome = "";
     const char *reason = "";
+    /// What others said, as the text of an error.
+    std::string detail;
 };
 
 /// Takes a line for each decision. Safe to use from all threads.
--- a/src/state/internal/decision.cpp
+++ b/src/state/internal/decision.cpp
@@ -15,10 +15,22 @@
         return "retry";
     case DecisionKind::Hedge:
         return "hedge";
+    case DecisionKind::Cancel:
+        return "cancel";
+    case DecisionKind::Run:
+        return "run";
+    case DecisionKind::Answer:
+        return "answer";
     case DecisionKind::Configuration:
         return "configuration";
     case DecisionKind::Membership:
         return "membership";
+    case DecisionKind::Upstream:
+        return "upstream";
+    case DecisionKind::Dependency:
+        return "dependency";
+    case DecisionKind::Lifecycle:
+        return "lifecycle";
     }
     return "unknown";
 }
--- a/src/state/time.h
+++ b/src/state/time.h
@@ -18,4 +18,9 @@
 };
 using TimePoint = MonotonicClock::time_point;
 
+inline double toMillis(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 } // namespace ivyspar
