--- a/src/app/internal/commands/commandline.cpp
+++ b/src/app/internal/commands/commandline.cpp
@@ -35,9 +35,16 @@
 int runHelp(const Arguments &arguments);
 
 constexpr Command COMMANDS[] = {
-    { "daemon", runDaemonCommand }, { "check", runCheckCommand }, { "publish", runPublishCommand },
-    { "status", runStatusCommand }, { "version", printVersion },  { "help", runHelp },
-    { "--version", printVersion },  { "--help", runHelp },        { "-h", runHelp },
+    { "daemon", runDaemonCommand },
+    { "check", runCheckCommand },
+    { "publish", runPublishCommand },
+    { "status", runStatusCommand },
+    { "explain", runExplainCommand },
+    { "version", printVersion },
+    { "help", runHelp },
+    { "--version", printVersion },
+    { "--help", runHelp },
+    { "-h", runHelp },
 };
 
 const char HELP[] = R"(Usage: ivyspar COMMAND [flags] [files]
@@ -49,6 +56,7 @@
   check    find mistakes in an inventory and its rules
   publish  bring a new version of inventory and rules into force
   status   show what a daemon knows and does
+  explain  print the course of a request from the logs of daemons
   version  print the version
   help     print this, or the help of a command: ivyspar help daemon
 
--- a/src/app/internal/commands/commands.h
+++ b/src/app/internal/commands/commands.h
@@ -15,6 +15,7 @@
 int runCheckCommand(const Arguments &arguments);
 int runPublishCommand(const Arguments &arguments);
 int runStatusCommand(const Arguments &arguments);
+int runExplainCommand(const Arguments &arguments);
 
 /// Prints each error on a line of its own, then where help is to be found. Returns `EXIT_USAGE`.
 int failUsage(const std::string &command, const std::vector<std::string> &errors);
--- /dev/null
+++ b/src/app/internal/commands/requestcause.cpp
@@ -0,0 +1,134 @@
+#include "app/internal/commands/requestcause.h"
+
+#include <algorithm>
+#include <array>
+
+namespace ivyspar {
+
+namespace {
+
+struct Explanation
+{
+    const char *reason;
+    const char *sentence;
+};
+
+constexpr std::array<Explanation, 14> EXPLANATIONS{ {
+    { "below-floor", "its tree would have lost a call at a service that has no room" },
+    { "queue-full", "the queue of the server's gate was full of calls that go first" },
+    { "doomed", "less time was left than the server usually takes" },
+    { "deadline-exceeded", "its time was over" },
+    { "timeout", "no answer came within the route's time" },
+    { "no-server", "no server of the service was known, or none that was asked has one" },
+    { "no-configuration", "the daemon had no configuration yet" },
+    { "no-rule", "no rule of the configuration in force matches" },
+    { "connect-failed", "the server or its daemon could not be reached; nothing was sent" },
+    { "link-lost", "the link to the daemon of the server was lost after the call was sent" },
+    { "broken-answer", "the server's answer was cut off, malformed or another request's" },
+    { "upstream-refused", "the server itself said that it did not run it" },
+    { "cancelled", "the caller left" },
+    { "draining", "the server or its daemon was about to stop" },
+} };
+
+std::string sentenceOf(const std::string &reason)
+{
+    for (const Explanation &each : EXPLANATIONS) {
+        if (reason == each.reason) {
+            return reason + ": " + each.sentence;
+        }
+    }
+    return reason;
+}
+
+/// The end of the caller's request at its entry: gates say how long a call waited, entries how long
+/// the whole took.
+const HistoryEvent *findEnd(const std::vector<HistoryEvent> &events)
+{
+    const auto end = std::find_if(events.rbegin(), events.rend(), [](const HistoryEvent &event) {
+        const bool isEnd = event.event == "answer" || event.event == "refuse";
+        return isEnd && !event.has("call") && !event.has("waited_ms");
+    });
+    return end == events.rend() ? nullptr : &*end;
+}
+
+bool isFailure(const HistoryEvent &event)
+{
+    const bool isRefusal = event.event == "refuse";
+    const bool isLostRun = event.event == "run" && event.text("outcome") != "answered";
+    return isRefusal || isLostRun;
+}
+
+/// The last thing that went wrong below the entry.
+const HistoryEvent *findFailure(const std::vector<HistoryEvent> &events, const HistoryEvent *end)
+{
+    const auto failure =
+        std::find_if(events.rbegin(), events.rend(),
+                     [&](const HistoryEvent &event) { return &event != end && isFailure(event); });
+    return failure == events.rend() ? nullptr : &*failure;
+}
+
+std::string numberOf(const HistoryEvent &event, const char *field)
+{
+    return event.has(field) ? event.fields[field].dump() : "?";
+}
+
+std::string grounds(const HistoryEvent &event)
+{
+    if (event.has("load")) {
+        return " (service " + event.text("choice") + ": load " + numberOf(event, "load") + ", told "
+            + numberOf(event, "load_age_ms") + " ms before; share let in "
+            + numberOf(event, "share") + ")";
+    }
+    if (event.has("window")) {
+        return " (the rule's tree was not known yet: " + numberOf(event, "under_way")
+            + " under way, window " + numberOf(event, "window") + ")";
+    }
+    if (event.has("queued")) {
+        return " (in flight " + numberOf(event, "in_flight") + " of " + numberOf(event, "limit")
+            + ", queued " + numberOf(event, "queued") + ", left " + numberOf(event, "left_ms")
+            + " ms)";
+    }
+    return "";
+}
+
+std::string describe(const HistoryEvent &event)
+{
+    return event.daemon + ", service " + event.text("service") + ": "
+        + sentenceOf(event.text("reason")) + grounds(event);
+}
+
+std::string describeAnswer(const HistoryEvent &end, const HistoryEvent *failure)
+{
+    constexpr int FIRST_SERVER_ERROR = 500;
+    const int status = end.has("status") ? static_cast<int>(end.fields["status"].get<double>()) : 0;
+    const std::string text =
+        "answered with " + std::to_string(status) + " after " + numberOf(end, "took_ms") + " ms";
+    if (status < FIRST_SERVER_ERROR) {
+        return text;
+    }
+    return failure
+        ? text + ": its server failed after a call of the tree ended so: at " + describe(*failure)
+        : text + ": the server's own error";
+}
+
+} // namespace
+
+std::string findCause(const std::vector<HistoryEvent> &events)
+{
+    const HistoryEvent *end = findEnd(events);
+    const HistoryEvent *failure = findFailure(events, end);
+    if (!end) {
+        return failure ? "its end is not in the logs; the last failure was at " + describe(*failure)
+                       : "its end is not in the logs";
+    }
+    if (end->event == "answer") {
+        return describeAnswer(*end, failure);
+    }
+    std::string text = end->text("outcome") + " at " + describe(*end);
+    if (failure && !end->has("load") && !end->has("window")) {
+        text += "; before that, at " + describe(*failure);
+    }
+    return text;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/internal/commands/requesthistory.cpp
@@ -0,0 +1,163 @@
+#include "app/internal/commands/requesthistory.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <optional>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::array<const char *, 5> BELIEFS{ "configuration", "membership", "upstream",
+                                               "dependency", "lifecycle" };
+/// Changes of belief that are older were known to all when the request came.
+constexpr double BEFORE_SECONDS = 1;
+
+/// Other programs put words of their own before the line, so it begins with its first brace.
+std::optional<HistoryEvent> parseLine(const std::string &line)
+{
+    const std::size_t start = line.find('{');
+    if (start == std::string::npos) {
+        return std::nullopt;
+    }
+    Json fields =
+        Json::parse(line.begin() + static_cast<std::ptrdiff_t>(start), line.end(), nullptr, false);
+    const bool isEvent = fields.is_object() && fields.contains("event")
+        && fields["event"].is_string() && fields.contains("time") && fields["time"].is_string();
+    if (!isEvent) {
+        return std::nullopt;
+    }
+    HistoryEvent event;
+    event.fields = std::move(fields);
+    event.time = event.text("time");
+    event.daemon = event.text("daemon");
+    event.event = event.text("event");
+    for (const char *name : { "time", "daemon", "event" }) {
+        event.fields.erase(name);
+    }
+    return event;
+}
+
+/// Seconds since 1970 of a time like 2026-12-02T20:30:24.662Z; 0 if it is not one.
+double secondsOf(const std::string &time)
+{
+    std::tm parts{};
+    double seconds = 0;
+    const int read = std::sscanf(time.c_str(), "%d-%d-%dT%d:%d:%lfZ", &parts.tm_year, &parts.tm_mon,
+                                 &parts.tm_mday, &parts.tm_hour, &parts.tm_min, &seconds);
+    constexpr int FIELDS = 6;
+    constexpr int FIRST_YEAR = 1900;
+    if (read != FIELDS) {
+        return 0;
+    }
+    parts.tm_year -= FIRST_YEAR;
+    parts.tm_mon -= 1;
+    return static_cast<double>(timegm(&parts)) + seconds;
+}
+
+bool isBelief(const HistoryEvent &event)
+{
+    return std::any_of(BELIEFS.begin(), BELIEFS.end(),
+                       [&](const char *name) { return event.event == name; });
+}
+
+void sortByTime(std::vector<HistoryEvent> &events)
+{
+    std::stable_sort(events.begin(), events.end(),
+                     [](const auto &a, const auto &b) { return a.time < b.time; });
+}
+
+} // namespace
+
+std::string HistoryEvent::text(const char *field) const
+{
+    const auto found = fields.find(field);
+    return found != fields.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+RequestHistory::RequestHistory(std::string id)
+    : m_id(std::move(id))
+    , m_root(m_id)
+{
+}
+
+void RequestHistory::findRoot(std::istream &log)
+{
+    std::string line;
+    while (std::getline(log, line)) {
+        if (line.find(m_id) == std::string::npos) {
+            continue;
+        }
+        const auto event = parseLine(line);
+        if (event && event->text("call") == m_id) {
+            m_root = event->text("request");
+        }
+    }
+}
+
+void RequestHistory::collect(const std::string &name, std::istream &log)
+{
+    HistorySource source;
+    source.name = name;
+    std::string line;
+    while (std::getline(log, line)) {
+        auto event = parseLine(line);
+        source.lines += event ? 1 : 0;
+        source.isCut = !event && line.find('{') != std::string::npos && log.eof();
+        if (!event) {
+            continue;
+        }
+        if (event->text("request") == m_root) {
+            m_events.push_back(std::move(*event));
+        } else if (event->event == "suppressed") {
+            m_suppressions.push_back(std::move(*event));
+        } else if (isBelief(*event)) {
+            m_beliefs.push_back(std::move(*event));
+        }
+    }
+    m_sources.push_back(std::move(source));
+}
+
+std::vector<HistoryEvent> RequestHistory::events() const
+{
+    std::vector<HistoryEvent> events = m_events;
+    sortByTime(events);
+    return events;
+}
+
+std::vector<HistoryEvent> RequestHistory::around(const std::vector<HistoryEvent> &events) const
+{
+    const std::vector<HistoryEvent> own = this->events();
+    std::vector<HistoryEvent> found;
+    if (own.empty()) {
+        return found;
+    }
+    const double first = secondsOf(own.front().time) - BEFORE_SECONDS;
+    // What was left out in a second is told in the next one.
+    const double last = secondsOf(own.back().time) + BEFORE_SECONDS;
+    for (const HistoryEvent &event : events) {
+        const double time = secondsOf(event.time);
+        if (time >= first && time <= last) {
+            found.push_back(event);
+        }
+    }
+    sortByTime(found);
+    return found;
+}
+
+std::vector<HistoryEvent> RequestHistory::beliefs() const
+{
+    return around(m_beliefs);
+}
+
+std::vector<HistoryEvent> RequestHistory::suppressions() const
+{
+    return around(m_suppressions);
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/app/tests/explaintest.cpp
@@ -0,0 +1,101 @@
+#include "app/internal/commands/explaintext.h"
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+const char ENTRY_LOG[] =
+    R"({"time":"2026-12-02T10:00:00.100Z","daemon":"d1","event":"route","request":"00000000000000aa","service":"shop","attempt":1,"choice":"d2"}
+{"time":"2026-12-02T10:00:00.400Z","daemon":"d1","event":"answer","request":"00000000000000aa","service":"shop","outcome":"answered","took_ms":300.0,"status":500.0}
+{"time":"2026-12-02T10:00:00.500Z","daemon":"d1","event":"answer","request":"00000000000000bb","service":"shop","outcome":"answered","took_ms":9.0,"status":200.0}
+)";
+const char GATE_LOG[] =
+    R"(12.3 host-2 {"time":"2026-12-02T10:00:00.110Z","daemon":"d2","event":"admit","request":"00000000000000aa","service":"shop"}
+12.4 host-2 some other text
+12.5 host-2 {"time":"2026-12-02T10:00:00.300Z","daemon":"d2","event":"refuse","request":"00000000000000aa","call":"00000000000000cc","service":"stock","outcome":"not-run","reason":"queue-full","in_flight":4,"queued":4,"limit":4,"left_ms":90.5}
+)";
+
+} // namespace
+
+TEST_GROUP(Explain){
+    std::string explain(const std::string &id,
+                        const std::vector<std::string> &logs){ RequestHistory history(id);
+for (const std::string &log : logs) {
+    std::istringstream stream(log);
+    history.findRoot(stream);
+}
+for (const std::string &log : logs) {
+    std::istringstream stream(log);
+    history.collect("file", stream);
+}
+return toExplanation(history);
+}
+}
+;
+
+// A page failed with 500. Its entry saw an error of the server; the reason is in the log of another
+// host, whose server lost a call to a full service.
+TEST(Explain, FailureOfATreeIsTracedToTheCallThatWasLost)
+{
+    const std::string text = explain("00000000000000aa", { ENTRY_LOG, GATE_LOG });
+    STRCMP_CONTAINS("request 00000000000000aa, 4 lines", text.c_str());
+    STRCMP_CONTAINS(
+        "Cause: answered with 500 after 300.0 ms: its server failed after a call of the "
+        "tree ended so: at d2, service stock: queue-full",
+        text.c_str());
+    STRCMP_CONTAINS("(in flight 4 of 4, queued 4, left 90.5 ms)", text.c_str());
+    CHECK(text.find("00000000000000bb") == std::string::npos);
+    CHECK(text.find("admit") < text.find("refuse"));
+}
+
+TEST(Explain, CallOfAServerLeadsToItsRequest)
+{
+    STRCMP_CONTAINS("request 00000000000000aa, 4 lines",
+                    explain("00000000000000cc", { ENTRY_LOG, GATE_LOG }).c_str());
+}
+
+TEST(Explain, RefusalAtTheRootTellsLoadAndItsAge)
+{
+    const std::string log =
+        R"({"time":"2026-12-02T10:00:00.100Z","daemon":"d1","event":"refuse","request":"00000000000000aa","service":"shop","choice":"stock","outcome":"not-run","reason":"below-floor","share":0.5,"load":2.0,"load_age_ms":35.0})";
+    STRCMP_CONTAINS("(service stock: load 2.0, told 35.0 ms before; share let in 0.5)",
+                    explain("00000000000000aa", { log + "\n" }).c_str());
+}
+
+TEST(Explain, BeliefsAroundTheRequestAreShownAndOthersNot)
+{
+    const std::string log = std::string(ENTRY_LOG)
+        + R"({"time":"2026-12-02T09:59:59.500Z","daemon":"d2","event":"upstream","outcome":"stop","reason":"draining"}
+{"time":"2026-12-02T09:50:00.000Z","daemon":"d2","event":"upstream","outcome":"serve","reason":"old"}
+)";
+    const std::string text = explain("00000000000000aa", { log });
+    STRCMP_CONTAINS("reason=draining", text.c_str());
+    CHECK(text.find("reason=old") == std::string::npos);
+}
+
+// The reader must not take silence for proof: lines were left out, or the file is cut.
+TEST(Explain, WhatTheLogsLackIsSaid)
+{
+    const std::string log = std::string(ENTRY_LOG)
+        + R"({"time":"2026-12-02T10:00:01.000Z","daemon":"d1","event":"suppressed","lines":{"admit":7,"run":2}}
+{"time":"2026-12-02T10:00:01.)";
+    const std::string text = explain("00000000000000aa", { log });
+    STRCMP_CONTAINS("by 1 daemons: admit 7, run 2. Lines of this request may be among them.",
+                    text.c_str());
+    STRCMP_CONTAINS("note: file ends in the middle of a line", text.c_str());
+    STRCMP_CONTAINS("the server's own error", text.c_str());
+    STRCMP_CONTAINS("no line of request 00000000000000ee",
+                    explain("00000000000000ee", { log }).c_str());
+    STRCMP_CONTAINS("holds no line of a decision log", explain("00000000000000ee", { "" }).c_str());
+}
+
+TEST(Explain, LinesThatAreNoEventsAreLeftOut)
+{
+    for (const char *log : { "{", "{}\n", "[1]\n", "{\"event\":1,\"time\":\"x\"}\n", "\xff{\n" }) {
+        STRCMP_CONTAINS("no line of request", explain("00000000000000aa", { log }).c_str());
+    }
+}
