Routing: a server that says how cold it is ramps up by that, and not after a restart of its daemon

Cause: a server whose daemon was restarted counted with a tenth of its slots for five seconds, though it had worked all the while; a replaced one beside a daemon that went on did not ramp up at all.

--- a/src/app/internal/gate/upstreamwatch.cpp
+++ b/src/app/internal/gate/upstreamwatch.cpp
@@ -82,6 +82,7 @@
     announcement.info.slots = report.slots;
     announcement.info.connections = report.connections > 0 ? report.connections : report.slots;
     announcement.info.draining = report.phase != UpstreamPhase::Ready;
+    announcement.info.coldLeft = report.coldLeft;
     announcement.endpoint = report.endpoint;
     announcement.instance = report.instance;
     m_gates.announce(announcement);
--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -49,12 +49,12 @@
 {
     auto &servers = m_services[upstream.service].servers;
     const auto found = servers.find(member.id);
-    if (found != servers.end() && !found->second.update(member, upstream)) {
+    if (found != servers.end() && !found->second.update(now, member, upstream)) {
         return;
     }
     // The servers found together with their service were there before this entry learned of them.
-    const TimePoint warmSince = isServiceNew ? now - m_options.slowStart : now;
-    servers.insert_or_assign(member.id, Server(member, upstream, warmSince));
+    const Duration coldTime = isServiceNew ? Duration::zero() : m_options.slowStart;
+    servers.insert_or_assign(member.id, Server(now, member, upstream, coldTime));
 }
 
 void Router::indexServers(Service &service) const
--- a/src/coordination/routing/internal/server.cpp
+++ b/src/coordination/routing/internal/server.cpp
@@ -46,15 +46,16 @@
 
 } // namespace
 
-Server::Server(const Member &member, const UpstreamInfo &upstream, TimePoint warmSince)
+Server::Server(TimePoint now, const Member &member, const UpstreamInfo &upstream, Duration coldTime)
     : m_daemon(member.id)
     , m_incarnation(member.incarnation)
-    , m_warmSince(warmSince)
+    , m_coldSince(now)
+    , m_coldTime(coldTime)
 {
-    update(member, upstream);
+    update(now, member, upstream);
 }
 
-bool Server::update(const Member &member, const UpstreamInfo &upstream)
+bool Server::update(TimePoint now, const Member &member, const UpstreamInfo &upstream)
 {
     const bool isRestarted = m_incarnation < member.incarnation;
     const bool isNewer = isRestarted || m_counter < member.counter;
@@ -68,6 +69,11 @@
         m_isDraining = false;
         m_counter = member.counter;
     }
+    if (isNewer && upstream.coldLeft) {
+        m_coldSince = now;
+        m_coldTime = *upstream.coldLeft;
+        m_saysCold = true;
+    }
     return isRestarted;
 }
 
@@ -140,11 +146,12 @@
     if (m_hasReport && m_report.limit > 0) {
         limit = std::min<double>(m_slots, m_report.limit);
     }
-    if (!options.hasSlowStart) {
+    if (!options.hasSlowStart || m_coldTime <= Duration::zero()) {
         return limit;
     }
-    const double cold = remainder(now - m_warmSince, options.slowStart);
-    return std::max(1.0, limit * (1 - cold * (1 - options.coldShare)));
+    const double cold = remainder(now - m_coldSince, m_coldTime);
+    const double share = m_saysCold ? options.toldColdShare : options.coldShare;
+    return std::max(1.0, limit * (1 - cold * (1 - share)));
 }
 
 double Server::utilization(TimePoint now, const RouterOptions &options) const
--- a/src/coordination/routing/internal/server.h
+++ b/src/coordination/routing/internal/server.h
@@ -11,10 +11,11 @@
 class Server
 {
 public:
-    Server(const Member &member, const UpstreamInfo &upstream, TimePoint warmSince);
+    /// `coldTime` holds if the server does not say for how long it is cold.
+    Server(TimePoint now, const Member &member, const UpstreamInfo &upstream, Duration coldTime);
 
     /// A newer record of the same server. True if the daemon restarted.
-    bool update(const Member &member, const UpstreamInfo &upstream);
+    bool update(TimePoint now, const Member &member, const UpstreamInfo &upstream);
 
     const DaemonId &daemon() const { return m_daemon; }
     const DomainName &domain() const { return m_domain; }
@@ -58,7 +59,10 @@
     bool m_isLeaving = false;
     /// As its answers say.
     bool m_isDraining = false;
-    TimePoint m_warmSince;
+    /// It is cold from then on for that time; and whether it said so itself.
+    TimePoint m_coldSince;
+    Duration m_coldTime;
+    bool m_saysCold = false;
 
     std::uint32_t m_outstanding = 0;
     bool m_hasReport = false;
--- a/src/coordination/routing/routerfactory.h
+++ b/src/coordination/routing/routerfactory.h
@@ -45,6 +45,9 @@
     Duration slowStart = std::chrono::seconds(5);
     /// Share of its capacity that a cold server counts with at first.
     double coldShare = 0.1;
+    /// The same for one that says itself for how long it is cold: it is known to be there, and only
+    /// slow.
+    double toldColdShare = 0.4;
 
     /// Errors in a row that take a server out.
     std::uint32_t ejectAfter = 5;
--- a/src/coordination/routing/tests/routertest.cpp
+++ b/src/coordination/routing/tests/routertest.cpp
@@ -37,6 +37,8 @@
     Rank floor;
     bool isDraining = false;
     std::uint64_t counter = 1;
+    std::uint64_t incarnation = 1;
+    std::optional<Duration> coldLeft;
     std::uint32_t inFlight = 0;
     std::uint32_t chosen = 0;
 };
@@ -60,10 +62,10 @@
         for (const auto &[name, server] : m_servers) {
             Member member;
             member.id = DaemonId(name);
-            member.incarnation = Incarnation(1);
+            member.incarnation = Incarnation(server.incarnation);
             member.counter = server.counter;
             member.domain = server.domain;
-            member.upstreams = { { SERVICE, SLOTS, SLOTS, false } };
+            member.upstreams = { { SERVICE, SLOTS, SLOTS, false, server.coldLeft } };
             members.push_back(member);
         }
         m_router->setMembers(m_now, members);
@@ -273,6 +275,39 @@
     }
 }
 
+// A daemon is stopped and started again while its server works on. Nothing is cold, and with a
+// tenth of its share for seconds each stop would cost the service a server.
+TEST(Router, ServerThatSaysItIsNotColdGetsItsWholeShareAfterItsDaemonRestarted)
+{
+    Entry entry(ownOptions());
+    addFour(entry);
+    for (const char *name : { "a", "b", "c", "d" }) {
+        entry.server(name).coldLeft = Duration(0);
+    }
+    entry.announce();
+    entry.run(2s, 1ms);
+    entry.server("a").incarnation = 2;
+    entry.announce();
+    entry.run(1s, 1ms);
+    CHECK(entry.shareOf("a") > 0.2);
+}
+
+// A server is replaced beside a daemon that goes on. The new one says that it is cold.
+TEST(Router, ServerThatSaysItIsColdGetsLessUntilItIsWarm)
+{
+    Entry entry(ownOptions());
+    addFour(entry);
+    entry.run(2s, 1ms);
+    entry.server("a").coldLeft = 3s;
+    entry.server("a").counter = 2;
+    entry.announce();
+    entry.run(500ms, 200us);
+    CHECK(entry.shareOf("a") < 0.2);
+    entry.run(4s, 200us);
+    entry.run(1s, 200us);
+    CHECK(entry.shareOf("a") > 0.22);
+}
+
 TEST(Router, OwnDomainComesFirstAndSpillsWhileItIsSaturated)
 {
     for (const bool isOn : { true, false }) {
--- a/src/coordination/upstreams/upstreamreport.h
+++ b/src/coordination/upstreams/upstreamreport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "state/endpoint.h"
 #include "state/ids.h"
@@ -27,8 +28,8 @@
     UpstreamPhase phase = UpstreamPhase::Ready;
     /// Grows with each report of one run. Without meaning when `instance` is empty.
     std::uint64_t sequence = 0;
-    /// How much longer the server is slow after its start.
-    Duration coldLeft{ 0 };
+    /// How much longer the server is slow after its start; nothing if it does not say.
+    std::optional<Duration> coldLeft;
 };
 
 } // namespace ivyspar
--- a/src/protocol/internal/membershipcodec.cpp
+++ b/src/protocol/internal/membershipcodec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/internal/membershipcodec.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "protocol/internal/boundedcbor.h"
@@ -32,6 +33,14 @@
     }
 }
 
+/// A day: nothing is cold for longer, and sums of times stay far from overflowing.
+constexpr std::uint64_t MOST_COLD_MICROS = 86'400'000'000;
+
+Duration::rep coldMicros(const UpstreamInfo &upstream)
+{
+    return upstream.coldLeft.value_or(Duration::zero()).count();
+}
+
 /// The id, incarnation and counter are those of the update that carries the record.
 Json writeRecord(const Member &member)
 {
@@ -40,6 +49,8 @@
     for (const UpstreamInfo &upstream : member.upstreams) {
         writer.add(upstream.service).add(std::uint64_t(upstream.slots));
         writer.add(std::uint64_t(upstream.connections)).add(upstream.draining);
+        writer.add(upstream.coldLeft.has_value());
+        writer.add(std::uint64_t(std::max<Duration::rep>(0, coldMicros(upstream))));
     }
     return writer.take();
 }
@@ -55,6 +66,13 @@
         reader.read(upstream.slots);
         reader.read(upstream.connections);
         reader.read(upstream.draining);
+        bool saysColdLeft = false;
+        std::uint64_t micros = 0;
+        reader.read(saysColdLeft);
+        reader.read(micros);
+        if (saysColdLeft) {
+            upstream.coldLeft = Duration(std::min(micros, MOST_COLD_MICROS));
+        }
         member.upstreams.push_back(std::move(upstream));
     }
 }
--- a/src/protocol/tests/membershipcodectest.cpp
+++ b/src/protocol/tests/membershipcodectest.cpp
@@ -20,7 +20,7 @@
                             5,
                             DomainName("eagle-farm"),
                             { "::1", 7100 },
-                            { { ServiceName("weighbridge"), 80, 600, true } },
+                            { { ServiceName("weighbridge"), 80, 600, true, Duration(1500) } },
                             true };
     MembershipMessage message;
     message.sender = { "127.0.0.1", 7100 };
@@ -60,6 +60,7 @@
     const auto reply = decodeMembership(encodeMembership(makeReply()));
     const Member &member = *reply->updates.front().record;
     CHECK(member.upstreams.front().draining && member.leaving);
+    CHECK(member.upstreams.front().coldLeft == Duration(1500));
     CHECK(member.counter == 5 && member.domain == DomainName("eagle-farm"));
 }
 
--- a/src/state/member.h
+++ b/src/state/member.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "state/endpoint.h"
 #include "state/ids.h"
+#include "state/time.h"
 
 namespace ivyspar {
 
@@ -15,6 +17,9 @@
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
     bool draining = false;
+    /// How much longer it is slow after its start, when it last said so; nothing if servers of this
+    /// deployment do not say.
+    std::optional<Duration> coldLeft = {};
 };
 
 /// What the other daemons know of one daemon. Of two records of a daemon the one with the larger
