--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -142,12 +142,6 @@
     }
 }
 
-void ControlNode::startLeaving()
-{
-    m_isLeaving = true;
-    m_membership.startLeaving();
-}
-
 void ControlNode::stop(Duration timeout)
 {
     m_configurationDriver->stop();
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -49,7 +49,10 @@
     }
     void receive(const ControlMessage &message);
     void onUnreachable(const DaemonId &daemon) { m_membership.onUnreachable(daemon); }
-    void startLeaving();
+    /// Whoever asks for the health of this daemon hears from now on that it leaves.
+    void setUnready() { m_isLeaving = true; }
+    /// Tells the other daemons that this one takes no more calls.
+    void startLeaving() { m_membership.startLeaving(); }
     void leave() { m_membership.leave(); }
     void stop(Duration timeout);
 
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -259,18 +259,26 @@
     done.get_future().wait();
 }
 
+/// The server beside works on while its daemon stops, and is reached through this daemon alone. So
+/// its calls are refused last: first callers turn to other daemons, then their requests end, and
+/// only then the others hear that this daemon is leaving. Refusing calls from the start would take
+/// the server out for seconds each time, and a roll of all daemons would cost a part of each
+/// service.
 bool Daemon::drain()
 {
-    // The others hear of it first, so that they choose other servers from now on; what they sent
-    // before they heard is refused as not run and goes elsewhere.
-    runAndWait(*m_controlLoop, [this] { m_control->startLeaving(); });
-    bool isDrained = true;
-    runAndWait(*m_trafficLoop, [this] {
-        m_traffic->startLeaving();
+    const TimePoint end = m_trafficLoop->now() + m_settings.leaveTime + m_settings.drainTimeout;
+    runAndWait(*m_controlLoop, [this] { m_control->setUnready(); });
+    runAndWait(*m_trafficLoop, [this, end] {
+        m_traffic->startLeaving(end);
         m_trafficLoop->sleepFor(m_settings.leaveTime);
-        m_traffic->startDraining();
+        m_traffic->refuseCallers();
+        m_traffic->waitForCallers(end);
     });
-    runAndWait(*m_trafficLoop, [&] { isDrained = m_traffic->drainCalls(m_settings.drainTimeout); });
+    // The others hear of it before calls are refused; what they sent before they heard is refused
+    // as not run and goes elsewhere.
+    runAndWait(*m_controlLoop, [this] { m_control->startLeaving(); });
+    bool isDrained = true;
+    runAndWait(*m_trafficLoop, [&] { isDrained = m_traffic->drainCalls(end); });
     runAndWait(*m_controlLoop, [this] {
         m_control->leave();
         m_controlLoop->sleepFor(GOODBYE);
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -63,9 +63,6 @@
 
 HttpResponse EntryService::handleCaller(IHttpExchange &exchange)
 {
-    if (m_isDraining) {
-        return refuse(reject(EarlyRefusal{ RootId(), notRun(Reason::ShuttingDown) }), false);
-    }
     return serve(exchange, false);
 }
 
@@ -83,9 +80,12 @@
     if (!incoming) {
         return refuse(incoming.error(), isFromUpstream);
     }
+    const std::size_t callers = isCallers(*incoming, isFromUpstream) ? 1 : 0;
     ++m_requestCount;
+    m_callerCount += callers;
     HttpResponse response = runRequest(exchange, std::move(*incoming));
     --m_requestCount;
+    m_callerCount -= callers;
     return response;
 }
 
@@ -107,6 +107,11 @@
         // the number of attempts for one tap unbounded.
         return Refusal(reject(EarlyRefusal{ incoming.root, notRun(Reason::CallerAttempts) }));
     }
+    // Only now it is known whose request it is. Calls of the server beside go on: refused, they
+    // would fail the requests that it was given before.
+    if (m_isDraining && isCallers(incoming, isFromUpstream)) {
+        return Refusal(reject(EarlyRefusal{ incoming.root, notRun(Reason::ShuttingDown) }));
+    }
     if (!incoming.ledger) {
         incoming.ledger = new CallLedger(incoming.rule.attempts);
     }
@@ -116,6 +121,11 @@
     return incoming;
 }
 
+bool EntryService::isCallers(const Incoming &incoming, bool isFromUpstream)
+{
+    return !isFromUpstream && incoming.depth == Depth(0);
+}
+
 EntryService::Incoming EntryService::makeIncoming(CallerRequest request)
 {
     Incoming incoming;
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -49,6 +49,8 @@
     /// Refuses new requests of callers from now on; calls of upstreams for running requests go on.
     void startDraining() { m_isDraining = true; }
     std::size_t requestCount() const { return m_requestCount; }
+    /// Of these, requests of callers.
+    std::size_t callerCount() const { return m_callerCount; }
 
     /// A caller's request. Runs in the connection's fiber.
     HttpResponse handleCaller(IHttpExchange &exchange);
@@ -96,6 +98,7 @@
     using Refusal = tl::unexpected<Rejection>;
 
     tl::expected<Incoming, Rejection> readRequest(IHttpExchange &exchange, bool isFromUpstream);
+    static bool isCallers(const Incoming &incoming, bool isFromUpstream);
     Incoming makeIncoming(CallerRequest request);
     void applyContext(const std::string &token, Incoming &incoming);
     HttpResponse serve(IHttpExchange &exchange, bool isFromUpstream);
@@ -134,6 +137,7 @@
     ConfigurationPtr m_configuration;
     RequestOrigin m_origin;
     std::size_t m_requestCount = 0;
+    std::size_t m_callerCount = 0;
     bool m_isDraining = false;
 };
 
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -169,7 +169,7 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::QueueFull, Duration::zero() });
         return id;
     }
-    if (m_isDraining) {
+    if (m_isDraining || call.deadline > m_end) {
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Draining, Duration::zero() });
         return id;
     }
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -66,6 +66,9 @@
     /// that run go on.
     void withdraw(const ServiceName &service, const UpstreamId &instance);
     /// Refuses new calls of all services from now on.
+    /// The daemon ends at `end`: calls that may last longer are refused from now on.
+    void startLeaving(TimePoint end) { m_end = end; }
+    /// Refuses all new calls.
     void startDraining();
     std::size_t callCount() const { return m_calls.size(); }
     std::vector<std::pair<ServiceName, LoadReport>> loads() const;
@@ -154,6 +157,7 @@
     std::unique_ptr<IParentFinder> m_parents;
     TimerId m_sweepTimer;
     bool m_isDraining = false;
+    TimePoint m_end = TimePoint::max();
 };
 
 } // namespace ivyspar
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
 
 constexpr Duration DRAIN_POLL = std::chrono::milliseconds(5);
+/// Of the time for a planned stop, what is left for the ends of connections.
+constexpr Duration CLOSING_TIME = std::chrono::milliseconds(200);
 
 HttpClientLimits makeClientLimits(const DaemonSettings &settings, const IUpstreamDialect &dialect)
 {
@@ -215,32 +217,45 @@
     return status;
 }
 
-void TrafficNode::startLeaving()
+void TrafficNode::startLeaving(TimePoint end)
 {
-    m_gates->startDraining();
+    m_gates->startLeaving(end);
     m_callerServer->startLeaving();
 }
 
-void TrafficNode::startDraining()
+void TrafficNode::refuseCallers()
 {
-    m_gates->startDraining();
     m_entry->startDraining();
 }
 
-bool TrafficNode::drainCalls(Duration timeout)
+void TrafficNode::waitForCallers(TimePoint end)
 {
-    const TimePoint end = m_loop.now() + timeout;
-    const auto left = [&] { return std::chrono::duration_cast<Duration>(end - m_loop.now()); };
-    m_callerServer->drain(timeout);
-    // Calls that other daemons sent here run on, and so do the calls that they make from here.
-    while (m_gates->callCount() + m_entry->requestCount() > 0 && left() > Duration::zero()) {
+    while (m_entry->callerCount() > 0 && m_loop.now() < end) {
+        m_loop.sleepFor(DRAIN_POLL);
+    }
+}
+
+bool TrafficNode::drainCalls(TimePoint end)
+{
+    m_gates->startDraining();
+    // Calls that other daemons sent here run on, and so do the calls that they make from here. The
+    // listeners stay open for these.
+    const TimePoint last = end - CLOSING_TIME;
+    while (m_gates->callCount() + m_entry->requestCount() > 0 && m_loop.now() < last) {
         m_loop.sleepFor(DRAIN_POLL);
     }
     const bool isDone = m_gates->callCount() + m_entry->requestCount() == 0;
-    m_upstreamServer->drain(std::max(left(), DRAIN_POLL));
+    m_callerServer->drain(timeUntil(end));
+    m_upstreamServer->drain(timeUntil(end));
     return isDone;
 }
 
+/// At least enough for what is ready to be sent.
+Duration TrafficNode::timeUntil(TimePoint end) const
+{
+    return std::max(std::chrono::duration_cast<Duration>(end - m_loop.now()), DRAIN_POLL);
+}
+
 void TrafficNode::closeLinks(Duration timeout)
 {
     m_network->shutdown(timeout);
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -55,17 +55,22 @@
     void setHostService(const ServiceName &service) { m_entry->setHostService(service); }
     void sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload);
     TrafficStatus status() const;
-    /// Calls of other daemons are refused from now on, and callers are sent elsewhere with their
-    /// next request; what is in flight goes on.
-    void startLeaving();
-    /// New requests are refused from now on; those in flight go on.
-    void startDraining();
-    /// Waits for the end of what is in flight and closes the listeners of callers and upstreams;
-    /// suspends for `timeout` at most. False when something was still in flight then.
-    bool drainCalls(Duration timeout);
+    /// The daemon ends at `end`. Callers are sent elsewhere with their next request, and calls of
+    /// other daemons that may last longer are refused; others are still taken, as the server beside
+    /// works on.
+    void startLeaving(TimePoint end);
+    /// New requests of callers are refused from now on; those in flight go on.
+    void refuseCallers();
+    /// Suspends until the requests of callers are answered, until `end` at most.
+    void waitForCallers(TimePoint end);
+    /// Refuses all new calls, waits for the end of what is in flight and closes the listeners of
+    /// callers and upstreams; suspends until `end` at most. False when something was still in
+    /// flight then.
+    bool drainCalls(TimePoint end);
     void closeLinks(Duration timeout);
 
 private:
+    Duration timeUntil(TimePoint end) const;
     void makePeers(const DaemonIdentity &self, Observers observers);
     HttpLimits makeLimits() const;
     HttpLimits makeCallerLimits(const CallerLimits &limits) const;
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -79,3 +79,29 @@
     m_gates->announce(Announcement{ info, after, {} });
     CHECK_EQUAL(2000, m_client.limitOf(after));
 }
+
+// 1. A daemon is to stop, and its server works on. Until the daemon ends, a call that will be over
+// by
+//    then is taken: refusing all would take the server out of its service for seconds.
+// 2. One that may last longer would be cut. Its entry hears at once that it was not run.
+TEST(GateService, ALeavingDaemonTakesTheCallsThatEndInTime)
+{
+    const ServiceName service("cassa");
+    m_gates->announce(Announcement{ { service, 300, 2000, false }, { "127.0.0.1", 9000 }, {} });
+    m_gates->startLeaving(m_loop->now() + std::chrono::seconds(5));
+    std::vector<Verdict> verdicts;
+    const auto send = [&](Duration remaining) {
+        CallMessage call;
+        call.service = service;
+        call.remaining = remaining;
+        m_gates->handle(std::move(call),
+                        [&](const AnswerMessage &answer) { verdicts.push_back(answer.verdict); });
+    };
+    send(std::chrono::milliseconds(700));
+    CHECK(verdicts.empty());
+    CHECK_EQUAL(1, m_gates->callCount());
+    send(std::chrono::seconds(6));
+    CHECK_EQUAL(1, verdicts.size());
+    CHECK(verdicts.front().outcome == Outcome::NotRun);
+    CHECK(verdicts.front().reason == Reason::Draining);
+}
