--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -280,6 +280,7 @@
     question.hasArrived = end.hasReachedUpstream;
     question.repetition = m_terms.rule.repetition;
     question.attempts = attempts();
+    question.arrivals = m_arrivals;
     question.isFromBelow = isFromBelow;
     question.remaining = std::chrono::duration_cast<Duration>(m_terms.deadline - now);
     return m_policies.retries.shouldRetry(now, question);
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -91,10 +91,20 @@
     return m_options.countsArrivalsOnly && !question.hasArrived;
 }
 
+/// Where refusals cost nothing, they must not use up what is meant for losses: a call that two full
+/// gates refused would otherwise end with the first lost link.
+bool RetryPolicy::hasTriedEnough(const RetryQuestion &question) const
+{
+    if (!m_options.countsArrivalsOnly) {
+        return question.attempts >= m_options.attempts;
+    }
+    return question.attempts >= m_options.unseenAttempts
+        || (question.hasArrived && question.arrivals >= m_options.attempts);
+}
+
 bool RetryPolicy::isWorthwhile(const RetryQuestion &question) const
 {
-    const std::uint32_t most = isFree(question) ? m_options.unseenAttempts : m_options.attempts;
-    if (!m_options.hasRetries || question.attempts >= most) {
+    if (!m_options.hasRetries || hasTriedEnough(question)) {
         return false;
     }
     // If each of n hops made three attempts, the last service would see 3ⁿ of them.
--- a/src/coordination/retries/internal/retrypolicy.h
+++ b/src/coordination/retries/internal/retrypolicy.h
@@ -36,6 +36,7 @@
     double mostRetries() const;
     Service &serviceOf(const ServiceName &name);
     bool isFree(const RetryQuestion &question) const;
+    bool hasTriedEnough(const RetryQuestion &question) const;
     bool isWorthwhile(const RetryQuestion &question) const;
 
     RetryOptions m_options;
--- a/src/coordination/retries/iretrypolicy.h
+++ b/src/coordination/retries/iretrypolicy.h
@@ -17,6 +17,8 @@
     Repetition repetition = Repetition::Never;
     /// Attempts made of this call at this hop so far.
     std::uint32_t attempts = 1;
+    /// Of these, those that reached an upstream, or may have.
+    std::uint32_t arrivals = 1;
     Duration remaining{ 0 };
     /// The attempt that failed reached an upstream, or may have: the next one is a repeat there.
     bool hasArrived = true;
--- a/src/coordination/retries/tests/retrypolicytest.cpp
+++ b/src/coordination/retries/tests/retrypolicytest.cpp
@@ -288,3 +288,20 @@
     CHECK(policy->shouldRetry(now, asked));
     CHECK_FALSE(policy->shouldRetry(now, asked));
 }
+
+// Two full gates refused a lookup, so no server saw it; the third was sent it and its link was
+// lost. That is the first loss: another server may be asked.
+TEST(RetryPolicy, RefusalsBeforeALossDoNotUseUpItsRetries)
+{
+    RetryOptions options;
+    options.countsArrivalsOnly = true;
+    RetryQuestion lost = question(Outcome::Unknown, Reason::LinkLost, Repetition::Idempotent);
+    lost.attempts = 3;
+    lost.arrivals = 1;
+    CHECK(isRetried(lost, options));
+    lost.arrivals = 3;
+    CHECK_FALSE(isRetried(lost, options));
+    lost.arrivals = 1;
+    lost.attempts = options.unseenAttempts;
+    CHECK_FALSE(isRetried(lost, options));
+}
