--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int FIRST_SERVER_ERROR = 500;
+
 struct Explanation
 {
     const char *reason;
@@ -97,18 +99,37 @@
         + sentenceOf(event.text("reason")) + grounds(event);
 }
 
-std::string describeAnswer(const HistoryEvent &end, const HistoryEvent *failure)
+int statusOf(const HistoryEvent &event)
 {
-    constexpr int FIRST_SERVER_ERROR = 500;
-    const int status = end.has("status") ? static_cast<int>(end.fields["status"].get<double>()) : 0;
+    return event.has("status") ? static_cast<int>(event.fields["status"].get<double>()) : 0;
+}
+
+/// The first run of the tree that ended with an error: those above it fail for it.
+const HistoryEvent *findFirstError(const std::vector<HistoryEvent> &events)
+{
+    const auto run = std::find_if(events.begin(), events.end(), [](const HistoryEvent &event) {
+        return event.event == "run" && statusOf(event) >= FIRST_SERVER_ERROR;
+    });
+    return run == events.end() ? nullptr : &*run;
+}
+
+std::string describeAnswer(const std::vector<HistoryEvent> &events, const HistoryEvent &end,
+                           const HistoryEvent *failure)
+{
+    const int status = statusOf(end);
     const std::string text =
         "answered with " + std::to_string(status) + " after " + numberOf(end, "took_ms") + " ms";
     if (status < FIRST_SERVER_ERROR) {
         return text;
     }
-    return failure
-        ? text + ": its server failed after a call of the tree ended so: at " + describe(*failure)
-        : text + ": the server's own error";
+    if (failure) {
+        return text + ": its server failed after a call of the tree ended so: at "
+            + describe(*failure);
+    }
+    const HistoryEvent *first = findFirstError(events);
+    return first ? text + ": the first error of its tree was that of " + first->text("choice")
+            + ", service " + first->text("service") + ", beside " + first->daemon
+                 : text + ": the logs name no error below it";
 }
 
 } // namespace
@@ -122,7 +143,7 @@
                        : "its end is not in the logs";
     }
     if (end->event == "answer") {
-        return describeAnswer(*end, failure);
+        return describeAnswer(events, *end, failure);
     }
     std::string text = end->text("outcome") + " at " + describe(*end);
     if (failure && !end->has("load") && !end->has("window")) {
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -155,20 +155,46 @@
 void ControlNode::onMembers(std::vector<Member> members)
 {
     m_observers.metrics.set(Gauge::Members, static_cast<std::int64_t>(members.size()));
-    recordChange(DecisionKind::Membership, members.size(), "working-members");
+    recordMembers(members);
     m_traffic.setMembers(std::move(members));
 }
 
-void ControlNode::recordChange(DecisionKind kind, std::uint64_t choice, const char *reason)
+/// One line for each daemon that joined or left.
+void ControlNode::recordMembers(const std::vector<Member> &members)
 {
-    if (!m_observers.decisions.isEnabled()) {
-        return;
+    std::set<DaemonId> working;
+    for (const Member &member : members) {
+        working.insert(member.id);
+        if (m_working.count(member.id) == 0) {
+            recordMember(member.id, "joined", members.size());
+        }
+    }
+    for (const DaemonId &known : m_working) {
+        if (working.count(known) == 0) {
+            recordMember(known, "left", members.size());
+        }
     }
+    m_working = std::move(working);
+}
+
+void ControlNode::recordMember(const DaemonId &daemon, const char *outcome, std::size_t count)
+{
+    Decision decision;
+    decision.kind = DecisionKind::Membership;
+    decision.importance = Importance::Essential;
+    decision.choice = daemon.value();
+    decision.outcome = outcome;
+    decision.inputs = { { "members", static_cast<double>(count) } };
+    m_observers.decisions.write(std::move(decision));
+}
+
+void ControlNode::recordConfiguration(ConfigurationVersion version)
+{
     Decision decision;
-    decision.kind = kind;
+    decision.kind = DecisionKind::Configuration;
     decision.importance = Importance::Essential;
-    decision.choice = std::to_string(choice);
-    decision.reason = reason;
+    decision.choice = std::to_string(version.value());
+    decision.outcome = "in-force";
     m_observers.decisions.write(std::move(decision));
 }
 
@@ -191,7 +217,7 @@
     m_configuredAt = m_loop.now();
     m_observers.metrics.set(Gauge::ConfigurationVersion,
                             static_cast<std::int64_t>(configuration->version.value()));
-    recordChange(DecisionKind::Configuration, configuration->version.value(), "in-force");
+    recordConfiguration(configuration->version);
     m_traffic.setConfiguration(configuration);
 }
 
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "app/internal/control/controlexchange.h"
@@ -70,7 +71,9 @@
     HttpResponse answerMetrics();
     TrafficStatus fetchTraffic();
     void onMembers(std::vector<Member> members);
-    void recordChange(DecisionKind kind, std::uint64_t choice, const char *reason);
+    void recordMembers(const std::vector<Member> &members);
+    void recordMember(const DaemonId &daemon, const char *outcome, std::size_t count);
+    void recordConfiguration(ConfigurationVersion version);
 
     IEventLoop &m_loop;
     DaemonSettings m_settings;
@@ -91,6 +94,7 @@
     std::unique_ptr<IHttpServer> m_readinessServer;
     ConfigurationPtr m_configuration;
     TimePoint m_configuredAt;
+    std::set<DaemonId> m_working;
     bool m_isLeaving = false;
 };
 
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -536,8 +536,10 @@
     decision.choice = instance.value();
     decision.outcome = toText(end.verdict.outcome);
     decision.reason = toText(end.verdict.reason);
-    decision.inputs = { { "served_ms", toMillis(serviceTime) },
-                        { "status", static_cast<double>(end.response.status) } };
+    decision.inputs = { { "served_ms", toMillis(serviceTime) } };
+    if (end.verdict.outcome == Outcome::Answered) {
+        decision.inputs.push_back({ "status", static_cast<double>(end.response.status) });
+    }
     m_observers.decisions.write(std::move(decision));
 }
 
--- a/src/app/internal/logs/logbudget.h
+++ b/src/app/internal/logs/logbudget.h
@@ -11,7 +11,7 @@
 struct LogBudgetOptions
 {
     /// Lines in each second, of which routine lines may take the second number.
-    std::size_t lines = 600;
+    std::size_t lines = 800;
     std::size_t routineLines = 250;
 };
 
