--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -60,13 +60,20 @@
     return isRefusal || isLostRun;
 }
 
-/// The last thing that went wrong below the entry.
+/// The last thing that went wrong below the entry, up to the request's end. Calls that were
+/// cancelled are ends that others caused.
 const HistoryEvent *findFailure(const std::vector<HistoryEvent> &events, const HistoryEvent *end)
 {
-    const auto failure =
-        std::find_if(events.rbegin(), events.rend(),
-                     [&](const HistoryEvent &event) { return &event != end && isFailure(event); });
-    return failure == events.rend() ? nullptr : &*failure;
+    const HistoryEvent *failure = nullptr;
+    for (const HistoryEvent &event : events) {
+        if (&event == end) {
+            break;
+        }
+        if (isFailure(event) && event.text("reason") != "cancelled") {
+            failure = &event;
+        }
+    }
+    return failure;
 }
 
 std::string numberOf(const HistoryEvent &event, const char *field)
--- a/src/app/tests/explaintest.cpp
+++ b/src/app/tests/explaintest.cpp
@@ -65,6 +65,19 @@
                     explain("00000000000000aa", { log }).c_str());
 }
 
+// A request failed when one of its calls was lost. The calls that were still under way were then
+// cancelled: they did not cause it.
+TEST(Explain, CallsThatWereCancelledAreNoCause)
+{
+    const std::string log =
+        R"({"time":"2026-12-02T10:00:00.100Z","daemon":"d2","event":"run","request":"00000000000000aa","service":"stock","outcome":"unknown","reason":"broken-answer"}
+{"time":"2026-12-02T10:00:00.200Z","daemon":"d2","event":"run","request":"00000000000000aa","service":"stock","outcome":"unknown","reason":"cancelled"}
+{"time":"2026-12-02T10:00:00.300Z","daemon":"d1","event":"answer","request":"00000000000000aa","service":"shop","took_ms":200.0,"status":500.0}
+{"time":"2026-12-02T10:00:00.400Z","daemon":"d2","event":"run","request":"00000000000000aa","service":"stock","outcome":"unknown","reason":"link-lost"}
+)";
+    STRCMP_CONTAINS("service stock: broken-answer", explain("00000000000000aa", { log }).c_str());
+}
+
 TEST(Explain, CallOfAServerLeadsToItsRequest)
 {
     STRCMP_CONTAINS("request 00000000000000aa, 4 lines",
