Routing: what this entry cannot reach is left alone, however many servers that are

Cause: found with explain: while a domain is cut off, its entries sent each call that spilled to servers behind the cut and lost 250 ms at each; ejection keeps half of a service's servers in.

--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -90,6 +90,11 @@
     if (choice.daemon.value().empty()) {
         // Servers taken out for their errors are better than no server: otherwise a fault seen on
         // all of them would end the service until the last ejection is over.
+        pick(query, &Router::isReachableResort, choice);
+    }
+    if (choice.daemon.value().empty() && request.excluded.empty()) {
+        // None can be reached: the next call finds out. One that was refused elsewhere hears that
+        // at once instead.
         pick(query, &Router::isLastResort, choice);
     }
     return choice.daemon.value().empty() ? refusal(query) : choice;
@@ -161,10 +166,15 @@
 
 bool Router::isUsable(const Query &query, const Server &server) const
 {
-    return isLastResort(query, server) && !server.isEjected(query.now)
+    return isReachableResort(query, server) && !server.isEjected(query.now)
         && server.hasRoomOnProbation();
 }
 
+bool Router::isReachableResort(const Query &query, const Server &server) const
+{
+    return isLastResort(query, server) && !server.isUnreachable(query.now) && server.hasRoomToTry();
+}
+
 bool Router::isLastResort(const Query &query, const Server &server) const
 {
     return !server.isDraining() && !isExcluded(query, server)
--- a/src/coordination/routing/internal/router.h
+++ b/src/coordination/routing/internal/router.h
@@ -52,6 +52,7 @@
 
     bool isExcluded(const Query &query, const Server &server) const;
     bool isUsable(const Query &query, const Server &server) const;
+    bool isReachableResort(const Query &query, const Server &server) const;
     bool isLastResort(const Query &query, const Server &server) const;
     const Server *next(const Query &query, const std::vector<Server *> &servers, Filter filter,
                        const Server *other) const;
--- a/src/coordination/routing/internal/server.cpp
+++ b/src/coordination/routing/internal/server.cpp
@@ -91,6 +91,7 @@
     if (feedback == RouteFeedback::Cancelled) {
         return;
     }
+    noteReach(now, feedback, options);
     if (feedback == RouteFeedback::Draining) {
         m_isDraining = true;
         return;
@@ -113,6 +114,22 @@
     }
 }
 
+/// A failure domain is cut off, and connections to it hang until they are given up. Membership
+/// notices after seconds; until then each call that spills there would lose the time of a connect.
+/// What this entry cannot reach is no server for it, however many of the service that are:
+/// ejection, which keeps half of them in, does not help there.
+void Server::noteReach(TimePoint now, RouteFeedback feedback, const RouterOptions &options)
+{
+    if (feedback != RouteFeedback::Unreachable) {
+        m_failedReaches = 0;
+        m_unreachableUntil = TimePoint();
+        return;
+    }
+    const Duration wanted = options.unreachable * (1U << std::min(m_failedReaches, 10U));
+    m_unreachableUntil = now + std::min(wanted, options.longestUnreachable);
+    ++m_failedReaches;
+}
+
 void Server::onLoad(TimePoint now, const LoadReport &load)
 {
     m_hasReport = true;
--- a/src/coordination/routing/internal/server.h
+++ b/src/coordination/routing/internal/server.h
@@ -25,6 +25,10 @@
     /// Was ejected and has not answered since.
     bool isOnProbation() const { return m_ejections > 0; }
     bool hasRoomOnProbation() const { return !isOnProbation() || m_outstanding == 0; }
+    /// A link to it could not be opened, or was lost, a moment ago.
+    bool isUnreachable(TimePoint now) const { return now < m_unreachableUntil; }
+    /// Where it could not be reached before, one call at a time finds out whether it can be again.
+    bool hasRoomToTry() const { return m_failedReaches == 0 || m_outstanding == 0; }
     bool isBroken(const RouterOptions &options) const;
 
     void onSent() { ++m_outstanding; }
@@ -46,6 +50,7 @@
     Rank floor(TimePoint now, const RouterOptions &options) const;
 
 private:
+    void noteReach(TimePoint now, RouteFeedback feedback, const RouterOptions &options);
     double capacity(TimePoint now, const RouterOptions &options) const;
     double reportWeight(TimePoint now, const RouterOptions &options) const;
     double freshness(TimePoint now, const RouterOptions &options) const;
@@ -78,6 +83,9 @@
     std::uint32_t m_strikes = 0;
     std::uint32_t m_ejections = 0;
     TimePoint m_ejectedUntil;
+    /// Calls in a row for which it could not be reached.
+    std::uint32_t m_failedReaches = 0;
+    TimePoint m_unreachableUntil;
 };
 
 } // namespace ivyspar
--- a/src/coordination/routing/routerfactory.h
+++ b/src/coordination/routing/routerfactory.h
@@ -55,6 +55,11 @@
     double ejectedErrors = 2;
     Duration ejection = std::chrono::seconds(1);
     Duration longestEjection = std::chrono::seconds(16);
+    /// A server that could not be reached is not tried again for this time, twice as long with each
+    /// failure in a row …
+    Duration unreachable = std::chrono::milliseconds(500);
+    /// … and this long at most.
+    Duration longestUnreachable = std::chrono::seconds(2);
     /// At most this share of a service's servers is out.
     double ejectedShare = 0.5;
 
--- a/src/coordination/routing/tests/routertest.cpp
+++ b/src/coordination/routing/tests/routertest.cpp
@@ -329,6 +329,50 @@
     }
 }
 
+// 1. A failure domain is cut off. Connections to the three servers there hang until they are given
+// up.
+// 2. The own server is full, so calls spill. Each would lose the time of a connect, and be refused
+// in
+//    the end: half of the servers of a service always stay in, whatever fails.
+// 3. What could not be reached a moment ago is left alone, but for a call now and then.
+TEST(Router, ServersThatCannotBeReachedAreLeftAloneHoweverManyTheyAre)
+{
+    Entry entry(ownOptions());
+    entry.server("near") = FakeServer();
+    for (const char *name : { "far1", "far2", "far3" }) {
+        entry.server(name).domain = OTHER;
+        entry.server(name).end = RouteFeedback::Unreachable;
+    }
+    entry.announce();
+    entry.run(4s, 400us); // 50 of 40 slots
+    entry.run(2s, 400us);
+    CHECK(entry.shareOf("near") > 0.98);
+
+    for (const char *name : { "far1", "far2", "far3" }) {
+        entry.server(name).end = RouteFeedback::Answered;
+    }
+    entry.run(4s, 400us);
+    entry.run(1s, 400us);
+    CHECK(entry.shareOf("near") < 0.9);
+}
+
+// A call that the own server refused hears at once that there is no other, as long as none can be
+// reached. A new call tries all the same: otherwise nobody would find out that they are back.
+TEST(Router, RefusedCallIsNotSentWhereNothingCanBeReached)
+{
+    Entry entry(ownOptions());
+    entry.server("near") = FakeServer();
+    entry.server("far") = FakeServer();
+    entry.server("far").domain = OTHER;
+    entry.announce();
+    entry.router().onSent(entry.now(), SERVICE, DaemonId("far"));
+    entry.router().onEnd(entry.now(), SERVICE, DaemonId("far"), RouteFeedback::Unreachable, 250ms);
+    const Rank rank = lowestRankOf(Priority(50));
+    CHECK(entry.choose(rank, { DaemonId("near") }).daemon.value().empty());
+    entry.pass(RouterOptions().unreachable);
+    CHECK(entry.choose(rank, { DaemonId("near") }).daemon == DaemonId("far"));
+}
+
 TEST(Router, DrainingServerIsLeftAtOnceAndAskedAgainAfterANewerRecord)
 {
     Entry entry(ownOptions());
