--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -169,14 +169,22 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::QueueFull, Duration::zero() });
         return id;
     }
-    if (m_isDraining || call.deadline > m_end) {
+    if (m_isDraining) {
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Draining, Duration::zero() });
         return id;
     }
-    if (!findUpstream(service)) {
+    Upstream *upstream = findUpstream(service);
+    if (!upstream) {
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() });
         return id;
     }
+    if (call.deadline > m_end) {
+        // Without the mark the refusal's own load would call the server back into use, and each
+        // call would come here first.
+        upstream->endsTooSoon = true;
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::Draining, Duration::zero() });
+        return id;
+    }
     if (call.message.once) {
         call.isClaiming = true;
         m_once.request(id, call.message, now + call.message.remaining * CLAIM_SHARE_PERCENT / 100);
@@ -308,6 +316,7 @@
     LoadReport report;
     if (found != m_upstreams.end()) {
         report = found->second.gate->load(m_loop.now());
+        report.draining = report.draining || found->second.endsTooSoon;
     }
     report.draining = report.draining || m_isDraining || found == m_upstreams.end();
     return report;
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -93,6 +93,8 @@
         TimePoint heardAt;
         std::unique_ptr<WakeTimer> tickTimer;
         bool isWithdrawn = false;
+        /// The daemon ends before calls of this service may: entries are told to go elsewhere.
+        bool endsTooSoon = false;
     };
     struct Call
     {
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -100,7 +100,9 @@
     send(std::chrono::milliseconds(700));
     CHECK(verdicts.empty());
     CHECK_EQUAL(1, m_gates->callCount());
+    CHECK_FALSE(m_gates->load(service).draining);
     send(std::chrono::seconds(6));
+    CHECK(m_gates->load(service).draining);
     CHECK_EQUAL(1, verdicts.size());
     CHECK(verdicts.front().outcome == Outcome::NotRun);
     CHECK(verdicts.front().reason == Reason::Draining);
