--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -124,7 +124,7 @@
                            const HistoryEvent *failure)
 {
     const int status = statusOf(end);
-    const std::string text =
+    std::string text =
         "answered with " + std::to_string(status) + " after " + numberOf(end, "took_ms") + " ms";
     if (status < FIRST_SERVER_ERROR) {
         return text;
