--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -116,7 +116,7 @@
     const bool isSpilled = own == nullptr
         || (foreign != nullptr
             && foreign->score(query.now, typical, m_options)
-                < own->score(query.now, typical, m_options));
+                < m_options.spillGain * own->score(query.now, typical, m_options));
     choice.daemon = isSpilled ? foreign->daemon() : own->daemon();
     choice.why = isSpilled ? "spill" : "least-bad";
 }
--- a/src/coordination/routing/internal/server.cpp
+++ b/src/coordination/routing/internal/server.cpp
@@ -9,6 +9,17 @@
 
 constexpr double LATENCY_WEIGHT = 0.1;
 constexpr double ERROR_WEIGHT = 0.1;
+/// By what a call takes longer on a server with this load than on an idle one. Its slots work side
+/// by side, so there is next to nothing to wait for until it is nearly full, and then much. With a
+/// factor that grows evenly a server of half the speed would get half the load of the others, and
+/// stay half empty while they are overrun.
+double waitFactor(double load)
+{
+    constexpr double STEEPNESS = 8;
+    constexpr double POWER = 6;
+    return 1 + load + STEEPNESS * std::pow(load, POWER);
+}
+
 /// How much worse a server looks if all its calls fail.
 constexpr double ERROR_PENALTY = 20;
 constexpr double SMALLEST_LATENCY_RATIO = 0.5;
@@ -200,7 +211,7 @@
 double Server::score(TimePoint now, double typical, const RouterOptions &options) const
 {
     const double load = utilization(now, options) + 1 / capacity(now, options);
-    return load * latencyRatio(now, typical, options)
+    return waitFactor(load) * latencyRatio(now, typical, options)
         * (1 + ERROR_PENALTY * errorShare(now, options));
 }
 
--- a/src/coordination/routing/routerfactory.h
+++ b/src/coordination/routing/routerfactory.h
@@ -33,6 +33,10 @@
     /// As `spillLevel`, for its share of errors.
     double spillErrors = 0.3;
 
+    /// A call spills only to a server whose score is below this share of the own one's: for less,
+    /// its bytes between failure domains are not worth it.
+    double spillGain = 0.8;
+
     /// A load report counts less with age and no longer after this time.
     Duration reportLife = std::chrono::seconds(1);
     /// A floor is believed for this time …
--- a/src/coordination/routing/tests/routertest.cpp
+++ b/src/coordination/routing/tests/routertest.cpp
@@ -191,6 +191,29 @@
     }
 }
 
+// Two servers of different speed are asked for nearly all that both can do. The slow one has to be
+// nearly full as well: else the fast one is overrun, and calls are refused there while slots are
+// free.
+TEST(Router, SlowServerIsFilledToo)
+{
+    Entry entry(ownOptions());
+    entry.server("fast") = FakeServer();
+    entry.server("slow") = FakeServer();
+    entry.server("slow").latency = 40ms;
+    entry.announce();
+    entry.run(4s, 370us); // 2,700 of 3,000 a second
+    std::uint32_t fast = 0;
+    std::uint32_t slow = 0;
+    constexpr std::uint32_t SAMPLES = 400;
+    for (std::uint32_t i = 0; i < SAMPLES; ++i) {
+        entry.run(5ms, 370us);
+        fast += entry.server("fast").inFlight;
+        slow += entry.server("slow").inFlight;
+    }
+    CHECK(slow / SAMPLES > SLOTS * 3 / 4);
+    CHECK(fast / SAMPLES <= SLOTS);
+}
+
 // One server answers each call with an error at once. It never has calls in flight, so by load
 // alone it is the best choice, and most calls would fail.
 TEST(Router, ServerThatFailsFastGetsLittle)
