--- /dev/null
+++ b/src/app/internal/entry/entryrecorder.cpp
@@ -0,0 +1,120 @@
+#include "app/internal/entry/entryrecorder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
+
+Decision makeDecision(const RequestFacts &facts)
+{
+    Decision decision;
+    decision.root = facts.root;
+    decision.call = facts.own == facts.root ? RootId() : facts.own;
+    decision.service = facts.service;
+    decision.rule = facts.rule;
+    decision.rank = facts.rank;
+    return decision;
+}
+
+} // namespace
+
+void EntryRecorder::recordAttempt(const RequestFacts &facts, const EntryAction &action,
+                                  Duration left)
+{
+    const bool isFirst = action.attempt.value() == 0;
+    const Counter counter = isFirst ? Counter::FirstAttempts
+        : action.isHedge            ? Counter::HedgeAttempts
+                                    : Counter::RetryAttempts;
+    m_observers.metrics.add(counter);
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision = makeDecision(facts);
+    decision.kind = isFirst ? DecisionKind::Route
+        : action.isHedge    ? DecisionKind::Hedge
+                            : DecisionKind::Retry;
+    decision.importance = isFirst ? Importance::Routine : Importance::Essential;
+    decision.attempt = action.attempt.value() + 1;
+    for (const RouteCandidate &candidate : action.candidates) {
+        decision.candidates.push_back(DecisionCandidate{ candidate.daemon, candidate.score });
+    }
+    decision.choice = action.target.value();
+    decision.reason = action.why;
+    decision.inputs = { { "left_ms", toMillis(left) } };
+    m_observers.decisions.write(std::move(decision));
+}
+
+void EntryRecorder::recordCancel(const RequestFacts &facts, const EntryAction &action)
+{
+    m_observers.metrics.add(Counter::Cancels);
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision = makeDecision(facts);
+    decision.kind = DecisionKind::Cancel;
+    decision.importance = Importance::Essential;
+    decision.attempt = action.attempt.value() + 1;
+    decision.choice = action.target.value();
+    m_observers.decisions.write(std::move(decision));
+}
+
+void EntryRecorder::recordEnd(const RequestFacts &facts, const RequestEnd &end)
+{
+    if (facts.depth == Depth(0)) {
+        m_observers.metrics.countRequest(end.verdict, facts.priority);
+        m_observers.metrics.observe(Timing::Request, end.took);
+    }
+    if (end.verdict.outcome == Outcome::Answered) {
+        m_observers.metrics.observe(Timing::AddedByDaemons,
+                                    std::max(end.took - end.served, Duration::zero()));
+    }
+    if (m_observers.decisions.isEnabled()) {
+        writeEnd(facts, end);
+    }
+}
+
+void EntryRecorder::writeEnd(const RequestFacts &facts, const RequestEnd &end)
+{
+    const bool isAnswered = end.verdict.outcome == Outcome::Answered;
+    const bool isWhole = isAnswered && end.status < FIRST_SERVER_ERROR;
+    Decision decision = makeDecision(facts);
+    decision.kind = isAnswered ? DecisionKind::Answer : DecisionKind::Refuse;
+    decision.importance = isWhole ? Importance::Routine : Importance::Essential;
+    decision.attempt = end.attempts;
+    decision.outcome = toText(end.verdict.outcome);
+    decision.reason = toText(end.verdict.reason);
+    decision.inputs = { { "took_ms", toMillis(end.took) } };
+    if (isAnswered) {
+        decision.inputs.push_back({ "status", static_cast<double>(end.status) });
+        decision.inputs.push_back({ "served_ms", toMillis(end.served) });
+    } else {
+        decision.inputs.push_back({ "retry_after_ms", toMillis(end.verdict.retryAfter) });
+    }
+    m_observers.decisions.write(std::move(decision));
+}
+
+void EntryRecorder::recordRejection(const Rejection &rejection)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    const EarlyRefusal &refusal = rejection.refusal;
+    Decision decision;
+    decision.kind = DecisionKind::Refuse;
+    decision.importance = Importance::Essential;
+    decision.root = refusal.root;
+    decision.service = rejection.service;
+    decision.rule = rejection.rule;
+    decision.choice = rejection.choice;
+    decision.outcome = toText(refusal.verdict.outcome);
+    decision.reason = toText(refusal.verdict.reason);
+    decision.inputs = rejection.inputs;
+    decision.inputs.push_back({ "retry_after_ms", toMillis(refusal.verdict.retryAfter) });
+    m_observers.decisions.write(std::move(decision));
+}
+
+} // namespace ivyspar
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -57,6 +57,7 @@
     , m_sender(sender)
     , m_gates(gates)
     , m_observers(observers)
+    , m_recorder(observers)
     , m_options(options)
 {
 }
@@ -89,8 +90,8 @@
     return response;
 }
 
-tl::expected<EntryService::Incoming, EntryService::Rejection>
-EntryService::readRequest(IHttpExchange &exchange, bool isFromUpstream)
+tl::expected<EntryService::Incoming, Rejection> EntryService::readRequest(IHttpExchange &exchange,
+                                                                          bool isFromUpstream)
 {
     auto read = m_dialect.read(exchange.request(), m_origin, m_configuration.get());
     if (!read) {
@@ -210,14 +211,14 @@
     return RootTarget{ incoming.rule.name, incoming.rule.service, incoming.priority };
 }
 
-EntryService::Rejection EntryService::reject(const EarlyRefusal &refusal)
+Rejection EntryService::reject(const EarlyRefusal &refusal)
 {
     Rejection rejection;
     rejection.refusal = refusal;
     return rejection;
 }
 
-EntryService::Rejection EntryService::rejectionOf(const Incoming &incoming)
+Rejection EntryService::rejectionOf(const Incoming &incoming)
 {
     const TimePoint now = m_loop.now();
     const ServiceName &service = incoming.rule.service;
@@ -301,7 +302,7 @@
     }
     run->verdict = verdict.value_or(Verdict{ Outcome::Unknown, Reason::Timeout, Duration::zero() });
     tellEnd(*run);
-    recordEnd(*run);
+    m_recorder.recordEnd(factsOf(run->incoming), endOf(*run));
     return compose(*run);
 }
 
@@ -313,7 +314,7 @@
             sendAttempt(run, action);
             break;
         case EntryVerb::Cancel:
-            recordCancel(*run, action);
+            m_recorder.recordCancel(factsOf(run->incoming), action);
             m_sender.cancel(run->streams.at(action.attempt.value()));
             break;
         case EntryVerb::Finish:
@@ -339,7 +340,7 @@
     call.once = incoming.once;
     call.request = incoming.request;
 
-    recordAttempt(*run, action);
+    m_recorder.recordAttempt(factsOf(incoming), action, call.remaining);
     const std::size_t index = action.attempt.value();
     run->streams.resize(std::max(run->streams.size(), index + 1));
     const AttemptIndex attempt = action.attempt;
@@ -370,86 +371,28 @@
     perform(run, actions);
 }
 
-void EntryService::recordAttempt(const Run &run, const EntryAction &action)
+RequestFacts EntryService::factsOf(const Incoming &incoming) const
 {
-    const bool isFirst = action.attempt.value() == 0;
-    const Counter counter = isFirst ? Counter::FirstAttempts
-        : action.isHedge            ? Counter::HedgeAttempts
-                                    : Counter::RetryAttempts;
-    m_observers.metrics.add(counter);
-    if (!m_observers.decisions.isEnabled()) {
-        return;
-    }
-    Decision decision = decisionOf(run.incoming);
-    decision.kind = isFirst ? DecisionKind::Route
-        : action.isHedge    ? DecisionKind::Hedge
-                            : DecisionKind::Retry;
-    decision.importance = isFirst ? Importance::Routine : Importance::Essential;
-    decision.attempt = action.attempt.value() + 1;
-    for (const RouteCandidate &candidate : action.candidates) {
-        decision.candidates.push_back(DecisionCandidate{ candidate.daemon, candidate.score });
-    }
-    decision.choice = action.target.value();
-    decision.reason = action.why;
-    decision.inputs = { { "left_ms", toMillis(run.incoming.deadline - m_loop.now()) } };
-    m_observers.decisions.write(std::move(decision));
-}
-
-void EntryService::recordCancel(const Run &run, const EntryAction &action)
-{
-    m_observers.metrics.add(Counter::Cancels);
-    if (!m_observers.decisions.isEnabled()) {
-        return;
-    }
-    Decision decision = decisionOf(run.incoming);
-    decision.kind = DecisionKind::Cancel;
-    decision.importance = Importance::Essential;
-    decision.attempt = action.attempt.value() + 1;
-    decision.choice = action.target.value();
-    m_observers.decisions.write(std::move(decision));
-}
-
-void EntryService::recordEnd(const Run &run)
-{
-    const auto took = std::chrono::duration_cast<Duration>(m_loop.now() - run.startedAt);
-    if (run.incoming.depth == Depth(0)) {
-        m_observers.metrics.countRequest(run.verdict, run.incoming.priority);
-        m_observers.metrics.observe(Timing::Request, took);
-    }
-    const bool isAnswered = run.verdict.outcome == Outcome::Answered;
-    if (isAnswered) {
-        m_observers.metrics.observe(Timing::AddedByDaemons,
-                                    std::max(took - run.serviceTime, Duration::zero()));
-    }
-    if (!m_observers.decisions.isEnabled()) {
-        return;
-    }
-    const bool isWhole = isAnswered && run.response.status < FIRST_SERVER_ERROR;
-    Decision decision = decisionOf(run.incoming);
-    decision.kind = isAnswered ? DecisionKind::Answer : DecisionKind::Refuse;
-    decision.importance = isWhole ? Importance::Routine : Importance::Essential;
-    decision.attempt = run.call.attempts();
-    decision.outcome = toText(run.verdict.outcome);
-    decision.reason = toText(run.verdict.reason);
-    decision.inputs = { { "took_ms", toMillis(took) } };
-    if (isAnswered) {
-        decision.inputs.push_back({ "status", static_cast<double>(run.response.status) });
-        decision.inputs.push_back({ "served_ms", toMillis(run.serviceTime) });
-    } else {
-        decision.inputs.push_back({ "retry_after_ms", toMillis(run.verdict.retryAfter) });
-    }
-    m_observers.decisions.write(std::move(decision));
+    RequestFacts facts;
+    facts.root = incoming.root;
+    facts.own = incoming.own;
+    facts.service = incoming.service;
+    facts.rule = incoming.rule.name;
+    facts.rank = rankOf(incoming);
+    facts.priority = incoming.priority;
+    facts.depth = incoming.depth;
+    return facts;
 }
 
-Decision EntryService::decisionOf(const Incoming &incoming) const
+RequestEnd EntryService::endOf(const Run &run) const
 {
-    Decision decision;
-    decision.root = incoming.root;
-    decision.call = incoming.own == incoming.root ? RootId() : incoming.own;
-    decision.service = incoming.service;
-    decision.rule = incoming.rule.name;
-    decision.rank = rankOf(incoming);
-    return decision;
+    RequestEnd end;
+    end.verdict = run.verdict;
+    end.status = run.response.status;
+    end.attempts = run.call.attempts();
+    end.took = std::chrono::duration_cast<Duration>(m_loop.now() - run.startedAt);
+    end.served = run.serviceTime;
+    return end;
 }
 
 void EntryService::armTimer(const RunPtr &run)
@@ -480,20 +423,7 @@
     if (!isFromUpstream) {
         m_observers.metrics.countRequest(refusal.verdict, Priority());
     }
-    if (m_observers.decisions.isEnabled()) {
-        Decision decision;
-        decision.kind = DecisionKind::Refuse;
-        decision.importance = Importance::Essential;
-        decision.root = refusal.root;
-        decision.service = rejection.service;
-        decision.rule = rejection.rule;
-        decision.choice = rejection.choice;
-        decision.outcome = toText(refusal.verdict.outcome);
-        decision.reason = toText(refusal.verdict.reason);
-        decision.inputs = std::move(rejection.inputs);
-        decision.inputs.push_back({ "retry_after_ms", toMillis(refusal.verdict.retryAfter) });
-        m_observers.decisions.write(std::move(decision));
-    }
+    m_recorder.recordRejection(rejection);
     return m_dialect.makeRefusal(refusal.root, refusal.verdict, 0);
 }
 
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -7,6 +7,7 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
+#include "app/internal/entry/entryrecorder.h"
 #include "app/internal/entry/icallsender.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/logs/observers.h"
@@ -83,16 +84,6 @@
         bool isLetIn = false;
         std::uint32_t callerAttempt = 1;
     };
-    /// A request that is refused before it is routed, and what that was based on.
-    struct Rejection
-    {
-        EarlyRefusal refusal;
-        ServiceName service;
-        RuleName rule;
-        std::vector<DecisionInput> inputs;
-        /// The service that had no room.
-        std::string choice;
-    };
     struct Run;
     using RunPtr = boost::intrusive_ptr<Run>;
     using Refusal = tl::unexpected<Rejection>;
@@ -117,12 +108,10 @@
     void sendAttempt(const RunPtr &run, const EntryAction &action);
     void onAnswer(const RunPtr &run, AttemptIndex attempt, AttemptAnswer answer);
     void armTimer(const RunPtr &run);
-    void recordAttempt(const Run &run, const EntryAction &action);
-    void recordCancel(const Run &run, const EntryAction &action);
-    void recordEnd(const Run &run);
+    RequestFacts factsOf(const Incoming &incoming) const;
+    RequestEnd endOf(const Run &run) const;
     /// Answers, counts and logs a request that is not routed.
     HttpResponse refuse(Rejection rejection, bool isFromUpstream);
-    Decision decisionOf(const Incoming &incoming) const;
     HttpResponse compose(const Run &run) const;
 
     IEventLoop &m_loop;
@@ -133,6 +122,7 @@
     ICallSender &m_sender;
     IGateService &m_gates;
     Observers m_observers;
+    EntryRecorder m_recorder;
     EntryOptions m_options;
     ConfigurationPtr m_configuration;
     RequestOrigin m_origin;
--- /dev/null
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -0,0 +1,75 @@
+#include "app/internal/gate/gaterecorder.h"
+
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
+
+Decision makeDecision(DecisionKind kind, const CallMessage &message)
+{
+    Decision decision;
+    decision.kind = kind;
+    decision.root = message.root;
+    decision.service = message.service;
+    decision.rule = message.rule;
+    decision.rank = message.rank;
+    return decision;
+}
+
+} // namespace
+
+void GateRecorder::recordAdmitted(const GatedCall &call)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision = makeDecision(DecisionKind::Admit, call.message);
+    decision.reason = "admitted";
+    recordState(std::move(decision), call);
+}
+
+void GateRecorder::recordRefused(const GatedCall &call, Reason reason)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision = makeDecision(DecisionKind::Refuse, call.message);
+    decision.importance = Importance::Essential;
+    decision.reason = toText(reason);
+    recordState(std::move(decision), call);
+}
+
+void GateRecorder::recordState(Decision decision, const GatedCall &call)
+{
+    decision.inputs = { { "waited_ms", toMillis(call.waited) },
+                        { "left_ms", toMillis(call.left) },
+                        { "in_flight", static_cast<double>(call.load.inFlight) },
+                        { "queued", static_cast<double>(call.load.queued) },
+                        { "limit", static_cast<double>(call.load.limit) } };
+    m_observers.decisions.write(std::move(decision));
+}
+
+void GateRecorder::recordRun(const CallMessage &message, const UpstreamId &instance,
+                             const Verdict &verdict, std::uint16_t status, Duration served)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    const bool isAnswered = verdict.outcome == Outcome::Answered;
+    const bool isWhole = isAnswered && status < FIRST_SERVER_ERROR;
+    Decision decision = makeDecision(DecisionKind::Run, message);
+    decision.importance = isWhole ? Importance::Routine : Importance::Essential;
+    decision.choice = instance.value();
+    decision.outcome = toText(verdict.outcome);
+    decision.reason = toText(verdict.reason);
+    decision.inputs = { { "served_ms", toMillis(served) } };
+    if (isAnswered) {
+        decision.inputs.push_back({ "status", static_cast<double>(status) });
+    }
+    m_observers.decisions.write(std::move(decision));
+}
+
+} // namespace ivyspar
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -74,6 +74,7 @@
     , m_dialect(dialect)
     , m_makeGate(std::move(makeGate))
     , m_observers(observers)
+    , m_recorder(observers)
     , m_options(options)
     , m_parents(makeParentFinder())
 {
@@ -360,7 +361,7 @@
     m_observers.metrics.observe(
         Timing::GateWait,
         std::chrono::duration_cast<Duration>(m_loop.now() - found->second.arrivedAt));
-    record(DecisionKind::Admit, found->second, "admitted", Importance::Routine);
+    m_recorder.recordAdmitted(stateOf(found->second));
     m_loop.spawn([this, service, id] { runCall(service, id); });
 }
 
@@ -393,7 +394,8 @@
         next = gateOwner->gate->finish(now, id, end.result, serviceTime);
     }
     if (const auto ended = m_calls.find(id); ended != m_calls.end()) {
-        recordRun(ended->second, server.instance, end, serviceTime);
+        m_recorder.recordRun(ended->second.message, server.instance, end.verdict,
+                             end.response.status, serviceTime);
     }
     endRun(id, std::move(end), serviceTime);
     perform(service, next);
@@ -482,7 +484,7 @@
     m_observers.metrics.add(Counter::GateRefusals);
     const auto found = m_calls.find(id);
     if (found != m_calls.end()) {
-        record(DecisionKind::Refuse, found->second, toText(verdict.reason), Importance::Essential);
+        m_recorder.recordRefused(stateOf(found->second), verdict.reason);
     }
     AnswerMessage answer;
     answer.verdict = verdict;
@@ -512,54 +514,12 @@
     call.reply(std::move(answer));
 }
 
-void GateService::record(DecisionKind kind, const Call &call, const char *reason,
-                         Importance importance)
+GatedCall GateService::stateOf(const Call &call) const
 {
-    if (!m_observers.decisions.isEnabled()) {
-        return;
-    }
-    Decision decision = decisionOf(call);
-    decision.kind = kind;
-    decision.importance = importance;
-    decision.reason = reason;
-    const LoadReport load = this->load(call.message.service);
-    decision.inputs = { { "waited_ms", toMillis(m_loop.now() - call.arrivedAt) },
-                        { "left_ms", toMillis(call.deadline - m_loop.now()) },
-                        { "in_flight", static_cast<double>(load.inFlight) },
-                        { "queued", static_cast<double>(load.queued) },
-                        { "limit", static_cast<double>(load.limit) } };
-    m_observers.decisions.write(std::move(decision));
-}
-
-void GateService::recordRun(const Call &call, const UpstreamId &instance, const RunEnd &end,
-                            Duration serviceTime)
-{
-    if (!m_observers.decisions.isEnabled()) {
-        return;
-    }
-    const bool isWhole =
-        end.verdict.outcome == Outcome::Answered && end.response.status < FIRST_SERVER_ERROR;
-    Decision decision = decisionOf(call);
-    decision.kind = DecisionKind::Run;
-    decision.importance = isWhole ? Importance::Routine : Importance::Essential;
-    decision.choice = instance.value();
-    decision.outcome = toText(end.verdict.outcome);
-    decision.reason = toText(end.verdict.reason);
-    decision.inputs = { { "served_ms", toMillis(serviceTime) } };
-    if (end.verdict.outcome == Outcome::Answered) {
-        decision.inputs.push_back({ "status", static_cast<double>(end.response.status) });
-    }
-    m_observers.decisions.write(std::move(decision));
-}
-
-Decision GateService::decisionOf(const Call &call)
-{
-    Decision decision;
-    decision.root = call.message.root;
-    decision.service = call.message.service;
-    decision.rule = call.message.rule;
-    decision.rank = call.message.rank;
-    return decision;
+    return GatedCall{ call.message,
+                      std::chrono::duration_cast<Duration>(m_loop.now() - call.arrivedAt),
+                      std::chrono::duration_cast<Duration>(call.deadline - m_loop.now()),
+                      load(call.message.service) };
 }
 
 void GateService::armTick(const ServiceName &service)
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "app/internal/gate/gaterecorder.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/gate/ionceservice.h"
 #include "app/internal/logs/observers.h"
@@ -131,10 +132,7 @@
     void tellDoubt(const UpstreamId &instance);
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
-    void record(DecisionKind kind, const Call &call, const char *reason, Importance importance);
-    void recordRun(const Call &call, const UpstreamId &instance, const RunEnd &end,
-                   Duration serviceTime);
-    static Decision decisionOf(const Call &call);
+    GatedCall stateOf(const Call &call) const;
     void enterGate(CallId id);
     void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
@@ -151,6 +149,7 @@
     const IUpstreamDialect &m_dialect;
     GateMaker m_makeGate;
     Observers m_observers;
+    GateRecorder m_recorder;
     GateServiceOptions m_options;
     OnUpstreams m_onUpstreams;
     OnDoubt m_onDoubt;
