Configuration: each daemon tells a random peer again and again which version it has

Who adopts a version tells three peers at random, so that one in thirty daemons is told by nobody, and one whose answer is lost asks no second time; its own read of the store may be silent for seconds. Now each daemon tells a random peer its version twice a second, and who knows a newer one says so. Costs about 100 bytes a second. Tests: both new ones fail without the change.

--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -22,16 +22,19 @@
 
 DocumentFollower::~DocumentFollower()
 {
+    m_loop.cancelTimer(m_patienceTimer);
     m_loop.cancelTimer(m_offerTimer);
 }
 
 void DocumentFollower::start()
 {
     m_fiber.start([this] { follow(); });
+    m_offerTimer = m_loop.callLater(m_settings.offerInterval, [this] { offerAgain(); });
 }
 
 void DocumentFollower::stop()
 {
+    m_loop.cancelTimer(m_offerTimer);
     m_fiber.stop([this] { m_log.cancel(); });
 }
 
@@ -142,16 +145,19 @@
     notice("configuration: version " + std::to_string(version().value()) + " is in force, from "
            + source);
     m_events.onConfiguration(m_inForce);
-    offerToRandomPeers();
+    offerToRandomPeers(m_settings.offerFanout);
 }
 
 void DocumentFollower::handle(const DaemonId &from, const DocumentOffer &offer)
 {
+    if (offer.version < version()) {
+        m_exchange.send(from, encodeDocumentMessage(DocumentOffer{ version() }));
+    }
     if (offer.version <= version()) {
         return;
     }
-    m_loop.cancelTimer(m_offerTimer);
-    m_offerTimer = m_loop.callLater(m_settings.offerPatience, [this, from, offer] {
+    m_loop.cancelTimer(m_patienceTimer);
+    m_patienceTimer = m_loop.callLater(m_settings.offerPatience, [this, from, offer] {
         if (offer.version > version()) {
             requestFrom(from);
         }
@@ -183,11 +189,21 @@
     }
 }
 
-void DocumentFollower::offerToRandomPeers()
+/// Those who adopt a version tell a few others at random, and by chance nobody may tell this
+/// daemon, or the one that it asks may just be gone. If then its connection to the log is silent as
+/// well, it would go on under the old version for seconds. Telling somebody again and again brings
+/// an answer from whoever knows a newer one.
+void DocumentFollower::offerAgain()
+{
+    offerToRandomPeers(1);
+    m_offerTimer = m_loop.callLater(m_settings.offerInterval, [this] { offerAgain(); });
+}
+
+void DocumentFollower::offerToRandomPeers(std::uint32_t count)
 {
     std::vector<ControlPeer> peers = m_exchange.peers();
     const std::string offer = encodeDocumentMessage(DocumentOffer{ version() });
-    for (std::uint32_t i = 0; i < m_settings.offerFanout && !peers.empty(); ++i) {
+    for (std::uint32_t i = 0; i < count && !peers.empty(); ++i) {
         const std::size_t chosen = m_random.below(peers.size());
         m_exchange.send(peers[chosen].id, offer);
         peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
--- a/src/app/internal/control/documentfollower.h
+++ b/src/app/internal/control/documentfollower.h
@@ -26,6 +26,8 @@
     std::uint32_t offerFanout = 3;
     /// Time in which a daemon that hears of a newer version usually gets it from the log itself.
     Duration offerPatience = std::chrono::milliseconds(150);
+    /// How often a random peer hears which version is in force here.
+    Duration offerInterval = std::chrono::milliseconds(500);
 };
 
 /// Follows a configuration that stands as one document in a keyed stream of the platform, and
@@ -56,7 +58,8 @@
     void handle(const DaemonId &from, const DocumentPush &push);
     void requestFrom(const DaemonId &peer);
     void askRandomPeer();
-    void offerToRandomPeers();
+    void offerToRandomPeers(std::uint32_t count);
+    void offerAgain();
     ConfigurationVersion version() const;
     void notice(const std::string &text) const;
 
@@ -75,6 +78,7 @@
     std::string m_logError;
     std::optional<LogOffset> m_next;
     std::uint32_t m_failures = 0;
+    TimerId m_patienceTimer;
     TimerId m_offerTimer;
 };
 
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -58,6 +58,7 @@
     settings.key = "newest";
     settings.retry = std::chrono::milliseconds(1);
     settings.offerPatience = std::chrono::milliseconds(1);
+    settings.offerInterval = std::chrono::hours(1);
     return settings;
 }
 
@@ -69,6 +70,7 @@
     FakeKeyedLog m_log{ m_runner.loop() };
     NumberReader m_reader;
     RecordingExchange m_exchange;
+    DocumentFollowerSettings m_settings = makeSettings();
     SeededRandom m_random{ 3 };
     std::vector<std::uint64_t> m_versions;
     std::unique_ptr<DocumentFollower> m_follower;
@@ -80,7 +82,7 @@
             events.onConfiguration = [this](const ConfigurationPtr &configuration) {
                 m_versions.push_back(configuration->version.value());
             };
-            m_follower = std::make_unique<DocumentFollower>(makeSettings(), m_runner.loop(), m_log,
+            m_follower = std::make_unique<DocumentFollower>(m_settings, m_runner.loop(), m_log,
                                                             m_reader, m_exchange, m_random, events);
             m_follower->start();
         });
@@ -106,6 +108,42 @@
     CHECK_EQUAL(9, m_versions[1]);
 }
 
+// 1. A new version is out, but this daemon's connection to the log is silent, and none of those who
+//    adopted the version happened to tell it.
+// 2. It tells a peer which version it has, again and again. One that knows a newer one says so.
+// 3. Without that it would answer callers by the old version until its read is given up.
+TEST(DocumentFollower, SaysAgainAndAgainWhichVersionIsInForceHere)
+{
+    m_settings.offerInterval = std::chrono::milliseconds(5);
+    m_log.write(STREAM, "newest", "7");
+    start();
+    const auto offers = [this] {
+        std::size_t count = 0;
+        for (const DocumentMessage &message : m_exchange.sent) {
+            const auto *offer = std::get_if<DocumentOffer>(&message);
+            count += offer && offer->version == ConfigurationVersion(7) ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(m_runner.reaches([&] { return offers() > 5; }));
+}
+
+TEST(DocumentFollower, WhoOffersAnOlderVersionHearsOfTheNewerOne)
+{
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
+    m_runner.run([this] {
+        m_exchange.sent.clear();
+        m_follower->receive(DaemonId("peer"),
+                            encodeDocumentMessage(DocumentOffer{ ConfigurationVersion(6) }));
+        CHECK_EQUAL(1, m_exchange.sent.size());
+        m_follower->receive(DaemonId("peer"),
+                            encodeDocumentMessage(DocumentOffer{ ConfigurationVersion(7) }));
+        CHECK_EQUAL(1, m_exchange.sent.size());
+    });
+}
+
 // 1. The log has forgotten the records after the place where the daemon stopped.
 // 2. The newest document stands all the same. A daemon that waited for the lost ones would go on
 //    under its old configuration for ever.
