--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -73,11 +73,11 @@
         stopThreads();
         return EXIT_STOPPED;
     }
-    tell("started", "");
+    tell(LogLevel::Info, "started");
     waitForStop();
-    tell("stopping", "");
+    tell(LogLevel::Info, "stopping");
     const bool isDrained = drain();
-    tell(isDrained ? "drained" : "calls were still running when the time was over", "");
+    tell(LogLevel::Info, isDrained ? "drained" : "calls were still running when the time was over");
     stopThreads();
     return isDrained && !m_isDuplicate ? 0 : EXIT_STOPPED;
 }
@@ -98,9 +98,9 @@
 }
 
 /// One line for people and one for the decision log.
-void Daemon::tell(const char *outcome, const std::string &detail)
+void Daemon::tell(LogLevel level, const char *outcome, const std::string &detail)
 {
-    m_observers.log.info(detail.empty() ? outcome : std::string(outcome) + ": " + detail);
+    m_observers.log.write(level, detail.empty() ? outcome : std::string(outcome) + ": " + detail);
     if (!m_observers.decisions.isEnabled()) {
         return;
     }
@@ -118,15 +118,15 @@
 {
     const auto read = m_platform.reread();
     if (!read) {
-        tell("reload", "these settings do not change while the daemon runs");
+        tell(LogLevel::Info, "reload", "these settings do not change while the daemon runs");
         return;
     }
     if (!read->errors.empty()) {
-        tell("reload", "the settings are not used: " + read->errors.front());
+        tell(LogLevel::Error, "reload", "the settings are not used: " + read->errors.front());
         return;
     }
     m_settings.hostService = read->settings.hostService;
-    tell("reload", "the service of this host is " + m_settings.hostService.value());
+    tell(LogLevel::Info, "reload", "the service of this host is " + m_settings.hostService.value());
     onTraffic([service = m_settings.hostService](TrafficNode &traffic) {
         traffic.setHostService(service);
     });
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -40,7 +40,7 @@
     static void runAndWait(IEventLoop &loop, const std::function<void()> &task);
     /// Handles signals and changes of the settings until one says stop.
     void waitForStop();
-    void tell(const char *outcome, const std::string &detail);
+    void tell(LogLevel level, const char *outcome, const std::string &detail = {});
     void reload();
     bool drain();
     void stopThreads();
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -66,10 +66,9 @@
     /// That run of the service's server takes no more calls: those that wait are refused, those
     /// that run go on.
     void withdraw(const ServiceName &service, const UpstreamId &instance);
-    /// Refuses new calls of all services from now on.
     /// The daemon ends at `end`: calls that may last longer are refused from now on.
     void startLeaving(TimePoint end) { m_end = end; }
-    /// Refuses all new calls.
+    /// Refuses new calls of all services from now on.
     void startDraining();
     std::size_t callCount() const { return m_calls.size(); }
     std::vector<std::pair<ServiceName, LoadReport>> loads() const;
