--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <array>
 
+#include "state/http.h"
+
 namespace ivyspar {
 
 namespace {
 
-constexpr int FIRST_SERVER_ERROR = 500;
-
 struct Explanation
 {
     const char *reason;
@@ -115,7 +115,7 @@
 const HistoryEvent *findFirstError(const std::vector<HistoryEvent> &events)
 {
     const auto run = std::find_if(events.begin(), events.end(), [](const HistoryEvent &event) {
-        return event.event == "run" && statusOf(event) >= FIRST_SERVER_ERROR;
+        return event.event == "run" && isServerError(statusOf(event));
     });
     return run == events.end() ? nullptr : &*run;
 }
@@ -126,7 +126,7 @@
     const int status = statusOf(end);
     std::string text =
         "answered with " + std::to_string(status) + " after " + numberOf(end, "took_ms") + " ms";
-    if (status < FIRST_SERVER_ERROR) {
+    if (!isServerError(status)) {
         return text;
     }
     if (failure) {
--- a/src/app/internal/entry/entryrecorder.cpp
+++ b/src/app/internal/entry/entryrecorder.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "state/http.h"
+
 namespace ivyspar {
 
 namespace {
 
-constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
-
 Decision makeDecision(const RequestFacts &facts)
 {
     Decision decision;
@@ -80,7 +80,7 @@
 void EntryRecorder::writeEnd(const RequestFacts &facts, const RequestEnd &end)
 {
     const bool isAnswered = end.verdict.outcome == Outcome::Answered;
-    const bool isWhole = isAnswered && end.status < FIRST_SERVER_ERROR;
+    const bool isWhole = isAnswered && !isServerError(end.status);
     Decision decision = makeDecision(facts);
     decision.kind = isAnswered ? DecisionKind::Answer : DecisionKind::Refuse;
     decision.importance = isWhole ? Importance::Routine : Importance::Essential;
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -15,7 +15,12 @@
 
 /// Waiting ends by the call's own deadline; this only bounds a broken invariant.
 constexpr Duration WAIT_MARGIN = std::chrono::seconds(10);
-constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
+
+/// The server answered, and not with an error: all its calls were made.
+bool isWhole(const Verdict &verdict, const HttpResponse &response)
+{
+    return verdict.outcome == Outcome::Answered && !isServerError(response.status);
+}
 
 Verdict notRun(Reason reason)
 {
@@ -250,9 +255,8 @@
         return;
     }
     if (m_options.hasRootAdmission && run.incoming.depth == Depth(0)) {
-        const bool isWhole = answer.message.verdict.outcome == Outcome::Answered
-            && answer.message.response.status < FIRST_SERVER_ERROR;
-        m_admission->onEnd(m_loop.now(), targetOf(run.incoming), usage, isWhole);
+        m_admission->onEnd(m_loop.now(), targetOf(run.incoming), usage,
+                           isWhole(answer.message.verdict, answer.message.response));
     }
 }
 
@@ -261,13 +265,11 @@
     if (!run.incoming.isLetIn) {
         return;
     }
-    const bool isWhole =
-        run.verdict.outcome == Outcome::Answered && run.response.status < FIRST_SERVER_ERROR;
     const bool isAbandoned = run.verdict.reason == Reason::Cancelled;
-    m_admission->onFinish(targetOf(run.incoming),
-                          isWhole           ? RootEnd::Whole
-                              : isAbandoned ? RootEnd::Abandoned
-                                            : RootEnd::Failed);
+    const RootEnd end = isWhole(run.verdict, run.response) ? RootEnd::Whole
+        : isAbandoned                                      ? RootEnd::Abandoned
+                                                           : RootEnd::Failed;
+    m_admission->onFinish(targetOf(run.incoming), end);
 }
 
 Rank EntryService::rankOf(const Incoming &incoming) const
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -2,12 +2,12 @@
 
 #include <utility>
 
+#include "state/http.h"
+
 namespace ivyspar {
 
 namespace {
 
-constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
-
 Decision makeDecision(DecisionKind kind, const CallMessage &message)
 {
     Decision decision;
@@ -59,7 +59,7 @@
         return;
     }
     const bool isAnswered = verdict.outcome == Outcome::Answered;
-    const bool isWhole = isAnswered && status < FIRST_SERVER_ERROR;
+    const bool isWhole = isAnswered && !isServerError(status);
     Decision decision = makeDecision(DecisionKind::Run, message);
     decision.importance = isWhole ? Importance::Routine : Importance::Essential;
     decision.choice = instance.value();
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
 /// A claim that is not settled by then is refused while the entry can still pass on that it was not
 /// run; at the deadline itself the entry could only say "unknown".
 constexpr int CLAIM_SHARE_PERCENT = 90;
@@ -452,7 +451,7 @@
         break;
     }
     end.verdict.outcome = Outcome::Answered;
-    end.result = response.status >= FIRST_SERVER_ERROR ? CallResult::Failure : CallResult::Success;
+    end.result = isServerError(response.status) ? CallResult::Failure : CallResult::Success;
     end.response = std::move(response);
     m_dialect.clean(end.response);
     return end;
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -3,18 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "state/http.h"
+
 namespace ivyspar {
 
 namespace {
 
-constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
-
 RouteFeedback feedbackOf(const AttemptEnd &end)
 {
     switch (end.verdict.outcome) {
     case Outcome::Answered:
-        return end.status >= FIRST_SERVER_ERROR ? RouteFeedback::UpstreamError
-                                                : RouteFeedback::Answered;
+        return isServerError(end.status) ? RouteFeedback::UpstreamError : RouteFeedback::Answered;
     case Outcome::NotRun:
         break;
     case Outcome::Unknown:
@@ -76,18 +75,18 @@
         return {};
     }
     if (end.verdict.outcome == Outcome::Answered) {
-        if (end.status >= FIRST_SERVER_ERROR && mayRetry(now, end, true)) {
+        if (isServerError(end.status) && mayRetry(now, end, true)) {
             Verdict failure;
             if (auto action = sendNext(now, failure)) {
                 return { *action };
             }
         }
         // The other attempt may still bring the whole answer.
-        if (end.status >= FIRST_SERVER_ERROR && hasOpenAttempt()) {
+        if (isServerError(end.status) && hasOpenAttempt()) {
             m_mayHaveRun = true;
             return {};
         }
-        if (!attempt.isHedge && index.value() == 0 && end.status < FIRST_SERVER_ERROR) {
+        if (!attempt.isHedge && index.value() == 0 && !isServerError(end.status)) {
             m_policies.retries.onSuccess(
                 now, m_terms.rule.service,
                 std::chrono::duration_cast<Duration>(now - attempt.sentAt));
--- a/src/state/http.h
+++ b/src/state/http.h
@@ -28,6 +28,13 @@
     std::string body;
 };
 
+/// Whether an answer of this status says that the server failed.
+constexpr bool isServerError(int status)
+{
+    constexpr int FIRST_SERVER_ERROR = 500;
+    return status >= FIRST_SERVER_ERROR;
+}
+
 /// The value of the first header of that name (compared without case), or nullptr.
 const std::string *findHeader(const std::vector<HttpHeader> &headers, const std::string &name);
 /// Removes all headers of that name (compared without case).
