--- a/src/app/internal/entry/peercalls.cpp
+++ b/src/app/internal/entry/peercalls.cpp
@@ -24,14 +24,15 @@
 void PeerCalls::setMembers(const std::vector<Member> &members)
 {
     m_endpoints.clear();
+    m_domains.clear();
     for (const Member &member : members) {
         m_endpoints.emplace(member.id, member.peerEndpoint);
+        m_domains[member.peerEndpoint] = member.domain;
         const auto route = m_routes.find(member.peerEndpoint);
         if (route != m_routes.end() && route->second.isOpen) {
             compressIfFar(route->second.link, member.domain);
         }
     }
-    m_members = members;
 }
 
 /// Bytes between failure domains are dear, while in the own one the time matters more.
@@ -133,10 +134,8 @@
     route.link = link;
     route.isOpen = true;
     recordLink(route.target, "open", "connected");
-    for (const Member &member : m_members) {
-        if (member.peerEndpoint == endpoint) {
-            compressIfFar(link, member.domain);
-        }
+    if (const auto domain = m_domains.find(endpoint); domain != m_domains.end()) {
+        compressIfFar(link, domain->second);
     }
     auto waiting = std::exchange(route.waiting, {});
     for (auto &[stream, frame] : waiting) {
--- a/src/app/internal/entry/peercalls.h
+++ b/src/app/internal/entry/peercalls.h
@@ -110,8 +110,8 @@
     DaemonIdentity m_self;
     OnControl m_onControl;
     OnUnreachable m_onUnreachable;
-    std::vector<Member> m_members;
     std::unordered_map<DaemonId, Endpoint> m_endpoints;
+    std::map<Endpoint, DomainName> m_domains;
     std::map<Endpoint, Route> m_routes;
     std::unordered_map<StreamId, Attempt> m_attempts;
     std::map<InboundKey, CallId> m_inbound;
