--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -1,10 +1,9 @@
 #include "app/internal/gate/gateservice.h"
 
 #include <algorithm>
-#include <cinttypes>
-#include <cstdio>
 #include <utility>
 
+#include "state/idvalue.h"
 #include "state/rank.h"
 
 namespace ivyspar {
@@ -15,13 +14,6 @@
 /// run; at the deadline itself the entry could only say "unknown".
 constexpr int CLAIM_SHARE_PERCENT = 90;
 
-std::string toToken(CallId id)
-{
-    char text[17];
-    std::snprintf(text, sizeof(text), "%016" PRIx64, id.value());
-    return text;
-}
-
 std::optional<CallId> fromToken(const std::string &token)
 {
     constexpr std::size_t TOKEN_SIZE = 16;
@@ -420,7 +412,7 @@
 {
     const auto remaining = std::chrono::duration_cast<Duration>(call.deadline - m_loop.now());
     HttpRequest request = call.message.request;
-    m_dialect.address(UpstreamSend{ toToken(id), remaining, server.instance }, request);
+    m_dialect.address(UpstreamSend{ toHex(id.value()), remaining, server.instance }, request);
     // The call may be gone when the exchange ends.
     const HttpCancellationPtr cancellation = call.cancellation;
     m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
--- a/src/app/internal/logs/logbudget.cpp
+++ b/src/app/internal/logs/logbudget.cpp
@@ -3,19 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "state/idvalue.h"
+
 namespace ivyspar {
 
 namespace {
 
 constexpr Duration SECOND = std::chrono::seconds(1);
 
-/// Spreads ids evenly over [0, 1), the same at every daemon.
-double spread(RootId id)
-{
-    const std::uint64_t mixed = id.value() * 0x9E3779B97F4A7C15ULL;
-    return static_cast<double>(mixed >> 11) * 0x1.0p-53;
-}
-
 } // namespace
 
 LogBudget::LogBudget(const LogBudgetOptions &options)
@@ -39,7 +34,7 @@
 
 bool LogBudget::isKept(const Decision &decision) const
 {
-    return m_routineTaken < m_options.routineLines && spread(decision.root) < m_share;
+    return m_routineTaken < m_options.routineLines && spread(decision.root.value()) < m_share;
 }
 
 void LogBudget::startSecond(TimePoint now)
--- a/src/app/internal/logs/logline.cpp
+++ b/src/app/internal/logs/logline.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "state/idvalue.h"
+
 namespace ivyspar {
 
 namespace {
@@ -36,13 +38,6 @@
     return text;
 }
 
-std::string idText(RootId id)
-{
-    char text[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id.value()));
-    return text;
-}
-
 /// Three digits after the point say enough, and keep lines short.
 double rounded(double value)
 {
@@ -73,7 +68,7 @@
 void addId(Json &line, const char *key, RootId id)
 {
     if (id != RootId()) {
-        line[key] = idText(id);
+        line[key] = toHex(id.value());
     }
 }
 
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -7,6 +7,7 @@
 #include "coordination/admission/internal/fixedlimit.h"
 #include "coordination/admission/internal/gradientlimit.h"
 #include "coordination/admission/internal/probinglimit.h"
+#include "state/idvalue.h"
 
 namespace ivyspar {
 
@@ -30,13 +31,6 @@
     return std::make_unique<FixedLimit>();
 }
 
-/// Spreads ids evenly over [0, 1); the same id always gives the same number.
-double spread(CallId id)
-{
-    const std::uint64_t mixed = id.value() * 0x9E3779B97F4A7C15ULL;
-    return static_cast<double>(mixed >> 11) * 0x1.0p-53;
-}
-
 std::uint32_t ceilingOf(std::uint32_t slots, std::uint32_t connections)
 {
     return std::min(slots, connections);
@@ -198,7 +192,7 @@
 void Gate::refuse(CallId id, Reason reason, GateActions &actions)
 {
     const auto shortest = static_cast<double>(m_options.retryAfter.count());
-    const Duration retryAfter(std::llround(shortest * (1 + spread(id))));
+    const Duration retryAfter(std::llround(shortest * (1 + spread(id.value()))));
     actions.push_back({ GateVerb::Refuse, id, { Outcome::NotRun, reason, retryAfter } });
 }
 
--- a/src/protocol/internal/verdictresponse.cpp
+++ b/src/protocol/internal/verdictresponse.cpp
@@ -1,10 +1,9 @@
 #include "protocol/internal/verdictresponse.h"
 
-#include <cinttypes>
-#include <cstdio>
 #include <cstdlib>
 
 #include "protocol/headers.h"
+#include "state/idvalue.h"
 
 namespace ivyspar {
 
@@ -51,9 +50,7 @@
 
 std::string toText(RootId root)
 {
-    char text[17];
-    std::snprintf(text, sizeof(text), "%016" PRIx64, root.value());
-    return text;
+    return toHex(root.value());
 }
 
 bool parseRootId(const std::string &text, RootId &root)
