Logging does less on the way of a call

A line took the log's lock twice, once for the budget and once for the queue. The names of service and rule were copied for each line, and the gate's load was worked out for each call also with no log.

--- a/src/app/internal/entry/entryrecorder.h
+++ b/src/app/internal/entry/entryrecorder.h
@@ -13,14 +13,14 @@
 
 namespace ivyspar {
 
-/// What the log says of a request in each line.
+/// What the log says of a request in each line; refers to the request.
 struct RequestFacts
 {
     RootId root;
     /// As it came: for a call of an upstream another one than `root`.
     RootId own;
-    ServiceName service;
-    RuleName rule;
+    const ServiceName &service;
+    const RuleName &rule;
     Rank rank;
     Priority priority;
     Depth depth;
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -375,15 +375,8 @@
 
 RequestFacts EntryService::factsOf(const Incoming &incoming) const
 {
-    RequestFacts facts;
-    facts.root = incoming.root;
-    facts.own = incoming.own;
-    facts.service = incoming.service;
-    facts.rule = incoming.rule.name;
-    facts.rank = rankOf(incoming);
-    facts.priority = incoming.priority;
-    facts.depth = incoming.depth;
-    return facts;
+    return RequestFacts{ incoming.root,    incoming.own,      incoming.service, incoming.rule.name,
+                         rankOf(incoming), incoming.priority, incoming.depth };
 }
 
 RequestEnd EntryService::endOf(const Run &run) const
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -23,9 +23,6 @@
 
 void GateRecorder::recordAdmitted(const GatedCall &call)
 {
-    if (!m_observers.decisions.isEnabled()) {
-        return;
-    }
     Decision decision = makeDecision(DecisionKind::Admit, call.message);
     decision.reason = "admitted";
     recordState(std::move(decision), call);
@@ -33,9 +30,6 @@
 
 void GateRecorder::recordRefused(const GatedCall &call, Reason reason)
 {
-    if (!m_observers.decisions.isEnabled()) {
-        return;
-    }
     Decision decision = makeDecision(DecisionKind::Refuse, call.message);
     decision.importance = Importance::Essential;
     decision.reason = toText(reason);
@@ -55,7 +49,7 @@
 void GateRecorder::recordRun(const CallMessage &message, const UpstreamId &instance,
                              const Verdict &verdict, std::uint16_t status, Duration served)
 {
-    if (!m_observers.decisions.isEnabled()) {
+    if (!isEnabled()) {
         return;
     }
     const bool isAnswered = verdict.outcome == Outcome::Answered;
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -29,6 +29,8 @@
     {
     }
 
+    /// Off: nothing that is only said in the log need be worked out.
+    bool isEnabled() const { return m_observers.decisions.isEnabled(); }
     void recordAdmitted(const GatedCall &call);
     void recordRefused(const GatedCall &call, Reason reason);
     /// A run of that server ended; `status` counts if it was answered.
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -352,7 +352,9 @@
     m_observers.metrics.observe(
         Timing::GateWait,
         std::chrono::duration_cast<Duration>(m_loop.now() - found->second.arrivedAt));
-    m_recorder.recordAdmitted(stateOf(found->second));
+    if (m_recorder.isEnabled()) {
+        m_recorder.recordAdmitted(stateOf(found->second));
+    }
     m_loop.spawn([this, service, id] { runCall(service, id); });
 }
 
@@ -474,7 +476,7 @@
 {
     m_observers.metrics.add(Counter::GateRefusals);
     const auto found = m_calls.find(id);
-    if (found != m_calls.end()) {
+    if (found != m_calls.end() && m_recorder.isEnabled()) {
         m_recorder.recordRefused(stateOf(found->second), verdict.reason);
     }
     AnswerMessage answer;
--- a/src/app/internal/logs/asynclogs.cpp
+++ b/src/app/internal/logs/asynclogs.cpp
@@ -109,19 +109,18 @@
     const TimePoint now(
         std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
     const auto time = std::chrono::system_clock::now();
-    bool isKept = false;
-    SuppressedCounts suppressed;
+    bool isFirst = false;
     {
         const std::lock_guard lock(m_mutex);
-        suppressed = m_budget.takeSuppressed(now);
-        isKept = m_budget.take(now, decision);
-    }
-    if (!suppressed.empty()) {
-        push({ time, std::move(suppressed) });
-    }
-    if (isKept) {
-        push({ time, std::move(decision) });
+        SuppressedCounts suppressed = m_budget.takeSuppressed(now);
+        if (!suppressed.empty()) {
+            isFirst = enqueue({ time, std::move(suppressed) });
+        }
+        if (m_budget.take(now, decision)) {
+            isFirst = enqueue({ time, std::move(decision) }) || isFirst;
+        }
     }
+    wakeWriter(isFirst);
 }
 
 void AsyncLogs::push(LogEntry entry)
@@ -129,13 +128,23 @@
     bool isFirst = false;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_queue.size() >= m_capacity) {
-            m_metrics.add(Counter::LogLinesDropped);
-            return;
-        }
-        isFirst = m_queue.empty();
-        m_queue.push_back(std::move(entry));
+        isFirst = enqueue(std::move(entry));
     }
+    wakeWriter(isFirst);
+}
+
+bool AsyncLogs::enqueue(LogEntry entry)
+{
+    if (m_queue.size() >= m_capacity) {
+        m_metrics.add(Counter::LogLinesDropped);
+        return false;
+    }
+    m_queue.push_back(std::move(entry));
+    return m_queue.size() == 1;
+}
+
+void AsyncLogs::wakeWriter(bool isFirst)
+{
     if (isFirst) {
         m_wakeUp.notify_one();
     }
--- a/src/app/internal/logs/asynclogs.h
+++ b/src/app/internal/logs/asynclogs.h
@@ -51,6 +51,9 @@
     void write(Decision decision) override;
 
     void push(LogEntry entry);
+    /// With the mutex held. True if the writer has nothing else to do.
+    bool enqueue(LogEntry entry);
+    void wakeWriter(bool isFirst);
     void runWriter();
     std::vector<LogEntry> takeBatch();
     void append(const LogEntry &entry);
