--- a/src/app/internal/commands/explaincommand.cpp
+++ b/src/app/internal/commands/explaincommand.cpp
@@ -2,8 +2,6 @@
 #include <cctype>
 #include <cstdio>
 #include <fstream>
-#include <iostream>
-#include <set>
 
 #include "app/internal/commands/commands.h"
 #include "app/internal/commands/explaintext.h"
--- a/src/app/internal/commands/explaintext.cpp
+++ b/src/app/internal/commands/explaintext.cpp
@@ -87,7 +87,7 @@
 
 std::string toExplanation(const RequestHistory &history)
 {
-    const std::vector<HistoryEvent> events = history.events();
+    const std::vector<HistoryEvent> &events = history.events();
     const std::string notes = sourceText(history.sources());
     if (events.empty()) {
         return "no line of request " + history.root()
--- a/src/app/internal/commands/requesthistory.cpp
+++ b/src/app/internal/commands/requesthistory.cpp
@@ -121,32 +121,26 @@
         }
     }
     m_sources.push_back(std::move(source));
-}
-
-std::vector<HistoryEvent> RequestHistory::events() const
-{
-    std::vector<HistoryEvent> events = m_events;
-    sortByTime(events);
-    return events;
+    sortByTime(m_events);
+    sortByTime(m_beliefs);
+    sortByTime(m_suppressions);
 }
 
 std::vector<HistoryEvent> RequestHistory::around(const std::vector<HistoryEvent> &events) const
 {
-    const std::vector<HistoryEvent> own = this->events();
     std::vector<HistoryEvent> found;
-    if (own.empty()) {
+    if (m_events.empty()) {
         return found;
     }
-    const double first = secondsOf(own.front().time) - BEFORE_SECONDS;
+    const double first = secondsOf(m_events.front().time) - BEFORE_SECONDS;
     // What was left out in a second is told in the next one.
-    const double last = secondsOf(own.back().time) + BEFORE_SECONDS;
+    const double last = secondsOf(m_events.back().time) + BEFORE_SECONDS;
     for (const HistoryEvent &event : events) {
         const double time = secondsOf(event.time);
         if (time >= first && time <= last) {
             found.push_back(event);
         }
     }
-    sortByTime(found);
     return found;
 }
 
--- a/src/app/internal/commands/requesthistory.h
+++ b/src/app/internal/commands/requesthistory.h
@@ -46,7 +46,7 @@
 
     const std::string &root() const { return m_root; }
     /// Ordered by time, as the hosts' clocks have it.
-    std::vector<HistoryEvent> events() const;
+    const std::vector<HistoryEvent> &events() const { return m_events; }
     /// Changes of belief from a second before the request to its end.
     std::vector<HistoryEvent> beliefs() const;
     /// Lines that daemons left out in the second of the request or the one before it.
--- a/src/app/internal/logs/asynclogs.h
+++ b/src/app/internal/logs/asynclogs.h
@@ -30,7 +30,7 @@
 
 /// log4cplus' own asynchronous appender makes the writer of a line wait when its queue is full: a
 /// stalled reader of the log would stop the traffic. This one drops and counts instead. The mutex
-/// is held only to move one entry or to swap two vectors, never while anything is written.
+/// is held only to count and move a line or to swap two vectors, never while anything is written.
 class AsyncLogs : public IDaemonLogs, private ILog, private IDecisionLog
 {
 public:
--- a/src/coordination/admission/internal/rootadmission.h
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -22,7 +22,6 @@
     void onEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
                bool isWhole) override;
     void onFinish(const RootTarget &target, RootEnd end) override;
-    void reset() override { m_profiles.clear(); }
 
 private:
     struct Service
@@ -63,6 +62,8 @@
 
     Profile &profileOf(const RootTarget &target);
     bool isKnown(const Profile &profile) const { return profile.samples >= m_options.knownAfter; }
+    /// Requests of a rule that is not known yet that may be under way.
+    double windowOf(const Profile &profile) const;
     /// Of the usual arrivals, the share that the services of the rule's tree can take.
     double shareOf(TimePoint now, const RootTarget &target, Profile &profile);
     double loadOf(TimePoint now, const Service &service) const;
@@ -74,8 +75,6 @@
     void learnCosts(Profile &profile, const TreeUsage &usage) const;
     void learnLoad(TimePoint now, const ServiceUsage &usage);
 
-    double windowOf(const Profile &profile) const;
-
     RootAdmissionOptions m_options;
     double m_firstWindow;
     std::map<ProfileKey, Profile> m_profiles;
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -63,8 +63,6 @@
                        bool isWhole) = 0;
     /// A request that was let in is over. To be called once for each.
     virtual void onFinish(const RootTarget &target, RootEnd end) = 0;
-    /// Forgets rules that are not seen any more.
-    virtual void reset() = 0;
 };
 
 struct RootAdmissionOptions
