--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -17,6 +17,7 @@
     , m_random(random)
     , m_events(std::move(events))
     , m_fiber(loop)
+    , m_cursor(log, m_settings.stream, m_settings.wait)
 {
 }
 
@@ -54,8 +55,8 @@
     status.inForce = version();
     status.accepted = version();
     status.unreadable = m_unreadable;
-    status.isJudging = m_next.has_value();
-    status.nextOffset = m_next.value_or(LogOffset());
+    status.isJudging = m_cursor.next().has_value();
+    status.nextOffset = m_cursor.next().value_or(LogOffset());
     status.logError = m_logError;
     return status;
 }
@@ -76,24 +77,18 @@
 
 Ret DocumentFollower::readOnce()
 {
-    const RetVal<KeyedPage> page = m_next ? m_log.read(m_settings.stream, *m_next, m_settings.wait)
-                                          : m_log.newest(m_settings.stream);
-    if (!page && page.error().code == ErrorCode::NotFound) {
-        // The log forgot what came after the place where this daemon stopped: the newest document
-        // is the only one that counts.
-        m_next.reset();
-        return {};
-    }
+    const auto page = m_cursor.read();
     if (!page) {
         return tl::unexpected<Error>(page.error());
     }
-    takePage(*page);
+    if (*page) {
+        takePage(**page);
+    }
     return {};
 }
 
 void DocumentFollower::takePage(const KeyedPage &page)
 {
-    m_next = page.next;
     // Only the last one counts: those before it were replaced by it.
     const auto last =
         std::find_if(page.records.rbegin(), page.records.rend(),
--- a/src/app/internal/control/documentfollower.h
+++ b/src/app/internal/control/documentfollower.h
@@ -5,6 +5,7 @@
 #include "app/icontrolexchange.h"
 #include "app/internal/control/backgroundfiber.h"
 #include "app/internal/control/iconfigurationdriver.h"
+#include "app/internal/control/keyedcursor.h"
 #include "protocol/documentexchange.h"
 #include "protocol/idocumentreader.h"
 #include "state/irandom.h"
@@ -71,12 +72,12 @@
     IRandom &m_random;
     ConfigurationEvents m_events;
     BackgroundFiber m_fiber;
+    KeyedCursor m_cursor;
 
     ConfigurationPtr m_inForce;
     std::string m_document;
     std::string m_unreadable;
     std::string m_logError;
-    std::optional<LogOffset> m_next;
     std::uint32_t m_failures = 0;
     TimerId m_patienceTimer;
     TimerId m_offerTimer;
--- a/src/app/internal/control/memberdirectory.cpp
+++ b/src/app/internal/control/memberdirectory.cpp
@@ -12,6 +12,7 @@
     , m_observers(observers)
     , m_onEndpoint(std::move(onEndpoint))
     , m_fiber(loop)
+    , m_cursor(log, m_settings.stream, m_settings.wait)
 {
 }
 
@@ -43,22 +44,19 @@
 /// Reads first: a daemon that starts again at the same place need not write.
 Ret MemberDirectory::step()
 {
-    const RetVal<KeyedPage> page = m_next ? m_log.read(m_settings.stream, *m_next, m_settings.wait)
-                                          : m_log.newest(m_settings.stream);
-    if (!page && page.error().code == ErrorCode::NotFound) {
-        m_next.reset();
-        return {};
-    }
+    const auto page = m_cursor.read();
     if (!page) {
         return tl::unexpected<Error>(page.error());
     }
-    takePage(*page);
+    if (!*page) {
+        return {};
+    }
+    takePage(**page);
     return m_isEntered ? Ret() : enterSelf();
 }
 
 void MemberDirectory::takePage(const KeyedPage &page)
 {
-    m_next = page.next;
     for (const KeyedRecord &record : page.records) {
         const RetVal<Endpoint> endpoint = Endpoint::parse(record.value);
         if (!endpoint) {
--- a/src/app/internal/control/memberdirectory.h
+++ b/src/app/internal/control/memberdirectory.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "app/internal/control/backgroundfiber.h"
+#include "app/internal/control/keyedcursor.h"
 #include "app/internal/logs/observers.h"
 #include "state/endpoint.h"
 #include "state/ids.h"
@@ -47,7 +48,7 @@
     Observers m_observers;
     OnEndpoint m_onEndpoint;
     BackgroundFiber m_fiber;
-    std::optional<LogOffset> m_next;
+    KeyedCursor m_cursor;
     bool m_isEntered = false;
 };
 
