Trees that cannot end whole are not begun, and what a server turns away is sent again by its gate

Change: gates tell what their servers lose, answers carry it up with the number of calls. Entries begin of each rule the trees that likely end whole, or that repeats can mend, the most important first. The gate beside a server, past which all its arrivals come, sends again what the server turned away and keeps the bound on repeats exactly, in every window; more important calls are kept theirs. Ruled out: letting inner calls of repeats count as no demand.

--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -58,7 +58,7 @@
     , m_dialect(dialect)
     , m_policies(policies)
     , m_split(makeWeightedSplit())
-    , m_admission(makeRootAdmission())
+    , m_admission(makeRootAdmission(options.admission))
     , m_sender(sender)
     , m_gates(gates)
     , m_observers(observers)
@@ -194,6 +194,7 @@
     incoming.deadline = std::min(incoming.deadline, context.deadline);
     incoming.tree = context.tree;
     incoming.letIn = context.letIn == DemandShare() ? WHOLE_DEMAND : context.letIn;
+    incoming.isRepeat = context.isRepeat;
 }
 
 bool EntryService::letIn(Incoming &incoming)
@@ -236,6 +237,7 @@
     rejection.choice = grounds.narrowest.value();
     if (grounds.isKnown) {
         rejection.inputs = { { "share", grounds.share },
+                             { "odds", grounds.odds },
                              { "load", grounds.load },
                              { "load_age_ms", toMillis(grounds.loadAge) } };
     } else {
@@ -337,7 +339,9 @@
     call.rank = rankOf(incoming);
     call.depth = incoming.depth;
     call.remaining = std::chrono::duration_cast<Duration>(incoming.deadline - m_loop.now());
-    call.letIn = action.attempt == AttemptIndex(0) ? incoming.letIn : DemandShare();
+    const bool isFirst = action.attempt == AttemptIndex(0);
+    call.letIn = isFirst ? incoming.letIn : DemandShare();
+    call.isRepeat = incoming.isRepeat || !isFirst;
     call.granted = action.granted;
     call.once = incoming.once;
     call.request = incoming.request;
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -30,6 +30,7 @@
     /// Requests are let in by what their whole call tree costs, and calls of requests that were let
     /// in go before others.
     bool hasRootAdmission = false;
+    RootAdmissionOptions admission;
     /// Calls of upstreams arrive together with requests of callers and name no context.
     bool infersParents = false;
 };
@@ -78,6 +79,8 @@
         /// Where the cost of this request is booked; null at depth 0.
         CallTreePtr tree;
         DemandShare letIn = WHOLE_DEMAND;
+        /// The call that makes it is a repeat.
+        bool isRepeat = false;
         std::optional<OnceTerms> once;
         bool isSingleAttempt = false;
         /// Root admission let it in and waits for its end.
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -14,6 +14,15 @@
 /// run; at the deadline itself the entry could only say "unknown".
 constexpr int CLAIM_SHARE_PERCENT = 90;
 
+/// Times that a call is sent to a server that turns it away: where that happens to half of them,
+/// fewer than 2 in 100 calls are left over.
+constexpr int MOST_SENDS = 6;
+
+bool isTurnedAway(const Verdict &verdict)
+{
+    return verdict.outcome == Outcome::NotRun && verdict.reason == Reason::UpstreamRefused;
+}
+
 std::optional<CallId> fromToken(const std::string &token)
 {
     constexpr std::size_t TOKEN_SIZE = 16;
@@ -90,6 +99,7 @@
     upstream.heardAt = now;
     if (isNew) {
         upstream.gate = m_makeGate(announcement.info);
+        upstream.repeats = makeRepeatBudget(m_options.repeats);
         upstream.tickTimer =
             std::make_unique<WakeTimer>(m_loop, [this, service] { tick(service); });
     }
@@ -266,6 +276,7 @@
     context.ledger = call.ledger;
     context.tree = call.tree;
     context.letIn = call.message.letIn;
+    context.isRepeat = call.message.isRepeat;
     return context;
 }
 
@@ -377,7 +388,7 @@
         end.verdict = Verdict{ Outcome::NotRun, Reason::DeadlineExceeded, Duration::zero() };
         end.result = CallResult::Cancelled;
     } else {
-        end = exchange(server, id, found->second);
+        end = sendToServer(service, server, id);
     }
 
     const TimePoint now = m_loop.now();
@@ -410,6 +421,54 @@
     endCall(id, std::move(answer));
 }
 
+/// 1. A server turns away by chance what it has room for, as it starts, or fails in part.
+/// 2. A request with eight calls there would end whole once in a hundred times, after all services
+///    above have worked for it.
+/// 3. Sent once more from here, the call costs a message on this host and no time of the entry. It
+///    is only done for what the server says it has not begun.
+GateService::RunEnd GateService::sendToServer(const ServiceName &service,
+                                              const Announcement &server, CallId id)
+{
+    const Call &call = m_calls.at(id);
+    findUpstream(service)->repeats->onArrival(m_loop.now(), call.message.isRepeat);
+    RunEnd end = exchange(server, id, call);
+    noteSend(service, end);
+    for (int sends = 1; sends < MOST_SENDS; ++sends) {
+        if (!isTurnedAway(end.verdict) || !mayRepeat(service, server, id)) {
+            break;
+        }
+        end = exchange(server, id, m_calls.at(id));
+        noteSend(service, end);
+    }
+    return end;
+}
+
+void GateService::noteSend(const ServiceName &service, const RunEnd &end)
+{
+    Upstream *upstream = findUpstream(service);
+    if (!upstream || end.result == CallResult::Cancelled || end.result == CallResult::TimedOut) {
+        return;
+    }
+    const bool isBroken = end.verdict.reason == Reason::BrokenAnswer;
+    upstream->loss.add(isBroken || isTurnedAway(end.verdict));
+}
+
+bool GateService::mayRepeat(const ServiceName &service, const Announcement &server, CallId id)
+{
+    const auto found = m_calls.find(id);
+    Upstream *upstream = findUpstream(service);
+    if (found == m_calls.end() || !upstream || upstream->isWithdrawn) {
+        return false;
+    }
+    const Call &call = found->second;
+    const TimePoint now = m_loop.now();
+    const bool isSameRun = upstream->announcement.instance == server.instance;
+    if (call.isCancelled || now >= call.deadline || !isSameRun) {
+        return false;
+    }
+    return upstream->repeats->take(now, priorityOf(call.message.rank));
+}
+
 GateService::RunEnd GateService::exchange(const Announcement &server, CallId id, const Call &call)
 {
     const auto remaining = std::chrono::duration_cast<Duration>(call.deadline - m_loop.now());
@@ -502,8 +561,10 @@
     answer.load = load(call.message.service);
     answer.usage = std::move(call.tree->usage);
     call.tree->isClosed = true;
-    addUsage(answer.usage,
-             { ServiceUsage{ call.message.service, answer.serviceTime, answer.load.demand } });
+    const Upstream *upstream = findUpstream(call.message.service);
+    addUsage(answer.usage, { ServiceUsage{ call.message.service, answer.serviceTime,
+                                           answer.load.demand,
+                                           upstream ? upstream->loss.share() : LossShare() } });
     call.reply(std::move(answer));
 }
 
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -12,7 +12,9 @@
 #include "app/internal/logs/observers.h"
 #include "app/internal/waketimer.h"
 #include "coordination/admission/igate.h"
+#include "coordination/admission/lossestimate.h"
 #include "coordination/calls/iparentfinder.h"
+#include "coordination/retries/irepeatbudget.h"
 #include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
 #include "state/member.h"
@@ -43,6 +45,8 @@
     std::size_t maxCalls = 20000;
     /// Passes deadlines and cancels on to the upstream.
     bool cancelUpstream = true;
+    /// For calls that a server of this host turns away.
+    RepeatBudgetOptions repeats;
 };
 
 /// Runs calls on the upstreams of this host. Traffic thread only.
@@ -95,6 +99,8 @@
         bool isWithdrawn = false;
         /// The daemon ends before calls of this service may: entries are told to go elsewhere.
         bool endsTooSoon = false;
+        LossEstimate loss;
+        std::unique_ptr<IRepeatBudget> repeats;
     };
     struct Call
     {
@@ -125,7 +131,11 @@
     void perform(const ServiceName &service, const GateActions &actions);
     void startCall(const ServiceName &service, CallId id);
     void runCall(const ServiceName &service, CallId id);
+    /// Sends the call, and again while the server turns it away and repeats are left.
+    RunEnd sendToServer(const ServiceName &service, const Announcement &server, CallId id);
     RunEnd exchange(const Announcement &server, CallId id, const Call &call);
+    void noteSend(const ServiceName &service, const RunEnd &end);
+    bool mayRepeat(const ServiceName &service, const Announcement &server, CallId id);
     RunEnd judge(const UpstreamId &instance, HttpResponse response);
     RunEnd judgeFailure(const UpstreamId &instance, const HttpFailure &failure);
     void tellDoubt(const UpstreamId &instance);
--- a/src/app/internal/gate/igateservice.h
+++ b/src/app/internal/gate/igateservice.h
@@ -21,6 +21,7 @@
     CallLedgerPtr ledger;
     CallTreePtr tree;
     DemandShare letIn;
+    bool isRepeat = false;
 };
 
 /// What a request that names no context was found to be.
--- a/src/app/internal/settings/daemonsettings.cpp
+++ b/src/app/internal/settings/daemonsettings.cpp
@@ -21,20 +21,6 @@
 constexpr std::uint64_t MAX_IN_FLIGHT = 1'000'000;
 constexpr Duration MAX_LOG_RETENTION = hours(24 * 365);
 
-struct AblationName
-{
-    const char *name;
-    bool Ablations::*member;
-};
-
-constexpr AblationName ABLATION_NAMES[] = {
-    { "admission", &Ablations::admission }, { "rank", &Ablations::rank },
-    { "floor", &Ablations::floor },         { "doomed", &Ablations::doomed },
-    { "budget", &Ablations::budget },       { "retry-tokens", &Ablations::retryTokens },
-    { "routing", &Ablations::routing },     { "hedging", &Ablations::hedging },
-    { "cancel", &Ablations::cancel },
-};
-
 struct LogLevelName
 {
     const char *name;
@@ -122,15 +108,8 @@
 
     void readAblations()
     {
-        for (const std::string &name : splitList(FLAGS_ablate)) {
-            const auto *found =
-                std::find_if(std::begin(ABLATION_NAMES), std::end(ABLATION_NAMES),
-                             [&](const AblationName &known) { return name == known.name; });
-            if (found == std::end(ABLATION_NAMES)) {
-                m_values.fail("ablate", '"' + name + "\" is not a policy; --help lists them");
-                continue;
-            }
-            m_settings.ablations.*found->member = true;
+        for (const std::string &unknown : switchOff(FLAGS_ablate, m_settings.ablations)) {
+            m_values.fail("ablate", '"' + unknown + "\" is not a policy; --help lists them");
         }
     }
 
--- a/src/app/internal/settings/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -73,4 +73,25 @@
     return options;
 }
 
+RepeatBudgetOptions makeRepeatBudgetOptions(const DaemonSettings &settings)
+{
+    RepeatBudgetOptions options;
+    options.isOn = !settings.ablations.turnedAway;
+    if (settings.retryBudget) {
+        options.ratio = settings.retryBudget->ratio;
+        options.window = settings.retryBudget->window;
+    }
+    return options;
+}
+
+RootAdmissionOptions makeRootAdmissionOptions(const DaemonSettings &settings)
+{
+    RootAdmissionOptions options;
+    options.hasOdds = !settings.ablations.odds;
+    if (settings.retryBudget && !settings.ablations.turnedAway) {
+        options.repeatRatio = settings.retryBudget->ratio;
+    }
+    return options;
+}
+
 } // namespace ivyspar
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -38,6 +38,7 @@
     GateServiceOptions options;
     options.heartbeatTimeout = settings.heartbeatTimeout;
     options.cancelUpstream = !settings.ablations.cancel;
+    options.repeats = makeRepeatBudgetOptions(settings);
     return options;
 }
 
@@ -48,6 +49,7 @@
     options.hasSharedBudget = !settings.ablations.budget;
     options.hasRootAdmission = settings.hasRootAdmission;
     options.infersParents = settings.infersParents;
+    options.admission = makeRootAdmissionOptions(settings);
     return options;
 }
 
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -33,6 +33,8 @@
     double ratio = 0.1;
     /// Repeats allowed besides, over all daemons.
     double slack = 0;
+    /// Time over which repeats are counted.
+    Duration window = std::chrono::seconds(10);
 };
 
 /// Where the platform keeps what daemons share, in keyed streams. Empty names: nowhere.
@@ -57,8 +59,15 @@
     bool routing = false;
     bool hedging = false;
     bool cancel = false;
+    /// Requests are begun however few of their trees can end whole.
+    bool odds = false;
+    /// What a server turned away is not sent to it once more from its host.
+    bool turnedAway = false;
 };
 
+/// Switches off the policies of a comma-separated list. Returns the names that are none.
+std::vector<std::string> switchOff(const std::string &policies, Ablations &ablations);
+
 /// Settings of one daemon. Port 0 in a listening endpoint takes a free port.
 struct DaemonSettings
 {
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -12,6 +12,14 @@
 /// A request that got through against all odds must not stand for thousands.
 constexpr long LEAST_TOLD = 20;
 
+SuccessOddsOptions oddsOptions(const RootAdmissionOptions &options)
+{
+    SuccessOddsOptions odds;
+    odds.isOn = options.hasOdds;
+    odds.repeatRatio = options.repeatRatio;
+    return odds;
+}
+
 } // namespace
 
 std::unique_ptr<IRootAdmission> makeRootAdmission(const RootAdmissionOptions &options)
@@ -22,6 +30,7 @@
 RootAdmission::RootAdmission(const RootAdmissionOptions &options)
     : m_options(options)
     , m_firstWindow(options.firstWindow)
+    , m_odds(oddsOptions(options))
 {
 }
 
@@ -54,6 +63,10 @@
 bool RootAdmission::admit(TimePoint now, const RootTarget &target)
 {
     Profile &profile = profileOf(target);
+    // Before it counts as demand: services must not hold others back for what is not begun.
+    if (!isWorthwhile(now, target, profile)) {
+        return false;
+    }
     profile.arrivals.add(now, 1, m_options.demandMemory);
     profile.share = shareOf(now, target, profile);
     const bool isIn = isKnown(profile) ? take(now, profile, profile.share)
@@ -65,6 +78,23 @@
     return isIn;
 }
 
+bool RootAdmission::isWorthwhile(TimePoint now, const RootTarget &target, Profile &profile)
+{
+    m_tree.clear();
+    for (const auto &[name, cost] : profile.costs) {
+        if (cost.reached >= m_options.leastReached) {
+            m_tree.push_back({ name, cost.calls });
+        }
+    }
+    profile.odds = m_odds.onArrival(now, target.priority, m_tree);
+    profile.worthwhile += profile.odds;
+    if (profile.worthwhile < 1) {
+        return false;
+    }
+    profile.worthwhile -= 1;
+    return true;
+}
+
 double RootAdmission::shareOf(TimePoint now, const RootTarget &target, Profile &profile)
 {
     double share = AMPLE;
@@ -147,6 +177,7 @@
     grounds.window = windowOf(profile);
     grounds.share = profile.share;
     grounds.narrowest = profile.narrowest;
+    grounds.odds = profile.odds;
     const auto service = m_services.find(profile.narrowest);
     if (service != m_services.end()) {
         grounds.load = loadOf(now, service->second);
@@ -160,6 +191,7 @@
 {
     for (const ServiceUsage &each : usage) {
         learnLoad(now, each);
+        m_odds.learn(now, each);
     }
     if (isWhole) {
         learnCosts(profileOf(target), usage);
@@ -174,11 +206,13 @@
     for (auto &[name, cost] : profile.costs) {
         cost.busy *= 1 - weight;
         cost.reached *= 1 - weight;
+        cost.calls *= 1 - weight;
     }
     for (const ServiceUsage &each : usage) {
         Cost &cost = profile.costs[each.service];
         cost.busy += weight * static_cast<double>(each.busy.count());
         cost.reached += weight;
+        cost.calls += weight * each.calls;
     }
 }
 
--- a/src/coordination/admission/internal/rootadmission.h
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "coordination/admission/internal/demandrate.h"
+#include "coordination/admission/internal/successodds.h"
 #include "coordination/admission/irootadmission.h"
 
 namespace ivyspar {
@@ -40,6 +41,7 @@
         double busy = 0;
         /// Share of the requests that reach the service.
         double reached = 0;
+        double calls = 0;
     };
     struct Profile
     {
@@ -50,6 +52,10 @@
         double share = 1;
         /// The service that leaves least room; empty while none is known.
         ServiceName narrowest;
+        /// Of the requests, the share that is worth to begin.
+        double odds = 1;
+        /// What is saved up of the next request that is worth it.
+        double worthwhile = 0;
         /// Requests that may be let in at once.
         double saved = 0;
         TimePoint savedAt;
@@ -70,6 +76,8 @@
     /// Of the usual demand of this priority, the share that fits; above 1 with room for more.
     double fitting(TimePoint now, const Service &service, Priority priority) const;
     double demandOf(TimePoint now, const Service &service) const;
+    /// Whether this request is one of the share that is worth to begin.
+    bool isWorthwhile(TimePoint now, const RootTarget &target, Profile &profile);
     /// Takes one request from what is saved up at `share` of the usual arrivals.
     bool take(TimePoint now, Profile &profile, double share) const;
     void learnCosts(Profile &profile, const TreeUsage &usage) const;
@@ -79,6 +87,9 @@
     double m_firstWindow;
     std::map<ProfileKey, Profile> m_profiles;
     std::unordered_map<ServiceName, Service> m_services;
+    SuccessOdds m_odds;
+    /// Kept to save an allocation for each request.
+    std::vector<TreeCalls> m_tree;
 };
 
 } // namespace ivyspar
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -35,6 +35,8 @@
     /// Of the usual arrivals, the share that fits into `narrowest`; empty if no service is known.
     double share = 0;
     ServiceName narrowest;
+    /// Of the requests, the share that is worth to begin by what the services of the tree lose.
+    double odds = 1;
     /// Its whole demand over what it can take, and how long ago that was told.
     double load = 0;
     Duration loadAge{ 0 };
@@ -95,6 +97,10 @@
     std::size_t leastDaemons = 16;
     /// Weight of one report in the load of a service: its servers report in turn.
     double loadWeight = 0.1;
+    /// Off: trees are begun however few of them can end whole.
+    bool hasOdds = true;
+    /// Repeats for each call that all daemons together may send to a service.
+    double repeatRatio = 0;
 };
 
 std::unique_ptr<IRootAdmission> makeRootAdmission(const RootAdmissionOptions &options = {});
--- /dev/null
+++ b/src/coordination/retries/tests/repeatbudgettest.cpp
@@ -0,0 +1,136 @@
+#include "coordination/retries/irepeatbudget.h"
+
+#include <algorithm>
+#include <deque>
+#include <iterator>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Priority IMPORTANT(90);
+const Priority MINOR(10);
+
+RepeatBudgetOptions makeOptions()
+{
+    RepeatBudgetOptions options;
+    options.ratio = 0.2;
+    return options;
+}
+
+} // namespace
+
+TEST_GROUP(RepeatBudget)
+{
+    TimePoint m_now{ 100s };
+    std::unique_ptr<IRepeatBudget> m_budget = makeRepeatBudget(makeOptions());
+
+    void arrive(int count, Duration gap)
+    {
+        for (int i = 0; i < count; ++i, m_now += gap) {
+            m_budget->onArrival(m_now, false);
+        }
+    }
+    int takeAll(Priority priority)
+    {
+        int taken = 0;
+        while (taken < 100000 && m_budget->take(m_now, priority)) {
+            ++taken;
+        }
+        return taken;
+    }
+};
+
+TEST(RepeatBudget, AllowsItsShareOfTheFirstArrivals)
+{
+    arrive(1000, 5ms);
+    DOUBLES_EQUAL(0.2 * 0.9 * 1000, takeAll(IMPORTANT), 1);
+}
+
+TEST(RepeatBudget, CountsRepeatsOfEntriesAsWell)
+{
+    arrive(1000, 5ms);
+    for (int i = 0; i < 100; ++i) {
+        m_budget->onArrival(m_now, true);
+    }
+    DOUBLES_EQUAL(0.2 * 0.9 * 1000 - 100, takeAll(IMPORTANT), 1);
+}
+
+TEST(RepeatBudget, AllowsNoneWithoutArrivalsOrWhenOff)
+{
+    CHECK_FALSE(m_budget->take(m_now, IMPORTANT));
+    RepeatBudgetOptions off = makeOptions();
+    off.isOn = false;
+    m_budget = makeRepeatBudget(off);
+    arrive(1000, 5ms);
+    CHECK_FALSE(m_budget->take(m_now, IMPORTANT));
+}
+
+// 1. Callers press for a minute, and the server turns away half of what comes.
+// 2. Whatever calls ask for, no window of ten seconds sees more repeats than a fifth of the calls
+//    of that window, of the one half a window before, or of the one before it.
+TEST(RepeatBudget, HoldsInEveryWindow)
+{
+    std::deque<TimePoint> firsts;
+    std::deque<TimePoint> repeats;
+    const auto countIn = [](const std::deque<TimePoint> &times, TimePoint from, TimePoint to) {
+        return std::distance(std::upper_bound(times.begin(), times.end(), from),
+                             std::upper_bound(times.begin(), times.end(), to));
+    };
+    for (int i = 0; i < 60000; ++i, m_now += 1ms) {
+        const bool isCalm = (i / 7000) % 3 == 0;
+        if (isCalm && i % 5 != 0) {
+            continue;
+        }
+        m_budget->onArrival(m_now, false);
+        firsts.push_back(m_now);
+        if (m_budget->take(m_now, IMPORTANT)) {
+            repeats.push_back(m_now);
+        }
+        const auto most = std::max({ countIn(firsts, m_now - 10s, m_now),
+                                     countIn(firsts, m_now - 15s, m_now - 5s),
+                                     countIn(firsts, m_now - 20s, m_now - 10s) });
+        CHECK(static_cast<double>(countIn(repeats, m_now - 10s, m_now)) <= 0.2 * most);
+    }
+    CHECK(repeats.size() > 1000);
+}
+
+// 1. A server sheds 45 % of what arrives, so that each important call needs 0.8 repeats and there
+//    are far more minor ones.
+// 2. First come first served, the minor calls would take four fifths of the repeats, and half of
+//    the important requests would fail after their work was done.
+TEST(RepeatBudget, KeepsForImportantCallsWhatTheyNeed)
+{
+    arrive(20000, 500us);
+    int importantAsked = 0;
+    int importantTaken = 0;
+    int minorTaken = 0;
+    for (int i = 0; i < 4000; ++i, m_now += 1ms) {
+        minorTaken += m_budget->take(m_now, MINOR) ? 1 : 0;
+        minorTaken += m_budget->take(m_now, MINOR) ? 1 : 0;
+        if (i % 2 == 0) {
+            ++importantAsked;
+            importantTaken += m_budget->take(m_now, IMPORTANT) ? 1 : 0;
+        }
+    }
+    CHECK_EQUAL(importantAsked, importantTaken);
+    CHECK(minorTaken > 0);
+}
+
+// 1. A service fails, and entries begin hardly any trees that lead there.
+// 2. The few that go on need their repeats all the more. What was asked in the ten seconds before
+//    still counts; by the arrivals of now alone a third of them would get none.
+TEST(RepeatBudget, RemembersWhatWasAskedBeforeTheTrouble)
+{
+    arrive(10000, 1ms);
+    int taken = 0;
+    for (int i = 0; i < 80; ++i, m_now += 100ms) {
+        for (int n = 0; n < 15; ++n) {
+            taken += m_budget->take(m_now, IMPORTANT) ? 1 : 0;
+        }
+    }
+    CHECK_EQUAL(80 * 15, taken);
+}
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -85,7 +85,7 @@
     for (const ServiceUsage &each : usage) {
         list.add(each.service);
         addDuration(list, each.busy);
-        list.add(each.load);
+        list.add(each.load).add(each.loss).add(std::uint64_t(each.calls));
     }
     writer.add(list.take());
 }
@@ -98,6 +98,8 @@
         items.read(each.service);
         readDuration(items, each.busy);
         items.read(each.load);
+        items.read(each.loss);
+        items.read(each.calls);
         usage.push_back(std::move(each));
     }
     if (!items.isGood()) {
@@ -131,6 +133,7 @@
     writer.add(message.rank).add(message.depth);
     addDuration(writer, message.remaining);
     writer.add(message.letIn)
+        .add(message.isRepeat)
         .add(message.granted)
         .add(message.request.method)
         .add(message.request.target);
@@ -219,6 +222,7 @@
     reader.read(message.depth);
     readDuration(reader, message.remaining);
     reader.read(message.letIn);
+    reader.read(message.isRepeat);
     reader.read(message.granted);
     reader.read(message.request.method);
     reader.read(message.request.target);
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -52,6 +52,8 @@
     /// Of requests like the caller's, which share its entry lets in. 0 in a repeated attempt: its
     /// first one has been counted.
     DemandShare letIn;
+    /// It repeats an attempt, or a repeat makes it: both draw on the bound on repeats.
+    bool isRepeat = false;
     /// Attempts handed over for the calls below this one.
     AttemptCount granted;
     /// Present when the rule says at most once and the caller gave a key or a ticket.
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -19,6 +19,7 @@
     call.depth = Depth(3);
     call.remaining = std::chrono::milliseconds(250);
     call.letIn = DemandShare(250);
+    call.isRepeat = true;
     call.granted = AttemptCount(12);
     call.once = OnceTerms{ IdempotencyKey("k-1"), std::chrono::hours(1), "ticket" };
     call.request = HttpRequest{
@@ -36,8 +37,10 @@
     answer.unspent = AttemptCount(11);
     answer.serviceTime = std::chrono::microseconds(1234);
     answer.load = LoadReport{ 5, 6, 7, Rank(99), DemandLoad(1300), true };
-    answer.usage = { { ServiceName("cassa"), std::chrono::microseconds(1234), DemandLoad(1300) },
-                     { ServiceName("scheda"), std::chrono::microseconds(9), DemandLoad(7) } };
+    answer.usage = { { ServiceName("cassa"), std::chrono::microseconds(1234), DemandLoad(1300),
+                       LossShare(450), 4 },
+                     { ServiceName("scheda"), std::chrono::microseconds(9), DemandLoad(7),
+                       LossShare(0), 1 } };
     answer.holder = DaemonId("d-3");
     return answer;
 }
@@ -62,6 +65,7 @@
     CHECK(call.depth == Depth(3));
     CHECK(call.remaining == std::chrono::milliseconds(250));
     CHECK(call.letIn == DemandShare(250));
+    CHECK(call.isRepeat);
     CHECK(call.granted == AttemptCount(12));
     CHECK(call.once.has_value());
     CHECK(call.once->key == IdempotencyKey("k-1"));
@@ -95,6 +99,8 @@
     CHECK(answer.usage.at(1).service == ServiceName("scheda"));
     CHECK(answer.usage.at(1).busy == std::chrono::microseconds(9));
     CHECK(answer.usage.at(1).load == DemandLoad(7));
+    CHECK(answer.usage.at(0).loss == LossShare(450));
+    CHECK_EQUAL(4, answer.usage.at(0).calls);
     CHECK(answer.holder == DaemonId("d-3"));
 }
 
--- a/src/state/internal/usage.cpp
+++ b/src/state/internal/usage.cpp
@@ -15,7 +15,9 @@
             continue;
         }
         found->busy += usage.busy;
+        found->calls += usage.calls;
         found->load = DemandLoad((found->load.value() + usage.load.value()) / 2);
+        found->loss = LossShare((found->loss.value() + usage.loss.value()) / 2);
     }
 }
 
--- a/src/transport/internal/peernetworkcore.cpp
+++ b/src/transport/internal/peernetworkcore.cpp
@@ -12,7 +12,7 @@
 
 using boost::asio::ip::tcp;
 
-constexpr const char *RESOURCE = "/peer/2";
+constexpr const char *RESOURCE = "/peer/3";
 /// First byte of each message.
 constexpr char PLAIN = '\0';
 constexpr char COMPRESSED = '\1';
--- a/src/transport/tests/peernetworktest.cpp
+++ b/src/transport/tests/peernetworktest.cpp
@@ -110,7 +110,7 @@
 RawSocket openRawLink(const Endpoint &endpoint)
 {
     RawSocket socket = RawSocket::connectTo(endpoint);
-    socket.send("GET /peer/2 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    socket.send("GET /peer/3 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
                 "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n");
     socket.readUntil("\r\n\r\n");
     return socket;
