Rules of one priority share a narrow service by what their requests cost it

Hypothesis: equal shares refuse two requests of 120 ms for one of 250 ms. Shares that fall with the square root of the cost serve more callers and starve nobody; by equal slot time the dear rule would come down to a quarter of the other.

--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -21,6 +21,7 @@
     { "budget", &Ablations::budget },       { "retry-tokens", &Ablations::retryTokens },
     { "routing", &Ablations::routing },     { "hedging", &Ablations::hedging },
     { "cancel", &Ablations::cancel },       { "odds", &Ablations::odds },
+    { "fair-shares", &Ablations::fairShares },
     { "turned-away", &Ablations::turnedAway },
 };
 
--- a/src/app/internal/settings/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -87,6 +87,7 @@
 RootAdmissionOptions makeRootAdmissionOptions(const DaemonSettings &settings)
 {
     RootAdmissionOptions options;
+    options.hasFairShares = !settings.ablations.fairShares;
     options.hasOdds = !settings.ablations.odds;
     if (settings.retryBudget && !settings.ablations.turnedAway) {
         options.repeatRatio = settings.retryBudget->ratio;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -59,6 +59,8 @@
     bool routing = false;
     bool hedging = false;
     bool cancel = false;
+    /// Rules of one priority get equal shares, whatever their requests cost.
+    bool fairShares = false;
     /// Requests are begun however few of their trees can end whole.
     bool odds = false;
     /// What a server turned away is not sent to it once more from its host.
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/admission/internal/fairshares.h"
+
 namespace ivyspar {
 
 namespace {
@@ -104,8 +106,8 @@
             continue;
         }
         Service &service = m_services[name];
-        service.demand[target.priority].add(now, cost.busy, m_options.demandMemory);
-        const double own = fitting(now, service, target.priority);
+        noteAsked(now, service, target.priority, profile, cost.busy);
+        const double own = fitting(now, service, target.priority, profile);
         if (own < share) {
             share = own;
             profile.narrowest = name;
@@ -231,27 +233,60 @@
     service.toldAt = now;
 }
 
-double RootAdmission::demandOf(TimePoint now, const Service &service) const
+void RootAdmission::noteAsked(TimePoint now, Service &service, Priority priority,
+                              const Profile &profile, double cost) const
+{
+    std::vector<Asked> &all = service.asked[priority];
+    auto found = std::find_if(all.begin(), all.end(), [&profile](const Asked &asked) {
+        return asked.profile == &profile;
+    });
+    if (found == all.end()) {
+        found = all.insert(all.end(), Asked{ &profile, {}, 0 });
+    }
+    found->cost = cost;
+    found->rate.add(now, cost, m_options.demandMemory);
+}
+
+double RootAdmission::demandOf(TimePoint now, const std::vector<Asked> &asked) const
 {
     double total = 0;
-    for (const auto &[priority, demand] : service.demand) {
-        total += demand.rate(now, m_options.demandMemory);
+    for (const Asked &each : asked) {
+        total += each.rate.rate(now, m_options.demandMemory);
     }
     return total;
 }
 
-double RootAdmission::fitting(TimePoint now, const Service &service, Priority priority) const
+double RootAdmission::fitting(TimePoint now, const Service &service, Priority priority,
+                              const Profile &profile) const
 {
     double above = 0;
-    double own = 0;
-    for (const auto &[each, demand] : service.demand) {
-        const double rate = demand.rate(now, m_options.demandMemory);
+    double all = 0;
+    for (const auto &[each, asked] : service.asked) {
+        const double rate = demandOf(now, asked);
         above += each > priority ? rate : 0;
-        own += each == priority ? rate : 0;
+        all += rate;
     }
     const double load = std::max(loadOf(now, service), 1 / AMPLE);
-    const double room = demandOf(now, service) / load - above;
-    return own <= 0 ? AMPLE : std::max(room / own, 0.0);
+    return shareWithin(now, service.asked.at(priority), profile, all / load - above);
+}
+
+double RootAdmission::shareWithin(TimePoint now, const std::vector<Asked> &asked,
+                                  const Profile &profile, double room) const
+{
+    const double own = demandOf(now, asked);
+    if (own <= 0) {
+        return AMPLE;
+    }
+    if (!m_options.hasFairShares || room >= own || asked.size() == 1) {
+        return std::max(room / own, 0.0);
+    }
+    std::vector<RuleDemand> demands;
+    std::size_t index = 0;
+    for (const Asked &each : asked) {
+        index = each.profile == &profile ? demands.size() : index;
+        demands.push_back({ each.rate.rate(now, m_options.demandMemory), each.cost });
+    }
+    return shareOut(demands, room).at(index);
 }
 
 double RootAdmission::loadOf(TimePoint now, const Service &service) const
--- a/src/coordination/admission/internal/rootadmission.h
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -25,10 +25,19 @@
     void onFinish(const RootTarget &target, RootEnd end) override;
 
 private:
+    struct Profile;
+    /// What callers ask of a service by one rule.
+    struct Asked
+    {
+        const Profile *profile = nullptr;
+        /// In µs of slots a second.
+        DemandRate rate;
+        /// Of one request, in µs of slots.
+        double cost = 0;
+    };
     struct Service
     {
-        /// What callers ask of it, in µs of slots a second, by priority.
-        std::map<Priority, DemandRate> demand;
+        std::map<Priority, std::vector<Asked>> asked;
         /// The whole demand over what the service can take.
         double load = 0;
         std::uint32_t reports = 0;
@@ -73,9 +82,14 @@
     /// Of the usual arrivals, the share that the services of the rule's tree can take.
     double shareOf(TimePoint now, const RootTarget &target, Profile &profile);
     double loadOf(TimePoint now, const Service &service) const;
-    /// Of the usual demand of this priority, the share that fits; above 1 with room for more.
-    double fitting(TimePoint now, const Service &service, Priority priority) const;
-    double demandOf(TimePoint now, const Service &service) const;
+    void noteAsked(TimePoint now, Service &service, Priority priority, const Profile &profile,
+                   double cost) const;
+    /// Of the rule's usual demand, the share that fits; above 1 with room for more.
+    double fitting(TimePoint now, const Service &service, Priority priority,
+                   const Profile &profile) const;
+    double shareWithin(TimePoint now, const std::vector<Asked> &asked, const Profile &profile,
+                       double room) const;
+    double demandOf(TimePoint now, const std::vector<Asked> &asked) const;
     /// Whether this request is one of the share that is worth to begin.
     bool isWorthwhile(TimePoint now, const RootTarget &target, Profile &profile);
     /// Takes one request from what is saved up at `share` of the usual arrivals.
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -97,6 +97,8 @@
     std::size_t leastDaemons = 16;
     /// Weight of one report in the load of a service: its servers report in turn.
     double loadWeight = 0.1;
+    /// Off: rules of one priority get equal shares of a service, whatever their requests cost it.
+    bool hasFairShares = true;
     /// Off: trees are begun however few of them can end whole.
     bool hasOdds = true;
     /// Repeats for each call that all daemons together may send to a service.
