Requests that met no server do not close the window of an unknown rule

Hypothesis: after a power failure daemons know no servers for a second; the requests that end for want of one halved the window of their rule as overload does, and idle servers got one request at a time.

--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
 #include "state/ids.h"
 #include "state/member.h"
+#include "state/outcome.h"
 #include "state/time.h"
 #include "state/usage.h"
 
@@ -22,9 +24,12 @@
 enum class RootEnd {
     Whole, ///< Answered, with all its calls.
     Failed,
-    Abandoned, ///< Its caller left, which tells nothing.
+    Abandoned, ///< It tells nothing of the services: its caller left, or no server was reached.
 };
 
+/// What the end of a request tells. `status` counts if it was answered.
+RootEnd rootEndOf(const Verdict &verdict, std::uint16_t status);
+
 /// What a decision was based on, for the logs.
 struct RootGrounds
 {
--- a/src/coordination/admission/tests/rootadmissiontest.cpp
+++ b/src/coordination/admission/tests/rootadmissiontest.cpp
@@ -201,6 +201,35 @@
     }
 }
 
+// 1. All hosts come back at once. For a second no daemon knows a server of the others.
+// 2. Requests that end for want of one must not close the window: when the servers are found, all
+//    are idle, and one request at a time would be let in.
+TEST(RootAdmission, WhatMetNoServerDoesNotNarrowAnUnknownRule)
+{
+    const Verdict noServer{ Outcome::NotRun, Reason::NoServer, Duration(0) };
+    const Verdict notReached{ Outcome::NotRun, Reason::ConnectFailed, Duration(0) };
+    for (const Verdict &verdict : { noServer, notReached, noServer, notReached }) {
+        CHECK(m_admission->admit(m_now, BROWSING));
+        m_admission->onFinish(BROWSING, rootEndOf(verdict, 0));
+    }
+    CHECK(m_admission->admit(m_now, BROWSING));
+    CHECK(m_admission->admit(m_now, BROWSING));
+}
+
+TEST(RootAdmission, TheEndOfARequestTellsOfTheServicesOnlyIfTheyWereAsked)
+{
+    const auto endOf = [](Outcome outcome, Reason reason, std::uint16_t status) {
+        return rootEndOf(Verdict{ outcome, reason, Duration(0) }, status);
+    };
+    CHECK(endOf(Outcome::Answered, Reason::None, 200) == RootEnd::Whole);
+    CHECK(endOf(Outcome::Answered, Reason::None, 500) == RootEnd::Failed);
+    CHECK(endOf(Outcome::NotRun, Reason::QueueFull, 0) == RootEnd::Failed);
+    CHECK(endOf(Outcome::Unknown, Reason::Timeout, 0) == RootEnd::Failed);
+    CHECK(endOf(Outcome::Unknown, Reason::LinkLost, 0) == RootEnd::Failed);
+    CHECK(endOf(Outcome::Unknown, Reason::Cancelled, 0) == RootEnd::Abandoned);
+    CHECK(endOf(Outcome::NotRun, Reason::Draining, 0) == RootEnd::Abandoned);
+}
+
 TEST_GROUP(DemandEstimate)
 {
     TimePoint m_now{ std::chrono::seconds(10) };
