Daemons that are behind refuse at once and tell a full service

Change: a loop measures how late it is. What is read late is as old as that; a daemon that is behind refuses new callers at once, the less important first; and its gate tells the lag as load, so entries begin fewer trees that lead there.

--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -64,6 +64,8 @@
     , m_observers(observers)
     , m_recorder(observers)
     , m_options(options)
+    , m_lag(loop)
+    , m_guard(options.mindsLag)
 {
 }
 
@@ -103,7 +105,9 @@
         return Refusal(reject(read.error()));
     }
     const std::string context = read->context;
+    const Duration lag = m_options.mindsLag ? m_lag.now() : Duration::zero();
     Incoming incoming = makeIncoming(std::move(*read));
+    incoming.deadline -= lag;
     if (isFromUpstream) {
         applyContext(context, incoming);
     } else if (m_options.infersParents) {
@@ -118,6 +122,10 @@
     if (m_isDraining && isCallers(incoming, isFromUpstream)) {
         return Refusal(reject(EarlyRefusal{ incoming.root, notRun(Reason::ShuttingDown) }));
     }
+    if (isCallers(incoming, isFromUpstream)
+        && !m_guard.takes(lag, incoming.priority, m_highest)) {
+        return Refusal(overrunOf(incoming, lag));
+    }
     if (!incoming.ledger) {
         incoming.ledger = new CallLedger(incoming.rule.attempts);
     }
@@ -155,6 +163,10 @@
 {
     m_configuration = std::move(configuration);
     m_split->reset();
+    m_highest = Priority();
+    for (const RuleSpec &rule : m_configuration->rules.rules) {
+        m_highest = std::max(m_highest, rule.priority);
+    }
 }
 
 void EntryService::applyContext(const std::string &token, Incoming &incoming)
@@ -247,6 +259,19 @@
     return rejection;
 }
 
+Rejection EntryService::overrunOf(const Incoming &incoming, Duration lag)
+{
+    const ServiceName &service = incoming.rule.service;
+    const Verdict verdict{ Outcome::NotRun, Reason::QueueFull,
+                           m_policies.retries.retryAfter(m_loop.now(), service,
+                                                         m_policies.random) };
+    Rejection rejection = reject(EarlyRefusal{ incoming.root, verdict });
+    rejection.service = service;
+    rejection.rule = incoming.rule.name;
+    rejection.inputs = { { "lag_ms", toMillis(lag) } };
+    return rejection;
+}
+
 /// The cost goes up to the call during which this one was made, and at last to the entry of the
 /// caller's request, which learns from it.
 void EntryService::bookUsage(const Run &run, const AttemptAnswer &answer)
@@ -267,11 +292,7 @@
     if (!run.incoming.isLetIn) {
         return;
     }
-    const bool isAbandoned = run.verdict.reason == Reason::Cancelled;
-    const RootEnd end = isWhole(run.verdict, run.response) ? RootEnd::Whole
-        : isAbandoned                                      ? RootEnd::Abandoned
-                                                           : RootEnd::Failed;
-    m_admission->onFinish(targetOf(run.incoming), end);
+    m_admission->onFinish(targetOf(run.incoming), rootEndOf(run.verdict, run.response.status));
 }
 
 Rank EntryService::rankOf(const Incoming &incoming) const
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -11,7 +11,9 @@
 #include "app/internal/entry/icallsender.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/logs/observers.h"
+#include "app/internal/looplag.h"
 #include "coordination/admission/irootadmission.h"
+#include "coordination/admission/processorguard.h"
 #include "coordination/calls/internal/entrycall.h"
 #include "coordination/routing/iweightedsplit.h"
 #include "protocol/irequestdialect.h"
@@ -31,6 +33,8 @@
     /// in go before others.
     bool hasRootAdmission = false;
     RootAdmissionOptions admission;
+    /// What arrives is taken for as old as the loop is late, and refused when it is too late.
+    bool mindsLag = false;
     /// Calls of upstreams arrive together with requests of callers and name no context.
     bool infersParents = false;
 };
@@ -99,6 +103,7 @@
     void inferContext(ConnectionTally &tally, Incoming &incoming);
     void inherit(const CallContext &context, Incoming &incoming);
     bool letIn(Incoming &incoming);
+    Rejection overrunOf(const Incoming &incoming, Duration lag);
     static RootTarget targetOf(const Incoming &incoming);
     static Rejection reject(const EarlyRefusal &refusal);
     Rejection rejectionOf(const Incoming &incoming);
@@ -127,7 +132,11 @@
     Observers m_observers;
     EntryRecorder m_recorder;
     EntryOptions m_options;
+    LoopLag m_lag;
+    ProcessorGuard m_guard;
     ConfigurationPtr m_configuration;
+    /// Priority of the most important rule.
+    Priority m_highest;
     RequestOrigin m_origin;
     std::size_t m_requestCount = 0;
     std::size_t m_callerCount = 0;
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -76,6 +76,7 @@
     , m_observers(observers)
     , m_recorder(observers)
     , m_options(options)
+    , m_lag(loop)
     , m_parents(makeParentFinder())
 {
     m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { dropGoneUpstreams(); });
@@ -156,6 +157,9 @@
 CallId GateService::handle(CallMessage message, Reply reply)
 {
     const TimePoint now = m_loop.now();
+    if (m_options.mindsLag) {
+        m_processor.onArrival(now, message.letIn, m_lag.now());
+    }
     const CallId id = newCallId();
     Call &call = m_calls[id];
     call.reply = std::move(reply);
@@ -320,6 +324,9 @@
     if (found != m_upstreams.end()) {
         report = found->second.gate->load(m_loop.now());
         report.draining = report.draining || found->second.endsTooSoon;
+        if (m_options.mindsLag) {
+            report.demand = std::max(report.demand, m_processor.load());
+        }
     }
     report.draining = report.draining || m_isDraining || found == m_upstreams.end();
     return report;
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -10,9 +10,11 @@
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/gate/ionceservice.h"
 #include "app/internal/logs/observers.h"
+#include "app/internal/looplag.h"
 #include "app/internal/waketimer.h"
 #include "coordination/admission/igate.h"
 #include "coordination/admission/lossestimate.h"
+#include "coordination/admission/processorload.h"
 #include "coordination/calls/iparentfinder.h"
 #include "coordination/retries/irepeatbudget.h"
 #include "protocol/iupstreamdialect.h"
@@ -47,6 +49,8 @@
     bool cancelUpstream = true;
     /// For calls that a server of this host turns away.
     RepeatBudgetOptions repeats;
+    /// A daemon that is behind tells a full service.
+    bool mindsLag = false;
 };
 
 /// Runs calls on the upstreams of this host. Traffic thread only.
@@ -160,6 +164,8 @@
     Observers m_observers;
     GateRecorder m_recorder;
     GateServiceOptions m_options;
+    LoopLag m_lag;
+    ProcessorLoad m_processor;
     OnUpstreams m_onUpstreams;
     OnDoubt m_onDoubt;
     std::unordered_map<ServiceName, Upstream> m_upstreams;
--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -22,6 +22,7 @@
     { "routing", &Ablations::routing },     { "hedging", &Ablations::hedging },
     { "cancel", &Ablations::cancel },       { "odds", &Ablations::odds },
     { "fair-shares", &Ablations::fairShares },
+    { "lag", &Ablations::lag },
     { "turned-away", &Ablations::turnedAway },
 };
 
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -33,12 +33,18 @@
     return limits;
 }
 
+bool mindsLag(const DaemonSettings &settings)
+{
+    return settings.hasRootAdmission && !settings.ablations.lag;
+}
+
 GateServiceOptions makeGateServiceOptions(const DaemonSettings &settings)
 {
     GateServiceOptions options;
     options.heartbeatTimeout = settings.heartbeatTimeout;
     options.cancelUpstream = !settings.ablations.cancel;
     options.repeats = makeRepeatBudgetOptions(settings);
+    options.mindsLag = mindsLag(settings);
     return options;
 }
 
@@ -50,6 +56,7 @@
     options.hasRootAdmission = settings.hasRootAdmission;
     options.infersParents = settings.infersParents;
     options.admission = makeRootAdmissionOptions(settings);
+    options.mindsLag = mindsLag(settings);
     return options;
 }
 
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -59,6 +59,8 @@
     bool routing = false;
     bool hedging = false;
     bool cancel = false;
+    /// Requests are taken however far the daemon is behind.
+    bool lag = false;
     /// Rules of one priority get equal shares, whatever their requests cost.
     bool fairShares = false;
     /// Requests are begun however few of their trees can end whole.
--- /dev/null
+++ b/src/coordination/admission/internal/processorload.cpp
@@ -0,0 +1,55 @@
+#include "coordination/admission/processorload.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivyspar {
+
+namespace {
+
+/// Lag at which as much is let in as can be read. Below it entries open, above it they close. A
+/// process that has used up its part of a tenth of a second runs on after up to 0.06 s.
+constexpr Duration RIGHT_LAG = std::chrono::milliseconds(80);
+/// Entries open by a quarter in the time that a tree takes while there is no lag …
+constexpr double LEAST_PRESSURE = 0.8;
+/// … and close by half at most, or one pause of the process would close them.
+constexpr double MOST_PRESSURE = 2;
+/// Time over which the lag is averaged.
+constexpr Duration LAG_MEMORY = std::chrono::milliseconds(100);
+/// Time over which is averaged what entries let in: longer than a tree takes, or entries would close
+/// further before it shows here that they have closed.
+constexpr Duration SHARE_MEMORY = std::chrono::milliseconds(1000);
+constexpr double LARGEST_LOAD = 100;
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+void ProcessorLoad::onArrival(TimePoint now, DemandShare letIn, Duration lag)
+{
+    const double passed = secondsOf(now - m_at);
+    m_at = now;
+    const double lagWeight = 1 - std::exp(-passed / secondsOf(LAG_MEMORY));
+    m_lag += lagWeight * (static_cast<double>(lag.count()) - m_lag);
+    if (letIn == DemandShare()) {
+        return;
+    }
+    const double standsFor =
+        static_cast<double>(WHOLE_DEMAND.value()) / static_cast<double>(letIn.value());
+    const double shareWeight = 1 - std::exp(-passed / secondsOf(SHARE_MEMORY));
+    m_standsFor += shareWeight * (standsFor - m_standsFor);
+}
+
+DemandLoad ProcessorLoad::load() const
+{
+    const double behind = m_lag / static_cast<double>(RIGHT_LAG.count());
+    const double pressure =
+        std::min(LEAST_PRESSURE + (1 - LEAST_PRESSURE) * behind, MOST_PRESSURE);
+    const double load = std::min(pressure * m_standsFor, LARGEST_LOAD);
+    return DemandLoad(static_cast<std::uint32_t>(std::lround(load * FULL_LOAD.value())));
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/admission/tests/processorloadtest.cpp
@@ -0,0 +1,67 @@
+#include "coordination/admission/processorload.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+TEST_GROUP(ProcessorLoad)
+{
+    TimePoint m_now{ 10s };
+    ProcessorLoad m_load;
+
+    double run(int calls, double share, Duration lag)
+    {
+        for (int i = 0; i < calls; ++i, m_now += 1ms) {
+            m_load.onArrival(m_now, DemandShare(static_cast<std::uint32_t>(share * 1000)), lag);
+        }
+        return m_load.load().value() / 1000.0;
+    }
+};
+
+TEST(ProcessorLoad, ADaemonThatKeepsUpHoldsNobodyBack)
+{
+    CHECK(run(1000, 1, 0ms) < 1);
+}
+
+TEST(ProcessorLoad, ADaemonThatIsBehindIsFull)
+{
+    CHECK(run(1000, 1, 300ms) > 1.4);
+}
+
+// What entries refuse counts as demand, or the load would fall as soon as they refuse, and they
+// would open again at once.
+TEST(ProcessorLoad, TheDemandThatEntriesRefuseCounts)
+{
+    DOUBLES_EQUAL(4, run(1000, 0.25, 80ms), 0.2);
+}
+
+// 1. A daemon can pass on 600 calls a second and is asked for 1,000: calls lie unread ever longer.
+// 2. Entries let in 1/load of what is asked. Within some seconds it is as much as can be passed on,
+//    with a lag of a tenth of a second and not of seconds, and nothing swings.
+TEST(ProcessorLoad, EntriesLetInWhatCanBePassedOn)
+{
+    constexpr double ASKED = 10;
+    constexpr double PASSED_ON = 6;
+    double waiting = 0;
+    double share = 1;
+    double least = 1;
+    double most = 0;
+    for (int i = 0; i < 2000; ++i, m_now += 10ms) {
+        waiting = std::max(0.0, waiting + ASKED * share - PASSED_ON);
+        const auto lag = std::chrono::microseconds(static_cast<int>(waiting / PASSED_ON * 10000));
+        for (int call = 0; call < 6; ++call) {
+            m_load.onArrival(m_now, DemandShare(static_cast<std::uint32_t>(share * 1000)), lag);
+        }
+        share = std::min(1.0, 1000.0 / m_load.load().value());
+        if (i > 1000) {
+            least = std::min(least, share);
+            most = std::max(most, share);
+        }
+    }
+    CHECK(least > 0.45);
+    CHECK(most < 0.75);
+    CHECK(waiting / PASSED_ON * 10 < 300);
+}
