A server that starts again under its name is another run, and odd reports name no server

Cause: reports were ordered by their count alone. A server that starts again under the id that it had counts from the start; its reports were taken for old ones, and after a goodbye its id was refused for good, so that it got no work. Servers say now when they began; later is another run, earlier is the past, which neither revives a run nor ends the one that followed. The tests of the register failed before: no action for the report that counts from one.

--- a/src/coordination/upstreams/internal/upstreamregister.cpp
+++ b/src/coordination/upstreams/internal/upstreamregister.cpp
@@ -22,28 +22,27 @@
 
 UpstreamActions UpstreamRegister::onReport(TimePoint now, const UpstreamReport &report)
 {
-    // A late report of a run that has ended must not bring it back: its address may already
-    // belong to another service.
-    if (m_gone.count(report.instance) > 0) {
+    if (isOfThePast(report)) {
         return {};
     }
-    const auto found = m_runs.find(report.instance);
     if (report.phase != UpstreamPhase::Ready) {
-        remember(report.instance);
-        if (found == m_runs.end()) {
-            return {};
-        }
-        return end(found, report.phase == UpstreamPhase::Gone ? "goodbye" : "draining");
+        return leave(report);
     }
+    const auto found = m_runs.find(report.instance);
     if (found == m_runs.end()) {
-        Run run;
-        run.report = report;
-        run.heardAt = now;
-        Run &added = m_runs.emplace(report.instance, std::move(run)).first->second;
-        return startCheck(added, "new");
+        return begin(now, report);
     }
     Run &run = found->second;
-    if (report.sequence <= run.report.sequence) {
+    if (run.report.start < report.start) {
+        // It crashed, and started again under its name. Its reports count from the start again:
+        // taken for old ones they would leave it without work for good.
+        UpstreamActions actions = end(found, "started-again");
+        const UpstreamActions check = begin(now, report);
+        actions.insert(actions.end(), check.begin(), check.end());
+        return actions;
+    }
+    // A run serves one service as long as it lives: another one is said by another writer.
+    if (report.sequence <= run.report.sequence || report.service != run.report.service) {
         return {};
     }
     const bool isChanged =
@@ -54,6 +53,40 @@
                                       : UpstreamActions();
 }
 
+/// A late report of a run that has ended must not bring it back: its address may already belong to
+/// another service. Nor may its late goodbye end the run that followed it.
+bool UpstreamRegister::isOfThePast(const UpstreamReport &report) const
+{
+    const auto gone = m_gone.find(report.instance);
+    if (gone != m_gone.end() && report.start <= gone->second) {
+        return true;
+    }
+    const auto found = m_runs.find(report.instance);
+    const bool saysStart = report.start != UpstreamStart();
+    return saysStart && found != m_runs.end() && report.start < found->second.report.start;
+}
+
+UpstreamActions UpstreamRegister::begin(TimePoint now, const UpstreamReport &report)
+{
+    Run run;
+    run.report = report;
+    run.heardAt = now;
+    Run &added = m_runs.emplace(report.instance, std::move(run)).first->second;
+    return startCheck(added, "new");
+}
+
+UpstreamActions UpstreamRegister::leave(const UpstreamReport &report)
+{
+    const auto found = m_runs.find(report.instance);
+    if (found == m_runs.end()) {
+        remember(report.instance, report.start);
+        return {};
+    }
+    // A goodbye may not say which run it is of.
+    remember(report.instance, std::max(report.start, found->second.report.start));
+    return end(found, report.phase == UpstreamPhase::Gone ? "goodbye" : "draining");
+}
+
 UpstreamActions UpstreamRegister::onHealth(TimePoint now, const UpstreamId &instance,
                                            const UpstreamHealth &health)
 {
@@ -66,7 +99,7 @@
     run.nextCheck = now + m_options.checkInterval;
     const bool isOther = !health.instance.value().empty() && health.instance != instance;
     if (isOther) {
-        remember(instance);
+        remember(instance, run.report.start);
         return end(found, "other-instance");
     }
     if (health.isHealthy) {
@@ -158,7 +191,7 @@
         const bool isOlder =
             current->first != report.instance && current->second.report.endpoint == report.endpoint;
         if (isOlder) {
-            remember(current->first);
+            remember(current->first, current->second.report.start);
             const UpstreamActions ended = end(current, "superseded");
             actions.insert(actions.end(), ended.begin(), ended.end());
         }
@@ -166,9 +199,11 @@
     return actions;
 }
 
-void UpstreamRegister::remember(const UpstreamId &instance)
+void UpstreamRegister::remember(const UpstreamId &instance, UpstreamStart start)
 {
-    if (!m_gone.insert(instance).second) {
+    const auto [gone, isNew] = m_gone.emplace(instance, start);
+    if (!isNew) {
+        gone->second = std::max(gone->second, start);
         return;
     }
     m_goneOrder.push_back(instance);
--- a/src/coordination/upstreams/internal/upstreamregister.h
+++ b/src/coordination/upstreams/internal/upstreamregister.h
@@ -2,7 +2,6 @@
 
 #include <deque>
 #include <map>
-#include <set>
 
 #include "coordination/upstreams/upstreamregisterfactory.h"
 
@@ -38,11 +37,16 @@
     UpstreamActions startCheck(Run &run, const char *why);
     UpstreamActions end(Runs::iterator run, const char *why);
     UpstreamActions supersede(const UpstreamReport &report);
-    void remember(const UpstreamId &instance);
+    /// Whether the report is of a run that has ended, or was followed by another.
+    bool isOfThePast(const UpstreamReport &report) const;
+    UpstreamActions begin(TimePoint now, const UpstreamReport &report);
+    UpstreamActions leave(const UpstreamReport &report);
+    /// The run of that name that began then, and those before it, have ended.
+    void remember(const UpstreamId &instance, UpstreamStart start);
 
     UpstreamRegisterOptions m_options;
     Runs m_runs;
-    std::set<UpstreamId> m_gone;
+    std::map<UpstreamId, UpstreamStart> m_gone;
     std::deque<UpstreamId> m_goneOrder;
 };
 
--- a/src/coordination/upstreams/iupstreamregister.h
+++ b/src/coordination/upstreams/iupstreamregister.h
@@ -38,7 +38,8 @@
 /// may have its address. And a daemon that was killed right after it acknowledged a goodbye knows
 /// nothing of it. So a run of a server takes work only after it has itself confirmed, by a health
 /// check, that it is this run and is not leaving; a goodbye holds for good, as runs are never
-/// revived.
+/// revived. A server may start again under its name: it is another run if it says that it began
+/// later.
 class IUpstreamRegister
 {
 public:
--- a/src/coordination/upstreams/tests/upstreamregistertest.cpp
+++ b/src/coordination/upstreams/tests/upstreamregistertest.cpp
@@ -21,6 +21,12 @@
     return report;
 }
 
+UpstreamReport startedAt(std::uint64_t start, UpstreamReport report)
+{
+    report.start = UpstreamStart(start);
+    return report;
+}
+
 UpstreamHealth healthy(const char *instance)
 {
     return { true, false, UpstreamId(instance) };
@@ -142,3 +148,64 @@
     CHECK_EQUAL(1, actions.size());
     CHECK(actions[0].verb == UpstreamVerb::Stop);
 }
+
+// 1. A server crashes at its hundredth report and starts again under its name. Its reports count
+//    from one again.
+// 2. Taken for old ones, they would leave it without work for good, and callers of a narrow service
+//    would miss its slots.
+TEST(UpstreamRegister, AServerThatStartedAgainUnderItsNameGetsWork)
+{
+    m_register->onReport(m_now, startedAt(1000, makeReport("a", 100)));
+    m_register->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    const UpstreamActions actions =
+        m_register->onReport(m_now, startedAt(2000, makeReport("a", 1)));
+    CHECK_EQUAL(2, actions.size());
+    CHECK(actions[0].verb == UpstreamVerb::Stop);
+    CHECK(actions[1].verb == UpstreamVerb::Check);
+    const UpstreamActions confirmed = m_register->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    CHECK(confirmed.back().verb == UpstreamVerb::Serve);
+}
+
+TEST(UpstreamRegister, AServerThatSaidGoodbyeMayStartAgainUnderItsName)
+{
+    m_register->onReport(m_now, startedAt(1000, makeReport("a", 100)));
+    m_register->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    m_register->onReport(m_now, makeReport("a", 0, UpstreamPhase::Gone));
+    const UpstreamActions actions =
+        m_register->onReport(m_now, startedAt(2000, makeReport("a", 1)));
+    CHECK_EQUAL(1, actions.size());
+    CHECK(actions[0].verb == UpstreamVerb::Check);
+}
+
+// A report that a partition kept back, `ready`, `draining` or a goodbye, says nothing of the run
+// that followed: it must neither revive the old one nor end the new one.
+TEST(UpstreamRegister, LateReportsOfTheRunBeforeChangeNothing)
+{
+    m_register->onReport(m_now, startedAt(2000, makeReport("a", 1)));
+    m_register->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    for (const UpstreamPhase phase :
+         { UpstreamPhase::Ready, UpstreamPhase::Draining, UpstreamPhase::Gone }) {
+        CHECK(m_register->onReport(m_now, startedAt(1000, makeReport("a", 101, phase))).empty());
+    }
+    CHECK(m_register->onReport(m_now, startedAt(2000, makeReport("a", 2, UpstreamPhase::Draining)))
+              .front()
+              .verb
+          == UpstreamVerb::Stop);
+    CHECK(m_register->onReport(m_now, startedAt(2000, makeReport("a", 3))).empty());
+    CHECK(m_register->onReport(m_now, startedAt(1000, makeReport("a", 102))).empty());
+}
+
+// A report of another writer names a sound server under a service that it does not run. Its calls
+// must not go there.
+TEST(UpstreamRegister, ARunDoesNotChangeItsService)
+{
+    serve("a");
+    UpstreamReport odd = makeReport("a", 2);
+    odd.service = ServiceName("elsewhere");
+    odd.slots = 11;
+    CHECK(m_register->onReport(m_now, odd).empty());
+    CHECK(m_register->onReport(m_now, makeReport("a", 3)).empty());
+    UpstreamReport larger = makeReport("a", 4);
+    larger.slots = 12;
+    CHECK(m_register->onReport(m_now, larger).front().verb == UpstreamVerb::Serve);
+}
--- a/src/coordination/upstreams/upstreamreport.h
+++ b/src/coordination/upstreams/upstreamreport.h
@@ -20,6 +20,8 @@
 {
     /// Empty when servers of this deployment do not name their runs.
     UpstreamId instance;
+    /// Tells apart runs that follow each other under one name.
+    UpstreamStart start;
     ServiceName service;
     Endpoint endpoint;
     std::uint32_t slots = 0;
--- a/src/state/ids.h
+++ b/src/state/ids.h
@@ -15,6 +15,9 @@
 using ClassName = StrongType<std::string, struct ClassNameTag>;
 /// One run of an upstream, as the upstream names itself.
 using UpstreamId = StrongType<std::string, struct UpstreamIdTag>;
+/// When a run of an upstream began, in ms since the epoch by its own clock. Larger is newer; 0 if
+/// it does not say.
+using UpstreamStart = StrongType<std::uint64_t, struct UpstreamStartTag>;
 using RuleName = StrongType<std::string, struct RuleNameTag>;
 
 /// A daemon's name: stays the same over restarts of the process on that host.
