--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -81,8 +81,20 @@
     return event.has(field) ? event.fields[field].dump() : "?";
 }
 
+double valueOf(const HistoryEvent &event, const char *field, double fallback)
+{
+    const bool isNumber = event.has(field) && event.fields[field].is_number();
+    return isNumber ? event.fields[field].get<double>() : fallback;
+}
+
 std::string grounds(const HistoryEvent &event)
 {
+    if (event.has("lag_ms")) {
+        return " (the daemon was " + numberOf(event, "lag_ms") + " ms behind)";
+    }
+    if (valueOf(event, "odds", 1) < 1) {
+        return " (too few of its trees end whole now; share begun " + numberOf(event, "odds") + ")";
+    }
     if (event.has("load")) {
         return " (service " + event.text("choice") + ": load " + numberOf(event, "load") + ", told "
             + numberOf(event, "load_age_ms") + " ms before; share let in "
--- a/src/app/tests/explaintest.cpp
+++ b/src/app/tests/explaintest.cpp
@@ -92,6 +92,23 @@
                     explain("00000000000000aa", { log + "\n" }).c_str());
 }
 
+TEST(Explain, RefusalByTheOddsOrTheLagTellsThem)
+{
+    const auto refusal = [](const char *inputs) {
+        return R"({"time":"2026-12-02T10:00:00.100Z","daemon":"d1","event":"refuse","request":"00000000000000aa","service":"shop","outcome":"not-run",)"
+            + std::string(inputs) + "}\n";
+    };
+    STRCMP_CONTAINS(
+        "too few of its trees end whole now; share begun 0.03",
+        explain("00000000000000aa",
+                { refusal(R"("reason":"below-floor","share":1.2,"odds":0.03,"load":0.7)") })
+            .c_str());
+    STRCMP_CONTAINS(
+        "the daemon was 240.5 ms behind",
+        explain("00000000000000aa", { refusal(R"("reason":"queue-full","lag_ms":240.5)") })
+            .c_str());
+}
+
 TEST(Explain, BeliefsAroundTheRequestAreShownAndOthersNot)
 {
     const std::string log = std::string(ENTRY_LOG)
--- a/src/coordination/admission/internal/demandrate.cpp
+++ b/src/coordination/admission/internal/demandrate.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 /// Younger averages would make a rate of thousands out of two amounts that came together.
 constexpr double SHORTEST_HISTORY = 0.2;
 
@@ -24,7 +19,7 @@
         m_since = now;
         m_at = now;
     }
-    m_sum = m_sum * std::exp(-secondsOf(now - m_at) / secondsOf(memory)) + amount;
+    m_sum = m_sum * std::exp(-toSeconds(now - m_at) / toSeconds(memory)) + amount;
     m_at = now;
 }
 
@@ -33,10 +28,10 @@
     if (!m_isStarted) {
         return 0;
     }
-    const double life = secondsOf(memory);
-    const double sum = m_sum * std::exp(-secondsOf(now - m_at) / life);
+    const double life = toSeconds(memory);
+    const double sum = m_sum * std::exp(-toSeconds(now - m_at) / life);
     // The weights of a history that is shorter than the memory do not add up to the whole.
-    const double age = std::max(secondsOf(now - m_since), SHORTEST_HISTORY);
+    const double age = std::max(toSeconds(now - m_since), SHORTEST_HISTORY);
     return sum / (life * (1 - std::exp(-age / life)));
 }
 
--- a/src/coordination/admission/internal/processorload.cpp
+++ b/src/coordination/admission/internal/processorload.cpp
@@ -21,25 +21,20 @@
 constexpr Duration SHARE_MEMORY = std::chrono::milliseconds(1000);
 constexpr double LARGEST_LOAD = 100;
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void ProcessorLoad::onArrival(TimePoint now, DemandShare letIn, Duration lag)
 {
-    const double passed = secondsOf(now - m_at);
+    const double passed = toSeconds(now - m_at);
     m_at = now;
-    const double lagWeight = 1 - std::exp(-passed / secondsOf(LAG_MEMORY));
+    const double lagWeight = 1 - std::exp(-passed / toSeconds(LAG_MEMORY));
     m_lag += lagWeight * (static_cast<double>(lag.count()) - m_lag);
     if (letIn == DemandShare()) {
         return;
     }
     const double standsFor =
         static_cast<double>(WHOLE_DEMAND.value()) / static_cast<double>(letIn.value());
-    const double shareWeight = 1 - std::exp(-passed / secondsOf(SHARE_MEMORY));
+    const double shareWeight = 1 - std::exp(-passed / toSeconds(SHARE_MEMORY));
     m_standsFor += shareWeight * (standsFor - m_standsFor);
 }
 
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -138,8 +138,7 @@
 {
     const double rate = share * profile.arrivals.rate(now, m_options.demandMemory);
     const double passed = std::chrono::duration<double>(now - profile.savedAt).count();
-    const double most = std::max(m_options.leastBurst,
-                                 rate * std::chrono::duration<double>(m_options.burst).count());
+    const double most = std::max(m_options.leastBurst, rate * toSeconds(m_options.burst));
     profile.saved = std::min(profile.saved + rate * passed, most);
     profile.savedAt = now;
     if (profile.saved < 1 && share < AMPLE) {
--- a/src/coordination/retries/internal/repeatbudget.cpp
+++ b/src/coordination/retries/internal/repeatbudget.cpp
@@ -104,7 +104,7 @@
     for (auto above = m_asked.upper_bound(priority); above != m_asked.end(); ++above) {
         asked += above->second.rate(now, ASKED_MEMORY);
     }
-    return asked * std::chrono::duration<double>(m_options.reserve).count();
+    return asked * toSeconds(m_options.reserve);
 }
 
 } // namespace ivyspar
--- a/src/state/time.h
+++ b/src/state/time.h
@@ -23,4 +23,9 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+inline double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 } // namespace ivyspar
