Refused callers come back while they can still be answered in time

A quarter of its answers came late: refused callers were sent back after 1 s in the mean, and their objective is 1.2 s.

--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -6,6 +6,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "coordination/once/iticketoffice.h"
+#include "coordination/retries/returntime.h"
 #include "state/rank.h"
 #include "transport/oneshot.h"
 
@@ -235,12 +236,18 @@
     return rejection;
 }
 
+Duration EntryService::returnOf(const Incoming &incoming)
+{
+    const Duration wanted =
+        m_policies.retries.retryAfter(m_loop.now(), incoming.rule.service, m_policies.random);
+    return withinObjective(wanted, incoming.rule.objective, m_policies.random);
+}
+
 Rejection EntryService::rejectionOf(const Incoming &incoming)
 {
     const TimePoint now = m_loop.now();
     const ServiceName &service = incoming.rule.service;
-    const Verdict verdict{ Outcome::NotRun, Reason::BelowFloor,
-                           m_policies.retries.retryAfter(now, service, m_policies.random) };
+    const Verdict verdict{ Outcome::NotRun, Reason::BelowFloor, returnOf(incoming) };
     Rejection rejection = reject(EarlyRefusal{ incoming.root, verdict });
     rejection.service = service;
     rejection.rule = incoming.rule.name;
@@ -261,9 +268,7 @@
 Rejection EntryService::overrunOf(const Incoming &incoming, Duration lag)
 {
     const ServiceName &service = incoming.rule.service;
-    const Verdict verdict{ Outcome::NotRun, Reason::QueueFull,
-                           m_policies.retries.retryAfter(m_loop.now(), service,
-                                                         m_policies.random) };
+    const Verdict verdict{ Outcome::NotRun, Reason::QueueFull, returnOf(incoming) };
     Rejection rejection = reject(EarlyRefusal{ incoming.root, verdict });
     rejection.service = service;
     rejection.rule = incoming.rule.name;
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -103,6 +103,8 @@
     void inferContext(ConnectionTally &tally, Incoming &incoming);
     void inherit(const CallContext &context, Incoming &incoming);
     bool letIn(Incoming &incoming);
+    /// When a caller that is refused is to come back.
+    Duration returnOf(const Incoming &incoming);
     Rejection overrunOf(const Incoming &incoming, Duration lag);
     static RootTarget targetOf(const Incoming &incoming);
     static Rejection reject(const EarlyRefusal &refusal);
