A daemon that keeps up tells no load of its processor

Without any lag the load told was 0.8 times what each request stood for; what entries refused for other services held back all rules that led through the daemon, and they opened by a quarter a second. Change: it binds only for 2 s after the daemon was behind. An objective so short that no room comes free within it bounds no return.

--- a/src/coordination/admission/processorload.h
+++ b/src/coordination/admission/processorload.h
@@ -17,7 +17,8 @@
 public:
     /// A call arrived; entries let in this share of such requests. `lag`: how late it was read.
     void onArrival(TimePoint now, DemandShare letIn, Duration lag);
-    /// The whole demand, that which entries refused included, over what can be taken.
+    /// The whole demand, that which entries refused included, over what can be taken. Zero while
+    /// the daemon keeps up.
     DemandLoad load() const;
 
 private:
@@ -26,6 +27,8 @@
     /// Mean lag, in µs.
     double m_lag = 0;
     TimePoint m_at;
+    TimePoint m_behindAt = TimePoint::min();
+    bool m_isBinding = false;
 };
 
 } // namespace ivyspar
--- a/src/coordination/admission/tests/processorloadtest.cpp
+++ b/src/coordination/admission/tests/processorloadtest.cpp
@@ -38,6 +38,24 @@
     DOUBLES_EQUAL(4, run(1000, 0.25, 80ms), 0.2);
 }
 
+// 1. A narrow service elsewhere has room for a tenth, and entries refuse the rest, or they have
+// just
+//    started and let in a few requests at a time.
+// 2. The daemon keeps up. Told as its own load, what was refused would hold back all rules that
+// lead
+//    here, for seconds after there was room again.
+TEST(ProcessorLoad, WhatIsRefusedForOthersIsNoLoadHere)
+{
+    CHECK(run(2000, 0.1, 0ms) < 1);
+    CHECK(run(2000, 0.02, 25ms) < 1);
+}
+
+TEST(ProcessorLoad, ALoadIsForgottenWhenTheDaemonKeepsUpAgain)
+{
+    CHECK(run(1000, 0.25, 200ms) > 4);
+    CHECK(run(3000, 0.25, 0ms) < 1);
+}
+
 // 1. A daemon can pass on 600 calls a second and is asked for 1,000: calls lie unread ever longer.
 // 2. Entries let in 1/load of what is asked. Within some seconds it is as much as can be passed on,
 //    with a lag of a tenth of a second and not of seconds, and nothing swings.
--- a/src/coordination/retries/internal/returntime.cpp
+++ b/src/coordination/retries/internal/returntime.cpp
@@ -6,6 +6,9 @@
 
 /// The other half of the objective is for the answer itself.
 constexpr double LATEST_RETURN = 0.5;
+/// A shorter time is no time in which room comes free: sent back after 0.06 s, callers with an
+/// objective of 0.12 s meet the same full service and have used up their tries.
+constexpr Duration SHORTEST_BOUND = std::chrono::milliseconds(300);
 /// Callers that are refused together must not come back together.
 constexpr double SPREAD = 0.25;
 
@@ -14,8 +17,8 @@
 Duration withinObjective(Duration wanted, Duration objective, IRandom &random)
 {
     const auto whole = static_cast<double>(objective.count());
-    const auto latest = static_cast<Duration::rep>(LATEST_RETURN * whole);
-    if (objective <= Duration::zero() || wanted.count() <= latest) {
+    const Duration latest(static_cast<Duration::rep>(LATEST_RETURN * whole));
+    if (latest < SHORTEST_BOUND || wanted <= latest) {
         return wanted;
     }
     return Duration(static_cast<Duration::rep>((LATEST_RETURN - SPREAD * random.unit()) * whole));
--- a/src/coordination/retries/tests/returntimetest.cpp
+++ b/src/coordination/retries/tests/returntimetest.cpp
@@ -20,6 +20,14 @@
     CHECK(withinObjective(3s, 0ms, m_random) == Duration(3s));
 }
 
+// Callers with an objective of 0.12 s cannot be in time when they come back. Sent back at once they
+// would find the service as full as it was, and their tries used up.
+TEST(ReturnTime, AShortObjectiveBoundsNothing)
+{
+    CHECK(withinObjective(800ms, 120ms, m_random) == Duration(800ms));
+    CHECK(withinObjective(800ms, 500ms, m_random) == Duration(800ms));
+}
+
 // 1. A narrow service can take a fifth of what is asked. Refused callers are spread over 1.5 s, as
 //    that many times the capacity arrives.
 // 2. One that comes back after 1 s and is let in is answered past its objective of 1.2 s: all that
