--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -1,13 +1,16 @@
 #include "app/internal/control/controlnode.h"
 
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 #include "app/internal/control/configurationfollower.h"
+#include "app/internal/control/countedlog.h"
 #include "app/internal/control/documentfollower.h"
 #include "app/internal/control/logaccess.h"
 #include "app/internal/control/statusdocument.h"
 #include "protocol/configurationreaderfactory.h"
+#include "protocol/internal/peercodec.h"
 #include "state/randomfactory.h"
 #include "state/rank.h"
 #include "transport/oneshot.h"
@@ -37,11 +40,18 @@
     , m_traffic(std::move(traffic))
     , m_observers(observers)
     , m_random(makeRandom())
+    , m_codec(std::make_unique<PeerCodec>())
+    , m_datagrams(makeDatagramSocket(loop))
+    , m_channel(m_settings.id, *m_datagrams, *m_codec, m_observers, m_traffic.send,
+                [this](const ControlMessage &message) { receive(message); })
     , m_membership(loop, *m_random, std::move(self), makeControlEvents())
-    , m_exchange(m_membership, m_traffic.send)
+    , m_exchange(m_membership, makeSend())
     , m_operatorServer(makeHttpServer(loop))
     , m_readinessServer(makeHttpServer(loop))
 {
+    if (m_settings.ablations.datagrams) {
+        m_channel.useLinksOnly();
+    }
     makeConfigurationDriver(platform);
     makeDirectory(platform);
 }
@@ -55,7 +65,12 @@
         DocumentFollowerSettings follower;
         follower.stream = m_settings.streams.configuration;
         follower.key = m_settings.streams.configurationKey;
-        m_configurationLog = platform.makeKeyedLog(m_loop, m_settings);
+        follower.self = m_settings.id;
+        follower.domain = m_settings.domain;
+        if (m_settings.ablations.readers) {
+            follower.readersPerDomain = std::numeric_limits<std::uint32_t>::max();
+        }
+        m_configurationLog = makeKeyedLog(platform);
         m_configurationDriver = std::make_unique<DocumentFollower>(
             follower, m_loop, *m_configurationLog, *m_documentReader, m_exchange, *m_random,
             makeConfigurationEvents());
@@ -78,21 +93,35 @@
     if (m_settings.streams.members.value().empty()) {
         return;
     }
-    m_directoryLog = platform.makeKeyedLog(m_loop, m_settings);
+    m_directoryLog = makeKeyedLog(platform);
     MemberDirectorySettings directory;
     directory.stream = m_settings.streams.members;
     directory.self = m_settings.id;
-    directory.endpoint = m_membership.self().peerEndpoint;
+    directory.place = { m_membership.self().peerEndpoint, m_membership.self().domain };
     m_directory = std::make_unique<MemberDirectory>(
-        directory, m_loop, *m_directoryLog, m_observers,
-        [this](const Endpoint &endpoint) { m_membership.addSeed(endpoint); });
+        directory, m_loop, *m_directoryLog, *m_random, m_observers,
+        [this](const MembershipSeed &seed) { m_membership.addSeed(seed); },
+        [this] { return m_membership.working().size(); });
+}
+
+std::unique_ptr<IKeyedLog> ControlNode::makeKeyedLog(const IPlatform &platform)
+{
+    return std::make_unique<CountedLog>(platform.makeKeyedLog(m_loop, m_settings),
+                                        m_observers.metrics);
+}
+
+ControlSend ControlNode::makeSend()
+{
+    return [this](const DaemonId &to, const Endpoint &endpoint, std::string payload) {
+        m_channel.send(to, endpoint, std::move(payload));
+    };
 }
 
 ControlEvents ControlNode::makeControlEvents()
 {
     ControlEvents events;
     events.onMembers = [this](std::vector<Member> members) { onMembers(std::move(members)); };
-    events.send = m_traffic.send;
+    events.send = makeSend();
     events.onDuplicate = m_traffic.stopForDuplicate;
     return events;
 }
@@ -107,8 +136,11 @@
     return events;
 }
 
-RetVal<Endpoint> ControlNode::listen()
+RetVal<Endpoint> ControlNode::listen(const Endpoint &peers)
 {
+    if (const Ret taken = m_channel.listen(peers); !taken) {
+        return tl::unexpected<Error>(taken.error());
+    }
     RetVal<Endpoint> bound = listenAt(*m_operatorServer, m_settings.operatorListen);
     if (!bound || m_settings.readinessListen.port == 0) {
         return bound;
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "app/internal/control/controlchannel.h"
 #include "app/internal/control/controlexchange.h"
 #include "app/internal/control/iconfigurationdriver.h"
 #include "app/internal/control/memberdirectory.h"
@@ -26,6 +27,7 @@
 {
     std::function<void(std::vector<Member>)> setMembers;
     std::function<void(ConfigurationPtr)> setConfiguration;
+    /// Over a link.
     std::function<void(DaemonId, Endpoint, std::string)> send;
     /// The callback runs on the traffic thread.
     std::function<void(std::function<void(TrafficStatus)>)> fetchStatus;
@@ -41,8 +43,8 @@
                 Member self, TrafficPort traffic, Observers observers);
     ~ControlNode();
 
-    /// Opens the operators' listener.
-    RetVal<Endpoint> listen();
+    /// Opens the operators' listener, and takes datagrams of other daemons at `peers`.
+    RetVal<Endpoint> listen(const Endpoint &peers);
     void start();
     void setUpstreams(std::vector<UpstreamInfo> upstreams)
     {
@@ -60,6 +62,8 @@
 private:
     void makeConfigurationDriver(const IPlatform &platform);
     void makeDirectory(const IPlatform &platform);
+    ControlSend makeSend();
+    std::unique_ptr<IKeyedLog> makeKeyedLog(const IPlatform &platform);
     RetVal<Endpoint> listenAt(IHttpServer &server, const Endpoint &endpoint);
     ControlEvents makeControlEvents();
     ConfigurationEvents makeConfigurationEvents();
@@ -80,6 +84,9 @@
     TrafficPort m_traffic;
     Observers m_observers;
     std::unique_ptr<IRandom> m_random;
+    std::unique_ptr<IPeerCodec> m_codec;
+    std::unique_ptr<IDatagramSocket> m_datagrams;
+    ControlChannel m_channel;
     MembershipDriver m_membership;
     std::unique_ptr<IHttpClient> m_logClient;
     std::unique_ptr<ILogService> m_log;
--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -1,8 +1,11 @@
 #include "app/internal/control/documentfollower.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "coordination/configuration/internal/pollschedule.h"
+
 namespace ivyspar {
 
 DocumentFollower::DocumentFollower(DocumentFollowerSettings settings, IEventLoop &loop,
@@ -17,7 +20,7 @@
     , m_random(random)
     , m_events(std::move(events))
     , m_fiber(loop)
-    , m_cursor(log, m_settings.stream, m_settings.wait)
+    , m_cursor(log, m_settings.stream)
 {
 }
 
@@ -67,26 +70,66 @@
         const Ret read = readOnce();
         if (read) {
             onReadDone();
-            continue;
+        } else {
+            onReadFailed(read.error());
         }
-        onReadFailed(read.error());
-        const Duration pause = m_settings.retry * (1U << std::min(m_failures, 10U));
-        m_fiber.pause(std::min(pause, m_settings.longestRetry));
+        pauseUntilNextRead();
     }
 }
 
 Ret DocumentFollower::readOnce()
 {
-    const auto page = m_cursor.read();
+    const auto page = m_cursor.read(isReader() ? m_settings.wait : Duration::zero());
     if (!page) {
         return tl::unexpected<Error>(page.error());
     }
-    if (*page) {
-        takePage(**page);
-    }
+    takePage(*page);
     return {};
 }
 
+/// Without a configuration a daemon serves nobody and cannot wait for its turn.
+bool DocumentFollower::isReader() const
+{
+    if (!m_inForce) {
+        return true;
+    }
+    std::vector<DaemonId> near;
+    for (const ControlPeer &peer : m_exchange.peers()) {
+        if (peer.domain == m_settings.domain) {
+            near.push_back(peer.id);
+        }
+    }
+    return isFastPoller(m_settings.self, near, m_settings.readersPerDomain);
+}
+
+void DocumentFollower::pauseUntilNextRead()
+{
+    const bool isTurnOver = m_failures == 0 || m_failures % m_settings.triesPerTurn == 0;
+    if (isTurnOver && !isReader()) {
+        pauseUntilNextTurn();
+        return;
+    }
+    if (m_failures > 0) {
+        const Duration pause = m_settings.retry * (1U << std::min(m_failures, 10U));
+        m_fiber.pause(std::min(pause, m_settings.longestRetry));
+    }
+}
+
+void DocumentFollower::pauseUntilNextTurn()
+{
+    m_isTakingTurns = true;
+    m_fiber.pause(pauseOfShare(m_settings.readShare, m_exchange.peers().size() + 1, m_random));
+    m_isTakingTurns = false;
+}
+
+/// A reader may be gone, and its turn would come only after a long pause.
+void DocumentFollower::checkDuty()
+{
+    if (m_isTakingTurns && isReader()) {
+        m_fiber.wake();
+    }
+}
+
 void DocumentFollower::takePage(const KeyedPage &page)
 {
     // Only the last one counts: those before it were replaced by it.
@@ -140,7 +183,8 @@
     notice("configuration: version " + std::to_string(version().value()) + " is in force, from "
            + source);
     m_events.onConfiguration(m_inForce);
-    offerToRandomPeers(m_settings.offerFanout);
+    offerToNear(m_settings.nearOffers);
+    offerToFar(m_settings.farOffers);
 }
 
 void DocumentFollower::handle(const DaemonId &from, const DocumentOffer &offer)
@@ -151,10 +195,21 @@
     if (offer.version <= version()) {
         return;
     }
-    m_loop.cancelTimer(m_patienceTimer);
-    m_patienceTimer = m_loop.callLater(m_settings.offerPatience, [this, from, offer] {
-        if (offer.version > version()) {
-            requestFrom(from);
+    m_offered = std::max(m_offered, offer.version);
+    m_offeredBy = from;
+    if (m_isPatient) {
+        return;
+    }
+    // Several offer a new version in the same moment, and a document may be large: only one is
+    // asked at a time. The next one is asked if that one is gone.
+    if (!isReader()) {
+        requestFrom(from);
+    }
+    m_isPatient = true;
+    m_patienceTimer = m_loop.callLater(m_settings.offerPatience, [this] {
+        m_isPatient = false;
+        if (m_offered > version()) {
+            requestFrom(m_offeredBy);
         }
     });
 }
@@ -185,18 +240,41 @@
 }
 
 /// Those who adopt a version tell a few others at random, and by chance nobody may tell this
-/// daemon, or the one that it asks may just be gone. If then its connection to the log is silent as
-/// well, it would go on under the old version for seconds. Telling somebody again and again brings
-/// an answer from whoever knows a newer one.
+/// daemon, or the one that it asks may just be gone. It would go on under the old version until its
+/// turn to read comes. Telling somebody again and again brings an answer from whoever knows a newer
+/// one. Now and then it is somebody far: all of a failure domain may be behind.
 void DocumentFollower::offerAgain()
 {
-    offerToRandomPeers(1);
+    if (m_random.below(m_settings.offersPerFarOffer) == 0) {
+        offerToFar(1);
+    } else {
+        offerToNear(1);
+    }
+    checkDuty();
     m_offerTimer = m_loop.callLater(m_settings.offerInterval, [this] { offerAgain(); });
 }
 
-void DocumentFollower::offerToRandomPeers(std::uint32_t count)
+void DocumentFollower::offerToNear(std::uint32_t count)
+{
+    std::vector<ControlPeer> all = m_exchange.peers();
+    std::vector<ControlPeer> near;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(near),
+                 [this](const ControlPeer &peer) { return peer.domain == m_settings.domain; });
+    offerTo(near.empty() ? std::move(all) : std::move(near), count);
+}
+
+void DocumentFollower::offerToFar(std::uint32_t count)
+{
+    std::vector<ControlPeer> far = m_exchange.peers();
+    far.erase(std::remove_if(
+                  far.begin(), far.end(),
+                  [this](const ControlPeer &peer) { return peer.domain == m_settings.domain; }),
+              far.end());
+    offerTo(std::move(far), count);
+}
+
+void DocumentFollower::offerTo(std::vector<ControlPeer> peers, std::uint32_t count)
 {
-    std::vector<ControlPeer> peers = m_exchange.peers();
     const std::string offer = encodeDocumentMessage(DocumentOffer{ version() });
     for (std::uint32_t i = 0; i < count && !peers.empty(); ++i) {
         const std::size_t chosen = m_random.below(peers.size());
--- a/src/app/internal/control/documentfollower.h
+++ b/src/app/internal/control/documentfollower.h
@@ -18,21 +18,41 @@
     StreamName stream;
     /// Key under which the newest configuration stands.
     std::string key;
-    /// How long one read waits for news. A connection that went silent is noticed after this time.
+    DaemonId self;
+    DomainName domain;
+    /// Daemons of each failure domain that follow the stream; the others hear of news from them.
+    std::uint32_t readersPerDomain = 2;
+    /// How long one read of a reader waits for news. A connection that went silent is noticed after
+    /// this time.
     Duration wait = std::chrono::seconds(5);
+    /// Mean time between two reads of all daemons together that are no readers.
+    Duration readShare = std::chrono::milliseconds(400);
+    /// A connection that went silent fails the first read of a turn, and the next opens another.
+    std::uint32_t triesPerTurn = 3;
     /// Pause after a read that failed, and how long it grows while reads go on failing.
     Duration retry = std::chrono::milliseconds(100);
     Duration longestRetry = std::chrono::seconds(1);
-    /// Random peers that hear of a new version at once.
-    std::uint32_t offerFanout = 3;
-    /// Time in which a daemon that hears of a newer version usually gets it from the log itself.
+    /// Random peers of the own failure domain, and of others, that hear of a new version at once.
+    std::uint32_t nearOffers = 3;
+    std::uint32_t farOffers = 1;
+    /// Time in which a daemon that hears of a newer version usually gets it from the log, if it is
+    /// a reader, or from the peer that it asked.
     Duration offerPatience = std::chrono::milliseconds(150);
-    /// How often a random peer hears which version is in force here.
+    /// How often a random peer hears which version is in force here; one of so many times it is a
+    /// peer of another failure domain.
     Duration offerInterval = std::chrono::milliseconds(500);
+    std::uint32_t offersPerFarOffer = 8;
 };
 
-/// Follows a configuration that stands as one document in a keyed stream of the platform, and
-/// exchanges it with other daemons, so that one which the platform turns away follows too.
+/// Follows a configuration that stands as one document in a keyed stream of the platform. A few
+/// readers in each failure domain wait for news; they offer what they find to others, who fetch it
+/// from them and offer it on. With a read of each daemon for each version and each wait, the log
+/// would be asked in proportion to the daemons.
+///
+/// Readers may be dead, cut off from the log, or turned away by it, all at once. So a daemon
+/// without a configuration waits for news itself, and the others take turns to read without
+/// waiting: any that the log still serves finds a new version within a part of a second, and offers
+/// it.
 class DocumentFollower : public IConfigurationDriver
 {
 public:
@@ -50,6 +70,9 @@
 private:
     void follow();
     Ret readOnce();
+    bool isReader() const;
+    void pauseUntilNextRead();
+    void pauseUntilNextTurn();
     void takePage(const KeyedPage &page);
     void onReadFailed(const Error &error);
     void onReadDone();
@@ -59,8 +82,11 @@
     void handle(const DaemonId &from, const DocumentPush &push);
     void requestFrom(const DaemonId &peer);
     void askRandomPeer();
-    void offerToRandomPeers(std::uint32_t count);
+    void offerTo(std::vector<ControlPeer> peers, std::uint32_t count);
+    void offerToNear(std::uint32_t count);
+    void offerToFar(std::uint32_t count);
     void offerAgain();
+    void checkDuty();
     ConfigurationVersion version() const;
     void notice(const std::string &text) const;
 
@@ -79,6 +105,12 @@
     std::string m_unreadable;
     std::string m_logError;
     std::uint32_t m_failures = 0;
+    /// Reads without waiting, in turn with all others.
+    bool m_isTakingTurns = false;
+    /// The newest version offered here, and by whom.
+    ConfigurationVersion m_offered;
+    DaemonId m_offeredBy;
+    bool m_isPatient = false;
     TimerId m_patienceTimer;
     TimerId m_offerTimer;
 };
--- a/src/app/internal/control/keyedcursor.cpp
+++ b/src/app/internal/control/keyedcursor.cpp
@@ -4,26 +4,23 @@
 
 namespace ivyspar {
 
-KeyedCursor::KeyedCursor(IKeyedLog &log, StreamName stream, Duration wait)
+KeyedCursor::KeyedCursor(IKeyedLog &log, StreamName stream)
     : m_log(log)
     , m_stream(std::move(stream))
-    , m_wait(wait)
 {
 }
 
-RetVal<std::optional<KeyedPage>> KeyedCursor::read()
+RetVal<KeyedPage> KeyedCursor::read(Duration wait)
 {
-    RetVal<KeyedPage> page =
-        m_next ? m_log.read(m_stream, *m_next, m_wait) : m_log.newest(m_stream);
-    if (!page && page.error().code == ErrorCode::NotFound) {
-        m_next.reset();
-        return std::optional<KeyedPage>();
+    RetVal<KeyedPage> page = m_next ? m_log.read(m_stream, *m_next, wait) : m_log.newest(m_stream);
+    const bool isForgotten = !page && page.error().code == ErrorCode::NotFound;
+    if (m_next && isForgotten) {
+        page = m_log.newest(m_stream);
     }
-    if (!page) {
-        return tl::unexpected<Error>(page.error());
+    if (page) {
+        m_next = page->next;
     }
-    m_next = page->next;
-    return std::optional<KeyedPage>(std::move(*page));
+    return page;
 }
 
 } // namespace ivyspar
--- a/src/app/internal/control/keyedcursor.h
+++ b/src/app/internal/control/keyedcursor.h
@@ -11,19 +11,17 @@
 class KeyedCursor
 {
 public:
-    /// `wait`: how long one read waits for news.
-    KeyedCursor(IKeyedLog &log, StreamName stream, Duration wait);
+    KeyedCursor(IKeyedLog &log, StreamName stream);
 
-    /// Suspends the calling fiber. Nothing when the log forgot what came after the place that was
-    /// reached: the next call starts again with the newest records, which are all that counts.
-    RetVal<std::optional<KeyedPage>> read();
+    /// Suspends the calling fiber, for `wait` while there are no news. Where the log forgot what
+    /// came after the place that was reached, gives the newest records, which are all that counts.
+    RetVal<KeyedPage> read(Duration wait);
     /// Where it reads on; nothing before the newest records were read.
     const std::optional<LogOffset> &next() const { return m_next; }
 
 private:
     IKeyedLog &m_log;
     StreamName m_stream;
-    Duration m_wait;
     std::optional<LogOffset> m_next;
 };
 
--- a/src/app/internal/control/memberdirectory.cpp
+++ b/src/app/internal/control/memberdirectory.cpp
@@ -3,16 +3,43 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/configuration/internal/pollschedule.h"
+
 namespace ivyspar {
 
+namespace {
+
+/// Endpoint, space, failure domain.
+std::string textOf(const MembershipSeed &seed)
+{
+    return seed.endpoint.text() + ' ' + seed.domain.value();
+}
+
+/// Records without a failure domain are taken too.
+RetVal<MembershipSeed> parseSeed(const std::string &text)
+{
+    const std::size_t space = text.find(' ');
+    const RetVal<Endpoint> endpoint = Endpoint::parse(text.substr(0, space));
+    if (!endpoint) {
+        return tl::unexpected<Error>(endpoint.error());
+    }
+    const std::string domain = space == std::string::npos ? "" : text.substr(space + 1);
+    return MembershipSeed{ *endpoint, DomainName(domain) };
+}
+
+} // namespace
+
 MemberDirectory::MemberDirectory(MemberDirectorySettings settings, IEventLoop &loop, IKeyedLog &log,
-                                 Observers observers, OnEndpoint onEndpoint)
+                                 IRandom &random, Observers observers, OnSeed onSeed,
+                                 CountDaemons countDaemons)
     : m_settings(std::move(settings))
     , m_log(log)
+    , m_random(random)
     , m_observers(observers)
-    , m_onEndpoint(std::move(onEndpoint))
+    , m_onSeed(std::move(onSeed))
+    , m_countDaemons(std::move(countDaemons))
     , m_fiber(loop)
-    , m_cursor(log, m_settings.stream, m_settings.wait)
+    , m_cursor(log, m_settings.stream)
 {
 }
 
@@ -33,6 +60,7 @@
         const Ret done = step();
         if (done) {
             pause = m_settings.retry;
+            m_fiber.pause(pauseOfShare(m_settings.readShare, m_countDaemons(), m_random));
             continue;
         }
         m_observers.log.debug("member directory: " + done.error().text);
@@ -41,39 +69,47 @@
     }
 }
 
-/// Reads first: a daemon that starts again at the same place need not write.
+/// Reads first: a daemon that starts again at the same place need not write. Reads again after it
+/// wrote: of two daemons that start together, the one that is entered later finds the other.
 Ret MemberDirectory::step()
 {
-    const auto page = m_cursor.read();
+    const Ret read = readNews();
+    if (!read || m_isEntered) {
+        return read;
+    }
+    const Ret entered = enterSelf();
+    return entered ? readNews() : entered;
+}
+
+Ret MemberDirectory::readNews()
+{
+    const auto page = m_cursor.read(Duration::zero());
     if (!page) {
         return tl::unexpected<Error>(page.error());
     }
-    if (!*page) {
-        return {};
-    }
-    takePage(**page);
-    return m_isEntered ? Ret() : enterSelf();
+    takePage(*page);
+    return {};
 }
 
 void MemberDirectory::takePage(const KeyedPage &page)
 {
     for (const KeyedRecord &record : page.records) {
-        const RetVal<Endpoint> endpoint = Endpoint::parse(record.value);
-        if (!endpoint) {
+        const RetVal<MembershipSeed> seed = parseSeed(record.value);
+        if (!seed) {
             continue;
         }
         if (record.key == m_settings.self.value()) {
-            m_isEntered = *endpoint == m_settings.endpoint;
+            m_isEntered = record.value == textOf(m_settings.place);
             continue;
         }
-        m_onEndpoint(*endpoint);
+        m_onSeed(*seed);
     }
 }
 
 Ret MemberDirectory::enterSelf()
 {
     Ret written = m_log.put(m_settings.stream,
-                            KeyedRecord{ m_settings.self.value(), m_settings.endpoint.text() });
+                            KeyedRecord{ m_settings.self.value(), textOf(m_settings.place) });
     if (written) {
         m_isEntered = true;
     }
--- a/src/app/internal/control/memberdirectory.h
+++ b/src/app/internal/control/memberdirectory.h
@@ -6,8 +6,10 @@
 #include "app/internal/control/backgroundfiber.h"
 #include "app/internal/control/keyedcursor.h"
 #include "app/internal/logs/observers.h"
+#include "coordination/membership/imembership.h"
 #include "state/endpoint.h"
 #include "state/ids.h"
+#include "state/irandom.h"
 #include "transport/ikeyedlog.h"
 
 namespace ivyspar {
@@ -16,23 +18,27 @@
 {
     StreamName stream;
     DaemonId self;
-    Endpoint endpoint;
-    /// How long one read waits for news.
-    Duration wait = std::chrono::seconds(20);
+    MembershipSeed place;
+    /// Mean time between two reads of all daemons together.
+    Duration readShare = std::chrono::milliseconds(500);
     Duration retry = std::chrono::milliseconds(200);
     Duration longestRetry = std::chrono::seconds(2);
 };
 
 /// A list of daemons and where they are reached, in a keyed stream of the platform. It is only how
-/// daemons meet for the first time; who is alive is told by membership. Control thread only.
+/// daemons meet for the first time; who is alive is told by membership. Nobody follows the stream:
+/// each write would wake a read of every daemon, and a start of all cost the square of their
+/// number. Control thread only.
 class MemberDirectory
 {
 public:
-    using OnEndpoint = std::function<void(const Endpoint &)>;
+    using OnSeed = std::function<void(const MembershipSeed &)>;
+    /// Number of daemons that are known to be alive, with this one.
+    using CountDaemons = std::function<std::size_t()>;
 
-    /// `onEndpoint` hears of each daemon's endpoint, also of those long gone.
+    /// `onSeed` hears of each daemon, also of those long gone.
     MemberDirectory(MemberDirectorySettings settings, IEventLoop &loop, IKeyedLog &log,
-                    Observers observers, OnEndpoint onEndpoint);
+                    IRandom &random, Observers observers, OnSeed onSeed, CountDaemons countDaemons);
 
     void start();
     void stop();
@@ -40,13 +46,16 @@
 private:
     void follow();
     Ret step();
+    Ret readNews();
     void takePage(const KeyedPage &page);
     Ret enterSelf();
 
     MemberDirectorySettings m_settings;
     IKeyedLog &m_log;
+    IRandom &m_random;
     Observers m_observers;
-    OnEndpoint m_onEndpoint;
+    OnSeed m_onSeed;
+    CountDaemons m_countDaemons;
     BackgroundFiber m_fiber;
     KeyedCursor m_cursor;
     bool m_isEntered = false;
--- a/src/app/internal/control/membershipdriver.cpp
+++ b/src/app/internal/control/membershipdriver.cpp
@@ -34,18 +34,18 @@
 void MembershipDriver::start(const std::vector<Endpoint> &seeds)
 {
     for (const Endpoint &seed : seeds) {
-        addSeed(seed);
+        addSeed({ seed, DomainName() });
     }
     m_working = m_membership->working();
     m_events.onMembers(m_working);
     tick();
 }
 
-void MembershipDriver::addSeed(const Endpoint &endpoint)
+void MembershipDriver::addSeed(const MembershipSeed &seed)
 {
-    if (endpoint != m_self.peerEndpoint) {
-        m_seeds.insert(endpoint);
-        perform(m_membership->addSeed(m_loop.now(), endpoint));
+    if (seed.endpoint != m_self.peerEndpoint) {
+        m_seeds[seed.endpoint] = seed.domain;
+        perform(m_membership->addSeed(m_loop.now(), seed));
     }
 }
 
@@ -97,12 +97,13 @@
         return;
     }
     for (const Member &member : m_working) {
-        m_seeds.insert(member.peerEndpoint);
+        m_seeds[member.peerEndpoint] = member.domain;
     }
     m_self.incarnation = Incarnation(newer.value() + 1);
     m_membership = makeMembership(m_loop.now(), m_self);
-    for (const Endpoint &seed : m_seeds) {
-        addSeed(seed);
+    const auto seeds = m_seeds;
+    for (const auto &[endpoint, domain] : seeds) {
+        addSeed({ endpoint, domain });
     }
     m_working = m_membership->working();
     m_events.onMembers(m_working);
--- a/src/app/internal/control/membershipdriver.h
+++ b/src/app/internal/control/membershipdriver.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +33,7 @@
     ~MembershipDriver();
 
     void start(const std::vector<Endpoint> &seeds);
-    void addSeed(const Endpoint &endpoint);
+    void addSeed(const MembershipSeed &seed);
     void setUpstreams(std::vector<UpstreamInfo> upstreams);
     /// Tells the others that this daemon takes no new work.
     void startLeaving();
@@ -56,7 +56,7 @@
     Member m_self;
     ControlEvents m_events;
     TimePoint m_startedAt;
-    std::set<Endpoint> m_seeds;
+    std::map<Endpoint, DomainName> m_seeds;
     std::unique_ptr<IMembership> m_membership;
     std::vector<Member> m_working;
     TimerId m_timer;
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -159,7 +159,7 @@
 {
     m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, m_platform,
                                               makeSelf(bound), makeTrafficPort(), m_observers);
-    const auto endpoint = m_control->listen();
+    const auto endpoint = m_control->listen(bound.peer);
     m_control->start();
     started.set_value(endpoint);
     m_controlLoop->run();
--- a/src/app/internal/entry/peercalls.cpp
+++ b/src/app/internal/entry/peercalls.cpp
@@ -133,6 +133,7 @@
     Route &route = m_routes[endpoint];
     route.link = link;
     route.isOpen = true;
+    m_observers.metrics.add(Counter::PeerLinksOpened);
     recordLink(route.target, "open", "connected");
     if (const auto domain = m_domains.find(endpoint); domain != m_domains.end()) {
         compressIfFar(link, domain->second);
--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -29,6 +29,8 @@
     { "fair-shares", &Ablations::fairShares },
     { "lag", &Ablations::lag },
     { "turned-away", &Ablations::turnedAway },
+    { "datagrams", &Ablations::datagrams },
+    { "readers", &Ablations::readers },
 };
 
 } // namespace
--- a/src/app/internal/settings/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -41,7 +41,7 @@
 DEFINE_string(ablate, "",
               "Policies to switch off for measurements, not for production: admission, rank, "
               "floor, doomed, budget, retry-tokens, routing, hedging, cancel, odds, fair-shares, "
-              "lag, turned-away.");
+              "lag, turned-away, datagrams, readers.");
 DEFINE_string(base, "current", "Number of the version that the change is based on, or current.");
 DEFINE_string(timeout, "10s", "Longest time to wait for an answer (100ms to 10min).");
 DEFINE_string(change_id, "", "Name of this change, to find it again; chosen at random if not set.");
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -67,6 +67,10 @@
     bool odds = false;
     /// What a server turned away is not sent to it once more from its host.
     bool turnedAway = false;
+    /// Control messages go over links, however short.
+    bool datagrams = false;
+    /// Every daemon follows the platform's streams.
+    bool readers = false;
 };
 
 /// Switches off the policies of a comma-separated list. Returns the names that are none.
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -36,18 +37,18 @@
 class RecordingExchange : public IControlExchange
 {
 public:
-    std::vector<ControlPeer> peers() const override
-    {
-        return { { DaemonId("peer"), DomainName("here") } };
-    }
-    void send(const DaemonId & /*to*/, std::string payload) override
+    std::vector<ControlPeer> peers() const override { return others; }
+    void send(const DaemonId &to, std::string payload) override
     {
+        receivers.push_back(to);
         const auto message = decodeDocumentMessage(payload);
         if (message) {
             sent.push_back(*message);
         }
     }
 
+    std::vector<ControlPeer> others{ { DaemonId("peer"), DomainName("here") } };
+    std::vector<DaemonId> receivers;
     std::vector<DocumentMessage> sent;
 };
 
@@ -75,6 +76,18 @@
     std::vector<std::uint64_t> m_versions;
     std::unique_ptr<DocumentFollower> m_follower;
 
+    /// So many others in the failure domain that this daemon is no reader.
+    void crowd()
+    {
+        m_settings.self = DaemonId("self");
+        m_settings.domain = DomainName("here");
+        m_settings.readersPerDomain = 1;
+        m_settings.readShare = std::chrono::hours(1);
+        for (int i = 0; i < 20; ++i) {
+            m_exchange.others.push_back(
+                { DaemonId("near-" + std::to_string(i)), m_settings.domain });
+        }
+    }
     void start()
     {
         m_runner.run([this] {
@@ -204,6 +217,100 @@
     STRCMP_EQUAL("7", std::get<DocumentPush>(m_exchange.sent[0]).document.c_str());
 }
 
+// 1. There are enough others in the failure domain to follow the log.
+// 2. This daemon reads once, at its start, and then hears of versions from them, and asks who
+// offers.
+// 3. With each daemon reading for itself, a new version would cost the log a read of each.
+TEST(DocumentFollower, ADaemonThatIsNoReaderHearsFromOthers)
+{
+    crowd();
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
+    m_runner.run([this] {
+        m_log.write(STREAM, "newest", "8");
+        m_runner.loop().sleepFor(std::chrono::milliseconds(20));
+    });
+    CHECK_EQUAL(1, m_versions.size());
+    m_runner.run([this] {
+        m_exchange.sent.clear();
+        const DocumentOffer offer{ ConfigurationVersion(8) };
+        m_follower->receive(DaemonId("peer"), encodeDocumentMessage(offer));
+        m_follower->receive(DaemonId("other"), encodeDocumentMessage(offer));
+    });
+    CHECK_EQUAL(1, m_exchange.sent.size());
+    CHECK(std::holds_alternative<DocumentRequest>(m_exchange.sent[0]));
+}
+
+// 1. All readers are gone, cut off from the log or turned away by it, in the same moment.
+// 2. A new version comes. Nobody offers it.
+// 3. The others read in turn, without waiting. Each finds it at its turn and offers it on; with
+//    none of them reading, the old version would stay in force until new readers are chosen.
+TEST(DocumentFollower, OthersTakeTurnsToReadWhenNoReaderDoes)
+{
+    crowd();
+    m_settings.readShare = std::chrono::milliseconds(1);
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
+    m_runner.run([this] {
+        m_exchange.sent.clear();
+        m_log.write(STREAM, "newest", "8");
+    });
+    CHECK(m_runner.reaches([this] { return m_versions.size() == 2; }));
+    CHECK_EQUAL(8, m_versions[1]);
+    CHECK(std::holds_alternative<DocumentOffer>(m_exchange.sent.at(0)));
+}
+
+// 1. The readers of the failure domain end, and membership takes them for dead.
+// 2. This daemon is a reader now. Its next turn would come after minutes: it must not wait for it.
+TEST(DocumentFollower, ADaemonThatBecomesAReaderStartsAtOnce)
+{
+    crowd();
+    m_settings.offerInterval = std::chrono::milliseconds(5);
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
+    m_runner.run([this] {
+        m_exchange.others.clear();
+        m_log.write(STREAM, "newest", "8");
+    });
+    CHECK(m_runner.reaches([this] { return m_versions.size() == 2; }));
+}
+
+// 1. A peer offers a new version, and ends before it answers the request.
+// 2. Another one offered it in the same moment, and is asked a little later.
+TEST(DocumentFollower, AnotherIsAskedWhenThePeerThatWasAskedIsGone)
+{
+    crowd();
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
+    m_runner.run([this] {
+        m_exchange.receivers.clear();
+        const DocumentOffer offer{ ConfigurationVersion(8) };
+        m_follower->receive(DaemonId("gone"), encodeDocumentMessage(offer));
+        m_follower->receive(DaemonId("other"), encodeDocumentMessage(offer));
+    });
+    CHECK(m_runner.reaches([this] { return m_exchange.receivers.size() >= 2; }));
+    STRCMP_EQUAL("gone", m_exchange.receivers[0].value().c_str());
+    STRCMP_EQUAL("other", m_exchange.receivers[1].value().c_str());
+}
+
+TEST(DocumentFollower, MostOffersStayInTheFailureDomain)
+{
+    m_settings.offerInterval = std::chrono::milliseconds(1);
+    m_settings.domain = DomainName("here");
+    m_exchange.others.push_back({ DaemonId("far"), DomainName("there") });
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return m_exchange.receivers.size() > 200; }));
+    const auto far =
+        std::count(m_exchange.receivers.begin(), m_exchange.receivers.end(), DaemonId("far"));
+    CHECK(far > 0);
+    CHECK(far < static_cast<std::ptrdiff_t>(m_exchange.receivers.size() / 4));
+}
+
 // A configuration read that went silent must not leave the daemon behind when others know better.
 TEST(DocumentFollower, ADaemonThatHearsOfANewerVersionAsksForIt)
 {
@@ -224,7 +331,10 @@
     LoopRunner m_runner;
     FakeKeyedLog m_log{ m_runner.loop() };
     SilentObservers m_observers;
+    SeededRandom m_random{ 4 };
     std::vector<std::string> m_found;
+    Duration m_readShare = std::chrono::milliseconds(1);
+    std::size_t m_readsMeanwhile = 0;
     std::unique_ptr<MemberDirectory> m_directory;
 
     void start()
@@ -233,10 +343,12 @@
             MemberDirectorySettings settings;
             settings.stream = STREAM;
             settings.self = DaemonId("a");
-            settings.endpoint = Endpoint{ "10.0.0.1", 7000 };
+            settings.place = { Endpoint{ "10.0.0.1", 7000 }, DomainName("here") };
+            settings.readShare = m_readShare;
             m_directory = std::make_unique<MemberDirectory>(
-                settings, m_runner.loop(), m_log, m_observers.observers(),
-                [this](const Endpoint &endpoint) { m_found.push_back(endpoint.text()); });
+                settings, m_runner.loop(), m_log, m_random, m_observers.observers(),
+                [this](const MembershipSeed &seed) { m_found.push_back(seed.endpoint.text()); },
+                [] { return std::size_t(1); });
             m_directory->start();
         });
     }
@@ -261,10 +373,40 @@
     STRCMP_EQUAL("10.0.0.4:7000", m_found[1].c_str());
 }
 
+// 1. Two daemons start together. One reads before the other is entered, and finds nobody.
+// 2. Whoever is entered later reads once more, and finds the other.
+// 3. Without that read neither would know of the other until its next turn to read.
+TEST(MemberDirectory, ReadsOnceMoreAfterItIsEntered)
+{
+    m_readShare = std::chrono::hours(1);
+    m_log.onPut = [this] { m_log.write(STREAM, "b", "10.0.0.2:7000"); };
+    start();
+    CHECK(m_runner.reaches([this] { return m_found.size() == 1; }));
+}
+
+// 1. Hundreds of daemons start, and each enters itself.
+// 2. One that was there before reads at its next turn and not for each of them: with a read for
+//    each, the start would cost the square of their number.
+TEST(MemberDirectory, DoesNotReadForEachThatIsEntered)
+{
+    m_readShare = std::chrono::hours(1);
+    start();
+    CHECK(m_runner.reaches([this] { return m_log.writes(STREAM) == 1; }));
+    m_runner.run([this] {
+        const std::size_t before = m_log.reads;
+        for (int i = 0; i < 100; ++i) {
+            m_log.write(STREAM, "daemon-" + std::to_string(i), "10.0.0.2:7000");
+            m_runner.loop().sleepFor(std::chrono::microseconds(100));
+        }
+        m_readsMeanwhile = m_log.reads - before;
+    });
+    CHECK(m_readsMeanwhile <= 1);
+}
+
 // When hundreds of daemons start again at once, none of them writes what stands there already.
 TEST(MemberDirectory, ADaemonThatStandsThereDoesNotWrite)
 {
-    m_log.write(STREAM, "a", "10.0.0.1:7000");
+    m_log.write(STREAM, "a", "10.0.0.1:7000 here");
     start();
     m_runner.run([this] { m_log.write(STREAM, "b", "10.0.0.2:7000"); });
     CHECK(m_runner.reaches([this] { return m_found.size() == 1; }));
--- a/src/app/tests/mocks/fakekeyedlog.h
+++ b/src/app/tests/mocks/fakekeyedlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -22,6 +23,10 @@
     bool isDown = false;
     /// The next read finds its records forgotten.
     bool isForgetful = false;
+    /// Calls of `newest` and `read`.
+    std::size_t reads = 0;
+    /// Runs after each record that is put.
+    std::function<void()> onPut;
 
     void write(const StreamName &stream, const std::string &key, const std::string &value)
     {
@@ -31,6 +36,7 @@
 
     RetVal<KeyedPage> newest(const StreamName &stream) override
     {
+        ++reads;
         if (isDown) {
             return makeError(ErrorCode::Unavailable, "down");
         }
@@ -48,6 +54,7 @@
 
     RetVal<KeyedPage> read(const StreamName &stream, LogOffset from, Duration wait) override
     {
+        ++reads;
         const std::uint64_t calls = m_cancels;
         const TimePoint end = m_loop.now() + wait;
         while (m_streams[stream].size() <= from.value() && m_loop.now() < end
@@ -72,6 +79,9 @@
     Ret put(const StreamName &stream, const KeyedRecord &record) override
     {
         write(stream, record.key, record.value);
+        if (onPut) {
+            onPut();
+        }
         return {};
     }
 
--- a/src/coordination/configuration/internal/pollschedule.cpp
+++ b/src/coordination/configuration/internal/pollschedule.cpp
@@ -34,6 +34,12 @@
     return before < static_cast<std::int64_t>(fastPerDomain);
 }
 
+Duration pauseOfShare(Duration interval, std::size_t daemons, IRandom &random)
+{
+    const auto count = static_cast<Duration::rep>(std::max<std::size_t>(1, daemons));
+    return spread(interval * count, random);
+}
+
 PollSchedule::PollSchedule(const PollSettings &settings)
     : m_settings(settings)
 {
--- a/src/coordination/configuration/internal/pollschedule.h
+++ b/src/coordination/configuration/internal/pollschedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <vector>
 
 #include "state/ids.h"
@@ -28,6 +29,11 @@
 bool isFastPoller(const DaemonId &self, const std::vector<DaemonId> &domainPeers,
                   std::uint32_t fastPerDomain);
 
+/// Pause before the next read of a daemon that shares one read in each `interval` with all others:
+/// the log sees as many reads from a thousand daemons as from ten. A daemon that knows of few
+/// others reads often, so one that lost them all goes by the log alone.
+Duration pauseOfShare(Duration interval, std::size_t daemons, IRandom &random);
+
 /// When to read the log next. Plain object.
 class PollSchedule
 {
--- a/src/coordination/configuration/tests/configurationschedulestest.cpp
+++ b/src/coordination/configuration/tests/configurationschedulestest.cpp
@@ -99,6 +99,29 @@
     CHECK(m_schedule.onFailure(m_random) <= m_settings.firstBackoff * 3 / 2);
 }
 
+TEST(PollSchedule, TurnsOfAllTogetherAreAsManyForAThousandAsForTen)
+{
+    const auto readsIn = [this](std::size_t daemons) {
+        Duration pauses{ 0 };
+        for (std::size_t i = 0; i < daemons; ++i) {
+            pauses += pauseOfShare(std::chrono::milliseconds(400), daemons, m_random);
+        }
+        const Duration mean = pauses / static_cast<Duration::rep>(daemons);
+        return static_cast<double>(daemons) * (minutes(1) / 1.0 / mean);
+    };
+    DOUBLES_EQUAL(150, readsIn(10), 60);
+    DOUBLES_EQUAL(150, readsIn(1000), 10);
+}
+
+// A daemon that lost sight of all others has only the log: its turn comes at once.
+TEST(PollSchedule, ADaemonAloneTakesEachTurn)
+{
+    for (int i = 0; i < 100; ++i) {
+        CHECK(pauseOfShare(std::chrono::milliseconds(400), 0, m_random)
+              <= std::chrono::milliseconds(600));
+    }
+}
+
 TEST_GROUP(SnapshotSchedule)
 {
     SnapshotSettings m_settings;
--- a/src/coordination/membership/imembership.h
+++ b/src/coordination/membership/imembership.h
@@ -17,6 +17,14 @@
     MemberHealth health = MemberHealth::Alive;
 };
 
+/// Where to look for a daemon.
+struct MembershipSeed
+{
+    Endpoint endpoint;
+    /// Empty when not known.
+    DomainName domain;
+};
+
 /// A message for another daemon's membership object.
 struct MembershipDatagram
 {
@@ -49,8 +57,8 @@
     virtual MembershipActions updateSelf(TimePoint now, const Member &self) = 0;
     /// Says goodbye to some members, who tell the others. The process may end once it is sent.
     virtual MembershipActions leave(TimePoint now) = 0;
-    /// Endpoints from the settings or the log at which to look for members.
-    virtual MembershipActions addSeed(TimePoint now, const Endpoint &endpoint) = 0;
+    /// From the settings or the log.
+    virtual MembershipActions addSeed(TimePoint now, const MembershipSeed &seed) = 0;
     virtual MembershipActions receive(TimePoint now, const DaemonId &from,
                                       const MembershipMessage &message) = 0;
     /// A link to the daemon could not be opened or was lost.
--- a/src/coordination/membership/internal/membership.cpp
+++ b/src/coordination/membership/internal/membership.cpp
@@ -15,6 +15,13 @@
 constexpr int LAST_CALL_PERIODS = 3;
 constexpr std::size_t GOODBYE_RECEIVERS = 8;
 constexpr std::uint64_t RECONTACTS_PER_SEED = 6;
+/// Messages to each other failure domain while each member of the own one gets one. What crosses
+/// between two failure domains then does not grow with the square of their members.
+constexpr double FAR_PER_DOMAIN = 2;
+/// Daemons of a failure domain that exchange whole records with another one at a time.
+constexpr double FAR_EXCHANGES = 6;
+/// A daemon that found nobody for so long asks any seed, near or far.
+constexpr Duration LONELY_TIME{ std::chrono::milliseconds(600) };
 /// Seeds that a joining daemon asks at a time.
 constexpr std::size_t JOIN_SEEDS = 3;
 /// A daemon that runs for less than this exchanges at each difference.
@@ -90,16 +97,17 @@
     return actions;
 }
 
-MembershipActions Membership::addSeed(TimePoint /*now*/, const Endpoint &endpoint)
+MembershipActions Membership::addSeed(TimePoint /*now*/, const MembershipSeed &seed)
 {
-    MembershipActions actions;
-    const bool isKnown = std::find(m_seeds.begin(), m_seeds.end(), endpoint) != m_seeds.end();
-    if (isKnown || m_seeds.size() >= m_options.maxSeeds || endpoint == self().member.peerEndpoint) {
-        return actions;
+    const bool isFull = m_seeds.size() >= m_options.maxSeeds;
+    if (isFull || seed.endpoint == self().member.peerEndpoint) {
+        return {};
     }
-    m_seeds.push_back(endpoint);
-    m_silentSeeds.insert(endpoint);
-    return actions;
+    if (m_seeds.emplace(seed.endpoint, seed.domain).second) {
+        m_silentSeeds.insert(seed.endpoint);
+        m_nearSeeds += isNear(seed.domain) ? 1 : 0;
+    }
+    return {};
 }
 
 MembershipActions Membership::onUnreachable(TimePoint now, const DaemonId &daemon)
@@ -134,7 +142,7 @@
     pingNext(now, random, actions);
     verifyDoubted(now, actions);
     spread(actions);
-    synchronise(now, actions);
+    synchronise(now, random, actions);
     recontact(now, random, actions);
     return actions;
 }
@@ -309,15 +317,7 @@
     for (std::size_t tried = 0; tried < 2;) {
         if (m_pingAt >= m_pingRing.size()) {
             ++tried;
-            m_pingAt = 0;
-            m_pingRing.clear();
-            for (const auto &[domain, ids] : m_receivers) {
-                m_pingRing.insert(m_pingRing.end(), ids.begin(), ids.end());
-            }
-            shuffle(m_pingRing, random);
-            for (auto &[domain, ids] : m_receivers) {
-                shuffle(ids, random);
-            }
+            startPingRound(random);
             continue;
         }
         const MemberEntry *entry = m_table.find(m_pingRing[m_pingAt++]);
@@ -328,6 +328,21 @@
     }
 }
 
+/// Each member of the own failure domain once, and a few of each other one.
+void Membership::startPingRound(IRandom &random)
+{
+    m_pingAt = 0;
+    m_pingRing.clear();
+    for (auto &[domain, ids] : m_receivers) {
+        shuffle(ids, random);
+        const std::size_t count =
+            isNear(domain) ? ids.size() : std::min<std::size_t>(ids.size(), FAR_PER_DOMAIN);
+        m_pingRing.insert(m_pingRing.end(), ids.begin(),
+                          ids.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+    shuffle(m_pingRing, random);
+}
+
 /// Another daemon holds a member for dead that is up here, as after a partition. Taking its word
 /// would remove whole failure domains when they meet again; asking the member lets it refute.
 void Membership::verifyDoubted(TimePoint now, MembershipActions &actions)
@@ -356,7 +371,7 @@
     }
 }
 
-void Membership::synchronise(TimePoint now, MembershipActions &actions)
+void Membership::synchronise(TimePoint now, IRandom &random, MembershipActions &actions)
 {
     if (!m_differing || now < m_nextSync) {
         return;
@@ -374,9 +389,14 @@
         return;
     }
     m_nextSync = now + (isYoung ? m_seedPause : syncPause());
+    // Two failure domains that differ do so in all their members. A few of them exchange; the
+    // others have it from these within their own.
+    if (!isNear(m_differing->id) && random.unit() >= farExchangeChance()) {
+        return;
+    }
     const auto &buckets = m_table.buckets();
     SyncRequestMessage request{ { buckets.begin(), buckets.end() } };
-    send(m_differing->id, m_differing->endpoint, makeMessage(std::move(request)), actions);
+    send(m_differing->id, m_differing->endpoint, makeEmptyMessage(std::move(request)), actions);
     m_differing.reset();
 }
 
@@ -398,7 +418,7 @@
     const auto spread = static_cast<std::uint64_t>(m_options.recontactInterval.count());
     m_nextRecontact = now + m_options.recontactInterval / 2 + Duration(random.below(spread));
     if (random.below(RECONTACTS_PER_SEED) == 0) {
-        contactSeed(random, actions);
+        contactSeed(now, random, actions);
     }
     std::vector<const MemberEntry *> dead;
     for (const DaemonId &id : m_table.doubtful()) {
@@ -427,31 +447,80 @@
         m_seedPause = std::min(2 * m_seedPause, m_options.period);
     }
     for (std::size_t i = 0; i < JOIN_SEEDS; ++i) {
-        contactSeed(random, actions);
+        contactSeed(now, random, actions);
     }
 }
 
-void Membership::contactSeed(IRandom &random, MembershipActions &actions)
+/// The seeds that have not spoken yet, or all, without those that are known to be up.
+std::vector<MembershipSeed> Membership::seedsToAsk() const
 {
-    std::vector<Endpoint> candidates(m_silentSeeds.begin(), m_silentSeeds.end());
-    if (candidates.empty()) {
-        candidates = m_seeds;
-    }
+    std::set<Endpoint> up;
     for (const auto &[id, entry] : m_table.entries()) {
         if (isUp(entry.health)) {
-            candidates.erase(
-                std::remove(candidates.begin(), candidates.end(), entry.member.peerEndpoint),
-                candidates.end());
+            up.insert(entry.member.peerEndpoint);
         }
     }
-    if (candidates.empty()) {
+    std::vector<MembershipSeed> seeds;
+    for (const auto &[endpoint, domain] : m_seeds) {
+        const bool isWanted = m_silentSeeds.empty() || m_silentSeeds.count(endpoint) != 0;
+        if (isWanted && up.count(endpoint) == 0) {
+            seeds.push_back({ endpoint, domain });
+        }
+    }
+    return seeds;
+}
+
+/// Asks a seed of the own failure domain, now and then one of another: when all start at once each
+/// answer is a whole table.
+void Membership::contactSeed(TimePoint now, IRandom &random, MembershipActions &actions)
+{
+    std::vector<MembershipSeed> seeds = seedsToAsk();
+    if (seeds.empty()) {
+        return;
+    }
+    const auto far = std::partition(seeds.begin(), seeds.end(), [this](const MembershipSeed &seed) {
+        return seed.domain.value().empty() || isNear(seed.domain);
+    });
+    const auto nearSeeds = static_cast<std::size_t>(far - seeds.begin());
+    const bool isLonely = m_table.upCount() <= 1 && now >= m_start + LONELY_TIME;
+    const bool isAnySought = isLonely || random.unit() < farExchangeChance();
+    if (!isAnySought && nearSeeds == 0) {
         return;
     }
+    const std::size_t chosen = random.below(isAnySought ? seeds.size() : nearSeeds);
     const auto &buckets = m_table.buckets();
     MembershipMessage message =
-        makeMessage(SyncRequestMessage{ { buckets.begin(), buckets.end() } });
+        makeEmptyMessage(SyncRequestMessage{ { buckets.begin(), buckets.end() } });
     message.updates.push_back(makeUpdate(self(), true));
-    send(DaemonId(), candidates[random.below(candidates.size())], std::move(message), actions);
+    send(DaemonId(), seeds[chosen].endpoint, std::move(message), actions);
+}
+
+bool Membership::isNear(const DaemonId &id) const
+{
+    const MemberEntry *entry = m_table.find(id);
+    return entry != nullptr && isNear(entry->member.domain);
+}
+
+/// Members of the own failure domain besides this one.
+std::size_t Membership::nearCount() const
+{
+    const auto near = m_receivers.find(self().member.domain);
+    return near == m_receivers.end() ? 0 : near->second.size();
+}
+
+double Membership::farExchangeChance() const
+{
+    return FAR_EXCHANGES / static_cast<double>(std::max(nearCount(), m_nearSeeds) + 1);
+}
+
+/// Of the messages to others, those that leave the failure domain. A large one has more members to
+/// tell at home, and as many to tell others.
+double Membership::farShare() const
+{
+    const auto near = static_cast<double>(nearCount());
+    const std::size_t domains = m_receivers.size() - m_receivers.count(self().member.domain);
+    const double far = FAR_PER_DOMAIN * static_cast<double>(domains);
+    return far == 0 ? 0 : far / (near + far);
 }
 
 void Membership::rebuildRings()
@@ -482,10 +551,13 @@
     }
 }
 
-/// A newcomer is put at a random place in the rest of the round: at its end, each observer would
-/// reach it only after a whole round.
+/// A newcomer of the own failure domain is put at a random place in the rest of the round: at its
+/// end, each observer would reach it only after a whole round.
 void Membership::joinPingRing(const DaemonId &id)
 {
+    if (!isNear(id)) {
+        return;
+    }
     const std::size_t at = std::min(m_pingAt, m_pingRing.size());
     const std::size_t rest = m_pingRing.size() - at;
     const std::size_t place = (std::hash<DaemonId>()(id) ^ m_salt) % (rest + 1);
@@ -497,22 +569,51 @@
     if (m_areRingsStale) {
         rebuildRings();
     }
-    for (std::size_t tried = 0; tried < m_receivers.size(); ++tried) {
+    m_farDue += farShare();
+    if (m_farDue >= 1) {
+        m_farDue -= 1;
+        if (const MemberEntry *far = nextFarReceiver()) {
+            return far;
+        }
+    }
+    const MemberEntry *near = nextReceiverIn(self().member.domain);
+    return near ? near : nextFarReceiver();
+}
+
+const MemberEntry *Membership::nextFarReceiver()
+{
+    for (std::size_t tried = 0; tried <= m_receivers.size(); ++tried) {
         auto ring = m_receivers.upper_bound(m_lastDomain);
         if (ring == m_receivers.end()) {
             ring = m_receivers.begin();
         }
+        if (ring == m_receivers.end()) {
+            return nullptr;
+        }
         m_lastDomain = ring->first;
-        std::size_t &at = m_receiverAt[ring->first];
-        at = (at + 1) % ring->second.size();
-        const MemberEntry *entry = m_table.find(ring->second[at]);
-        if (entry && isUp(entry->health)) {
+        if (isNear(ring->first)) {
+            continue;
+        }
+        if (const MemberEntry *entry = nextReceiverIn(ring->first)) {
             return entry;
         }
     }
     return nullptr;
 }
 
+/// Null when the next one there is not up.
+const MemberEntry *Membership::nextReceiverIn(const DomainName &domain)
+{
+    const auto ring = m_receivers.find(domain);
+    if (ring == m_receivers.end()) {
+        return nullptr;
+    }
+    std::size_t &at = m_receiverAt[domain];
+    at = (at + 1) % ring->second.size();
+    const MemberEntry *entry = m_table.find(ring->second[at]);
+    return entry && isUp(entry->health) ? entry : nullptr;
+}
+
 std::vector<const MemberEntry *> Membership::nextReceivers(std::size_t count,
                                                            const DaemonId &except)
 {
--- a/src/coordination/membership/internal/membership.h
+++ b/src/coordination/membership/internal/membership.h
@@ -21,7 +21,7 @@
 
     MembershipActions updateSelf(TimePoint now, const Member &self) override;
     MembershipActions leave(TimePoint now) override;
-    MembershipActions addSeed(TimePoint now, const Endpoint &endpoint) override;
+    MembershipActions addSeed(TimePoint now, const MembershipSeed &seed) override;
     MembershipActions receive(TimePoint now, const DaemonId &from,
                               const MembershipMessage &message) override;
     MembershipActions onUnreachable(TimePoint now, const DaemonId &daemon) override;
@@ -86,11 +86,12 @@
     void pingNext(TimePoint now, IRandom &random, MembershipActions &actions);
     void verifyDoubted(TimePoint now, MembershipActions &actions);
     void spread(MembershipActions &actions);
-    void synchronise(TimePoint now, MembershipActions &actions);
+    void synchronise(TimePoint now, IRandom &random, MembershipActions &actions);
     void recontact(TimePoint now, IRandom &random, MembershipActions &actions);
     Duration syncPause() const;
     void seekOthers(TimePoint now, IRandom &random, MembershipActions &actions);
-    void contactSeed(IRandom &random, MembershipActions &actions);
+    void contactSeed(TimePoint now, IRandom &random, MembershipActions &actions);
+    std::vector<MembershipSeed> seedsToAsk() const;
 
     void startProbe(TimePoint now, const DaemonId &target, MembershipActions &actions);
     void sendPing(const MemberEntry &target, std::uint64_t sequence, MembershipActions &actions);
@@ -102,11 +103,20 @@
               MembershipActions &actions) const;
     void sendGossip(std::size_t receivers, MembershipActions &actions);
 
+    bool isNear(const DomainName &domain) const { return domain == self().member.domain; }
+    bool isNear(const DaemonId &id) const;
+    std::size_t nearCount() const;
+    double farShare() const;
+    double farExchangeChance() const;
     void rebuildRings();
+    void startPingRound(IRandom &random);
     void shuffle(std::vector<DaemonId> &ids, IRandom &random) const;
     void joinPingRing(const DaemonId &id);
-    /// Next member to send to; takes the failure domains in turn so that each is covered.
+    /// Next member to send to: see farShare().
     const MemberEntry *nextReceiver();
+    /// Takes the other failure domains in turn.
+    const MemberEntry *nextFarReceiver();
+    const MemberEntry *nextReceiverIn(const DomainName &domain);
     std::vector<const MemberEntry *> nextReceivers(std::size_t count, const DaemonId &except);
     std::size_t takeSyncBytes(TimePoint now);
 
@@ -127,12 +137,17 @@
 
     std::vector<DaemonId> m_pingRing;
     std::size_t m_pingAt = 0;
+    /// Those that are up, by failure domain.
     std::map<DomainName, std::vector<DaemonId>> m_receivers;
     std::map<DomainName, std::size_t> m_receiverAt;
     DomainName m_lastDomain;
+    /// Messages to other failure domains that are due, and parts of one.
+    double m_farDue = 0;
     bool m_areRingsStale = true;
 
-    std::vector<Endpoint> m_seeds;
+    std::map<Endpoint, DomainName> m_seeds;
+    /// Those of the own failure domain.
+    std::size_t m_nearSeeds = 0;
     /// Those that have not spoken yet.
     std::set<Endpoint> m_silentSeeds;
     std::optional<Differing> m_differing;
--- a/src/coordination/membership/internal/membershipexchange.cpp
+++ b/src/coordination/membership/internal/membershipexchange.cpp
@@ -310,6 +310,10 @@
         }
         return;
     }
+    // An exchange within the failure domain comes first.
+    if (m_differing && isNear(m_differing->id) && !isNear(from)) {
+        return;
+    }
     const TimePoint since = m_differing ? m_differing->since : now;
     m_differing = Differing{ from, message.sender, message.digest, since };
 }
--- a/src/coordination/membership/tests/membershiptest.cpp
+++ b/src/coordination/membership/tests/membershiptest.cpp
@@ -218,9 +218,11 @@
         fabric.run(50ms);
         for (std::size_t i = 0; i < COUNT; ++i) {
             for (std::size_t other = 0; other < 2 * COUNT; ++other) {
-                fabric.deliver(i,
-                               fabric.node(i).membership->addSeed(
-                                   fabric.now(), fabric.node(other).record.peerEndpoint));
+                fabric.deliver(
+                    i,
+                    fabric.node(i).membership->addSeed(fabric.now(),
+                                                       { fabric.node(other).record.peerEndpoint,
+                                                         fabric.node(other).record.domain }));
             }
         }
         CHECK(fabric.runUntil([&] { return fabric.agreeOn(COUNT); }, 2s) <= 1200ms);
--- a/src/coordination/membership/tests/mocks/membershipfabric.h
+++ b/src/coordination/membership/tests/mocks/membershipfabric.h
@@ -59,6 +59,12 @@
     /// A new run of the process on a new port.
     void restart(std::size_t index, std::size_t seed) { boot(index, seed); }
 
+    /// The daemon that is reached there, or was.
+    std::size_t ownerOf(const Endpoint &endpoint) const
+    {
+        const auto owner = m_owners.find(endpoint);
+        return owner == m_owners.end() ? NONE : owner->second;
+    }
     void crash(std::size_t index) { m_nodes[index].isRunning = false; }
     void freeze(std::size_t index, Duration time) { m_nodes[index].frozenUntil = m_now + time; }
     void leave(std::size_t index)
@@ -127,11 +133,16 @@
             if (onSend) {
                 onSend(index, datagram.message);
             }
+            if (onDatagram) {
+                onDatagram(index, datagram);
+            }
             carry(index, datagram);
         }
     }
 
     std::function<void(std::size_t sender, const MembershipMessage &message)> onSend;
+    /// As `onSend`, with the receiver.
+    std::function<void(std::size_t sender, const MembershipDatagram &datagram)> onDatagram;
     /// Around each call of a tick, for measurements.
     std::function<void(bool isBegin)> onTick;
 
@@ -160,7 +171,8 @@
         node.membership = makeMembership(m_now, node.record, m_options);
         if (seed != NONE) {
             const Endpoint endpoint = m_nodes[seed].record.peerEndpoint;
-            deliver(index, node.membership->addSeed(m_now, endpoint));
+            deliver(index,
+                    node.membership->addSeed(m_now, { endpoint, m_nodes[seed].record.domain }));
         }
     }
 
--- /dev/null
+++ b/src/transport/internal/datagramsocket.cpp
@@ -0,0 +1,119 @@
+#include "transport/internal/datagramsocket.h"
+
+#include <utility>
+
+#include "transport/transportfactory.h"
+
+namespace ivyspar {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+/// Datagrams read in one turn of the loop, so that a flood of them leaves the other work its turn.
+constexpr int READS_PER_TURN = 64;
+
+RetVal<udp::endpoint> toUdpEndpoint(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        return makeError(ErrorCode::InvalidArgument,
+                         '"' + endpoint.address + "\" is not an IP number");
+    }
+    return udp::endpoint(address, endpoint.port);
+}
+
+} // namespace
+
+DatagramSocket::DatagramSocket(EventLoop &loop)
+    : m_socket(loop.ioContext())
+{
+}
+
+DatagramSocket::~DatagramSocket()
+{
+    *m_isAlive = false;
+}
+
+Ret DatagramSocket::listen(const Endpoint &endpoint)
+{
+    const auto local = toUdpEndpoint(endpoint);
+    if (!local) {
+        return tl::unexpected<Error>(local.error());
+    }
+    boost::system::error_code error;
+    m_socket.open(local->protocol(), error);
+    if (!error) {
+        m_socket.bind(*local, error);
+    }
+    if (!error) {
+        m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        return makeError(ErrorCode::Unavailable,
+                         "cannot take datagrams at " + endpoint.text() + ": " + error.message());
+    }
+    waitForInput();
+    return {};
+}
+
+Ret DatagramSocket::send(const Endpoint &to, const std::string &payload)
+{
+    if (payload.size() > MOST_BYTES) {
+        return makeError(ErrorCode::InvalidArgument, "too long for a datagram");
+    }
+    const auto target = toUdpEndpoint(to);
+    if (!target) {
+        return tl::unexpected<Error>(target.error());
+    }
+    boost::system::error_code error;
+    m_socket.send_to(boost::asio::buffer(payload), *target, 0, error);
+    if (error) {
+        return makeError(ErrorCode::Unavailable, "datagram not sent: " + error.message());
+    }
+    return {};
+}
+
+void DatagramSocket::waitForInput()
+{
+    m_socket.async_wait(udp::socket::wait_read, [this, isAlive = m_isAlive](const auto &error) {
+        if (*isAlive && !error) {
+            onReadable();
+        }
+    });
+}
+
+void DatagramSocket::onReadable()
+{
+    const auto isAlive = m_isAlive;
+    for (int i = 0; i < READS_PER_TURN && receiveOne(); ++i) {
+        if (!*isAlive) {
+            return;
+        }
+    }
+    waitForInput();
+}
+
+bool DatagramSocket::receiveOne()
+{
+    boost::system::error_code error;
+    udp::endpoint sender;
+    const std::size_t size = m_socket.receive_from(boost::asio::buffer(m_buffer), sender, 0, error);
+    if (error) {
+        return error == boost::asio::error::connection_refused;
+    }
+    if (size <= MOST_BYTES && m_handler != nullptr) {
+        m_handler->onDatagram(std::string(m_buffer.data(), size));
+    }
+    return true;
+}
+
+std::unique_ptr<IDatagramSocket> makeDatagramSocket(IEventLoop &loop)
+{
+    return std::make_unique<DatagramSocket>(static_cast<EventLoop &>(loop));
+}
+
+} // namespace ivyspar
--- a/src/transport/transportfactory.h
+++ b/src/transport/transportfactory.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "transport/idatagramsocket.h"
 #include "transport/ieventloop.h"
 #include "transport/ihttpclient.h"
 #include "transport/ihttpserver.h"
@@ -18,5 +19,6 @@
 std::unique_ptr<IHttpServer> makeHttpServer(IEventLoop &loop);
 std::unique_ptr<IHttpClient> makeHttpClient(IEventLoop &loop, const HttpClientLimits &limits);
 std::unique_ptr<IPeerNetwork> makePeerNetwork(IEventLoop &loop);
+std::unique_ptr<IDatagramSocket> makeDatagramSocket(IEventLoop &loop);
 
 } // namespace ivyspar
--- a/standins/link/tcplink.cpp
+++ b/standins/link/tcplink.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cinttypes>
 #include <cstdio>
 #include <cstdlib>
@@ -53,10 +54,10 @@
     return name(socket, generic(address), &size) == 0 ? ntohs(address.sin_port) : 0;
 }
 
-/// Inode of the loopback socket with these ports, from the kernel's table; 0 if there is none.
-std::uint64_t findInode(std::uint16_t localPort, std::uint16_t remotePort)
+/// Inode of the loopback socket with these ports, from a table of the kernel; 0 if there is none.
+std::uint64_t findInode(const char *sockets, std::uint16_t localPort, std::uint16_t remotePort)
 {
-    std::ifstream table("/proc/net/tcp");
+    std::ifstream table(sockets);
     std::string line;
     while (std::getline(table, line)) {
         unsigned local = 0;
@@ -128,6 +129,12 @@
     }
     prepare(m_listener);
     m_endpoint = Endpoint{ "127.0.0.1", portOf(m_listener, getsockname) };
+    m_datagrams = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    address = addressOf(m_endpoint);
+    if (bind(m_datagrams, generic(address), sizeof(address)) != 0) {
+        std::perror("link");
+        std::exit(1);
+    }
     m_thread = std::thread([this] { run(); });
 }
 
@@ -140,6 +147,7 @@
         close(connection.server);
     }
     close(m_listener);
+    close(m_datagrams);
 }
 
 void TcpLink::setTarget(const Endpoint &target)
@@ -184,7 +192,7 @@
     Connection connection;
     connection.client = client;
     connection.server = server;
-    connection.inode = findInode(portOf(client, getpeername), m_endpoint.port);
+    connection.inode = findInode("/proc/net/tcp", portOf(client, getpeername), m_endpoint.port);
     judge(connection);
     m_connections.push_back(std::move(connection));
 }
@@ -212,10 +220,42 @@
     });
 }
 
+/// A socket that sends to many is bound to its own port and connected to none.
+bool TcpLink::isSilentSender(std::uint16_t port) const
+{
+    if (m_silent.empty()) {
+        return false;
+    }
+    const std::uint64_t inode = findInode("/proc/net/udp", port, 0);
+    return std::any_of(m_silent.begin(), m_silent.end(),
+                       [inode](pid_t process) { return hasSocket(process, inode); });
+}
+
+void TcpLink::forwardDatagrams()
+{
+    char datagram[CHUNK];
+    while (true) {
+        sockaddr_in sender{};
+        socklen_t size = sizeof(sender);
+        const ssize_t length =
+            recvfrom(m_datagrams, datagram, sizeof(datagram), 0, generic(sender), &size);
+        if (length < 0) {
+            return;
+        }
+        if (m_target.port == 0 || isSilentSender(ntohs(sender.sin_port))) {
+            continue;
+        }
+        sockaddr_in target = addressOf(m_target);
+        (void)sendto(m_datagrams, datagram, static_cast<std::size_t>(length), 0, generic(target),
+                     sizeof(target));
+    }
+}
+
 void TcpLink::run()
 {
     while (!m_isStopped) {
-        std::vector<pollfd> polled{ pollfd{ m_listener, POLLIN, 0 } };
+        std::vector<pollfd> polled{ pollfd{ m_listener, POLLIN, 0 },
+                                    pollfd{ m_datagrams, POLLIN, 0 } };
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
             for (const Connection &connection : m_connections) {
@@ -231,6 +271,7 @@
             acceptOne();
         }
         forward();
+        forwardDatagrams();
     }
 }
 
--- a/standins/link/tcplink.h
+++ b/standins/link/tcplink.h
@@ -14,9 +14,10 @@
 
 namespace ivyspar::lab {
 
-/// Stand-in for the network in front of one daemon: forwards the bytes of TCP connections, and can
-/// keep those of chosen processes back, as a network partition does: nothing is closed or refused,
-/// nothing arrives. After the partition what was kept back arrives. Runs in a thread of its own.
+/// Stand-in for the network in front of one daemon: forwards the bytes of TCP connections and the
+/// datagrams that arrive at the same port, and can keep those of chosen processes back, as a
+/// network partition does: nothing is closed or refused, nothing arrives. After the partition what
+/// was kept back of connections arrives; datagrams are lost. Runs in a thread of its own.
 class TcpLink
 {
 public:
@@ -49,8 +50,11 @@
     void acceptOne();
     void judge(Connection &connection) const;
     void forward();
+    void forwardDatagrams();
+    bool isSilentSender(std::uint16_t port) const;
 
     int m_listener = -1;
+    int m_datagrams = -1;
     Endpoint m_endpoint;
     std::mutex m_mutex;
     Endpoint m_target;
