Membership: pings of other failure domains take their turn from the first, and a start costs a domain as little at 300 as at 30

Cause: the first round of pings held the near members alone, so for its length (50 s with 50 of them) nobody outside noticed that a domain was gone; found by the test of a domain that is cut off. And a daemon whose near seeds had all answered asked far ones for their whole table, three at each pause. Now every ping is near or far by the share that messages have; a far seed is asked by the same chance as a far exchange is made, and failure domains of up to eight others go on as before.

--- /dev/null
+++ b/src/app/tests/controlplanetest.cpp
@@ -0,0 +1,400 @@
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include "app/internal/control/documentfollower.h"
+#include "app/internal/control/memberdirectory.h"
+#include "app/tests/mocks/fakekeyedlog.h"
+#include "app/tests/mocks/silentobservers.h"
+#include "coordination/membership/tests/mocks/membershipfabric.h"
+#include "protocol/internal/membershipcodec.h"
+#include "transport/tests/looprunner.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t DOMAINS = 6;
+constexpr std::size_t FEW = 30;
+constexpr std::size_t MANY = 300;
+
+/// What a datagram takes besides the gossip in it: headers, the name of the sender.
+constexpr std::size_t OVERHEAD_BYTES = 60;
+/// The share of a daemon in the control traffic, in the mean and in any second.
+constexpr std::size_t BYTES_PER_SECOND = 11 * 1024;
+constexpr std::size_t MOST_BYTES_PER_SECOND = 3 * BYTES_PER_SECOND;
+
+DomainName domainOf(std::size_t index)
+{
+    return DomainName("domain-" + std::to_string(index % DOMAINS));
+}
+
+/// A deployment of daemons that gossip, found by a list of all of them, with what each sends.
+class Gossip
+{
+public:
+    explicit Gossip(std::size_t count)
+        : m_sent(count)
+    {
+        m_fabric.onDatagram = [this](std::size_t sender, const MembershipDatagram &datagram) {
+            note(sender, datagram);
+        };
+        for (std::size_t i = 0; i < count; ++i) {
+            m_fabric.start(domainOf(i).value());
+            showList(i, i);
+            m_fabric.run(milliseconds(1));
+        }
+    }
+
+    MembershipFabric &fabric() { return m_fabric; }
+
+    /// The processes of these daemons end at once and start again.
+    void restart(const std::vector<std::size_t> &daemons)
+    {
+        for (const std::size_t index : daemons) {
+            m_fabric.crash(index);
+        }
+        m_fabric.run(seconds(1));
+        for (const std::size_t index : daemons) {
+            m_fabric.restart(index, MembershipFabric::NONE);
+        }
+        for (const std::size_t index : daemons) {
+            showList(index, m_fabric.size());
+        }
+    }
+
+    bool agree() const { return m_fabric.agreeOn(m_sent.size()); }
+
+    /// Returns the bytes that each daemon sent to other failure domains, in the mean.
+    std::size_t run(Duration time)
+    {
+        m_far = 0;
+        for (Duration done{ 0 }; done < time; done += seconds(1)) {
+            std::fill(m_sent.begin(), m_sent.end(), 0);
+            m_fabric.run(seconds(1));
+            m_mostInASecond = *std::max_element(m_sent.begin(), m_sent.end());
+            m_mostEver = std::max(m_mostEver, m_mostInASecond);
+        }
+        return m_far / m_sent.size();
+    }
+
+    /// Bytes of the busiest daemon in the busiest second of the last `run`s.
+    std::size_t takeMostInASecond() { return std::exchange(m_mostEver, 0); }
+
+private:
+    void showList(std::size_t index, std::size_t entered)
+    {
+        for (std::size_t other = 0; other < entered; ++other) {
+            const Member &member = m_fabric.node(other).record;
+            const MembershipSeed seed{ member.peerEndpoint, member.domain };
+            m_fabric.deliver(index, m_fabric.node(index).membership->addSeed(m_fabric.now(), seed));
+        }
+    }
+
+    void note(std::size_t sender, const MembershipDatagram &datagram)
+    {
+        const std::size_t bytes = encodeMembership(datagram.message).size() + OVERHEAD_BYTES;
+        const std::size_t owner = m_fabric.ownerOf(datagram.endpoint);
+        const bool isNear = owner != MembershipFabric::NONE && domainOf(owner) == domainOf(sender);
+        m_sent[sender] += bytes;
+        m_far += isNear ? 0 : bytes;
+    }
+
+    MembershipFabric m_fabric{ 11 };
+    std::vector<std::size_t> m_sent;
+    std::size_t m_far = 0;
+    std::size_t m_mostInASecond = 0;
+    std::size_t m_mostEver = 0;
+};
+
+std::vector<std::size_t> allOf(std::size_t count)
+{
+    std::vector<std::size_t> all(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        all[i] = i;
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_GROUP(ControlPlaneGossip){};
+
+// 1. All daemons of a deployment start at once; later a power failure ends all, and they start
+//    again at once.
+// 2. Each has to know all others within seconds: until then callers hear that there is no server.
+// 3. Each took whole tables from any other, and rumours went anywhere, so that a failure domain
+//    sent as much to another as it has pairs of daemons.
+TEST(ControlPlaneGossip, TenTimesTheDaemonsSendNoMoreAcrossFailureDomains)
+{
+    Gossip few(FEW);
+    Gossip many(MANY);
+    const std::size_t startOfFew = few.run(seconds(10));
+    const std::size_t startOfMany = many.run(seconds(10));
+    CHECK(few.agree());
+    CHECK(many.agree());
+    CHECK(startOfMany <= startOfFew);
+
+    const std::size_t calmFew = few.run(seconds(60));
+    const std::size_t calmMany = many.run(seconds(60));
+    CHECK(calmMany <= calmFew);
+    CHECK(calmMany <= 60 * BYTES_PER_SECOND);
+
+    few.restart(allOf(FEW));
+    many.restart(allOf(MANY));
+    const std::size_t againFew = few.run(seconds(10));
+    const std::size_t againMany = many.run(seconds(10));
+    CHECK(few.agree());
+    CHECK(many.agree());
+    CHECK(againMany <= againFew);
+}
+
+TEST(ControlPlaneGossip, NoDaemonSendsMuchInAnySecondAfterTheFirst)
+{
+    Gossip many(MANY);
+    many.run(seconds(1));
+    many.takeMostInASecond();
+    many.run(seconds(30));
+    CHECK(many.takeMostInASecond() <= MOST_BYTES_PER_SECOND);
+
+    many.restart(allOf(MANY));
+    many.run(seconds(1));
+    many.takeMostInASecond();
+    many.run(seconds(30));
+    CHECK(many.takeMostInASecond() <= MOST_BYTES_PER_SECOND);
+}
+
+// 1. A failure domain of fifty is cut off, and its daemons are taken for dead by all others.
+// 2. It comes back. Both sides find each other again without a flood over the narrow way between.
+TEST(ControlPlaneGossip, AFailureDomainThatReturnsIsKnownSoonAndCheaply)
+{
+    Gossip many(MANY);
+    many.run(seconds(10));
+    many.fabric().cut(domainOf(0).value());
+    many.run(seconds(40));
+    CHECK(!many.agree());
+    many.fabric().mend();
+    many.takeMostInASecond();
+    const Duration limit = seconds(30);
+    CHECK(many.fabric().runUntil([&] { return many.agree(); }, limit) < limit);
+    many.run(seconds(10));
+    CHECK(many.takeMostInASecond() <= MOST_BYTES_PER_SECOND);
+}
+
+namespace {
+
+const StreamName CONFIGURATIONS("configurations");
+const StreamName DIRECTORY("members");
+
+/// A document is just its version.
+class NumberReader : public IDocumentReader
+{
+public:
+    RetVal<ConfigurationPtr> read(const std::string &document) const override
+    {
+        const boost::intrusive_ptr<Configuration> read(new Configuration);
+        read->version = ConfigurationVersion(std::strtoull(document.c_str(), nullptr, 10));
+        return ConfigurationPtr(read);
+    }
+};
+
+class Followers;
+
+/// Reaches the other followers of the same loop.
+class DirectExchange : public IControlExchange
+{
+public:
+    DirectExchange(Followers &followers, std::size_t self)
+        : m_followers(followers)
+        , m_self(self)
+    {
+    }
+    std::vector<ControlPeer> peers() const override;
+    void send(const DaemonId &to, std::string payload) override;
+
+private:
+    Followers &m_followers;
+    std::size_t m_self;
+};
+
+DaemonId idOf(std::size_t index)
+{
+    return DaemonId("daemon-" + std::to_string(index));
+}
+
+/// What the daemons of a deployment ask of the platform's log, in one loop, with times a tenth of
+/// the usual ones.
+class Followers
+{
+public:
+    Followers(IEventLoop &loop, std::size_t count, std::uint32_t readersPerDomain)
+        : loop(loop)
+        , log(loop)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            add(i, readersPerDomain);
+        }
+    }
+
+    void start()
+    {
+        for (std::size_t i = 0; i < followers.size(); ++i) {
+            directories[i]->start();
+            followers[i]->start();
+        }
+    }
+
+    void stop()
+    {
+        for (std::size_t i = 0; i < followers.size(); ++i) {
+            directories[i]->stop();
+            followers[i]->stop();
+        }
+    }
+
+    bool haveAll(std::uint64_t version) const
+    {
+        return std::all_of(versions.begin(), versions.end(),
+                           [version](std::uint64_t each) { return each == version; });
+    }
+
+    IEventLoop &loop;
+    FakeKeyedLog log;
+    std::vector<std::uint64_t> versions;
+    std::vector<std::unique_ptr<DocumentFollower>> followers;
+    std::vector<std::unique_ptr<MemberDirectory>> directories;
+
+private:
+    void add(std::size_t index, std::uint32_t readersPerDomain)
+    {
+        m_exchanges.push_back(std::make_unique<DirectExchange>(*this, index));
+        versions.push_back(0);
+        DocumentFollowerSettings follower;
+        follower.stream = CONFIGURATIONS;
+        follower.key = "newest";
+        follower.self = idOf(index);
+        follower.domain = domainOf(index);
+        follower.readersPerDomain = readersPerDomain;
+        follower.wait = milliseconds(500);
+        follower.readShare = milliseconds(40);
+        follower.offerPatience = milliseconds(15);
+        follower.offerInterval = milliseconds(50);
+        ConfigurationEvents events;
+        events.onConfiguration = [this, index](const ConfigurationPtr &configuration) {
+            versions[index] = configuration->version.value();
+        };
+        followers.push_back(std::make_unique<DocumentFollower>(
+            follower, loop, log, m_reader, *m_exchanges.back(), m_random, events));
+        MemberDirectorySettings directory;
+        directory.stream = DIRECTORY;
+        directory.self = idOf(index);
+        directory.place = { Endpoint{ "10.0.0.1", static_cast<std::uint16_t>(index + 1) },
+                            domainOf(index) };
+        directory.readShare = milliseconds(50);
+        directories.push_back(std::make_unique<MemberDirectory>(
+            directory, loop, log, m_random, m_observers.observers(),
+            [](const MembershipSeed & /*seed*/) {}, [this] { return followers.size(); }));
+    }
+
+    NumberReader m_reader;
+    SeededRandom m_random{ 6 };
+    SilentObservers m_observers;
+    std::vector<std::unique_ptr<DirectExchange>> m_exchanges;
+};
+
+std::vector<ControlPeer> DirectExchange::peers() const
+{
+    std::vector<ControlPeer> peers;
+    for (std::size_t i = 0; i < m_followers.followers.size(); ++i) {
+        if (i != m_self) {
+            peers.push_back({ idOf(i), domainOf(i) });
+        }
+    }
+    return peers;
+}
+
+void DirectExchange::send(const DaemonId &to, std::string payload)
+{
+    for (std::size_t i = 0; i < m_followers.followers.size(); ++i) {
+        if (idOf(i) == to) {
+            m_followers.loop.post([this, i, payload = std::move(payload)] {
+                m_followers.followers[i]->receive(idOf(m_self), payload);
+            });
+            return;
+        }
+    }
+}
+
+} // namespace
+
+TEST_GROUP(ControlPlaneLog)
+{
+    LoopRunner m_runner;
+    std::unique_ptr<Followers> m_all;
+
+    void start(std::size_t count, std::uint32_t readersPerDomain)
+    {
+        m_runner.run([&] {
+            m_all = std::make_unique<Followers>(m_runner.loop(), count, readersPerDomain);
+            m_all->log.write(CONFIGURATIONS, "newest", "1");
+            m_all->start();
+        });
+        CHECK(m_runner.reaches([this] { return m_all->haveAll(1); }));
+        CHECK(m_runner.reaches([&] { return m_all->log.writes(DIRECTORY) == count; }));
+    }
+    /// Calls of the log from a new version until all have it in force.
+    std::size_t readsForAVersion(std::uint64_t version)
+    {
+        std::size_t before = 0;
+        m_runner.run([&] {
+            before = m_all->log.reads;
+            m_all->log.write(CONFIGURATIONS, "newest", std::to_string(version));
+        });
+        CHECK(m_runner.reaches([&] { return m_all->haveAll(version); }));
+        std::size_t reads = 0;
+        m_runner.run([&] { reads = m_all->log.reads - before; });
+        return reads;
+    }
+    void teardown() override
+    {
+        m_runner.run([this] {
+            m_all->stop();
+            m_all.reset();
+        });
+    }
+};
+
+// 1. Operators put a new version of the configuration into the platform's log.
+// 2. Each daemon waits there for news, and each reads the new version and waits anew: the log is
+//    asked in proportion to the daemons for each change, and of a small log nothing is left.
+// 3. With readers, all learn of it within a part of a second from a few reads.
+TEST(ControlPlaneLog, AVersionCostsAFewReadsHoweverManyDaemonsThereAre)
+{
+    start(MANY, 2);
+    std::size_t most = 0;
+    for (std::uint64_t version = 2; version < 6; ++version) {
+        most = std::max(most, readsForAVersion(version));
+    }
+    CHECK(most < MANY / 3);
+}
+
+// The same without any reader: by turns alone.
+TEST(ControlPlaneLog, AllHaveAVersionSoonAlsoWithoutReaders)
+{
+    start(FEW, 0);
+    CHECK(readsForAVersion(2) < FEW);
+    CHECK(readsForAVersion(3) < FEW);
+}
+
+// Each reads the list, enters itself and reads once more, and reads the configuration.
+TEST(ControlPlaneLog, AStartCostsAFewReadsOfEachDaemon)
+{
+    start(MANY, 2);
+    std::size_t reads = 0;
+    m_runner.run([&] { reads = m_all->log.reads; });
+    CHECK(reads <= 5 * MANY);
+}
--- a/src/coordination/membership/internal/membership.cpp
+++ b/src/coordination/membership/internal/membership.cpp
@@ -15,11 +15,14 @@
 constexpr int LAST_CALL_PERIODS = 3;
 constexpr std::size_t GOODBYE_RECEIVERS = 8;
 constexpr std::uint64_t RECONTACTS_PER_SEED = 6;
-/// Messages to each other failure domain while each member of the own one gets one. What crosses
-/// between two failure domains then does not grow with the square of their members.
-constexpr double FAR_PER_DOMAIN = 2;
+/// Messages to each other failure domain while each member of the own one gets one message. What
+/// crosses between two failure domains then does not grow with the square of their members.
+constexpr double FAR_PER_DOMAIN = 1;
 /// Daemons of a failure domain that exchange whole records with another one at a time.
-constexpr double FAR_EXCHANGES = 6;
+constexpr double FAR_EXCHANGES = 4;
+/// Others in a failure domain up to which each of them exchanges with other domains: as much is
+/// said in a large one by a few.
+constexpr std::size_t SMALL_DOMAIN = 8;
 /// A daemon that found nobody for so long asks any seed, near or far.
 constexpr Duration LONELY_TIME{ std::chrono::milliseconds(600) };
 /// Seeds that a joining daemon asks at a time.
@@ -314,6 +317,23 @@
     if (m_nextPing <= now) {
         m_nextPing = now + m_options.period;
     }
+    m_farPingDue += farShare();
+    if (m_farPingDue >= 1) {
+        m_farPingDue -= 1;
+        if (const MemberEntry *far = nextFarReceiver()) {
+            startProbe(now, far->member.id, actions);
+            return;
+        }
+    }
+    if (const MemberEntry *near = nextToPing(random)) {
+        startProbe(now, near->member.id, actions);
+    }
+}
+
+/// Takes the members of the own failure domain in random order, each once in a round. Null when
+/// there is none.
+const MemberEntry *Membership::nextToPing(IRandom &random)
+{
     for (std::size_t tried = 0; tried < 2;) {
         if (m_pingAt >= m_pingRing.size()) {
             ++tried;
@@ -322,25 +342,20 @@
         }
         const MemberEntry *entry = m_table.find(m_pingRing[m_pingAt++]);
         if (entry && isUp(entry->health)) {
-            startProbe(now, entry->member.id, actions);
-            return;
+            return entry;
         }
     }
+    return nullptr;
 }
 
-/// Each member of the own failure domain once, and a few of each other one.
 void Membership::startPingRound(IRandom &random)
 {
-    m_pingAt = 0;
-    m_pingRing.clear();
     for (auto &[domain, ids] : m_receivers) {
         shuffle(ids, random);
-        const std::size_t count =
-            isNear(domain) ? ids.size() : std::min<std::size_t>(ids.size(), FAR_PER_DOMAIN);
-        m_pingRing.insert(m_pingRing.end(), ids.begin(),
-                          ids.begin() + static_cast<std::ptrdiff_t>(count));
     }
-    shuffle(m_pingRing, random);
+    m_pingAt = 0;
+    const auto near = m_receivers.find(self().member.domain);
+    m_pingRing = near == m_receivers.end() ? std::vector<DaemonId>() : near->second;
 }
 
 /// Another daemon holds a member for dead that is up here, as after a partition. Taking its word
@@ -508,9 +523,11 @@
     return near == m_receivers.end() ? 0 : near->second.size();
 }
 
+/// Of the exchanges that a daemon could have with another failure domain, those that it has.
 double Membership::farExchangeChance() const
 {
-    return FAR_EXCHANGES / static_cast<double>(std::max(nearCount(), m_nearSeeds) + 1);
+    const std::size_t near = std::max(nearCount(), m_nearSeeds);
+    return near <= SMALL_DOMAIN ? 1 : FAR_EXCHANGES / static_cast<double>(near);
 }
 
 /// Of the messages to others, those that leave the failure domain. A large one has more members to
--- a/src/coordination/membership/internal/membership.h
+++ b/src/coordination/membership/internal/membership.h
@@ -109,6 +109,7 @@
     double farShare() const;
     double farExchangeChance() const;
     void rebuildRings();
+    const MemberEntry *nextToPing(IRandom &random);
     void startPingRound(IRandom &random);
     void shuffle(std::vector<DaemonId> &ids, IRandom &random) const;
     void joinPingRing(const DaemonId &id);
@@ -143,6 +144,8 @@
     DomainName m_lastDomain;
     /// Messages to other failure domains that are due, and parts of one.
     double m_farDue = 0;
+    /// The same for pings.
+    double m_farPingDue = 0;
     bool m_areRingsStale = true;
 
     std::map<Endpoint, DomainName> m_seeds;
