--- /dev/null
+++ b/src/coordination/membership/internal/contactrings.cpp
@@ -0,0 +1,189 @@
+#include "coordination/membership/internal/contactrings.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyspar {
+
+namespace {
+
+/// Messages to each other failure domain while each member of the own one gets one.
+constexpr double FAR_PER_DOMAIN = 1;
+
+} // namespace
+
+ContactRings::ContactRings(const MemberTable &table, DaemonId self, DomainName domain)
+    : m_table(table)
+    , m_self(std::move(self))
+    , m_domain(std::move(domain))
+{
+}
+
+void ContactRings::refresh()
+{
+    if (!std::exchange(m_isStale, false)) {
+        return;
+    }
+    m_rings.clear();
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (id != m_self && isUp(entry.health)) {
+            m_rings[entry.member.domain].push_back(id);
+        }
+    }
+    // The table's order is the same in all daemons that learnt of the members in the same order.
+    for (auto &[domain, ring] : m_rings) {
+        std::sort(ring.begin(), ring.end());
+        std::uint64_t state = m_salt;
+        for (std::size_t i = ring.size(); i > 1; --i) {
+            constexpr std::uint64_t FACTOR = 6364136223846793005ULL;
+            constexpr std::uint64_t INCREMENT = 1442695040888963407ULL;
+            state = state * FACTOR + INCREMENT;
+            std::swap(ring[i - 1], ring[(state >> 33U) % i]);
+        }
+    }
+}
+
+void ContactRings::join(const DaemonId &id)
+{
+    if (!isNear(id)) {
+        return;
+    }
+    const std::size_t at = std::min(m_pingAt, m_pingRing.size());
+    const std::size_t rest = m_pingRing.size() - at;
+    const std::size_t place = (std::hash<DaemonId>()(id) ^ m_salt) % (rest + 1);
+    m_pingRing.insert(m_pingRing.begin() + static_cast<std::ptrdiff_t>(at + place), id);
+}
+
+const MemberEntry *ContactRings::next()
+{
+    refresh();
+    const MemberEntry *far = isFarDue(m_farDue) ? nextFar() : nullptr;
+    if (far != nullptr) {
+        return far;
+    }
+    const MemberEntry *near = nextIn(m_domain);
+    return near != nullptr ? near : nextFar();
+}
+
+std::vector<const MemberEntry *> ContactRings::next(std::size_t count, const DaemonId &except)
+{
+    std::vector<const MemberEntry *> receivers;
+    for (std::size_t tried = 0; tried < 2 * count && receivers.size() < count; ++tried) {
+        const MemberEntry *entry = next();
+        const bool isUsable = entry != nullptr && entry->member.id != except
+            && std::find(receivers.begin(), receivers.end(), entry) == receivers.end();
+        if (isUsable) {
+            receivers.push_back(entry);
+        }
+    }
+    return receivers;
+}
+
+const MemberEntry *ContactRings::nextToPing(IRandom &random)
+{
+    refresh();
+    const MemberEntry *far = isFarDue(m_farPingDue) ? nextFar() : nullptr;
+    return far != nullptr ? far : nextNearToPing(random);
+}
+
+const MemberEntry *ContactRings::nextNearToPing(IRandom &random)
+{
+    for (std::size_t rounds = 0; rounds < 2;) {
+        if (m_pingAt >= m_pingRing.size()) {
+            ++rounds;
+            startPingRound(random);
+            continue;
+        }
+        const MemberEntry *entry = m_table.find(m_pingRing[m_pingAt++]);
+        if (entry != nullptr && isUp(entry->health)) {
+            return entry;
+        }
+    }
+    return nullptr;
+}
+
+void ContactRings::startPingRound(IRandom &random)
+{
+    for (auto &[domain, ring] : m_rings) {
+        shuffle(ring, random);
+    }
+    m_pingAt = 0;
+    const auto near = m_rings.find(m_domain);
+    m_pingRing = near == m_rings.end() ? Ring() : near->second;
+}
+
+bool ContactRings::isNear(const DaemonId &id) const
+{
+    const MemberEntry *entry = m_table.find(id);
+    return entry != nullptr && isNear(entry->member.domain);
+}
+
+std::size_t ContactRings::nearCount() const
+{
+    const auto near = m_rings.find(m_domain);
+    return near == m_rings.end() ? 0 : near->second.size();
+}
+
+/// Of the messages to others, those that leave the failure domain. A large one has more members to
+/// tell at home, and as many to tell others.
+double ContactRings::farShare() const
+{
+    const auto near = static_cast<double>(nearCount());
+    const std::size_t domains = m_rings.size() - m_rings.count(m_domain);
+    const double far = FAR_PER_DOMAIN * static_cast<double>(domains);
+    return far == 0 ? 0 : far / (near + far);
+}
+
+bool ContactRings::isFarDue(double &due) const
+{
+    due += farShare();
+    if (due < 1) {
+        return false;
+    }
+    due -= 1;
+    return true;
+}
+
+/// Takes the other failure domains in turn.
+const MemberEntry *ContactRings::nextFar()
+{
+    for (std::size_t tried = 0; tried <= m_rings.size(); ++tried) {
+        auto ring = m_rings.upper_bound(m_lastDomain);
+        if (ring == m_rings.end()) {
+            ring = m_rings.begin();
+        }
+        if (ring == m_rings.end()) {
+            return nullptr;
+        }
+        m_lastDomain = ring->first;
+        if (isNear(ring->first)) {
+            continue;
+        }
+        if (const MemberEntry *entry = nextIn(ring->first)) {
+            return entry;
+        }
+    }
+    return nullptr;
+}
+
+/// Null when the next one there is not up.
+const MemberEntry *ContactRings::nextIn(const DomainName &domain)
+{
+    const auto ring = m_rings.find(domain);
+    if (ring == m_rings.end()) {
+        return nullptr;
+    }
+    std::size_t &at = m_at[domain];
+    at = (at + 1) % ring->second.size();
+    const MemberEntry *entry = m_table.find(ring->second[at]);
+    return entry != nullptr && isUp(entry->health) ? entry : nullptr;
+}
+
+void ContactRings::shuffle(Ring &ring, IRandom &random)
+{
+    for (std::size_t i = ring.size(); i > 1; --i) {
+        std::swap(ring[i - 1], ring[random.below(i)]);
+    }
+}
+
+} // namespace ivyspar
--- a/src/coordination/membership/internal/membership.cpp
+++ b/src/coordination/membership/internal/membership.cpp
@@ -15,9 +15,6 @@
 constexpr int LAST_CALL_PERIODS = 3;
 constexpr std::size_t GOODBYE_RECEIVERS = 8;
 constexpr std::uint64_t RECONTACTS_PER_SEED = 6;
-/// Messages to each other failure domain while each member of the own one gets one message. What
-/// crosses between two failure domains then does not grow with the square of their members.
-constexpr double FAR_PER_DOMAIN = 1;
 /// Daemons of a failure domain that exchange whole records with another one at a time.
 constexpr double FAR_EXCHANGES = 4;
 /// Others in a failure domain up to which each of them exchanges with other domains: as much is
@@ -44,6 +41,8 @@
 Membership::Membership(TimePoint now, const Member &self, const MembershipOptions &options)
     : m_options(options)
     , m_self(self.id)
+    , m_rings(m_table, self.id, self.domain)
+    , m_seeds(self.domain, options.maxSeeds)
     , m_start(now)
     , m_nextPing(now)
     , m_nextSync(now)
@@ -92,7 +91,7 @@
     m_table.put(entry);
     actions.changed = true;
     // Not by the queue: its bound on sends may be smaller than the number of those to be told.
-    for (const MemberEntry *receiver : nextReceivers(GOODBYE_RECEIVERS, m_self)) {
+    for (const MemberEntry *receiver : m_rings.next(GOODBYE_RECEIVERS, m_self)) {
         MembershipMessage message = makeMessage(GossipMessage());
         message.updates.push_back(makeUpdate(entry, false));
         send(receiver->member.id, receiver->member.peerEndpoint, std::move(message), actions);
@@ -102,13 +101,8 @@
 
 MembershipActions Membership::addSeed(TimePoint /*now*/, const MembershipSeed &seed)
 {
-    const bool isFull = m_seeds.size() >= m_options.maxSeeds;
-    if (isFull || seed.endpoint == self().member.peerEndpoint) {
-        return {};
-    }
-    if (m_seeds.emplace(seed.endpoint, seed.domain).second) {
-        m_silentSeeds.insert(seed.endpoint);
-        m_nearSeeds += isNear(seed.domain) ? 1 : 0;
+    if (seed.endpoint != self().member.peerEndpoint) {
+        m_seeds.add(seed);
     }
     return {};
 }
@@ -131,7 +125,7 @@
         return actions;
     }
     if (!m_lastTick) {
-        m_salt = random.next();
+        m_rings.setSalt(random.next());
         // Daemons that start together would otherwise ping in step for ever.
         m_nextPing = now + Duration(random.below(m_options.period.count()));
     }
@@ -139,9 +133,6 @@
     expireProbes(now, actions);
     expireSuspects(now, actions);
     forgetDead(now);
-    if (m_areRingsStale) {
-        rebuildRings();
-    }
     pingNext(now, random, actions);
     verifyDoubted(now, actions);
     spread(actions);
@@ -317,47 +308,11 @@
     if (m_nextPing <= now) {
         m_nextPing = now + m_options.period;
     }
-    m_farPingDue += farShare();
-    if (m_farPingDue >= 1) {
-        m_farPingDue -= 1;
-        if (const MemberEntry *far = nextFarReceiver()) {
-            startProbe(now, far->member.id, actions);
-            return;
-        }
-    }
-    if (const MemberEntry *near = nextToPing(random)) {
-        startProbe(now, near->member.id, actions);
+    if (const MemberEntry *next = m_rings.nextToPing(random)) {
+        startProbe(now, next->member.id, actions);
     }
 }
 
-/// Takes the members of the own failure domain in random order, each once in a round. Null when
-/// there is none.
-const MemberEntry *Membership::nextToPing(IRandom &random)
-{
-    for (std::size_t tried = 0; tried < 2;) {
-        if (m_pingAt >= m_pingRing.size()) {
-            ++tried;
-            startPingRound(random);
-            continue;
-        }
-        const MemberEntry *entry = m_table.find(m_pingRing[m_pingAt++]);
-        if (entry && isUp(entry->health)) {
-            return entry;
-        }
-    }
-    return nullptr;
-}
-
-void Membership::startPingRound(IRandom &random)
-{
-    for (auto &[domain, ids] : m_receivers) {
-        shuffle(ids, random);
-    }
-    m_pingAt = 0;
-    const auto near = m_receivers.find(self().member.domain);
-    m_pingRing = near == m_receivers.end() ? std::vector<DaemonId>() : near->second;
-}
-
 /// Another daemon holds a member for dead that is up here, as after a partition. Taking its word
 /// would remove whole failure domains when they meet again; asking the member lets it refute.
 void Membership::verifyDoubted(TimePoint now, MembershipActions &actions)
@@ -406,7 +361,7 @@
     m_nextSync = now + (isYoung ? m_seedPause : syncPause());
     // Two failure domains that differ do so in all their members. A few of them exchange; the
     // others have it from these within their own.
-    if (!isNear(m_differing->id) && random.unit() >= farExchangeChance()) {
+    if (!m_rings.isNear(m_differing->id) && random.unit() >= farExchangeChance()) {
         return;
     }
     const auto &buckets = m_table.buckets();
@@ -454,11 +409,11 @@
 {
     m_nextSeed = now + m_seedPause;
     // A daemon that others found first still asks its seeds: they may not know each other.
-    const bool isJoining = now < m_start + JOIN_TIME && !m_silentSeeds.empty();
+    const bool isJoining = now < m_start + JOIN_TIME && m_seeds.hasSilent();
     if (!isJoining && m_table.upCount() > 1) {
         return;
     }
-    if (!m_seeds.empty()) {
+    if (!m_seeds.isEmpty()) {
         m_seedPause = std::min(2 * m_seedPause, m_options.period);
     }
     for (std::size_t i = 0; i < JOIN_SEEDS; ++i) {
@@ -466,186 +421,30 @@
     }
 }
 
-/// The seeds that have not spoken yet, or all, without those that are known to be up.
-std::vector<MembershipSeed> Membership::seedsToAsk() const
-{
-    std::set<Endpoint> up;
-    for (const auto &[id, entry] : m_table.entries()) {
-        if (isUp(entry.health)) {
-            up.insert(entry.member.peerEndpoint);
-        }
-    }
-    std::vector<MembershipSeed> seeds;
-    for (const auto &[endpoint, domain] : m_seeds) {
-        const bool isWanted = m_silentSeeds.empty() || m_silentSeeds.count(endpoint) != 0;
-        if (isWanted && up.count(endpoint) == 0) {
-            seeds.push_back({ endpoint, domain });
-        }
-    }
-    return seeds;
-}
-
 /// Asks a seed of the own failure domain, now and then one of another: when all start at once each
 /// answer is a whole table.
 void Membership::contactSeed(TimePoint now, IRandom &random, MembershipActions &actions)
 {
-    std::vector<MembershipSeed> seeds = seedsToAsk();
-    if (seeds.empty()) {
-        return;
-    }
-    const auto far = std::partition(seeds.begin(), seeds.end(), [this](const MembershipSeed &seed) {
-        return seed.domain.value().empty() || isNear(seed.domain);
-    });
-    const auto nearSeeds = static_cast<std::size_t>(far - seeds.begin());
     const bool isLonely = m_table.upCount() <= 1 && now >= m_start + LONELY_TIME;
-    const bool isAnySought = isLonely || random.unit() < farExchangeChance();
-    if (!isAnySought && nearSeeds == 0) {
+    const bool isFarWanted = isLonely || random.unit() < farExchangeChance();
+    const auto seed = m_seeds.choose(m_table, isFarWanted, random);
+    if (!seed) {
         return;
     }
-    const std::size_t chosen = random.below(isAnySought ? seeds.size() : nearSeeds);
     const auto &buckets = m_table.buckets();
     MembershipMessage message =
         makeEmptyMessage(SyncRequestMessage{ { buckets.begin(), buckets.end() } });
     message.updates.push_back(makeUpdate(self(), true));
-    send(DaemonId(), seeds[chosen].endpoint, std::move(message), actions);
-}
-
-bool Membership::isNear(const DaemonId &id) const
-{
-    const MemberEntry *entry = m_table.find(id);
-    return entry != nullptr && isNear(entry->member.domain);
-}
-
-/// Members of the own failure domain besides this one.
-std::size_t Membership::nearCount() const
-{
-    const auto near = m_receivers.find(self().member.domain);
-    return near == m_receivers.end() ? 0 : near->second.size();
+    send(DaemonId(), *seed, std::move(message), actions);
 }
 
 /// Of the exchanges that a daemon could have with another failure domain, those that it has.
 double Membership::farExchangeChance() const
 {
-    const std::size_t near = std::max(nearCount(), m_nearSeeds);
+    const std::size_t near = std::max(m_rings.nearCount(), m_seeds.nearCount());
     return near <= SMALL_DOMAIN ? 1 : FAR_EXCHANGES / static_cast<double>(near);
 }
 
-/// Of the messages to others, those that leave the failure domain. A large one has more members to
-/// tell at home, and as many to tell others.
-double Membership::farShare() const
-{
-    const auto near = static_cast<double>(nearCount());
-    const std::size_t domains = m_receivers.size() - m_receivers.count(self().member.domain);
-    const double far = FAR_PER_DOMAIN * static_cast<double>(domains);
-    return far == 0 ? 0 : far / (near + far);
-}
-
-void Membership::rebuildRings()
-{
-    m_areRingsStale = false;
-    m_receivers.clear();
-    for (const auto &[id, entry] : m_table.entries()) {
-        if (id != m_self && isUp(entry.health)) {
-            m_receivers[entry.member.domain].push_back(id);
-        }
-    }
-    // The table's order is the same in all daemons that learnt of the members in the same order.
-    for (auto &[domain, ids] : m_receivers) {
-        std::sort(ids.begin(), ids.end());
-        std::uint64_t state = m_salt;
-        for (std::size_t i = ids.size(); i > 1; --i) {
-            constexpr std::uint64_t FACTOR = 6364136223846793005ULL;
-            state = state * FACTOR + 1442695040888963407ULL;
-            std::swap(ids[i - 1], ids[(state >> 33U) % i]);
-        }
-    }
-}
-
-void Membership::shuffle(std::vector<DaemonId> &ids, IRandom &random) const
-{
-    for (std::size_t i = ids.size(); i > 1; --i) {
-        std::swap(ids[i - 1], ids[random.below(i)]);
-    }
-}
-
-/// A newcomer of the own failure domain is put at a random place in the rest of the round: at its
-/// end, each observer would reach it only after a whole round.
-void Membership::joinPingRing(const DaemonId &id)
-{
-    if (!isNear(id)) {
-        return;
-    }
-    const std::size_t at = std::min(m_pingAt, m_pingRing.size());
-    const std::size_t rest = m_pingRing.size() - at;
-    const std::size_t place = (std::hash<DaemonId>()(id) ^ m_salt) % (rest + 1);
-    m_pingRing.insert(m_pingRing.begin() + static_cast<std::ptrdiff_t>(at + place), id);
-}
-
-const MemberEntry *Membership::nextReceiver()
-{
-    if (m_areRingsStale) {
-        rebuildRings();
-    }
-    m_farDue += farShare();
-    if (m_farDue >= 1) {
-        m_farDue -= 1;
-        if (const MemberEntry *far = nextFarReceiver()) {
-            return far;
-        }
-    }
-    const MemberEntry *near = nextReceiverIn(self().member.domain);
-    return near ? near : nextFarReceiver();
-}
-
-const MemberEntry *Membership::nextFarReceiver()
-{
-    for (std::size_t tried = 0; tried <= m_receivers.size(); ++tried) {
-        auto ring = m_receivers.upper_bound(m_lastDomain);
-        if (ring == m_receivers.end()) {
-            ring = m_receivers.begin();
-        }
-        if (ring == m_receivers.end()) {
-            return nullptr;
-        }
-        m_lastDomain = ring->first;
-        if (isNear(ring->first)) {
-            continue;
-        }
-        if (const MemberEntry *entry = nextReceiverIn(ring->first)) {
-            return entry;
-        }
-    }
-    return nullptr;
-}
-
-/// Null when the next one there is not up.
-const MemberEntry *Membership::nextReceiverIn(const DomainName &domain)
-{
-    const auto ring = m_receivers.find(domain);
-    if (ring == m_receivers.end()) {
-        return nullptr;
-    }
-    std::size_t &at = m_receiverAt[domain];
-    at = (at + 1) % ring->second.size();
-    const MemberEntry *entry = m_table.find(ring->second[at]);
-    return entry && isUp(entry->health) ? entry : nullptr;
-}
-
-std::vector<const MemberEntry *> Membership::nextReceivers(std::size_t count,
-                                                           const DaemonId &except)
-{
-    std::vector<const MemberEntry *> receivers;
-    for (std::size_t tried = 0; tried < 2 * count && receivers.size() < count; ++tried) {
-        const MemberEntry *entry = nextReceiver();
-        const bool isUsable = entry && entry->member.id != except
-            && std::find(receivers.begin(), receivers.end(), entry) == receivers.end();
-        if (isUsable) {
-            receivers.push_back(entry);
-        }
-    }
-    return receivers;
-}
-
 double Membership::logMembers() const
 {
     return std::log2(static_cast<double>(m_table.upCount() + 1));
--- a/src/coordination/membership/internal/membership.h
+++ b/src/coordination/membership/internal/membership.h
@@ -8,7 +8,9 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/membership/internal/contactrings.h"
 #include "coordination/membership/internal/membertable.h"
+#include "coordination/membership/internal/seedlist.h"
 #include "coordination/membership/internal/updatequeue.h"
 #include "coordination/membership/membershipfactory.h"
 
@@ -91,7 +93,6 @@
     Duration syncPause() const;
     void seekOthers(TimePoint now, IRandom &random, MembershipActions &actions);
     void contactSeed(TimePoint now, IRandom &random, MembershipActions &actions);
-    std::vector<MembershipSeed> seedsToAsk() const;
 
     void startProbe(TimePoint now, const DaemonId &target, MembershipActions &actions);
     void sendPing(const MemberEntry &target, std::uint64_t sequence, MembershipActions &actions);
@@ -103,22 +104,7 @@
               MembershipActions &actions) const;
     void sendGossip(std::size_t receivers, MembershipActions &actions);
 
-    bool isNear(const DomainName &domain) const { return domain == self().member.domain; }
-    bool isNear(const DaemonId &id) const;
-    std::size_t nearCount() const;
-    double farShare() const;
     double farExchangeChance() const;
-    void rebuildRings();
-    const MemberEntry *nextToPing(IRandom &random);
-    void startPingRound(IRandom &random);
-    void shuffle(std::vector<DaemonId> &ids, IRandom &random) const;
-    void joinPingRing(const DaemonId &id);
-    /// Next member to send to: see farShare().
-    const MemberEntry *nextReceiver();
-    /// Takes the other failure domains in turn.
-    const MemberEntry *nextFarReceiver();
-    const MemberEntry *nextReceiverIn(const DomainName &domain);
-    std::vector<const MemberEntry *> nextReceivers(std::size_t count, const DaemonId &except);
     std::size_t takeSyncBytes(TimePoint now);
 
     double logMembers() const;
@@ -136,23 +122,8 @@
     /// Members that another daemon holds for dead at a version, and this one does not.
     std::deque<std::pair<DaemonId, std::uint64_t>> m_doubted;
 
-    std::vector<DaemonId> m_pingRing;
-    std::size_t m_pingAt = 0;
-    /// Those that are up, by failure domain.
-    std::map<DomainName, std::vector<DaemonId>> m_receivers;
-    std::map<DomainName, std::size_t> m_receiverAt;
-    DomainName m_lastDomain;
-    /// Messages to other failure domains that are due, and parts of one.
-    double m_farDue = 0;
-    /// The same for pings.
-    double m_farPingDue = 0;
-    bool m_areRingsStale = true;
-
-    std::map<Endpoint, DomainName> m_seeds;
-    /// Those of the own failure domain.
-    std::size_t m_nearSeeds = 0;
-    /// Those that have not spoken yet.
-    std::set<Endpoint> m_silentSeeds;
+    ContactRings m_rings;
+    SeedList m_seeds;
     std::optional<Differing> m_differing;
     /// The digest has agreed with another member's at least once.
     bool m_hasAgreed = false;
@@ -170,7 +141,6 @@
     TimePoint m_syncBytesAt;
     std::size_t m_syncCursor = 0;
     std::size_t m_lastCall = 0;
-    std::uint64_t m_salt = 0;
 };
 
 } // namespace ivyspar
--- /dev/null
+++ b/src/coordination/membership/internal/seedlist.cpp
@@ -0,0 +1,57 @@
+#include "coordination/membership/internal/seedlist.h"
+
+#include <utility>
+
+namespace ivyspar {
+
+SeedList::SeedList(DomainName domain, std::size_t most)
+    : m_domain(std::move(domain))
+    , m_most(most)
+{
+}
+
+void SeedList::add(const MembershipSeed &seed)
+{
+    if (m_seeds.size() >= m_most || !m_seeds.emplace(seed.endpoint, seed.domain).second) {
+        return;
+    }
+    m_silent.insert(seed.endpoint);
+    m_nearCount += seed.domain == m_domain ? 1 : 0;
+}
+
+std::optional<Endpoint> SeedList::choose(const MemberTable &table, bool isFarWanted,
+                                         IRandom &random) const
+{
+    const std::vector<Endpoint> found = candidates(table, isFarWanted);
+    if (found.empty()) {
+        return std::nullopt;
+    }
+    return found[random.below(found.size())];
+}
+
+std::vector<Endpoint> SeedList::candidates(const MemberTable &table, bool isFarWanted) const
+{
+    std::set<Endpoint> up;
+    for (const auto &[id, entry] : table.entries()) {
+        if (isUp(entry.health)) {
+            up.insert(entry.member.peerEndpoint);
+        }
+    }
+    std::vector<Endpoint> found;
+    for (const auto &[endpoint, domain] : m_seeds) {
+        const bool isWanted = m_silent.empty() || m_silent.count(endpoint) != 0;
+        const bool isInReach = isFarWanted || isNear(domain);
+        if (isWanted && isInReach && up.count(endpoint) == 0) {
+            found.push_back(endpoint);
+        }
+    }
+    return found;
+}
+
+/// One whose failure domain is not known may be near.
+bool SeedList::isNear(const DomainName &domain) const
+{
+    return domain.value().empty() || domain == m_domain;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/membership/internal/seedlist.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "coordination/membership/imembership.h"
+#include "coordination/membership/internal/membertable.h"
+#include "state/irandom.h"
+
+namespace ivyspar {
+
+/// Where a daemon looks for others: endpoints from the settings or the log, many of them of daemons
+/// long gone.
+class SeedList
+{
+public:
+    SeedList(DomainName domain, std::size_t most);
+
+    void add(const MembershipSeed &seed);
+    /// The daemon there spoke.
+    void note(const Endpoint &endpoint) { m_silent.erase(endpoint); }
+    bool isEmpty() const { return m_seeds.empty(); }
+    /// Whether some have not spoken yet.
+    bool hasSilent() const { return !m_silent.empty(); }
+    /// Those of the own failure domain.
+    std::size_t nearCount() const { return m_nearCount; }
+
+    /// One that is not known to be up, and has not spoken yet if there is such a one: of any
+    /// failure domain, or of the own one if `isFarWanted` is false. Nothing if there is none.
+    std::optional<Endpoint> choose(const MemberTable &table, bool isFarWanted,
+                                   IRandom &random) const;
+
+private:
+    std::vector<Endpoint> candidates(const MemberTable &table, bool isFarWanted) const;
+    bool isNear(const DomainName &domain) const;
+
+    DomainName m_domain;
+    std::size_t m_most;
+    std::map<Endpoint, DomainName> m_seeds;
+    std::set<Endpoint> m_silent;
+    std::size_t m_nearCount = 0;
+};
+
+} // namespace ivyspar
--- a/src/coordination/membership/membershipfactory.h
+++ b/src/coordination/membership/membershipfactory.h
@@ -7,7 +7,7 @@
 
 namespace ivyspar {
 
-/// Times are of the observer's own clock. docs/notes/membership.md has the figures behind them.
+/// Times are of the observer's own clock. docs/notes/membership.md has the reasons.
 struct MembershipOptions
 {
     /// One member is pinged in each period.
