--- a/src/app/internal/control/memberdirectory.cpp
+++ b/src/app/internal/control/memberdirectory.cpp
@@ -73,11 +73,11 @@
 /// wrote: of two daemons that start together, the one that is entered later finds the other.
 Ret MemberDirectory::step()
 {
-    const Ret read = readNews();
+    Ret read = readNews();
     if (!read || m_isEntered) {
         return read;
     }
-    const Ret entered = enterSelf();
+    Ret entered = enterSelf();
     return entered ? readNews() : entered;
 }
 
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -33,35 +33,6 @@
     return CallId(std::strtoull(token.c_str(), nullptr, 16));
 }
 
-Reason reasonOf(const HttpFailure &failure)
-{
-    switch (failure.cause) {
-    case HttpFailureCause::Connect:
-        return Reason::ConnectFailed;
-    case HttpFailureCause::Timeout:
-        return Reason::Timeout;
-    case HttpFailureCause::Cancelled:
-        return Reason::Cancelled;
-    case HttpFailureCause::Broken:
-        return Reason::BrokenAnswer;
-    case HttpFailureCause::NoConnection:
-        return Reason::QueueFull;
-    }
-    return Reason::BrokenAnswer;
-}
-
-CallResult resultOf(const HttpFailure &failure)
-{
-    switch (failure.cause) {
-    case HttpFailureCause::Timeout:
-        return CallResult::TimedOut;
-    case HttpFailureCause::Cancelled:
-        return CallResult::Cancelled;
-    default:
-        return CallResult::Failure;
-    }
-}
-
 } // namespace
 
 GateService::GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
@@ -389,12 +360,10 @@
     RunEnd end;
     if (upstream->isWithdrawn) {
         // It was withdrawn after the gate had let the call through.
-        end.verdict = Verdict{ Outcome::NotRun, Reason::Draining, Duration::zero() };
-        end.result = CallResult::Cancelled;
+        end = notRun(Reason::Draining);
     } else if (found->second.isHolding && !m_once.start(id)) {
         // The process was paused past the time in which the key is its own.
-        end.verdict = Verdict{ Outcome::NotRun, Reason::DeadlineExceeded, Duration::zero() };
-        end.result = CallResult::Cancelled;
+        end = notRun(Reason::DeadlineExceeded);
     } else {
         end = sendToServer(service, server, id);
     }
@@ -434,8 +403,7 @@
 ///    above have worked for it.
 /// 3. Sent once more from here, the call costs a message on this host and no time of the entry. It
 ///    is only done for what the server says it has not begun.
-GateService::RunEnd GateService::sendToServer(const ServiceName &service,
-                                              const Announcement &server, CallId id)
+RunEnd GateService::sendToServer(const ServiceName &service, const Announcement &server, CallId id)
 {
     const Call &call = m_calls.at(id);
     findUpstream(service)->repeats->onArrival(m_loop.now(), call.message.isRepeat);
@@ -477,7 +445,7 @@
     return upstream->repeats->take(now, priorityOf(call.message.rank));
 }
 
-GateService::RunEnd GateService::exchange(const Announcement &server, CallId id, const Call &call)
+RunEnd GateService::exchange(const Announcement &server, CallId id, const Call &call)
 {
     const auto remaining = std::chrono::duration_cast<Duration>(call.deadline - m_loop.now());
     HttpRequest request = call.message.request;
@@ -487,48 +455,10 @@
     m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
     m_parents->onEnd(m_loop.now(), id);
-    return result ? judge(server.instance, std::move(*result))
-                  : judgeFailure(server.instance, result.error());
-}
-
-GateService::RunEnd GateService::judge(const UpstreamId &instance, HttpResponse response)
-{
-    RunEnd end;
-    switch (m_dialect.judge(response)) {
-    case UpstreamAnswer::Refused:
-        end.verdict = Verdict{ Outcome::NotRun, Reason::UpstreamRefused, Duration::zero() };
-        end.result = CallResult::Overloaded;
-        return end;
-    case UpstreamAnswer::OtherInstance:
-        tellDoubt(instance);
-        end.verdict = Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() };
-        end.result = CallResult::Failure;
-        return end;
-    case UpstreamAnswer::Broken:
-        end.verdict = Verdict{ Outcome::Unknown, Reason::BrokenAnswer, Duration::zero() };
-        end.result = CallResult::Failure;
-        return end;
-    case UpstreamAnswer::Ran:
-        break;
-    }
-    end.verdict.outcome = Outcome::Answered;
-    end.result = isServerError(response.status) ? CallResult::Failure : CallResult::Success;
-    end.response = std::move(response);
-    m_dialect.clean(end.response);
-    return end;
-}
-
-GateService::RunEnd GateService::judgeFailure(const UpstreamId &instance,
-                                              const HttpFailure &failure)
-{
-    if (failure.cause == HttpFailureCause::Connect) {
-        tellDoubt(instance);
+    RunEnd end = result ? judgeAnswer(m_dialect, std::move(*result)) : judgeFailure(result.error());
+    if (end.isServerDoubted) {
+        tellDoubt(server.instance);
     }
-    RunEnd end;
-    const bool isProven = failure.stage == HttpFailureStage::NotSent;
-    end.verdict.outcome = isProven ? Outcome::NotRun : Outcome::Unknown;
-    end.verdict.reason = reasonOf(failure);
-    end.result = resultOf(failure);
     return end;
 }
 
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -9,6 +9,7 @@
 #include "app/internal/gate/gaterecorder.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/gate/ionceservice.h"
+#include "app/internal/gate/runend.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/looplag.h"
 #include "app/internal/waketimer.h"
@@ -121,14 +122,6 @@
         /// Holds its key or ticket: the end of its run is told to the once service.
         bool isHolding = false;
     };
-    /// How a run at the upstream ended.
-    struct RunEnd
-    {
-        Verdict verdict;
-        CallResult result = CallResult::Success;
-        HttpResponse response;
-    };
-
     Upstream *findUpstream(const ServiceName &service);
     CallContext makeContext(const Call &call) const;
     CallId newCallId();
@@ -140,8 +133,6 @@
     RunEnd exchange(const Announcement &server, CallId id, const Call &call);
     void noteSend(const ServiceName &service, const RunEnd &end);
     bool mayRepeat(const ServiceName &service, const Announcement &server, CallId id);
-    RunEnd judge(const UpstreamId &instance, HttpResponse response);
-    RunEnd judgeFailure(const UpstreamId &instance, const HttpFailure &failure);
     void tellDoubt(const UpstreamId &instance);
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
--- a/src/app/tests/controlchanneltest.cpp
+++ b/src/app/tests/controlchanneltest.cpp
@@ -46,7 +46,7 @@
                               m_codec,
                               m_observers.observers(),
                               [this](const DaemonId & /*to*/, const Endpoint & /*endpoint*/,
-                                     std::string payload) { m_byLink.push_back(payload); },
+                                     const std::string &payload) { m_byLink.push_back(payload); },
                               [this](const ControlMessage &message) {
                                   m_received.push_back(message);
                               } };
