--- a/src/app/internal/commands/explaincommand.cpp
+++ b/src/app/internal/commands/explaincommand.cpp
@@ -5,7 +5,9 @@
 
 #include "app/internal/commands/commands.h"
 #include "app/internal/commands/explaintext.h"
+#include "app/internal/commands/failuresummary.h"
 #include "app/internal/commands/requesthistory.h"
+#include "app/internal/settings/flags.h"
 #include "app/internal/settings/flagset.h"
 
 namespace ivyspar {
@@ -13,17 +15,30 @@
 namespace {
 
 const char HELP[] = R"(Usage: ivyspar explain ID FILE...
+       ivyspar explain --summary FILE...
 
 Reads decision logs of several daemons and prints the course of a request: what each daemon decided,
 on what, and why it ended as it did. ID is the request's id, or that of a call made for it, as sixteen
 hexadecimal digits. The files may hold other text before each line, and lines of other programs.
 
-Exits with 0 if lines of the request were found, else with 1.
+With --summary prints what failed requests ended for, by cause, with the worst second of each and the
+id of one to explain.
 
-Example:
+Exits with 0 if lines of the request, or ends of requests, were found, else with 1.
+
+Examples:
+  ivyspar explain --summary decisions-1.log decisions-2.log
   ivyspar explain d93fe0ff0f152cf4 decisions-1.log decisions-2.log
+
+Flags:
 )";
 
+const FlagSet &explainFlags()
+{
+    static const FlagSet FLAGS({ "summary" });
+    return FLAGS;
+}
+
 bool isId(const std::string &text)
 {
     constexpr std::size_t ID_SIZE = 16;
@@ -39,41 +54,57 @@
     return text;
 }
 
+void findUnreadable(const std::vector<std::string> &files, std::vector<std::string> &errors)
+{
+    for (const std::string &file : files) {
+        if (!std::ifstream(file)) {
+            errors.push_back(file + " cannot be read");
+        }
+    }
+}
+
+std::vector<std::string> filesOf(const std::vector<std::string> &operands)
+{
+    const std::size_t first = FLAGS_summary ? 0 : 1;
+    return operands.size() > first ? std::vector<std::string>(
+               operands.begin() + static_cast<std::ptrdiff_t>(first), operands.end())
+                                   : std::vector<std::string>();
+}
+
 std::vector<std::string> findErrors(const std::vector<std::string> &operands)
 {
     std::vector<std::string> errors;
-    if (operands.size() < 2) {
-        errors.emplace_back("expected an id and one file or more");
+    const std::vector<std::string> files = filesOf(operands);
+    if (files.empty()) {
+        errors.emplace_back(FLAGS_summary ? "expected one file or more"
+                                          : "expected an id and one file or more");
         return errors;
     }
-    if (!isId(operands.front())) {
+    if (!FLAGS_summary && !isId(operands.front())) {
         errors.push_back('"' + operands.front() + "\" is not sixteen hexadecimal digits");
     }
-    for (std::size_t i = 1; i < operands.size(); ++i) {
-        if (!std::ifstream(operands[i])) {
-            errors.push_back(operands[i] + " cannot be read");
-        }
-    }
+    findUnreadable(files, errors);
     return errors;
 }
 
-} // namespace
-
-int runExplainCommand(const Arguments &arguments)
+int explainAll(const std::vector<std::string> &files)
 {
-    const FlagSet noFlags({});
-    ParsedFlags parsed = noFlags.parse(arguments, processEnvironment);
-    if (parsed.isHelpWanted) {
-        std::fputs(HELP, stdout);
-        return 0;
+    FailureSummary summary;
+    for (const std::string &file : files) {
+        std::ifstream log(file);
+        summary.findFailed(log);
     }
-    const std::vector<std::string> errors =
-        parsed.errors.empty() ? findErrors(parsed.operands) : parsed.errors;
-    if (!errors.empty()) {
-        return failUsage("explain", errors);
+    for (const std::string &file : files) {
+        std::ifstream log(file);
+        summary.collect(log);
     }
-    const std::vector<std::string> files(parsed.operands.begin() + 1, parsed.operands.end());
-    RequestHistory history(lowered(parsed.operands.front()));
+    std::fputs(toSummary(summary).c_str(), stdout);
+    return summary.seconds().empty() ? EXIT_RUNTIME : 0;
+}
+
+int explainOne(const std::string &id, const std::vector<std::string> &files)
+{
+    RequestHistory history(lowered(id));
     for (const std::string &file : files) {
         std::ifstream log(file);
         history.findRoot(log);
@@ -86,4 +117,22 @@
     return history.events().empty() ? EXIT_RUNTIME : 0;
 }
 
+} // namespace
+
+int runExplainCommand(const Arguments &arguments)
+{
+    const ParsedFlags parsed = explainFlags().parse(arguments, processEnvironment);
+    if (parsed.isHelpWanted) {
+        std::printf("%s%s", HELP, explainFlags().help().c_str());
+        return 0;
+    }
+    const std::vector<std::string> errors =
+        parsed.errors.empty() ? findErrors(parsed.operands) : parsed.errors;
+    if (!errors.empty()) {
+        return failUsage("explain", errors);
+    }
+    const std::vector<std::string> files = filesOf(parsed.operands);
+    return FLAGS_summary ? explainAll(files) : explainOne(parsed.operands.front(), files);
+}
+
 } // namespace ivyspar
--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -42,14 +42,9 @@
     return reason;
 }
 
-/// The end of the caller's request at its entry: gates say how long a call waited, entries how long
-/// the whole took.
 const HistoryEvent *findEnd(const std::vector<HistoryEvent> &events)
 {
-    const auto end = std::find_if(events.rbegin(), events.rend(), [](const HistoryEvent &event) {
-        const bool isEnd = event.event == "answer" || event.event == "refuse";
-        return isEnd && !event.has("call") && !event.has("waited_ms");
-    });
+    const auto end = std::find_if(events.rbegin(), events.rend(), isRequestEnd);
     return end == events.rend() ? nullptr : &*end;
 }
 
@@ -153,6 +148,38 @@
 
 } // namespace
 
+/// Gates say how long a call waited, entries how long the whole took.
+bool isRequestEnd(const HistoryEvent &event)
+{
+    const bool isEnd = event.event == "answer" || event.event == "refuse";
+    return isEnd && !event.has("call") && !event.has("waited_ms");
+}
+
+bool hasFailed(const HistoryEvent &end)
+{
+    return end.event == "refuse" || isServerError(statusOf(end));
+}
+
+std::string shortCause(const std::vector<HistoryEvent> &events)
+{
+    const HistoryEvent &end = events.back();
+    const HistoryEvent *failure = findFailure(events, &end);
+    if (end.event == "refuse") {
+        const std::string place = end.text("service");
+        const std::string narrow = end.has("load") ? " for the load of " + end.text("choice") : "";
+        return place + ", " + end.text("outcome") + ": " + end.text("reason") + narrow;
+    }
+    std::string text = end.text("service") + ", answered with " + std::to_string(statusOf(end));
+    if (failure != nullptr) {
+        return text + ": a call to " + failure->text("service") + " ended with "
+            + failure->text("reason");
+    }
+    const HistoryEvent *first = findFirstError(events);
+    return first != nullptr
+        ? text + ": the first error was that of a server of " + first->text("service")
+        : text + ": the logs name no error below it";
+}
+
 std::string findCause(const std::vector<HistoryEvent> &events)
 {
     const HistoryEvent *end = findEnd(events);
--- a/src/app/internal/commands/requesthistory.cpp
+++ b/src/app/internal/commands/requesthistory.cpp
@@ -4,45 +4,17 @@
 #include <array>
 #include <cstdio>
 #include <ctime>
-#include <optional>
 #include <utility>
 
 namespace ivyspar {
 
 namespace {
 
-using Json = nlohmann::ordered_json;
-
 constexpr std::array<const char *, 5> BELIEFS{ "configuration", "membership", "upstream",
                                                "dependency", "lifecycle" };
 /// Changes of belief that are older were known to all when the request came.
 constexpr double BEFORE_SECONDS = 1;
 
-/// Other programs put words of their own before the line, so it begins with its first brace.
-std::optional<HistoryEvent> parseLine(const std::string &line)
-{
-    const std::size_t start = line.find('{');
-    if (start == std::string::npos) {
-        return std::nullopt;
-    }
-    Json fields =
-        Json::parse(line.begin() + static_cast<std::ptrdiff_t>(start), line.end(), nullptr, false);
-    const bool isEvent = fields.is_object() && fields.contains("event")
-        && fields["event"].is_string() && fields.contains("time") && fields["time"].is_string();
-    if (!isEvent) {
-        return std::nullopt;
-    }
-    HistoryEvent event;
-    event.fields = std::move(fields);
-    event.time = event.text("time");
-    event.daemon = event.text("daemon");
-    event.event = event.text("event");
-    for (const char *name : { "time", "daemon", "event" }) {
-        event.fields.erase(name);
-    }
-    return event;
-}
-
 /// Seconds since 1970 of a time like 2026-12-02T20:30:24.662Z; 0 if it is not one.
 double secondsOf(const std::string &time)
 {
@@ -74,12 +46,6 @@
 
 } // namespace
 
-std::string HistoryEvent::text(const char *field) const
-{
-    const auto found = fields.find(field);
-    return found != fields.end() && found->is_string() ? found->get<std::string>() : std::string();
-}
-
 RequestHistory::RequestHistory(std::string id)
     : m_id(std::move(id))
     , m_root(m_id)
@@ -93,7 +59,7 @@
         if (line.find(m_id) == std::string::npos) {
             continue;
         }
-        const auto event = parseLine(line);
+        const auto event = parseHistoryEvent(line);
         if (event && event->text("call") == m_id) {
             m_root = event->text("request");
         }
@@ -106,7 +72,7 @@
     source.name = name;
     std::string line;
     while (std::getline(log, line)) {
-        auto event = parseLine(line);
+        auto event = parseHistoryEvent(line);
         source.lines += event ? 1 : 0;
         source.isCut = !event && line.find('{') != std::string::npos && log.eof();
         if (!event) {
--- a/src/app/internal/commands/requesthistory.h
+++ b/src/app/internal/commands/requesthistory.h
@@ -5,24 +5,10 @@
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "app/internal/commands/historyevent.h"
 
 namespace ivyspar {
 
-/// One line of a daemon's decision log.
-struct HistoryEvent
-{
-    std::string time;
-    std::string daemon;
-    std::string event;
-    /// All other fields, in the order of the line.
-    nlohmann::ordered_json fields;
-
-    /// Empty if there is no such text.
-    std::string text(const char *field) const;
-    bool has(const char *field) const { return fields.contains(field); }
-};
-
 /// A log that was read.
 struct HistorySource
 {
--- a/src/app/internal/settings/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -48,5 +48,6 @@
 DEFINE_bool(restart, false,
             "Begins anew: only when neither a daemon nor the log knows the current version.");
 DEFINE_string(operator, "127.0.0.1:7401", "IP:PORT of the daemon's operator interface.");
+DEFINE_bool(summary, false, "Groups all failed requests by their cause, the largest group first.");
 DEFINE_bool(json, false, "Prints the status as the daemon sent it.");
 // NOLINTEND(readability-identifier-naming)
--- a/src/app/internal/settings/flags.h
+++ b/src/app/internal/settings/flags.h
@@ -33,4 +33,5 @@
 DECLARE_string(change_id);
 DECLARE_bool(restart);
 DECLARE_string(operator);
+DECLARE_bool(summary);
 DECLARE_bool(json);
