Tests: one simulated clock for the models of gossip, claims and entries

The queue of events stood three times. No change of what the tests do: the models' random draws and orders are the same, the claims' model still forgets old records before each event.

--- a/src/coordination/admission/tests/manyentriestest.cpp
+++ b/src/coordination/admission/tests/manyentriestest.cpp
@@ -1,15 +1,13 @@
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <tuple>
 #include <vector>
 
 #include "coordination/admission/gatefactory.h"
 #include "coordination/admission/irootadmission.h"
 #include "state/internal/seededrandom.h"
+#include "state/tests/mocks/simulatedtime.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -65,14 +63,7 @@
     double runWindow()
     {
         m_whole = 0;
-        const TimePoint end = m_now + WINDOW;
-        while (m_events.top().at <= end) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.action();
-        }
-        m_now = end;
+        m_time.run(WINDOW);
         return static_cast<double>(m_whole) / (capacity() * toSeconds(WINDOW));
     }
 
@@ -89,26 +80,10 @@
         double loads = 0;
     };
     using TreePtr = std::shared_ptr<Tree>;
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-        friend bool operator<(const Event &a, const Event &b)
-        {
-            return std::tie(a.at, a.order) > std::tie(b.at, b.order);
-        }
-    };
-
-    void schedule(Duration delay, std::function<void()> action)
-    {
-        m_events.push({ m_now + delay, ++m_order, std::move(action) });
-    }
-
     void scheduleArrival()
     {
         const double pause = -std::log(1 - m_random.unit()) / m_rate;
-        schedule(Duration(std::llround(pause * 1e6)), [this] {
+        m_time.schedule(Duration(std::llround(pause * 1e6)), [this] {
             scheduleArrival();
             arrive(m_random.below(m_entries.size()), false);
         });
@@ -117,19 +92,19 @@
     void arrive(std::size_t entry, bool isReturn)
     {
         IRootAdmission &admission = *m_entries[entry];
-        if (!admission.admit(m_now, TRAY)) {
+        if (!admission.admit(m_time.now(), TRAY)) {
             if (!isReturn) {
-                schedule(milliseconds(400 + m_random.below(400)),
-                         [this] { arrive(m_random.below(m_entries.size()), true); });
+                m_time.schedule(milliseconds(400 + m_random.below(400)),
+                                [this] { arrive(m_random.below(m_entries.size()), true); });
             }
             return;
         }
         const TreePtr tree = std::make_shared<Tree>();
         tree->entry = entry;
-        tree->letIn = admission.letIn(m_now, TRAY);
+        tree->letIn = admission.letIn(m_time.now(), TRAY);
         tree->usage.service = PLANNER;
         tree->usage.calls = 0;
-        schedule(OTHER_WORK, [this, tree] { startBatch(tree); });
+        m_time.schedule(OTHER_WORK, [this, tree] { startBatch(tree); });
     }
 
     void startBatch(const TreePtr &tree)
@@ -139,9 +114,9 @@
             const std::size_t gate = m_random.below(GATES);
             const CallId id(++m_lastCall);
             m_calls[id] = tree;
-            perform(
-                gate,
-                m_gates[gate]->offer(m_now, { id, Rank(1000), m_now + CALL_LIMIT, tree->letIn }));
+            perform(gate,
+                    m_gates[gate]->offer(
+                        m_time.now(), { id, Rank(1000), m_time.now() + CALL_LIMIT, tree->letIn }));
         }
     }
 
@@ -153,8 +128,9 @@
                 continue;
             }
             const Duration time = CALL_TIME / 2 + Duration(m_random.below(CALL_TIME.count()));
-            schedule(time, [this, gate, id = action.id, time] {
-                const auto next = m_gates[gate]->finish(m_now, id, CallResult::Success, time);
+            m_time.schedule(time, [this, gate, id = action.id, time] {
+                const auto next =
+                    m_gates[gate]->finish(m_time.now(), id, CallResult::Success, time);
                 m_calls[id]->usage.busy += time;
                 endCall(gate, id, true);
                 perform(gate, next);
@@ -167,35 +143,33 @@
         const TreePtr tree = m_calls[id];
         m_calls.erase(id);
         ++tree->usage.calls;
-        tree->loads += m_gates[gate]->load(m_now).demand.value();
+        tree->loads += m_gates[gate]->load(m_time.now()).demand.value();
         tree->isBroken = tree->isBroken || !isWhole;
         if (--tree->open > 0) {
             return;
         }
         if (!tree->isBroken && ++tree->batch < BATCHES) {
-            schedule(OTHER_WORK, [this, tree] { startBatch(tree); });
+            m_time.schedule(OTHER_WORK, [this, tree] { startBatch(tree); });
             return;
         }
-        schedule(OTHER_WORK, [this, tree] { end(*tree); });
+        m_time.schedule(OTHER_WORK, [this, tree] { end(*tree); });
     }
 
     void end(Tree &tree)
     {
         tree.usage.load = DemandLoad(static_cast<std::uint32_t>(tree.loads / tree.usage.calls));
         IRootAdmission &admission = *m_entries[tree.entry];
-        admission.onEnd(m_now, TRAY, { tree.usage }, !tree.isBroken);
+        admission.onEnd(m_time.now(), TRAY, { tree.usage }, !tree.isBroken);
         admission.onFinish(TRAY, tree.isBroken ? RootEnd::Failed : RootEnd::Whole);
         m_whole += tree.isBroken ? 0 : 1;
     }
 
     SeededRandom m_random{ 8 };
+    SimulatedTime m_time{ TimePoint(seconds(100)) };
     double m_rate;
     std::vector<std::unique_ptr<IRootAdmission>> m_entries;
     std::vector<std::unique_ptr<IGate>> m_gates;
-    std::priority_queue<Event> m_events;
     std::map<CallId, TreePtr> m_calls;
-    TimePoint m_now{ seconds(100) };
-    std::uint64_t m_order = 0;
     std::uint64_t m_lastCall = 0;
     std::size_t m_whole = 0;
 };
--- a/src/coordination/membership/tests/mocks/membershipfabric.h
+++ b/src/coordination/membership/tests/mocks/membershipfabric.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <utility>
@@ -13,6 +12,7 @@
 
 #include "coordination/membership/membershipfactory.h"
 #include "state/internal/seededrandom.h"
+#include "state/tests/mocks/simulatedtime.h"
 
 namespace ivyspar {
 
@@ -66,10 +66,13 @@
         return owner == m_owners.end() ? NONE : owner->second;
     }
     void crash(std::size_t index) { m_nodes[index].isRunning = false; }
-    void freeze(std::size_t index, Duration time) { m_nodes[index].frozenUntil = m_now + time; }
+    void freeze(std::size_t index, Duration time)
+    {
+        m_nodes[index].frozenUntil = m_time.now() + time;
+    }
     void leave(std::size_t index)
     {
-        deliver(index, m_nodes[index].membership->leave(m_now));
+        deliver(index, m_nodes[index].membership->leave(m_time.now()));
         crash(index);
     }
     void setLoss(double share) { m_loss = share; }
@@ -77,17 +80,7 @@
     void cut(const std::string &domain) { m_cut.insert(DomainName(domain)); }
     void mend() { m_cut.clear(); }
 
-    void run(Duration time)
-    {
-        const TimePoint end = m_now + time;
-        while (!m_events.empty() && m_events.top().at <= end) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.action();
-        }
-        m_now = end;
-    }
+    void run(Duration time) { m_time.run(time); }
 
     /// Runs until `condition` holds; returns the time that it took, or `limit`.
     template <typename Condition> Duration runUntil(Condition condition, Duration limit)
@@ -123,7 +116,7 @@
 
     Node &node(std::size_t index) { return m_nodes[index]; }
     std::size_t size() const { return m_nodes.size(); }
-    TimePoint now() const { return m_now; }
+    TimePoint now() const { return m_time.now(); }
     SeededRandom &random() { return m_random; }
     /// Carries actions that the test asked a daemon for.
     void deliver(std::size_t index, const MembershipActions &actions)
@@ -147,18 +140,6 @@
     std::function<void(bool isBegin)> onTick;
 
 private:
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        friend bool operator<(const Event &a, const Event &b)
-        {
-            return std::tie(a.at, a.order) > std::tie(b.at, b.order);
-        }
-    };
-
     void boot(std::size_t index, std::size_t seed)
     {
         Node &node = m_nodes[index];
@@ -168,22 +149,18 @@
         node.isRunning = true;
         node.unread.clear();
         m_owners[node.record.peerEndpoint] = index;
-        node.membership = makeMembership(m_now, node.record, m_options);
+        node.membership = makeMembership(m_time.now(), node.record, m_options);
         if (seed != NONE) {
             const Endpoint endpoint = m_nodes[seed].record.peerEndpoint;
-            deliver(index,
-                    node.membership->addSeed(m_now, { endpoint, m_nodes[seed].record.domain }));
+            deliver(
+                index,
+                node.membership->addSeed(m_time.now(), { endpoint, m_nodes[seed].record.domain }));
         }
     }
 
-    void schedule(Duration delay, std::function<void()> action)
-    {
-        m_events.push({ m_now + delay, ++m_order, std::move(action) });
-    }
-
     void scheduleTick(std::size_t index, Duration delay)
     {
-        schedule(delay, [this, index] {
+        m_time.schedule(delay, [this, index] {
             scheduleTick(index, m_options.gossipInterval);
             tick(index);
         });
@@ -192,20 +169,20 @@
     void tick(std::size_t index)
     {
         Node &node = m_nodes[index];
-        if (!node.isRunning || m_now < node.frozenUntil) {
+        if (!node.isRunning || m_time.now() < node.frozenUntil) {
             return;
         }
         if (onTick) {
             onTick(true);
         }
-        const MembershipActions actions = node.membership->tick(m_now, m_random);
+        const MembershipActions actions = node.membership->tick(m_time.now(), m_random);
         if (onTick) {
             onTick(false);
         }
         deliver(index, actions);
         // A process that wakes up runs its timers before it reads what waits in its sockets.
         for (const auto &[from, message] : std::exchange(node.unread, {})) {
-            deliver(index, node.membership->receive(m_now, from, message));
+            deliver(index, node.membership->receive(m_time.now(), from, message));
         }
     }
 
@@ -216,10 +193,10 @@
             return;
         }
         constexpr std::uint64_t MAX_DELAY_US = 2000;
-        schedule(Duration(500 + m_random.below(MAX_DELAY_US)),
-                 [this, sender, receiver = owner->second, datagram] {
-                     arrive(sender, receiver, datagram);
-                 });
+        m_time.schedule(Duration(500 + m_random.below(MAX_DELAY_US)),
+                        [this, sender, receiver = owner->second, datagram] {
+                            arrive(sender, receiver, datagram);
+                        });
     }
 
     void arrive(std::size_t sender, std::size_t receiver, const MembershipDatagram &datagram)
@@ -231,21 +208,20 @@
         if (isCut || !node.isRunning || node.record.peerEndpoint != datagram.endpoint) {
             return;
         }
-        if (m_now < node.frozenUntil) {
+        if (m_time.now() < node.frozenUntil) {
             node.unread.emplace_back(m_nodes[sender].record.id, datagram.message);
             return;
         }
-        deliver(receiver,
-                node.membership->receive(m_now, m_nodes[sender].record.id, datagram.message));
+        deliver(
+            receiver,
+            node.membership->receive(m_time.now(), m_nodes[sender].record.id, datagram.message));
     }
 
     MembershipOptions m_options;
     SeededRandom m_random;
     std::vector<Node> m_nodes;
     std::map<Endpoint, std::size_t> m_owners;
-    std::priority_queue<Event> m_events;
-    TimePoint m_now{ std::chrono::hours(1) };
-    std::uint64_t m_order = 0;
+    SimulatedTime m_time{ TimePoint(std::chrono::hours(1)) };
     std::uint64_t m_boots = 0;
     double m_loss = 0;
     std::set<DomainName> m_cut;
--- a/src/coordination/once/tests/mocks/oncefabric.h
+++ b/src/coordination/once/tests/mocks/oncefabric.h
@@ -4,13 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "coordination/once/oncefactory.h"
 #include "state/internal/seededrandom.h"
+#include "state/tests/mocks/simulatedtime.h"
 
 namespace ivyspar {
 
@@ -105,22 +105,14 @@
     }
     void freeze(std::size_t node, Duration time)
     {
-        m_nodes[node].frozenUntil = std::max(m_nodes[node].frozenUntil, m_now + time);
+        m_nodes[node].frozenUntil = std::max(m_nodes[node].frozenUntil, m_time.now() + time);
     }
     void setOutage(bool isDown) { m_isDown = isDown; }
     void setFaults(const Faults &faults) { m_faults = faults; }
 
     void run(Duration time)
     {
-        const TimePoint end = m_now + time;
-        while (!m_events.empty() && m_events.top().at <= end) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            dropOldRecords();
-            event.action();
-        }
-        m_now = end;
+        m_time.run(time, [this] { dropOldRecords(); });
     }
 
     const Call &call(CallId id) const { return m_calls.at(id); }
@@ -132,12 +124,12 @@
     }
     std::size_t executions() const { return m_executions.size(); }
     std::size_t appends() const { return m_appends; }
-    TimePoint now() const { return m_now; }
+    TimePoint now() const { return m_time.now(); }
     SeededRandom &random() { return m_random; }
     IOnceCoordinator &executor(std::size_t node) { return *m_nodes[node].executor; }
     TimePoint local(std::size_t node) const
     {
-        const auto passed = static_cast<double>((m_now - TimePoint()).count());
+        const auto passed = static_cast<double>((m_time.now() - TimePoint()).count());
         return TimePoint(m_nodes[node].offset)
             + Duration(static_cast<Duration::rep>(passed * m_nodes[node].rate));
     }
@@ -164,16 +156,6 @@
         TimePoint frozenUntil;
         TimePoint wakeAt;
     };
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-        friend bool operator<(const Event &a, const Event &b)
-        {
-            return std::tie(a.at, a.order) > std::tie(b.at, b.order);
-        }
-    };
     struct Record
     {
         ClaimBatch batch;
@@ -189,33 +171,28 @@
         }
         node.executor = makeOnceCoordinator(local(index), DaemonId(nameOf(index)),
                                             Incarnation(node.run), m_random.next(), options);
-        node.frozenUntil = m_now;
+        node.frozenUntil = m_time.now();
         node.wakeAt = TimePoint::max();
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
             if (m_nodes[i].executor) {
                 m_nodes[i].executor->setMember(DaemonId(nameOf(index)), Incarnation(node.run));
             }
         }
-        scheduleTick(index, m_now);
+        scheduleTick(index, m_time.now());
     }
 
     static std::string nameOf(std::size_t index) { return "daemon-" + std::to_string(index); }
 
-    void schedule(TimePoint at, std::function<void()> action)
-    {
-        m_events.push({ std::max(at, m_now), ++m_order, std::move(action) });
-    }
-
     /// Runs the action in that process: later if it is frozen, never if it has crashed.
     void onNode(std::size_t index, Duration delay, std::function<void()> action)
     {
         const std::uint64_t run = m_nodes[index].run;
-        schedule(m_now + delay, [this, index, run, action = std::move(action)] {
+        m_time.scheduleAt(m_time.now() + delay, [this, index, run, action = std::move(action)] {
             if (m_nodes[index].run != run) {
                 return;
             }
-            if (m_now < m_nodes[index].frozenUntil) {
-                onNode(index, m_nodes[index].frozenUntil - m_now, action);
+            if (m_time.now() < m_nodes[index].frozenUntil) {
+                onNode(index, m_nodes[index].frozenUntil - m_time.now(), action);
                 return;
             }
             action();
@@ -225,11 +202,11 @@
     void scheduleTick(std::size_t index, TimePoint at)
     {
         Node &node = m_nodes[index];
-        if (node.wakeAt <= at && node.wakeAt > m_now) {
+        if (node.wakeAt <= at && node.wakeAt > m_time.now()) {
             return;
         }
         node.wakeAt = at;
-        onNode(index, at - m_now, [this, index] {
+        onNode(index, at - m_time.now(), [this, index] {
             m_nodes[index].wakeAt = TimePoint::max();
             perform(index, m_nodes[index].executor->tick(local(index)));
         });
@@ -256,7 +233,7 @@
             read(index, *actions.read);
         }
         const auto wait = std::max(actions.wakeAt - local(index), Duration(0));
-        scheduleTick(index, m_now + wait + Duration(1000));
+        scheduleTick(index, m_time.now() + wait + Duration(1000));
     }
 
     Duration micros(std::uint64_t from, std::uint64_t to)
@@ -287,7 +264,7 @@
             });
             return;
         }
-        m_executions.push_back({ m_calls[call].key, call, m_now });
+        m_executions.push_back({ m_calls[call].key, call, m_time.now() });
         Verdict verdict{ Outcome::Answered, Reason::None, {} };
         if (happens(m_faults.answerLost)) {
             verdict = { Outcome::Unknown, Reason::BrokenAnswer, {} };
@@ -320,7 +297,8 @@
         const bool isLate = happens(m_faults.lostLate);
         const bool isLost = isLate || happens(m_faults.lostAfter);
         const Duration effect = isLate ? micros(500000, 60'000'000) : micros(500, 5000);
-        schedule(m_now + effect, [this, index, append, isLost] { take(index, append, isLost); });
+        m_time.scheduleAt(m_time.now() + effect,
+                          [this, index, append, isLost] { take(index, append, isLost); });
         if (isLost) {
             answer(index, append, micros(100000, 400000), AppendFailure::Unknown);
         }
@@ -332,7 +310,7 @@
             releaseOthers(append.batch);
         }
         const LogOffset offset(m_first + m_log.size());
-        m_log.push_back({ append.batch, m_now });
+        m_log.push_back({ append.batch, m_time.now() });
         if (!isLost) {
             onNode(index, micros(500, 3000), [this, index, id = append.id, offset] {
                 perform(index, m_nodes[index].executor->appendDone(local(index), id, offset));
@@ -355,7 +333,7 @@
             }
         }
         for (ClaimBatch &other : forged) {
-            m_log.push_back({ std::move(other), m_now });
+            m_log.push_back({ std::move(other), m_time.now() });
         }
     }
 
@@ -385,7 +363,7 @@
             return;
         }
         // The replica answers with what it knows after half of the way.
-        schedule(m_now + micros(300, 2000), [this, index, read] {
+        m_time.scheduleAt(m_time.now() + micros(300, 2000), [this, index, read] {
             ClaimPage page = makePage(index, read);
             onNode(index, micros(300, 2000), [this, index, page = std::move(page)] {
                 perform(index, m_nodes[index].executor->recordsRead(local(index), page));
@@ -416,7 +394,7 @@
 
     void dropOldRecords()
     {
-        while (!m_log.empty() && m_now - m_log.front().at > RETENTION) {
+        while (!m_log.empty() && m_time.now() - m_log.front().at > RETENTION) {
             m_log.erase(m_log.begin());
             ++m_first;
         }
@@ -476,9 +454,7 @@
     SeededRandom m_random;
     Sabotage m_sabotage;
     std::vector<Node> m_nodes;
-    std::priority_queue<Event> m_events;
-    TimePoint m_now{ std::chrono::hours(1) };
-    std::uint64_t m_order = 0;
+    SimulatedTime m_time{ TimePoint(std::chrono::hours(1)) };
 
     std::vector<Record> m_log;
     std::uint64_t m_first = 0;
