Retries: a call that a full gate refused goes on to another gate if it outranks others

Fault: RefusalOrder, RecordsAreTakenWhilePagesAreRefused was red now and then, cause open. It was never load's alone: 10 or 20 records are refused, all those of one or two entries. Traced with decision logs: all entries send their records within some ms to the gate whose last report shows a little less waiting, its queue holds ten, the rest is refused as queue-full, and pages have spent all retries; each other gate would have put off a page for a record. Change: such a refusal costs no token while less important calls are being refused. Bounded by the attempts of a call as before. Where refusals cost no token anyway (countsArrivalsOnly, the users' platform) nothing changes. Ruled out: members that did not know each other (the trial waits for all), links that are not open yet (red before datagrams too), a gate that refuses out of order.

--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -275,6 +275,7 @@
     }
     RetryQuestion question;
     question.service = m_terms.rule.service;
+    question.priority = m_terms.rule.priority;
     question.verdict = end.verdict;
     question.hasArrived = end.hasReachedUpstream;
     question.repetition = m_terms.rule.repetition;
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -86,9 +86,29 @@
     return m_services.try_emplace(name, m_options).first->second;
 }
 
-bool RetryPolicy::isFree(const RetryQuestion &question) const
+bool RetryPolicy::isFree(TimePoint now, const Service &service, const RetryQuestion &question) const
 {
-    return m_options.countsArrivalsOnly && !question.hasArrived;
+    if (question.hasArrived) {
+        return false;
+    }
+    return m_options.countsArrivalsOnly || outranksOthers(now, service, question);
+}
+
+/// 1. A service is overrun. What is less important has spent all retries on its refusals.
+/// 2. A few important calls meet in one gate, whose queue they fill, and the rest of them is
+///    refused, though each other gate would put off something less important for them.
+/// 3. As those that are put off are there, another gate takes the call; it is asked but
+///    `RetryOptions::attempts` times in all.
+bool RetryPolicy::outranksOthers(TimePoint now, const Service &service,
+                                 const RetryQuestion &question) const
+{
+    if (question.verdict.reason != Reason::QueueFull) {
+        return false;
+    }
+    const auto end = service.refusedAt.lower_bound(question.priority);
+    return std::any_of(service.refusedAt.begin(), end, [&](const auto &refused) {
+        return now - refused.second < m_options.window;
+    });
 }
 
 /// Where refusals cost nothing, they must not use up what is meant for losses: a call that two full
@@ -114,16 +134,19 @@
     return mayRepeat(question);
 }
 
-bool RetryPolicy::shouldRetry(TimePoint /*now*/, const RetryQuestion &question)
+bool RetryPolicy::shouldRetry(TimePoint now, const RetryQuestion &question)
 {
+    Service &service = serviceOf(question.service);
+    if (question.verdict.reason == Reason::QueueFull) {
+        service.refusedAt[question.priority] = now;
+    }
     if (!isWorthwhile(question)) {
         return false;
     }
-    Service &service = serviceOf(question.service);
     if (question.remaining <= service.latencies.quantile(MEDIAN)) {
         return false;
     }
-    if (!m_options.hasRetryTokens || isFree(question)) {
+    if (!m_options.hasRetryTokens || isFree(now, service, question)) {
         return true;
     }
     if (service.retries < 1) {
--- a/src/coordination/retries/internal/retrypolicy.h
+++ b/src/coordination/retries/internal/retrypolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <unordered_map>
 
 #include "coordination/retries/internal/latencywindow.h"
@@ -30,12 +31,15 @@
         /// Recent share of calls that were refused.
         double refusedShare = 0;
         LatencyWindow latencies;
+        /// When a call of that priority was last refused by a full gate.
+        std::map<Priority, TimePoint> refusedAt;
     };
 
     /// Retries that a service may have saved up here.
     double mostRetries() const;
     Service &serviceOf(const ServiceName &name);
-    bool isFree(const RetryQuestion &question) const;
+    bool isFree(TimePoint now, const Service &service, const RetryQuestion &question) const;
+    bool outranksOthers(TimePoint now, const Service &service, const RetryQuestion &question) const;
     bool hasTriedEnough(const RetryQuestion &question) const;
     bool isWorthwhile(const RetryQuestion &question) const;
 
--- a/src/coordination/retries/iretrypolicy.h
+++ b/src/coordination/retries/iretrypolicy.h
@@ -13,6 +13,7 @@
 struct RetryQuestion
 {
     ServiceName service;
+    Priority priority;
     Verdict verdict;
     Repetition repetition = Repetition::Never;
     /// Attempts made of this call at this hop so far.
--- a/src/coordination/retries/tests/retrypolicytest.cpp
+++ b/src/coordination/retries/tests/retrypolicytest.cpp
@@ -74,6 +74,57 @@
     }
 };
 
+// 1. All servers of a service are overrun by people who look through pages. Their refusals have
+//    spent the retries that were saved up.
+// 2. A few compliance records meet in one gate and fill its queue; the last of them is refused.
+// 3. Another gate puts a page off for it. Without a retry the record would be refused while pages
+//    are served.
+TEST(RetryPolicy, ACallThatOutranksOthersGoesOnFromAFullGate)
+{
+    const auto policy = makeRetryPolicy({});
+    RetryQuestion page = question(Outcome::NotRun, Reason::QueueFull);
+    page.hasArrived = false;
+    page.priority = Priority(1);
+    while (policy->shouldRetry(now, page)) { }
+    RetryQuestion record = page;
+    record.priority = Priority(3);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(policy->shouldRetry(now, record));
+    }
+    record.attempts = 3;
+    CHECK_FALSE(policy->shouldRetry(now, record));
+}
+
+// Where nothing less important is refused, there is nobody to put off: more sends of what is too
+// much already would only add load.
+TEST(RetryPolicy, ACallThatOutranksNobodyPaysForItsRetry)
+{
+    const auto policy = makeRetryPolicy({});
+    RetryQuestion record = question(Outcome::NotRun, Reason::QueueFull);
+    record.hasArrived = false;
+    record.priority = Priority(3);
+    while (policy->shouldRetry(now, record)) { }
+    RetryQuestion page = record;
+    page.priority = Priority(1);
+    CHECK_FALSE(policy->shouldRetry(now, page));
+    CHECK(policy->shouldRetry(now, record));
+    now += 6s;
+    CHECK_FALSE(policy->shouldRetry(now, record));
+}
+
+// What may have run is a repeat, and repeats are bounded for all alike.
+TEST(RetryPolicy, ARankEarnsNoRepeatOfWhatMayHaveRun)
+{
+    const auto policy = makeRetryPolicy({});
+    RetryQuestion page = question(Outcome::NotRun, Reason::QueueFull);
+    page.hasArrived = false;
+    page.priority = Priority(1);
+    while (policy->shouldRetry(now, page)) { }
+    RetryQuestion record = question(Outcome::Unknown, Reason::LinkLost, Repetition::Idempotent);
+    record.priority = Priority(3);
+    CHECK_FALSE(policy->shouldRetry(now, record));
+}
+
 TEST(RetryPolicy, RepeatsWhatWasNotRunElsewhere)
 {
     for (const Repetition repetition :
