--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -122,7 +122,8 @@
     m_isTakingTurns = false;
 }
 
-/// A reader may be gone, and its turn would come only after a long pause.
+/// Readers may have gone, so that this daemon is one now; its next turn would come after a long
+/// pause.
 void DocumentFollower::checkDuty()
 {
     if (m_isTakingTurns && isReader()) {
