--- a/src/coordination/routing/internal/server.cpp
+++ b/src/coordination/routing/internal/server.cpp
@@ -108,7 +108,7 @@
         return;
     }
     // The longer nothing was heard, the more the next call tells. Otherwise one call to a server
-    // that works again would bring back all that was measured while it was sick.
+    // that works again would bring back all that was seen of it while it was sick.
     const double latencyWeight = std::max(LATENCY_WEIGHT, 1 - freshness(now, options));
     m_errorShare = errorShare(now, options);
     m_errorShare += ERROR_WEIGHT * (errorOf(feedback) - m_errorShare);
--- a/src/transport/internal/datagramsocket.cpp
+++ b/src/transport/internal/datagramsocket.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "transport/internal/tcpstream.h"
 #include "transport/transportfactory.h"
 
 namespace ivyspar {
@@ -15,13 +16,11 @@
 
 RetVal<udp::endpoint> toUdpEndpoint(const Endpoint &endpoint)
 {
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(endpoint.address, error);
-    if (error) {
-        return makeError(ErrorCode::InvalidArgument,
-                         '"' + endpoint.address + "\" is not an IP number");
+    const auto target = toTcpEndpoint(endpoint);
+    if (!target) {
+        return tl::unexpected<Error>(target.error());
     }
-    return udp::endpoint(address, endpoint.port);
+    return udp::endpoint(target->address(), target->port());
 }
 
 } // namespace
