Logs: how long the log was silent, where a version came from, how late requests were read

Users saw a confirmed configuration change not in force after its bound, and requests sent on after their callers had left. The logs of a daemon could not tell why: a lost log was one line of text without times, a version in force did not say who brought it, and the lag of the loop was known inside only.

Hypotheses that these lines tell apart (CONFIG): a read that waits for news is silent longer than the bound (read_ms); the pause after a failure, or the turns of daemons that do not follow the log, are longer than it (silent_ms, unconfirmed_ms with source log); peers that knew did not tell (unconfirmed_ms with the peer as source). GONE: requests lay unread (ivyspar_read_lag_seconds) or waited at a gate (gate_wait).

- dependency lines for the platform's log: lost and regained, with read_ms and silent_ms
- configuration lines name their source and the age of the log's last answer
- ivyspar_read_lag_seconds; ivyspar_log_read_duration_seconds and append are counted

--- a/src/app/internal/control/configurationfollower.cpp
+++ b/src/app/internal/control/configurationfollower.cpp
@@ -347,7 +347,7 @@
         m_unreadable.clear();
         m_inForce = read.configuration;
         notice(describe(*current) + " is in force");
-        m_events.onConfiguration(m_inForce);
+        m_events.onConfiguration(m_inForce, {});
     }
     offerToRandomPeers(m_settings.changeFanout);
 }
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -39,6 +39,7 @@
     , m_settings(settings)
     , m_traffic(std::move(traffic))
     , m_observers(observers)
+    , m_recorder(observers)
     , m_random(makeRandom())
     , m_codec(std::make_unique<PeerCodec>())
     , m_datagrams(makeDatagramSocket(loop))
@@ -106,7 +107,7 @@
 
 std::unique_ptr<IKeyedLog> ControlNode::makeKeyedLog(const IPlatform &platform)
 {
-    return std::make_unique<CountedLog>(platform.makeKeyedLog(m_loop, m_settings),
+    return std::make_unique<CountedLog>(platform.makeKeyedLog(m_loop, m_settings), m_loop,
                                         m_observers.metrics);
 }
 
@@ -129,8 +130,12 @@
 ConfigurationEvents ControlNode::makeConfigurationEvents()
 {
     ConfigurationEvents events;
-    events.onConfiguration = [this](const ConfigurationPtr &configuration) {
-        useConfiguration(configuration);
+    events.onConfiguration = [this](const ConfigurationPtr &configuration,
+                                    const ConfigurationOrigin &origin) {
+        useConfiguration(configuration, origin);
+    };
+    events.onLogContact = [this](const LogContact &contact) {
+        m_recorder.recordLogContact(contact);
     };
     events.onNotice = [this](const std::string &text) { m_observers.log.info(text); };
     return events;
@@ -186,50 +191,10 @@
 
 void ControlNode::onMembers(std::vector<Member> members)
 {
-    m_observers.metrics.set(Gauge::Members, static_cast<std::int64_t>(members.size()));
-    recordMembers(members);
+    m_recorder.recordMembers(members);
     m_traffic.setMembers(std::move(members));
 }
 
-/// One line for each daemon that joined or left.
-void ControlNode::recordMembers(const std::vector<Member> &members)
-{
-    std::set<DaemonId> working;
-    for (const Member &member : members) {
-        working.insert(member.id);
-        if (m_working.count(member.id) == 0) {
-            recordMember(member.id, "joined", members.size());
-        }
-    }
-    for (const DaemonId &known : m_working) {
-        if (working.count(known) == 0) {
-            recordMember(known, "left", members.size());
-        }
-    }
-    m_working = std::move(working);
-}
-
-void ControlNode::recordMember(const DaemonId &daemon, const char *outcome, std::size_t count)
-{
-    Decision decision;
-    decision.kind = DecisionKind::Membership;
-    decision.importance = Importance::Essential;
-    decision.choice = daemon.value();
-    decision.outcome = outcome;
-    decision.inputs = { { "members", static_cast<double>(count) } };
-    m_observers.decisions.write(std::move(decision));
-}
-
-void ControlNode::recordConfiguration(ConfigurationVersion version)
-{
-    Decision decision;
-    decision.kind = DecisionKind::Configuration;
-    decision.importance = Importance::Essential;
-    decision.choice = std::to_string(version.value());
-    decision.outcome = "in-force";
-    m_observers.decisions.write(std::move(decision));
-}
-
 void ControlNode::useBootstrap()
 {
     if (!m_settings.bootstrap) {
@@ -239,17 +204,16 @@
     const ReadConfiguration read = reader->read(*m_settings.bootstrap, m_settings.inventoryFile,
                                                 m_settings.rulesFile, ConfigurationVersion(0));
     if (read.configuration) {
-        useConfiguration(read.configuration);
+        useConfiguration(read.configuration, ConfigurationOrigin{ "files", std::nullopt });
     }
 }
 
-void ControlNode::useConfiguration(const ConfigurationPtr &configuration)
+void ControlNode::useConfiguration(const ConfigurationPtr &configuration,
+                                   const ConfigurationOrigin &origin)
 {
     m_configuration = configuration;
     m_configuredAt = m_loop.now();
-    m_observers.metrics.set(Gauge::ConfigurationVersion,
-                            static_cast<std::int64_t>(configuration->version.value()));
-    recordConfiguration(configuration->version);
+    m_recorder.recordConfiguration(configuration->version, origin);
     m_traffic.setConfiguration(configuration);
 }
 
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -2,11 +2,11 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "app/internal/control/controlchannel.h"
 #include "app/internal/control/controlexchange.h"
+#include "app/internal/control/controlrecorder.h"
 #include "app/internal/control/iconfigurationdriver.h"
 #include "app/internal/control/memberdirectory.h"
 #include "app/internal/control/membershipdriver.h"
@@ -67,7 +67,7 @@
     RetVal<Endpoint> listenAt(IHttpServer &server, const Endpoint &endpoint);
     ControlEvents makeControlEvents();
     ConfigurationEvents makeConfigurationEvents();
-    void useConfiguration(const ConfigurationPtr &configuration);
+    void useConfiguration(const ConfigurationPtr &configuration, const ConfigurationOrigin &origin);
     void useBootstrap();
     HttpResponse handleOperator(IHttpExchange &exchange);
     HttpResponse answerHealth() const;
@@ -75,14 +75,12 @@
     HttpResponse answerMetrics();
     TrafficStatus fetchTraffic();
     void onMembers(std::vector<Member> members);
-    void recordMembers(const std::vector<Member> &members);
-    void recordMember(const DaemonId &daemon, const char *outcome, std::size_t count);
-    void recordConfiguration(ConfigurationVersion version);
 
     IEventLoop &m_loop;
     DaemonSettings m_settings;
     TrafficPort m_traffic;
     Observers m_observers;
+    ControlRecorder m_recorder;
     std::unique_ptr<IRandom> m_random;
     std::unique_ptr<IPeerCodec> m_codec;
     std::unique_ptr<IDatagramSocket> m_datagrams;
@@ -101,7 +99,6 @@
     std::unique_ptr<IHttpServer> m_readinessServer;
     ConfigurationPtr m_configuration;
     TimePoint m_configuredAt;
-    std::set<DaemonId> m_working;
     bool m_isLeaving = false;
 };
 
--- a/src/app/internal/control/countedlog.h
+++ b/src/app/internal/control/countedlog.h
@@ -3,15 +3,16 @@
 #include <memory>
 
 #include "state/imetrics.h"
+#include "transport/ieventloop.h"
 #include "transport/ikeyedlog.h"
 
 namespace ivyspar {
 
-/// Counts what a daemon asks of the platform's log, which is shared by all.
+/// Counts and times what a daemon asks of the platform's log, which is shared by all.
 class CountedLog : public IKeyedLog
 {
 public:
-    CountedLog(std::unique_ptr<IKeyedLog> log, IMetrics &metrics);
+    CountedLog(std::unique_ptr<IKeyedLog> log, const IEventLoop &loop, IMetrics &metrics);
 
     RetVal<KeyedPage> newest(const StreamName &stream) override;
     RetVal<KeyedPage> read(const StreamName &stream, LogOffset from, Duration wait) override;
@@ -19,9 +20,11 @@
     void cancel() override { m_log->cancel(); }
 
 private:
-    RetVal<KeyedPage> count(RetVal<KeyedPage> page);
+    RetVal<KeyedPage> count(TimePoint startedAt, RetVal<KeyedPage> page);
+    Duration since(TimePoint time) const;
 
     std::unique_ptr<IKeyedLog> m_log;
+    const IEventLoop &m_loop;
     IMetrics &m_metrics;
 };
 
--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -67,11 +67,13 @@
 void DocumentFollower::follow()
 {
     while (!m_fiber.isStopped()) {
+        const TimePoint startedAt = m_loop.now();
         const Ret read = readOnce();
+        const auto took = std::chrono::duration_cast<Duration>(m_loop.now() - startedAt);
         if (read) {
-            onReadDone();
+            onReadDone(took);
         } else {
-            onReadFailed(read.error());
+            onReadFailed(read.error(), took);
         }
         pauseUntilNextRead();
     }
@@ -142,18 +144,20 @@
     }
 }
 
-void DocumentFollower::onReadDone()
+void DocumentFollower::onReadDone(Duration took)
 {
     if (m_failures > 0) {
         notice("configuration: the log can be read again");
+        tellContact(false, took);
     }
     m_failures = 0;
     m_logError.clear();
+    m_answeredAt = m_loop.now();
 }
 
 /// While the platform turns this daemon away, others may still be served: without asking them it
 /// would go on under an old configuration, or without any after a start.
-void DocumentFollower::onReadFailed(const Error &error)
+void DocumentFollower::onReadFailed(const Error &error, Duration took)
 {
     if (m_fiber.isStopped()) {
         return;
@@ -161,11 +165,29 @@
     if (m_failures == 0) {
         notice("configuration: the log cannot be read: " + error.text);
     }
-    ++m_failures;
     m_logError = error.text;
+    if (m_failures == 0) {
+        tellContact(true, took);
+    }
+    ++m_failures;
     askRandomPeer();
 }
 
+void DocumentFollower::tellContact(bool isLost, Duration took) const
+{
+    if (m_events.onLogContact) {
+        m_events.onLogContact(LogContact{ isLost, took, silence(), m_logError });
+    }
+}
+
+std::optional<Duration> DocumentFollower::silence() const
+{
+    if (!m_answeredAt) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(m_loop.now() - *m_answeredAt);
+}
+
 void DocumentFollower::adopt(const std::string &document, const char *source)
 {
     const RetVal<ConfigurationPtr> read = m_reader.read(document);
@@ -183,7 +205,7 @@
     m_document = document;
     notice("configuration: version " + std::to_string(version().value()) + " is in force, from "
            + source);
-    m_events.onConfiguration(m_inForce);
+    m_events.onConfiguration(m_inForce, ConfigurationOrigin{ source, silence() });
     offerToNear(m_settings.nearOffers);
     offerToFar(m_settings.farOffers);
 }
--- a/src/app/internal/control/documentfollower.h
+++ b/src/app/internal/control/documentfollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "app/icontrolexchange.h"
@@ -74,8 +75,10 @@
     void pauseUntilNextRead();
     void pauseUntilNextTurn();
     void takePage(const KeyedPage &page);
-    void onReadFailed(const Error &error);
-    void onReadDone();
+    void onReadFailed(const Error &error, Duration took);
+    void onReadDone(Duration took);
+    void tellContact(bool isLost, Duration took) const;
+    std::optional<Duration> silence() const;
     void adopt(const std::string &document, const char *source);
     void handle(const DaemonId &from, const DocumentOffer &offer);
     void handle(const DaemonId &from, const DocumentRequest &request);
@@ -105,6 +108,8 @@
     std::string m_unreadable;
     std::string m_logError;
     std::uint32_t m_failures = 0;
+    /// When the last read that the log answered ended.
+    std::optional<TimePoint> m_answeredAt;
     /// Reads without waiting, in turn with all others.
     bool m_isTakingTurns = false;
     /// The newest version offered here, and by whom.
--- a/src/app/internal/control/iconfigurationdriver.h
+++ b/src/app/internal/control/iconfigurationdriver.h
@@ -2,17 +2,40 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "state/configuration.h"
 #include "state/ids.h"
+#include "state/time.h"
 
 namespace ivyspar {
 
+/// How a version came into force.
+struct ConfigurationOrigin
+{
+    /// `log`, or the daemon that sent it.
+    std::string source = "log";
+    /// Time since this daemon last knew that the log held nothing newer; nothing if it never did.
+    std::optional<Duration> unconfirmed;
+};
+
+/// The log cannot be read from here any more, or can be again.
+struct LogContact
+{
+    bool isLost = false;
+    /// From the start of the read that showed it to its end.
+    Duration took{ 0 };
+    /// Since the log last answered; nothing if it never did.
+    std::optional<Duration> silent;
+    std::string error;
+};
+
 struct ConfigurationEvents
 {
     /// A new version is in force. Never goes back.
-    std::function<void(ConfigurationPtr)> onConfiguration;
+    std::function<void(ConfigurationPtr, const ConfigurationOrigin &)> onConfiguration;
+    std::function<void(const LogContact &)> onLogContact;
     /// One line for the log.
     std::function<void(std::string)> onNotice;
 };
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -107,6 +107,7 @@
     }
     const std::string context = read->context;
     const Duration lag = m_options.mindsLag ? m_lag.now() : Duration::zero();
+    m_observers.metrics.observe(Timing::ReadLag, lag);
     Incoming incoming = makeIncoming(std::move(*read));
     incoming.deadline -= lag;
     if (isFromUpstream) {
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -129,7 +129,9 @@
 {
     const TimePoint now = m_loop.now();
     if (m_options.mindsLag) {
-        m_processor.onArrival(now, message.letIn, m_lag.now());
+        const Duration lag = m_lag.now();
+        m_observers.metrics.observe(Timing::ReadLag, lag);
+        m_processor.onArrival(now, message.letIn, lag);
     }
     const CallId id = newCallId();
     Call &call = m_calls[id];
--- a/src/app/tests/controlchanneltest.cpp
+++ b/src/app/tests/controlchanneltest.cpp
@@ -104,7 +104,7 @@
     SilentObservers observers;
     auto fake = std::make_unique<FakeKeyedLog>(loop);
     FakeKeyedLog &inner = *fake;
-    CountedLog log(std::move(fake), observers.metrics());
+    CountedLog log(std::move(fake), loop, observers.metrics());
     const StreamName stream("s");
     CHECK(log.put(stream, { "k", "v" }).has_value());
     CHECK_EQUAL(1, log.newest(stream)->records.size());
@@ -116,3 +116,13 @@
     STRCMP_CONTAINS("ivyspar_log_read_failures_total 1", text.c_str());
     STRCMP_CONTAINS("ivyspar_log_appends_total 1", text.c_str());
 }
+
+TEST(CountedLog, TimesReadsThatWait)
+{
+    InlineEventLoop loop;
+    SilentObservers observers;
+    CountedLog log(std::make_unique<FakeKeyedLog>(loop), loop, observers.metrics());
+    CHECK(log.read(StreamName("s"), LogOffset(0), std::chrono::seconds(2)).has_value());
+    const std::string text = observers.metrics().text();
+    STRCMP_CONTAINS("ivyspar_log_read_duration_seconds_sum 2.0", text.c_str());
+}
--- a/src/app/tests/controlplanetest.cpp
+++ b/src/app/tests/controlplanetest.cpp
@@ -284,7 +284,8 @@
         follower.offerPatience = milliseconds(15);
         follower.offerInterval = milliseconds(50);
         ConfigurationEvents events;
-        events.onConfiguration = [this, index](const ConfigurationPtr &configuration) {
+        events.onConfiguration = [this, index](const ConfigurationPtr &configuration,
+                                               const ConfigurationOrigin & /*origin*/) {
             versions[index] = configuration->version.value();
         };
         followers.push_back(std::make_unique<DocumentFollower>(
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -74,6 +74,8 @@
     DocumentFollowerSettings m_settings = makeSettings();
     SeededRandom m_random{ 3 };
     std::vector<std::uint64_t> m_versions;
+    std::vector<ConfigurationOrigin> m_origins;
+    std::vector<LogContact> m_contacts;
     std::unique_ptr<DocumentFollower> m_follower;
 
     /// So many others in the failure domain that this daemon is no reader.
@@ -92,8 +94,13 @@
     {
         m_runner.run([this] {
             ConfigurationEvents events;
-            events.onConfiguration = [this](const ConfigurationPtr &configuration) {
+            events.onConfiguration = [this](const ConfigurationPtr &configuration,
+                                            const ConfigurationOrigin &origin) {
                 m_versions.push_back(configuration->version.value());
+                m_origins.push_back(origin);
+            };
+            events.onLogContact = [this](const LogContact &contact) {
+                m_contacts.push_back(contact);
             };
             m_follower = std::make_unique<DocumentFollower>(m_settings, m_runner.loop(), m_log,
                                                             m_reader, m_exchange, m_random, events);
@@ -189,6 +196,22 @@
     CHECK_EQUAL(12, m_versions.at(0));
 }
 
+TEST(DocumentFollower, TellsWhenTheLogIsLostAndRegained)
+{
+    m_log.isDown = true;
+    start();
+    CHECK(m_runner.reaches([this] { return m_contacts.size() == 1; }));
+    m_runner.run([this] {
+        m_log.write(STREAM, "newest", "7");
+        m_log.isDown = false;
+    });
+    CHECK(m_runner.reaches([this] { return m_contacts.size() == 2; }));
+    CHECK(m_contacts[0].isLost);
+    STRCMP_EQUAL("down", m_contacts[0].error.c_str());
+    CHECK_FALSE(m_contacts[1].isLost);
+    STRCMP_EQUAL("log", m_origins.at(0).source.c_str());
+}
+
 TEST(DocumentFollower, NeverGoesBack)
 {
     m_log.write(STREAM, "newest", "7");
--- a/src/state/imetrics.h
+++ b/src/state/imetrics.h
@@ -67,6 +67,7 @@
     AddedByDaemons, ///< The same without the time that the upstream took.
     Upstream, ///< From sending to the upstream to its whole answer.
     GateWait, ///< From the arrival at the gate to the start.
+    ReadLag, ///< How far the loop was behind its timers when a request or call was read.
     LogAppend,
     LogRead,
     Count, ///< Number of the others.
--- a/src/state/internal/metricnames.cpp
+++ b/src/state/internal/metricnames.cpp
@@ -61,6 +61,7 @@
     { "ivyspar_added_duration_seconds", "", "Time of a request outside its upstream." },
     { "ivyspar_upstream_duration_seconds", "", "Time that the upstream took for a call." },
     { "ivyspar_gate_wait_seconds", "", "Time that a call waited at the gate." },
+    { "ivyspar_read_lag_seconds", "", "How late this daemon read a request or call, at most." },
     { "ivyspar_log_append_duration_seconds", "", "Time of an append to the platform's log." },
     { "ivyspar_log_read_duration_seconds", "", "Time of a read of the platform's log." },
 };
--- a/standins/control/followercluster.cpp
+++ b/standins/control/followercluster.cpp
@@ -56,7 +56,8 @@
     settings.self = host.peer.id;
     settings.domain = host.peer.domain;
     ConfigurationEvents events;
-    events.onConfiguration = [this, &host](const ConfigurationPtr &configuration) {
+    events.onConfiguration = [this, &host](const ConfigurationPtr &configuration,
+                                           const ConfigurationOrigin & /*origin*/) {
         host.history.push_back(configuration->version);
         host.lastChange = m_loop.now();
     };
