--- /dev/null
+++ b/src/app/tests/configurationboundtest.cpp
@@ -0,0 +1,157 @@
+#include <functional>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "app/tests/mocks/simulatedfollowers.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A version is in force everywhere so long after the log acknowledged it.
+constexpr Duration BOUND = seconds(2);
+/// After a failure of the log for all daemons the bound holds again.
+constexpr Duration SETTLING = seconds(3);
+
+constexpr std::uint64_t SEEDS = 60;
+
+struct Outage
+{
+    TimePoint begin;
+    TimePoint end;
+};
+
+/// Plays faults and changes on a deployment and finds the versions that came too late.
+class Schedule
+{
+public:
+    explicit Schedule(const SimulatedDeployment &deployment)
+        : m_followers(deployment)
+    {
+        m_followers.publish(m_version);
+        m_followers.start();
+        m_followers.run(seconds(8));
+    }
+
+    SimulatedFollowers &followers() { return m_followers; }
+    void run(Duration duration) { m_followers.run(duration); }
+
+    /// From then on, a change each `interval` until `duration` has passed.
+    void change(Duration interval, Duration duration)
+    {
+        for (Duration done{ 0 }; done < duration; done += interval) {
+            m_followers.publish(++m_version);
+            run(interval);
+        }
+    }
+
+    /// Nobody can read the log, and nothing can be written to it.
+    void silenceAll(Duration duration)
+    {
+        const TimePoint begin = m_followers.now();
+        m_followers.setServiceForAll(SimulatedLog::Service::Silent);
+        run(duration);
+        m_followers.setServiceForAll(SimulatedLog::Service::Answers);
+        m_outages.push_back({ begin, m_followers.now() });
+    }
+
+    /// A random half of the daemons gets no service, until the next call.
+    void failHalf(SimulatedLog::Service service)
+    {
+        for (std::size_t i = 0; i < m_followers.size(); ++i) {
+            const bool isFailed = m_followers.random().below(2) == 0;
+            m_followers.log(i).setService(isFailed ? service : SimulatedLog::Service::Answers);
+        }
+    }
+
+    /// One line for each version and daemon that broke the bound; empty when all kept it.
+    std::string findLate() const
+    {
+        std::ostringstream late;
+        for (const auto &[version, publishedAt] : m_followers.published()) {
+            const TimePoint limit = limitOf(publishedAt);
+            for (std::size_t i = 0; i < m_followers.size(); ++i) {
+                const TimePoint since = m_followers.inForceSince(i, version);
+                if (since > limit) {
+                    late << "version " << version << " at daemon " << i << " "
+                         << toSeconds(std::chrono::duration_cast<Duration>(since - publishedAt))
+                         << " s after it was published\n";
+                }
+            }
+        }
+        return late.str();
+    }
+
+private:
+    TimePoint limitOf(TimePoint publishedAt) const
+    {
+        TimePoint limit = publishedAt + BOUND;
+        for (const Outage &outage : m_outages) {
+            if (limit >= outage.begin && limit < outage.end + SETTLING) {
+                limit = outage.end + SETTLING;
+            }
+        }
+        return limit;
+    }
+
+    SimulatedFollowers m_followers;
+    std::uint64_t m_version = 1;
+    std::vector<Outage> m_outages;
+};
+
+using Play = std::function<void(Schedule &)>;
+
+/// Plays each seed on a thread of its own, as a simulated loop takes the thread's scheduler.
+std::string playSeeds(SimulatedDeployment deployment, const Play &play)
+{
+    std::string late;
+    for (std::uint64_t seed = 1; seed <= SEEDS && late.empty(); ++seed) {
+        deployment.seed = seed;
+        std::thread([&] {
+            Schedule schedule(deployment);
+            play(schedule);
+            schedule.run(seconds(10));
+            late = schedule.findLate();
+        }).join();
+        if (!late.empty()) {
+            late.insert(0, "seed " + std::to_string(seed) + ":\n");
+        }
+    }
+    return late;
+}
+
+SimulatedDeployment makeDeployment(std::size_t daemons, std::size_t domains)
+{
+    SimulatedDeployment deployment;
+    deployment.daemons = daemons;
+    deployment.domains = domains;
+    return deployment;
+}
+
+void playSilenceThenHalf(Schedule &schedule)
+{
+    schedule.change(milliseconds(1500), seconds(3));
+    schedule.silenceAll(seconds(5));
+    schedule.failHalf(SimulatedLog::Service::Silent);
+    schedule.run(milliseconds(200));
+    schedule.change(milliseconds(1200), seconds(6));
+    schedule.followers().setServiceForAll(SimulatedLog::Service::Answers);
+    schedule.change(milliseconds(700), seconds(4));
+}
+
+} // namespace
+
+TEST_GROUP(ConfigurationBound){};
+
+// Guards against a change that comes into force too late where the log was silent for all daemons
+// and then for half of them.
+TEST(ConfigurationBound, HoldsAfterTheLogWasSilentForAllThenForHalf)
+{
+    STRCMP_EQUAL("", playSeeds(makeDeployment(13, 3), playSilenceThenHalf).c_str());
+    STRCMP_EQUAL("", playSeeds(makeDeployment(30, 6), playSilenceThenHalf).c_str());
+}
--- a/src/app/tests/controlplanetest.cpp
+++ b/src/app/tests/controlplanetest.cpp
@@ -5,6 +5,7 @@
 #include "app/internal/control/documentfollower.h"
 #include "app/internal/control/memberdirectory.h"
 #include "app/tests/mocks/fakekeyedlog.h"
+#include "app/tests/mocks/numberreader.h"
 #include "app/tests/mocks/silentobservers.h"
 #include "coordination/membership/tests/mocks/membershipfabric.h"
 #include "protocol/internal/membershipcodec.h"
@@ -190,18 +191,6 @@
 const StreamName CONFIGURATIONS("configurations");
 const StreamName DIRECTORY("members");
 
-/// A document is just its version.
-class NumberReader : public IDocumentReader
-{
-public:
-    RetVal<ConfigurationPtr> read(const std::string &document) const override
-    {
-        const boost::intrusive_ptr<Configuration> read(new Configuration);
-        read->version = ConfigurationVersion(std::strtoull(document.c_str(), nullptr, 10));
-        return ConfigurationPtr(read);
-    }
-};
-
 class Followers;
 
 /// Reaches the other followers of the same loop.
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -6,6 +6,7 @@
 #include "app/internal/control/documentfollower.h"
 #include "app/internal/control/memberdirectory.h"
 #include "app/tests/mocks/fakekeyedlog.h"
+#include "app/tests/mocks/numberreader.h"
 #include "app/tests/mocks/silentobservers.h"
 #include "state/internal/seededrandom.h"
 #include "transport/tests/looprunner.h"
@@ -18,22 +19,6 @@
 
 const StreamName STREAM("configurations");
 
-/// A document is just its version.
-class NumberReader : public IDocumentReader
-{
-public:
-    RetVal<ConfigurationPtr> read(const std::string &document) const override
-    {
-        const std::uint64_t version = std::strtoull(document.c_str(), nullptr, 10);
-        if (version == 0) {
-            return makeError(ErrorCode::InvalidArgument, "not a number");
-        }
-        const boost::intrusive_ptr<Configuration> read(new Configuration);
-        read->version = ConfigurationVersion(version);
-        return ConfigurationPtr(read);
-    }
-};
-
 class RecordingExchange : public IControlExchange
 {
 public:
--- /dev/null
+++ b/src/app/tests/mocks/simulatedfollowers.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "app/internal/control/documentfollower.h"
+#include "app/tests/mocks/numberreader.h"
+#include "app/tests/mocks/simulatedlog.h"
+#include "state/internal/seededrandom.h"
+#include "transport/tests/mocks/simulatedeventloop.h"
+
+namespace ivyspar {
+
+struct SimulatedDeployment
+{
+    std::size_t daemons = 13;
+    std::size_t domains = 3;
+    std::uint64_t seed = 1;
+    /// Of 100 messages between daemons, so many are lost.
+    std::uint64_t lostMessages = 1;
+};
+
+/// The daemons of a deployment that follow one configuration, in one simulated loop, with a network
+/// between them that loses messages and can be cut.
+class SimulatedFollowers
+{
+public:
+    explicit SimulatedFollowers(const SimulatedDeployment &deployment)
+        : m_deployment(deployment)
+        , m_random(deployment.seed)
+    {
+        for (std::size_t i = 0; i < deployment.daemons; ++i) {
+            m_hosts.push_back(std::make_unique<Host>(*this, i));
+        }
+    }
+    SimulatedFollowers(const SimulatedFollowers &) = delete;
+    SimulatedFollowers &operator=(const SimulatedFollowers &) = delete;
+    ~SimulatedFollowers()
+    {
+        m_loop.runToEnd(
+            [this] {
+                for (const auto &host : m_hosts) {
+                    host->follower->stop();
+                }
+            },
+            std::chrono::minutes(1));
+    }
+
+    void start()
+    {
+        for (const auto &host : m_hosts) {
+            host->follower->start();
+        }
+    }
+
+    void run(Duration duration) { m_loop.runFor(duration); }
+    TimePoint now() const { return m_loop.now(); }
+    IRandom &random() { return m_random; }
+    std::size_t size() const { return m_hosts.size(); }
+
+    void publish(std::uint64_t version)
+    {
+        m_stream.records.push_back({ KEY, std::to_string(version) });
+        m_published[version] = m_loop.now();
+    }
+    const std::map<std::uint64_t, TimePoint> &published() const { return m_published; }
+    /// When daemon `index` had `version` or a newer one in force.
+    TimePoint inForceSince(std::size_t index, std::uint64_t version) const
+    {
+        const auto &history = m_hosts[index]->history;
+        const auto found = history.lower_bound(version);
+        return found == history.end() ? TimePoint::max() : found->second;
+    }
+    bool haveAll(std::uint64_t version) const
+    {
+        for (std::size_t i = 0; i < size(); ++i) {
+            if (inForceSince(i, version) == TimePoint::max()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    SimulatedLog &log(std::size_t index) { return m_hosts[index]->log; }
+    void setServiceForAll(SimulatedLog::Service service)
+    {
+        for (const auto &host : m_hosts) {
+            host->log.setService(service);
+        }
+    }
+    /// Messages between this failure domain and the others are lost.
+    void cut(std::size_t domain) { m_cutDomains.insert(domain); }
+    void mend() { m_cutDomains.clear(); }
+    std::size_t domainOf(std::size_t index) const { return index % m_deployment.domains; }
+
+    std::size_t reads() const { return m_stream.reads; }
+    std::size_t messages() const { return m_messages; }
+    std::size_t bytes() const { return m_bytes; }
+
+private:
+    static constexpr char KEY[] = "newest";
+
+    struct Host : public IControlExchange
+    {
+        Host(SimulatedFollowers &deployment, std::size_t index)
+            : owner(deployment)
+            , self(index)
+            , log(deployment.m_loop, deployment.m_stream)
+            , random(deployment.m_random.next())
+        {
+            DocumentFollowerSettings settings;
+            settings.stream = StreamName("configurations");
+            settings.key = KEY;
+            settings.self = idOf(index);
+            settings.domain = nameOf(deployment.domainOf(index));
+            ConfigurationEvents events;
+            events.onConfiguration = [this](const ConfigurationPtr &configuration,
+                                            const ConfigurationOrigin & /*origin*/) {
+                history[configuration->version.value()] = owner.now();
+            };
+            follower = std::make_unique<DocumentFollower>(settings, owner.m_loop, log, reader,
+                                                          *this, random, events);
+        }
+
+        std::vector<ControlPeer> peers() const override
+        {
+            std::vector<ControlPeer> peers;
+            for (std::size_t i = 0; i < owner.m_deployment.daemons; ++i) {
+                if (i != self) {
+                    peers.push_back({ idOf(i), nameOf(owner.domainOf(i)) });
+                }
+            }
+            return peers;
+        }
+        void send(const DaemonId &to, std::string payload) override
+        {
+            owner.deliver(self, to, std::move(payload));
+        }
+
+        SimulatedFollowers &owner;
+        std::size_t self;
+        SimulatedLog log;
+        SeededRandom random;
+        NumberReader reader;
+        std::map<std::uint64_t, TimePoint> history;
+        std::unique_ptr<DocumentFollower> follower;
+    };
+
+    static DaemonId idOf(std::size_t index) { return DaemonId("daemon-" + std::to_string(index)); }
+    static DomainName nameOf(std::size_t domain)
+    {
+        return DomainName("domain-" + std::to_string(domain));
+    }
+    static std::size_t indexOf(const DaemonId &daemon)
+    {
+        return std::stoul(daemon.value().substr(sizeof("daemon-") - 1));
+    }
+
+    void deliver(std::size_t from, const DaemonId &to, std::string payload)
+    {
+        constexpr Duration DELAY = std::chrono::milliseconds(1);
+        constexpr std::uint64_t HUNDRED = 100;
+        ++m_messages;
+        m_bytes += payload.size();
+        const std::size_t target = indexOf(to);
+        if (isCut(from, target) || m_random.below(HUNDRED) < m_deployment.lostMessages) {
+            return;
+        }
+        m_loop.callLater(DELAY, [this, from, target, payload = std::move(payload)] {
+            m_hosts[target]->follower->receive(idOf(from), payload);
+        });
+    }
+
+    bool isCut(std::size_t from, std::size_t to) const
+    {
+        const std::size_t here = domainOf(from);
+        const std::size_t there = domainOf(to);
+        return here != there && m_cutDomains.count(here) + m_cutDomains.count(there) > 0;
+    }
+
+    SimulatedDeployment m_deployment;
+    SimulatedEventLoop m_loop;
+    SeededRandom m_random;
+    SimulatedStream m_stream;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::map<std::uint64_t, TimePoint> m_published;
+    std::set<std::size_t> m_cutDomains;
+    std::size_t m_messages = 0;
+    std::size_t m_bytes = 0;
+};
+
+} // namespace ivyspar
--- a/src/transport/ikeyedlog.h
+++ b/src/transport/ikeyedlog.h
@@ -24,6 +24,10 @@
     LogOffset next;
 };
 
+/// How long a call may go without an answer, beside the time that it waits for news. An answer
+/// usually takes some milliseconds; one that is lost never comes.
+constexpr Duration KEYED_LOG_TIMEOUT = std::chrono::milliseconds(700);
+
 /// Streams of the platform that keep the newest record of each key for good. Calls suspend the
 /// calling fiber.
 class IKeyedLog
