Tests: requests passed on for callers that have left (known red)

Three places pass such a request on: - an entry that reads a request with the client's close right behind it - an entry call that is told of the close before it starts: it starts all the same, and nothing cancels it - a gate that takes the time left in a frame as it stands, however long the frame lay unread

--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -3,6 +3,8 @@
 
 #include "app/internal/gate/gateservice.h"
 #include "app/internal/gate/noonceservice.h"
+#include "app/tests/mocks/lateeventloop.h"
+#include "app/tests/mocks/silentobservers.h"
 #include "coordination/admission/gatefactory.h"
 #include "protocol/owndialects.h"
 #include "state/internal/seededrandom.h"
@@ -23,6 +25,7 @@
     HttpResult exchange(const Endpoint & /*endpoint*/, const HttpRequest & /*request*/,
                         Duration /*timeout*/, HttpCancellationPtr /*cancellation*/) override
     {
+        ++m_exchanges;
         return tl::unexpected<HttpFailure>(
             HttpFailure{ HttpFailureStage::NotSent, HttpFailureCause::Connect, "unreachable" });
     }
@@ -33,9 +36,11 @@
     void warm(const Endpoint & /*endpoint*/, std::size_t /*connections*/) override { }
 
     std::size_t limitOf(const Endpoint &endpoint) { return m_limits[endpoint]; }
+    std::size_t exchanges() const { return m_exchanges; }
 
 private:
     std::map<Endpoint, std::size_t> m_limits;
+    std::size_t m_exchanges = 0;
 };
 
 class NoLog : public ILog
@@ -107,3 +112,50 @@
     CHECK(verdicts.front().outcome == Outcome::NotRun);
     CHECK(verdicts.front().reason == Reason::Draining);
 }
+
+TEST_GROUP(LateGateService)
+{
+    LateEventLoop m_loop;
+    LimitRecorder m_client;
+    SeededRandom m_random{ 1 };
+    NoOnceService m_once;
+    std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
+    SilentObservers m_observers;
+    std::unique_ptr<GateService> m_gates;
+    std::vector<Verdict> m_verdicts;
+
+    void setup() override
+    {
+        GateServiceOptions options;
+        options.mindsLag = true;
+        m_gates = std::make_unique<GateService>(m_loop, m_client, m_random, m_once, *m_dialect,
+                                                makeDefaultGate, m_observers.observers(), options);
+        m_gates->announce(
+            Announcement{ { ServiceName("cassa"), 300, 2000, false }, { "127.0.0.1", 9000 }, {} });
+    }
+    void send(Duration remaining)
+    {
+        CallMessage call;
+        call.service = ServiceName("cassa");
+        call.remaining = remaining;
+        m_gates->handle(std::move(call), [this](const AnswerMessage &answer) {
+            m_verdicts.push_back(answer.verdict);
+        });
+    }
+};
+
+// Guards against calls that lay unread past their deadline and are run for callers that have left.
+TEST(LateGateService, ACallThatLayUnreadPastItsDeadlineIsNotRun)
+{
+    m_loop.setLateness(std::chrono::milliseconds(800));
+    for (int i = 0; i < 10; ++i) {
+        send(std::chrono::seconds(5));
+        m_loop.advance(std::chrono::milliseconds(100));
+    }
+    const std::size_t before = m_client.exchanges();
+    send(std::chrono::milliseconds(700));
+    CHECK_EQUAL(before, m_client.exchanges());
+    CHECK(m_verdicts.back().outcome == Outcome::NotRun);
+    send(std::chrono::seconds(5));
+    CHECK_EQUAL(before + 1, m_client.exchanges());
+}
--- a/src/app/tests/looplagtest.cpp
+++ b/src/app/tests/looplagtest.cpp
@@ -1,36 +1,15 @@
 #include "app/internal/looplag.h"
 
-#include "app/tests/mocks/inlineeventloop.h"
+#include "app/tests/mocks/lateeventloop.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace ivyspar;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A loop whose timers run late, as those of a process that is short of processor time.
-class LateLoop : public InlineEventLoop
-{
-public:
-    TimerId callLater(Duration delay, std::function<void()> task) override
-    {
-        ++m_timerCount;
-        return InlineEventLoop::callLater(delay + m_lateness, std::move(task));
-    }
-    void setLateness(Duration lateness) { m_lateness = lateness; }
-    int timerCount() const { return m_timerCount; }
-
-private:
-    Duration m_lateness{ 0 };
-    int m_timerCount = 0;
-};
-
-} // namespace
-
 TEST_GROUP(LoopLag)
 {
-    LateLoop m_loop;
+    LateEventLoop m_loop;
     LoopLag m_lag{ m_loop };
 
     Duration lagAfter(Duration time)
--- a/src/coordination/calls/tests/entrycalltest.cpp
+++ b/src/coordination/calls/tests/entrycalltest.cpp
@@ -259,6 +259,15 @@
     CHECK(findAction(ended, EntryVerb::Finish)->verdict.outcome == Outcome::NotRun);
 }
 
+// Guards against a request that is passed on, and never cancelled, for a client that has left.
+TEST(EntryCall, ACallerThatLeftBeforeTheStartGetsNothingSent)
+{
+    EntryCall call = makeCall();
+    CHECK(findAction(call.onCallerGone(now), EntryVerb::Finish) != nullptr);
+    CHECK(call.start(now).empty());
+    CHECK_EQUAL(0, call.attempts());
+}
+
 TEST(EntryCall, CallerThatLeavesCancelsWhatIsOpen)
 {
     EntryCall call = makeCall();
--- a/src/transport/tests/httpservertest.cpp
+++ b/src/transport/tests/httpservertest.cpp
@@ -336,6 +336,27 @@
     CHECK_EQUAL(1, calls.load());
 }
 
+// Guards against requests that lay unread in a busy process and are passed on for clients that have
+// left meanwhile.
+TEST(HttpServer, AHandlerHearsAtOnceOfAClientThatLeftBeforeItWasRead)
+{
+    std::promise<bool> isKnownToBeGone;
+    listen([&](IHttpExchange &exchange) {
+        bool isGone = false;
+        exchange.onDisconnect([&isGone] { isGone = true; });
+        isKnownToBeGone.set_value(isGone);
+        return HttpResponse();
+    });
+    std::promise<void> hasLeft;
+    m_runner.loop().post([&] { hasLeft.get_future().wait(); });
+    RawSocket client = connect();
+    client.send(get("/"));
+    client.close();
+    hasLeft.set_value();
+    CHECK(isKnownToBeGone.get_future().get());
+    settle();
+}
+
 /// A pipelined request arrives while the first one is worked on. That is no disconnect; when the
 /// client then goes away, the handler still hears of it.
 TEST(HttpServer, APipelinedRequestIsNoDisconnect)
