Entry: a call whose caller left before it started sends nothing

What callers saw: requests reached servers over half a second after their clients had left (GONE). Cause, one of three: where the connection's end was known before the request was handled, the entry told the call of it first and started it afterwards. start() did not look whether the call was over, so the request was sent, and with the end behind it nothing cancelled it: it ran to its end. EntryCall.ACallerThatLeftBeforeTheStartGetsNothingSent failed before and passes now.

--- a/src/coordination/calls/ientrycall.h
+++ b/src/coordination/calls/ientrycall.h
@@ -58,6 +58,7 @@
 public:
     virtual ~IEntryCall() = default;
 
+    /// Does nothing if the caller has gone already.
     virtual EntryActions start(TimePoint now) = 0;
     virtual EntryActions onEnd(TimePoint now, AttemptIndex attempt, const AttemptEnd &end) = 0;
     /// Deadline or hedge time; to be called at `nextTimer` or later.
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -46,6 +46,9 @@
 
 EntryActions EntryCall::start(TimePoint now)
 {
+    if (m_isFinished) {
+        return {};
+    }
     const ServiceName &service = m_terms.rule.service;
     if (now >= m_terms.deadline) {
         return refuse(now, Reason::DeadlineExceeded, Duration::zero());
