HTTP server: a client that left before its request was read is known to be gone

Cause, two of three: a process that is behind reads a request together with nothing of the close that lies behind it. The handler runs at once and passes the request on; the close is found a turn later, when the request is already at a server. The connection is now asked for its end before the handler runs. HttpServer.AHandlerHearsAtOnceOfAClientThatLeftBeforeItWasRead failed before and passes now. The price is a system call for each request.

--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -195,6 +195,8 @@
 HttpResponse HttpConnection::handle()
 {
     m_state = State::Handling;
+    // A process that is behind finds the client's close right behind its request.
+    m_stream->noticeEnd();
     watchClient();
     HttpResponse response;
     try {
--- a/src/transport/internal/tcpstream.cpp
+++ b/src/transport/internal/tcpstream.cpp
@@ -160,9 +160,25 @@
     if (!m_socket.is_open() || m_isReading || !input().empty()) {
         return false;
     }
+    return peek() == Pending::Nothing;
+}
+
+void TcpStream::noticeEnd()
+{
+    if (!m_readError && m_socket.is_open() && peek() == Pending::End) {
+        m_readError = asio::error::eof;
+    }
+}
+
+TcpStream::Pending TcpStream::peek()
+{
     char byte = 0;
     const auto result = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (result > 0) {
+        return Pending::Bytes;
+    }
+    const bool isEmpty = result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return isEmpty ? Pending::Nothing : Pending::End;
 }
 
 void TcpStream::cancel()
--- a/src/transport/internal/tcpstream.h
+++ b/src/transport/internal/tcpstream.h
@@ -44,6 +44,9 @@
     /// Called once, after the next read that completes; empty for none.
     void setReadObserver(std::function<void()> observer) { m_onRead = std::move(observer); }
 
+    /// Looks whether the other side has closed the connection behind what was read; `readError`
+    /// tells so from then on. Costs a system call.
+    void noticeEnd();
     /// Whether the other side has neither closed the connection nor sent anything unasked.
     bool isQuiet();
     /// Ends what is pending with an error; the connection stays usable.
@@ -57,6 +60,9 @@
     boost::asio::ip::tcp::socket takeSocket() { return std::move(m_socket); }
 
 private:
+    enum class Pending { Nothing, Bytes, End };
+
+    Pending peek();
     void onReadable(const ErrorCode &error);
     ErrorCode readAvailable();
     ErrorCode waitWritable();
