Gate: a call's time left is shortened by how long its frame may have lain unread

What callers saw: requests reached servers over half a second after their clients had left (GONE). The gate of a process that was behind by 0.8 s ran calls whose time had been over before it read them, and the cancellation lay unread behind them. Entries have shortened the time of what they read late since their loop's lag is known; gates only told their load by it. Calls of the daemon itself are not shortened again. A run whose deadline passes between the gate's word and its start is not sent either.

--- a/src/app/internal/entry/peercalls.cpp
+++ b/src/app/internal/entry/peercalls.cpp
@@ -68,9 +68,10 @@
 
 void PeerCalls::sendLocal(StreamId stream, CallMessage call)
 {
-    const CallId id = m_gates.handle(std::move(call), [this, stream](AnswerMessage answer) {
-        end(stream, AttemptAnswer{ std::move(answer), true });
-    });
+    const CallId id = m_gates.handle(std::move(call), CallSource::ThisDaemon,
+                                     [this, stream](AnswerMessage answer) {
+                                         end(stream, AttemptAnswer{ std::move(answer), true });
+                                     });
     const auto found = m_attempts.find(stream);
     if (found != m_attempts.end()) {
         found->second.localCall = id;
@@ -312,9 +313,10 @@
         return;
     }
     m_inbound.emplace(key, CallId());
-    const CallId call = m_gates.handle(std::move(message), [this, key](AnswerMessage answer) {
-        answerInbound(key, std::move(answer));
-    });
+    const CallId call =
+        m_gates.handle(std::move(message), CallSource::Link, [this, key](AnswerMessage answer) {
+            answerInbound(key, std::move(answer));
+        });
     const auto found = m_inbound.find(key);
     if (found != m_inbound.end()) {
         found->second = call;
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -125,14 +125,10 @@
     return loads;
 }
 
-CallId GateService::handle(CallMessage message, Reply reply)
+CallId GateService::handle(CallMessage message, CallSource source, Reply reply)
 {
     const TimePoint now = m_loop.now();
-    if (m_options.mindsLag) {
-        const Duration lag = m_lag.now();
-        m_observers.metrics.observe(Timing::ReadLag, lag);
-        m_processor.onArrival(now, message.letIn, lag);
-    }
+    const Duration unread = noteArrival(now, message, source);
     const CallId id = newCallId();
     Call &call = m_calls[id];
     call.reply = std::move(reply);
@@ -140,7 +136,7 @@
     call.tree = new CallTree;
     call.tree->rule = message.rule;
     call.arrivedAt = now;
-    call.deadline = now + message.remaining;
+    call.deadline = now + message.remaining - unread;
     call.message = std::move(message);
 
     const ServiceName service = call.message.service;
@@ -173,6 +169,21 @@
     return id;
 }
 
+/// Returns how long the call may have lain unread here. The entry has minded that of its own calls.
+Duration GateService::noteArrival(TimePoint now, const CallMessage &message, CallSource source)
+{
+    if (!m_options.mindsLag) {
+        return Duration::zero();
+    }
+    const Duration lag = m_lag.now();
+    m_processor.onArrival(now, message.letIn, lag);
+    if (source == CallSource::ThisDaemon) {
+        return Duration::zero();
+    }
+    m_observers.metrics.observe(Timing::ReadLag, lag);
+    return lag;
+}
+
 void GateService::enterGate(CallId id)
 {
     const Call &call = m_calls.at(id);
@@ -363,6 +374,8 @@
     if (upstream->isWithdrawn) {
         // It was withdrawn after the gate had let the call through.
         end = notRun(Reason::Draining);
+    } else if (startedAt >= found->second.deadline) {
+        end = notRun(Reason::DeadlineExceeded);
     } else if (found->second.isHolding && !m_once.start(id)) {
         // The process was paused past the time in which the key is its own.
         end = notRun(Reason::DeadlineExceeded);
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -82,7 +82,7 @@
     std::size_t callCount() const { return m_calls.size(); }
     std::vector<std::pair<ServiceName, LoadReport>> loads() const;
 
-    CallId handle(CallMessage call, Reply reply) override;
+    CallId handle(CallMessage call, CallSource source, Reply reply) override;
     void cancel(CallId call) override;
     std::optional<CallContext> findContext(const std::string &token) const override;
     InferredContext inferContext(ConnectionTally &tally, const RuleName &rule,
@@ -137,6 +137,7 @@
     void endCall(CallId id, AnswerMessage answer);
     void refuseCall(CallId id, const Verdict &verdict);
     GatedCall stateOf(const Call &call) const;
+    Duration noteArrival(TimePoint now, const CallMessage &message, CallSource source);
     void enterGate(CallId id);
     void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
--- a/src/app/internal/gate/igateservice.h
+++ b/src/app/internal/gate/igateservice.h
@@ -34,6 +34,9 @@
     std::optional<CallContext> parent;
 };
 
+/// Where a call came from. One from a link may have lain unread.
+enum class CallSource { ThisDaemon, Link };
+
 /// Runs calls on the upstreams of this host, through their gates.
 class IGateService
 {
@@ -43,7 +46,7 @@
     virtual ~IGateService() = default;
 
     /// `reply` runs exactly once, possibly before this function returns.
-    virtual CallId handle(CallMessage call, Reply reply) = 0;
+    virtual CallId handle(CallMessage call, CallSource source, Reply reply) = 0;
     virtual void cancel(CallId call) = 0;
     /// The running call to which an upstream's context token belongs.
     virtual std::optional<CallContext> findContext(const std::string &token) const = 0;
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -99,7 +99,7 @@
         CallMessage call;
         call.service = service;
         call.remaining = remaining;
-        m_gates->handle(std::move(call),
+        m_gates->handle(std::move(call), CallSource::Link,
                         [&](const AnswerMessage &answer) { verdicts.push_back(answer.verdict); });
     };
     send(std::chrono::milliseconds(700));
@@ -133,12 +133,12 @@
         m_gates->announce(
             Announcement{ { ServiceName("cassa"), 300, 2000, false }, { "127.0.0.1", 9000 }, {} });
     }
-    void send(Duration remaining)
+    void send(Duration remaining, CallSource source = CallSource::Link)
     {
         CallMessage call;
         call.service = ServiceName("cassa");
         call.remaining = remaining;
-        m_gates->handle(std::move(call), [this](const AnswerMessage &answer) {
+        m_gates->handle(std::move(call), source, [this](const AnswerMessage &answer) {
             m_verdicts.push_back(answer.verdict);
         });
     }
@@ -159,3 +159,16 @@
     send(std::chrono::seconds(5));
     CHECK_EQUAL(before + 1, m_client.exchanges());
 }
+
+// Guards against a deadline that is shortened twice, by the entry and by the gate of one daemon.
+TEST(LateGateService, ACallOfThisDaemonKeepsItsTime)
+{
+    m_loop.setLateness(std::chrono::milliseconds(800));
+    for (int i = 0; i < 10; ++i) {
+        send(std::chrono::seconds(5));
+        m_loop.advance(std::chrono::milliseconds(100));
+    }
+    const std::size_t before = m_client.exchanges();
+    send(std::chrono::milliseconds(700), CallSource::ThisDaemon);
+    CHECK_EQUAL(before + 1, m_client.exchanges());
+}
--- a/src/app/tests/mocks/fakegateservice.h
+++ b/src/app/tests/mocks/fakegateservice.h
@@ -15,7 +15,7 @@
     std::map<CallId, std::pair<CallMessage, Reply>> calls;
     std::vector<CallId> cancelled;
 
-    CallId handle(CallMessage call, Reply reply) override
+    CallId handle(CallMessage call, CallSource /*source*/, Reply reply) override
     {
         const CallId id(++m_lastCall);
         calls.emplace(id, std::make_pair(std::move(call), std::move(reply)));
