Configuration: each daemon bounds how old its knowledge of the log may be

Cause: no daemon knew how current it was. Few waited at the log, for 5 s at a time, and a read that waits can be silent for 5.7 s before anybody notices; all others read in turns drawn with a mean (2.6 to 7.8 s for 13 daemons), and gossip said which version is in force but not how fresh that is. So after an outage all readers sat on dead reads at once, and when the next daemon found a change was luck. A bound held in the mean and in most draws. A read of one daemon serves all, and a daemon that nobody tells reads for itself. The longest waits are derived from the bound in FreshnessOptions: age 0.9 s + a read on a dead connection 0.7 s + margin 0.4 s = 2 s. Waiting at the log is for speed alone; it is begun anew when a check finds what it should have brought. A daemon that is stale asks three peers each 150 ms. Ruled out: pauses alone (a shorter pause leaves the dead read), a shorter wait of readers alone (the others' turns remain), more offers (they carried no age).

Tests of ControlPlaneLog moved into the simulation with their bounds; an offer of the same version without an age is now answered, so one check sends it with its age.

--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -68,13 +68,15 @@
         follower.key = m_settings.streams.configurationKey;
         follower.self = m_settings.id;
         follower.domain = m_settings.domain;
+        follower.freshness.readTimeout = KEYED_LOG_TIMEOUT;
         if (m_settings.ablations.readers) {
             follower.readersPerDomain = std::numeric_limits<std::uint32_t>::max();
         }
         m_configurationLog = makeKeyedLog(platform);
+        m_configurationWatchLog = makeKeyedLog(platform);
         m_configurationDriver = std::make_unique<DocumentFollower>(
-            follower, m_loop, *m_configurationLog, *m_documentReader, m_exchange, *m_random,
-            makeConfigurationEvents());
+            follower, m_loop, DocumentLogs{ *m_configurationLog, *m_configurationWatchLog },
+            *m_documentReader, m_exchange, *m_random, makeConfigurationEvents());
         return;
     }
     ConfigurationFollowerSettings follower;
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -92,6 +92,7 @@
     std::unique_ptr<IConfigurationReader> m_configurationReader;
     std::unique_ptr<IDocumentReader> m_documentReader;
     std::unique_ptr<IKeyedLog> m_configurationLog;
+    std::unique_ptr<IKeyedLog> m_configurationWatchLog;
     std::unique_ptr<IKeyedLog> m_directoryLog;
     std::unique_ptr<IConfigurationDriver> m_configurationDriver;
     std::unique_ptr<MemberDirectory> m_directory;
--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -1,7 +1,6 @@
 #include "app/internal/control/documentfollower.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "coordination/configuration/internal/pollschedule.h"
@@ -9,18 +8,22 @@
 namespace ivyspar {
 
 DocumentFollower::DocumentFollower(DocumentFollowerSettings settings, IEventLoop &loop,
-                                   IKeyedLog &log, const IDocumentReader &reader,
+                                   DocumentLogs logs, const IDocumentReader &reader,
                                    IControlExchange &exchange, IRandom &random,
                                    ConfigurationEvents events)
     : m_settings(std::move(settings))
     , m_loop(loop)
-    , m_log(log)
     , m_reader(reader)
     , m_exchange(exchange)
     , m_random(random)
     , m_events(std::move(events))
-    , m_fiber(loop)
-    , m_cursor(log, m_settings.stream)
+    , m_freshness(makeFreshness(m_settings.freshness))
+    , m_offers(m_settings.domain, exchange, random, [this] { return makeOffer(); })
+    , m_check(loop, logs.check, m_settings.stream, *m_freshness,
+              [this](const DocumentRead &read) { onCheck(read); })
+    , m_watch(
+          loop, logs.watch, m_settings.stream, m_settings.wait, m_settings.freshness.longestRetry,
+          [this] { return isReader(); }, [this](const DocumentRead &read) { onWatch(read); })
 {
 }
 
@@ -32,14 +35,16 @@
 
 void DocumentFollower::start()
 {
-    m_fiber.start([this] { follow(); });
+    m_check.start();
+    m_watch.start();
     m_offerTimer = m_loop.callLater(m_settings.offerInterval, [this] { offerAgain(); });
 }
 
 void DocumentFollower::stop()
 {
     m_loop.cancelTimer(m_offerTimer);
-    m_fiber.stop([this] { m_log.cancel(); });
+    m_watch.stop();
+    m_check.stop();
 }
 
 bool DocumentFollower::receive(const DaemonId &from, const std::string &payload)
@@ -54,123 +59,96 @@
 
 ConfigurationStatus DocumentFollower::status() const
 {
+    const std::optional<LogOffset> &next = m_check.cursor().next();
     ConfigurationStatus status;
     status.inForce = version();
     status.accepted = version();
     status.unreadable = m_unreadable;
-    status.isJudging = m_cursor.next().has_value();
-    status.nextOffset = m_cursor.next().value_or(LogOffset());
+    status.isJudging = next.has_value();
+    status.isFastPoller = isReader();
+    status.nextOffset = next.value_or(LogOffset());
     status.logError = m_logError;
     return status;
 }
 
-void DocumentFollower::follow()
+/// A read that did not wait tells how the log stood when it began.
+void DocumentFollower::onCheck(const DocumentRead &read)
 {
-    while (!m_fiber.isStopped()) {
-        const TimePoint startedAt = m_loop.now();
-        const Ret read = readOnce();
-        const auto took = std::chrono::duration_cast<Duration>(m_loop.now() - startedAt);
-        if (read) {
-            onReadDone(took);
-        } else {
-            onReadFailed(read.error(), took);
-        }
-        pauseUntilNextRead();
+    if (!read.page) {
+        m_freshness->onReadFailed(read.startedAt, m_random);
+        onReadFailed(read);
+        return;
     }
-}
-
-Ret DocumentFollower::readOnce()
-{
-    const auto page = m_cursor.read(isReader() ? m_settings.wait : Duration::zero());
-    if (!page) {
-        return tl::unexpected<Error>(page.error());
+    const bool wasLost = !m_logError.empty();
+    takePage(*read.page);
+    m_freshness->confirm(m_loop.now(), read.startedAt, m_random);
+    onReadDone(read);
+    m_watch.cursor().skipTo(read.page->next);
+    m_watch.checkDuty();
+    // What the watch should have brought, or cannot, it waits for on a connection that went silent.
+    if (wasLost || !read.page->records.empty()) {
+        m_watch.restart();
     }
-    takePage(*page);
-    return {};
+    offerToAllDomains();
 }
 
-/// Without a configuration a daemon serves nobody and cannot wait for its turn.
-bool DocumentFollower::isReader() const
+void DocumentFollower::offerToAllDomains()
 {
-    if (!m_inForce) {
-        return true;
-    }
-    std::vector<DaemonId> near;
-    for (const ControlPeer &peer : m_exchange.peers()) {
-        if (peer.domain == m_settings.domain) {
-            near.push_back(peer.id);
-        }
-    }
-    return isFastPoller(m_settings.self, near, m_settings.readersPerDomain);
+    m_offers.sendNear(m_settings.nearOffers);
+    m_offers.sendToEachDomain();
 }
 
-void DocumentFollower::pauseUntilNextRead()
+void DocumentFollower::onWatch(const DocumentRead &read)
 {
-    const bool isTurnOver = m_failures == 0 || m_failures % m_settings.triesPerTurn == 0;
-    if (isTurnOver && !isReader()) {
-        pauseUntilNextTurn();
+    if (!read.page) {
+        onReadFailed(read);
         return;
     }
-    if (m_failures > 0) {
-        const Duration pause = m_settings.retry * (1U << std::min(m_failures, 10U));
-        m_fiber.pause(std::min(pause, m_settings.longestRetry));
+    const bool isNews = takePage(*read.page);
+    onReadDone(read);
+    m_check.cursor().skipTo(read.page->next);
+    if (isNews) {
+        offerToAllDomains();
     }
-}
-
-void DocumentFollower::pauseUntilNextTurn()
-{
-    m_isTakingTurns = true;
-    m_fiber.pause(pauseOfShare(m_settings.readShare, m_exchange.peers().size() + 1, m_random));
-    m_isTakingTurns = false;
-}
-
-/// Readers may have gone, so that this daemon is one now; its next turn would come after a long
-/// pause.
-void DocumentFollower::checkDuty()
-{
-    if (m_isTakingTurns && isReader()) {
-        m_fiber.wake();
+    if (read.page->records.empty()) {
+        m_freshness->confirm(m_loop.now(), read.startedAt + m_settings.wait, m_random);
     }
 }
 
-void DocumentFollower::takePage(const KeyedPage &page)
+/// Returns whether a version came into force.
+bool DocumentFollower::takePage(const KeyedPage &page)
 {
     // Only the last one counts: those before it were replaced by it.
     const auto last =
         std::find_if(page.records.rbegin(), page.records.rend(),
                      [this](const KeyedRecord &record) { return record.key == m_settings.key; });
-    if (last != page.records.rend() && !last->value.empty()) {
-        adopt(last->value, "log");
-    }
+    return last != page.records.rend() && !last->value.empty() && adopt(last->value, "log");
 }
 
-void DocumentFollower::onReadDone(Duration took)
+void DocumentFollower::onReadDone(const DocumentRead &read)
 {
-    if (m_failures > 0) {
+    if (!m_logError.empty()) {
         notice("configuration: the log can be read again");
-        tellContact(false, took);
+        tellContact(false, read.took);
     }
-    m_failures = 0;
     m_logError.clear();
     m_answeredAt = m_loop.now();
 }
 
 /// While the platform turns this daemon away, others may still be served: without asking them it
 /// would go on under an old configuration, or without any after a start.
-void DocumentFollower::onReadFailed(const Error &error, Duration took)
+void DocumentFollower::onReadFailed(const DocumentRead &read)
 {
-    if (m_fiber.isStopped()) {
-        return;
+    const bool isNew = m_logError.empty();
+    m_logError = read.page.error().text;
+    if (isNew) {
+        notice("configuration: the log cannot be read: " + m_logError);
+        tellContact(true, read.took);
     }
-    if (m_failures == 0) {
-        notice("configuration: the log cannot be read: " + error.text);
-    }
-    m_logError = error.text;
-    if (m_failures == 0) {
-        tellContact(true, took);
+    const std::vector<ControlPeer> peers = m_exchange.peers();
+    if (!peers.empty()) {
+        requestFrom(peers[m_random.below(peers.size())].id);
     }
-    ++m_failures;
-    askRandomPeer();
 }
 
 void DocumentFollower::tellContact(bool isLost, Duration took) const
@@ -188,51 +166,101 @@
     return std::chrono::duration_cast<Duration>(m_loop.now() - *m_answeredAt);
 }
 
-void DocumentFollower::adopt(const std::string &document, const char *source)
+bool DocumentFollower::isReader() const
+{
+    std::vector<DaemonId> near;
+    for (const ControlPeer &peer : m_exchange.peers()) {
+        if (peer.domain == m_settings.domain) {
+            near.push_back(peer.id);
+        }
+    }
+    return isFastPoller(m_settings.self, near, m_settings.readersPerDomain);
+}
+
+/// Returns whether it is newer than the one that was in force.
+bool DocumentFollower::adopt(const std::string &document, const char *source)
 {
     const RetVal<ConfigurationPtr> read = m_reader.read(document);
     if (!read) {
         m_unreadable = read.error().text;
         notice("configuration: the one from " + std::string(source)
                + " is not used: " + m_unreadable);
-        return;
+        return false;
     }
     if ((*read)->version <= version()) {
-        return;
+        return false;
     }
     m_unreadable.clear();
     m_inForce = *read;
     m_document = document;
     notice("configuration: version " + std::to_string(version().value()) + " is in force, from "
            + source);
-    m_events.onConfiguration(m_inForce, ConfigurationOrigin{ source, silence() });
-    offerToNear(m_settings.nearOffers);
-    offerToFar(m_settings.farOffers);
+    m_events.onConfiguration(m_inForce,
+                             ConfigurationOrigin{ source, m_freshness->age(m_loop.now()) });
+    return true;
 }
 
 void DocumentFollower::handle(const DaemonId &from, const DocumentOffer &offer)
 {
     if (offer.version < version()) {
-        m_exchange.send(from, encodeDocumentMessage(DocumentOffer{ version() }));
+        m_offers.sendTo(from);
+        return;
     }
-    if (offer.version <= version()) {
+    if (offer.version > version()) {
+        pursue(from, offer.version);
         return;
     }
-    m_offered = std::max(m_offered, offer.version);
+    if (offer.age) {
+        takeAge(from, *offer.age);
+    } else if (m_freshness->age(m_loop.now())) {
+        m_offers.sendTo(from);
+    }
+}
+
+/// Passed on by those to whom it is worth something, so that all hear of it and it ends.
+void DocumentFollower::takeAge(const DaemonId &from, Duration age)
+{
+    const TimePoint now = m_loop.now();
+    const Duration worthTelling = m_settings.freshness.longestAge() / 4;
+    const std::optional<Duration> own = m_freshness->age(now);
+    if (own && age > *own + worthTelling) {
+        m_offers.sendTo(from);
+        return;
+    }
+    const bool isLater = m_freshness->confirm(now, now - age, m_random);
+    if (isLater && (!own || *own > age + worthTelling)) {
+        m_offers.sendNear(m_settings.nearOffers);
+    }
+}
+
+/// Several offer a new version in the same moment, and a document may be large: only one is asked
+/// at a time. The next one is asked if that one is gone.
+void DocumentFollower::pursue(const DaemonId &from, ConfigurationVersion offered)
+{
+    m_offered = std::max(m_offered, offered);
     m_offeredBy = from;
     if (m_isPatient) {
         return;
     }
-    // Several offer a new version in the same moment, and a document may be large: only one is
-    // asked at a time. The next one is asked if that one is gone.
     if (!isReader()) {
         requestFrom(from);
     }
+    waitForOffered();
+}
+
+void DocumentFollower::waitForOffered()
+{
     m_isPatient = true;
     m_patienceTimer = m_loop.callLater(m_settings.offerPatience, [this] {
         m_isPatient = false;
-        if (m_offered > version()) {
-            requestFrom(m_offeredBy);
+        if (m_offered <= version()) {
+            return;
+        }
+        requestFrom(m_offeredBy);
+        // One that this program cannot read would be read from the log again and again.
+        if (m_unreadable.empty()) {
+            m_freshness->expire();
+            m_check.wake();
         }
     });
 }
@@ -246,7 +274,10 @@
 
 void DocumentFollower::handle(const DaemonId &from, const DocumentPush &push)
 {
-    adopt(push.document, from.value().c_str());
+    if (adopt(push.document, from.value().c_str())) {
+        m_offers.sendNear(m_settings.nearOffers);
+        m_offers.sendFar(m_settings.farOffers);
+    }
 }
 
 void DocumentFollower::requestFrom(const DaemonId &peer)
@@ -254,56 +285,34 @@
     m_exchange.send(peer, encodeDocumentMessage(DocumentRequest{ version() }));
 }
 
-void DocumentFollower::askRandomPeer()
-{
-    const std::vector<ControlPeer> peers = m_exchange.peers();
-    if (!peers.empty()) {
-        requestFrom(peers[m_random.below(peers.size())].id);
-    }
-}
-
 /// Those who adopt a version tell a few others at random, and by chance nobody may tell this
-/// daemon, or the one that it asks may just be gone. It would go on under the old version until its
-/// turn to read comes. Telling somebody again and again brings an answer from whoever knows a newer
-/// one. Now and then it is somebody far: all of a failure domain may be behind.
+/// daemon. Telling somebody again and again brings an answer from whoever knows more. Now and then
+/// it is somebody far: all of a failure domain may be behind.
 void DocumentFollower::offerAgain()
 {
-    if (m_random.below(m_settings.offersPerFarOffer) == 0) {
-        offerToFar(1);
+    if (m_freshness->isStale(m_loop.now())) {
+        m_offers.sendNear(2);
+        m_offers.sendFar(1);
+    } else if (m_random.below(m_settings.offersPerFarOffer) == 0) {
+        m_offers.sendFar(1);
     } else {
-        offerToNear(1);
+        m_offers.sendNear(1);
     }
-    checkDuty();
-    m_offerTimer = m_loop.callLater(m_settings.offerInterval, [this] { offerAgain(); });
+    m_watch.checkDuty();
+    m_offerTimer = m_loop.callLater(untilNextOffer(), [this] { offerAgain(); });
 }
 
-void DocumentFollower::offerToNear(std::uint32_t count)
+Duration DocumentFollower::untilNextOffer() const
 {
-    std::vector<ControlPeer> all = m_exchange.peers();
-    std::vector<ControlPeer> near;
-    std::copy_if(all.begin(), all.end(), std::back_inserter(near),
-                 [this](const ControlPeer &peer) { return peer.domain == m_settings.domain; });
-    offerTo(near.empty() ? std::move(all) : std::move(near), count);
+    const std::optional<Duration> age = m_freshness->age(m_loop.now());
+    const Duration longest = m_settings.freshness.longestAge();
+    const Duration untilStale = longest - age.value_or(longest);
+    return std::min(std::max(untilStale, m_settings.staleOfferInterval), m_settings.offerInterval);
 }
 
-void DocumentFollower::offerToFar(std::uint32_t count)
+DocumentOffer DocumentFollower::makeOffer() const
 {
-    std::vector<ControlPeer> far = m_exchange.peers();
-    far.erase(std::remove_if(
-                  far.begin(), far.end(),
-                  [this](const ControlPeer &peer) { return peer.domain == m_settings.domain; }),
-              far.end());
-    offerTo(std::move(far), count);
-}
-
-void DocumentFollower::offerTo(std::vector<ControlPeer> peers, std::uint32_t count)
-{
-    const std::string offer = encodeDocumentMessage(DocumentOffer{ version() });
-    for (std::uint32_t i = 0; i < count && !peers.empty(); ++i) {
-        const std::size_t chosen = m_random.below(peers.size());
-        m_exchange.send(peers[chosen].id, offer);
-        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
-    }
+    return DocumentOffer{ version(), m_freshness->age(m_loop.now()) };
 }
 
 ConfigurationVersion DocumentFollower::version() const
--- a/src/app/internal/control/documentfollower.h
+++ b/src/app/internal/control/documentfollower.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "app/icontrolexchange.h"
-#include "app/internal/control/backgroundfiber.h"
+#include "app/internal/control/documentcheck.h"
+#include "app/internal/control/documentoffers.h"
+#include "app/internal/control/documentwatch.h"
 #include "app/internal/control/iconfigurationdriver.h"
-#include "app/internal/control/keyedcursor.h"
+#include "coordination/configuration/ifreshness.h"
 #include "protocol/documentexchange.h"
 #include "protocol/idocumentreader.h"
 #include "state/irandom.h"
@@ -21,19 +24,14 @@
     std::string key;
     DaemonId self;
     DomainName domain;
-    /// Daemons of each failure domain that follow the stream; the others hear of news from them.
+    /// How current each daemon keeps itself.
+    FreshnessOptions freshness;
+    /// Daemons of each failure domain that wait at the log for news.
     std::uint32_t readersPerDomain = 2;
-    /// How long one read of a reader waits for news. A connection that went silent is noticed after
-    /// this time.
+    /// How long one read of a reader waits for news.
     Duration wait = std::chrono::seconds(5);
-    /// Mean time between two reads of all daemons together that are no readers.
-    Duration readShare = std::chrono::milliseconds(400);
-    /// A connection that went silent fails the first read of a turn, and the next opens another.
-    std::uint32_t triesPerTurn = 3;
-    /// Pause after a read that failed, and how long it grows while reads go on failing.
-    Duration retry = std::chrono::milliseconds(100);
-    Duration longestRetry = std::chrono::seconds(1);
-    /// Random peers of the own failure domain, and of others, that hear of a new version at once.
+    /// Random peers of the own failure domain that hear of a new version, or of a confirmation, at
+    /// once; and of other failure domains, from a daemon that heard of a version from a peer.
     std::uint32_t nearOffers = 3;
     std::uint32_t farOffers = 1;
     /// Time in which a daemon that hears of a newer version usually gets it from the log, if it is
@@ -43,22 +41,28 @@
     /// peer of another failure domain.
     Duration offerInterval = std::chrono::milliseconds(500);
     std::uint32_t offersPerFarOffer = 8;
+    /// The same while neither the log nor a peer told this daemon anything in time.
+    Duration staleOfferInterval = std::chrono::milliseconds(150);
 };
 
-/// Follows a configuration that stands as one document in a keyed stream of the platform. A few
-/// readers in each failure domain wait for news; they offer what they find to others, who fetch it
-/// from them and offer it on. With a read of each daemon for each version and each wait, the log
-/// would be asked in proportion to the daemons.
+/// The two connections of a follower to the log: a read that waits must not hold up one that does
+/// not.
+struct DocumentLogs
+{
+    IKeyedLog &check;
+    IKeyedLog &watch;
+};
+
+/// Follows a configuration that stands as one document in a keyed stream of the platform.
 ///
-/// Readers may be dead, cut off from the log, or turned away by it, all at once. So a daemon
-/// without a configuration waits for news itself, and the others take turns to read without
-/// waiting: any that the log still serves finds a new version within a part of a second, and offers
-/// it.
+/// A daemon that does not know how the log stood a moment ago reads it. Whoever reads tells others,
+/// who pass it on, so that few read; a daemon that nobody tells reads for itself in time. Readers
+/// in each failure domain wait at the log besides, so that news are usually in force at once.
 class DocumentFollower : public IConfigurationDriver
 {
 public:
     /// All references outlive the follower.
-    DocumentFollower(DocumentFollowerSettings settings, IEventLoop &loop, IKeyedLog &log,
+    DocumentFollower(DocumentFollowerSettings settings, IEventLoop &loop, DocumentLogs logs,
                      const IDocumentReader &reader, IControlExchange &exchange, IRandom &random,
                      ConfigurationEvents events);
     ~DocumentFollower() override;
@@ -69,49 +73,46 @@
     ConfigurationStatus status() const override;
 
 private:
-    void follow();
-    Ret readOnce();
-    bool isReader() const;
-    void pauseUntilNextRead();
-    void pauseUntilNextTurn();
-    void takePage(const KeyedPage &page);
-    void onReadFailed(const Error &error, Duration took);
-    void onReadDone(Duration took);
+    void onCheck(const DocumentRead &read);
+    void onWatch(const DocumentRead &read);
+    bool takePage(const KeyedPage &page);
+    void offerToAllDomains();
+    void onReadFailed(const DocumentRead &read);
+    void onReadDone(const DocumentRead &read);
     void tellContact(bool isLost, Duration took) const;
     std::optional<Duration> silence() const;
-    void adopt(const std::string &document, const char *source);
+    bool isReader() const;
+    bool adopt(const std::string &document, const char *source);
     void handle(const DaemonId &from, const DocumentOffer &offer);
     void handle(const DaemonId &from, const DocumentRequest &request);
     void handle(const DaemonId &from, const DocumentPush &push);
+    void takeAge(const DaemonId &from, Duration age);
+    void pursue(const DaemonId &from, ConfigurationVersion offered);
+    void waitForOffered();
     void requestFrom(const DaemonId &peer);
-    void askRandomPeer();
-    void offerTo(std::vector<ControlPeer> peers, std::uint32_t count);
-    void offerToNear(std::uint32_t count);
-    void offerToFar(std::uint32_t count);
     void offerAgain();
-    void checkDuty();
+    Duration untilNextOffer() const;
+    DocumentOffer makeOffer() const;
     ConfigurationVersion version() const;
     void notice(const std::string &text) const;
 
     DocumentFollowerSettings m_settings;
     IEventLoop &m_loop;
-    IKeyedLog &m_log;
     const IDocumentReader &m_reader;
     IControlExchange &m_exchange;
     IRandom &m_random;
     ConfigurationEvents m_events;
-    BackgroundFiber m_fiber;
-    KeyedCursor m_cursor;
+    std::unique_ptr<IFreshness> m_freshness;
+    DocumentOffers m_offers;
+    DocumentCheck m_check;
+    DocumentWatch m_watch;
 
     ConfigurationPtr m_inForce;
     std::string m_document;
     std::string m_unreadable;
     std::string m_logError;
-    std::uint32_t m_failures = 0;
     /// When the last read that the log answered ended.
     std::optional<TimePoint> m_answeredAt;
-    /// Reads without waiting, in turn with all others.
-    bool m_isTakingTurns = false;
     /// The newest version offered here, and by whom.
     ConfigurationVersion m_offered;
     DaemonId m_offeredBy;
--- a/src/app/internal/control/keyedcursor.cpp
+++ b/src/app/internal/control/keyedcursor.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/control/keyedcursor.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ivyspar {
@@ -23,4 +24,9 @@
     return page;
 }
 
+void KeyedCursor::skipTo(LogOffset next)
+{
+    m_next = std::max(m_next.value_or(next), next);
+}
+
 } // namespace ivyspar
--- a/src/app/internal/control/keyedcursor.h
+++ b/src/app/internal/control/keyedcursor.h
@@ -16,6 +16,8 @@
     /// Suspends the calling fiber, for `wait` while there are no news. Where the log forgot what
     /// came after the place that was reached, gives the newest records, which are all that counts.
     RetVal<KeyedPage> read(Duration wait);
+    /// What comes before that place is known already.
+    void skipTo(LogOffset next);
     /// Where it reads on; nothing before the newest records were read.
     const std::optional<LogOffset> &next() const { return m_next; }
 
--- a/src/app/tests/configurationboundtest.cpp
+++ b/src/app/tests/configurationboundtest.cpp
@@ -65,7 +65,7 @@
     {
         for (std::size_t i = 0; i < m_followers.size(); ++i) {
             const bool isFailed = m_followers.random().below(2) == 0;
-            m_followers.log(i).setService(isFailed ? service : SimulatedLog::Service::Answers);
+            m_followers.setService(i, isFailed ? service : SimulatedLog::Service::Answers);
         }
     }
 
@@ -144,6 +144,48 @@
     schedule.change(milliseconds(700), seconds(4));
 }
 
+/// Connections go silent one after the other, each without a word.
+void playLostConnections(Schedule &schedule)
+{
+    SimulatedFollowers &followers = schedule.followers();
+    for (int round = 0; round < 40; ++round) {
+        for (std::size_t i = 0; i < followers.size(); ++i) {
+            if (followers.random().below(3) == 0) {
+                followers.loseConnections(i);
+            }
+        }
+        schedule.change(milliseconds(400), milliseconds(400));
+    }
+}
+
+/// Only one daemon is served, and another one every two seconds.
+void playOneServed(Schedule &schedule)
+{
+    SimulatedFollowers &followers = schedule.followers();
+    for (int round = 0; round < 8; ++round) {
+        const std::size_t served = followers.random().below(followers.size());
+        const bool isSilent = followers.random().below(2) == 0;
+        followers.setServiceForAll(isSilent ? SimulatedLog::Service::Silent
+                                            : SimulatedLog::Service::Refuses);
+        followers.setService(served, SimulatedLog::Service::Answers);
+        schedule.change(milliseconds(500), seconds(2));
+    }
+}
+
+/// A failure domain is cut off from the others, and half of the daemons are turned away.
+void playCutAndHalf(Schedule &schedule)
+{
+    SimulatedFollowers &followers = schedule.followers();
+    schedule.failHalf(SimulatedLog::Service::Refuses);
+    for (std::size_t domain = 0; domain < 3; ++domain) {
+        followers.setService(domain, SimulatedLog::Service::Answers);
+    }
+    followers.cut(1);
+    schedule.change(milliseconds(900), seconds(8));
+    followers.mend();
+    schedule.change(milliseconds(900), seconds(3));
+}
+
 } // namespace
 
 TEST_GROUP(ConfigurationBound){};
@@ -155,3 +197,23 @@
     STRCMP_EQUAL("", playSeeds(makeDeployment(13, 3), playSilenceThenHalf).c_str());
     STRCMP_EQUAL("", playSeeds(makeDeployment(30, 6), playSilenceThenHalf).c_str());
 }
+
+// Guards against a change that comes too late where connections to the log went silent for good.
+TEST(ConfigurationBound, HoldsWhileConnectionsToTheLogGoSilent)
+{
+    STRCMP_EQUAL("", playSeeds(makeDeployment(13, 3), playLostConnections).c_str());
+}
+
+// Guards against a change that only the last daemon that the log serves can know of.
+TEST(ConfigurationBound, HoldsWhileTheLogServesOneDaemonOnly)
+{
+    STRCMP_EQUAL("", playSeeds(makeDeployment(13, 3), playOneServed).c_str());
+    STRCMP_EQUAL("", playSeeds(makeDeployment(30, 6), playOneServed).c_str());
+}
+
+// Guards against a failure domain that stays behind because its readers are turned away and no
+// other domain can tell it.
+TEST(ConfigurationBound, HoldsInAFailureDomainThatIsCutOff)
+{
+    STRCMP_EQUAL("", playSeeds(makeDeployment(13, 3), playCutAndHalf).c_str());
+}
--- a/src/app/tests/controlplanetest.cpp
+++ b/src/app/tests/controlplanetest.cpp
@@ -1,15 +1,11 @@
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <vector>
 
-#include "app/internal/control/documentfollower.h"
-#include "app/internal/control/memberdirectory.h"
-#include "app/tests/mocks/fakekeyedlog.h"
-#include "app/tests/mocks/numberreader.h"
-#include "app/tests/mocks/silentobservers.h"
+#include "app/tests/mocks/simulatedfollowers.h"
 #include "coordination/membership/tests/mocks/membershipfabric.h"
 #include "protocol/internal/membershipcodec.h"
-#include "transport/tests/looprunner.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -186,175 +182,44 @@
     CHECK(many.takeMostInASecond() <= MOST_BYTES_PER_SECOND);
 }
 
-namespace {
-
-const StreamName CONFIGURATIONS("configurations");
-const StreamName DIRECTORY("members");
-
-class Followers;
-
-/// Reaches the other followers of the same loop.
-class DirectExchange : public IControlExchange
-{
-public:
-    DirectExchange(Followers &followers, std::size_t self)
-        : m_followers(followers)
-        , m_self(self)
-    {
-    }
-    std::vector<ControlPeer> peers() const override;
-    void send(const DaemonId &to, std::string payload) override;
-
-private:
-    Followers &m_followers;
-    std::size_t m_self;
-};
-
-DaemonId idOf(std::size_t index)
+TEST_GROUP(ControlPlaneLog)
 {
-    return DaemonId("daemon-" + std::to_string(index));
-}
+    std::unique_ptr<SimulatedFollowers> m_all;
 
-/// What the daemons of a deployment ask of the platform's log, in one loop, with times a tenth of
-/// the usual ones.
-class Followers
-{
-public:
-    Followers(IEventLoop &loop, std::size_t count, std::uint32_t readersPerDomain)
-        : loop(loop)
-        , log(loop)
-    {
-        for (std::size_t i = 0; i < count; ++i) {
-            add(i, readersPerDomain);
-        }
-    }
-
-    void start()
+    void start(std::size_t count, std::uint32_t readersPerDomain)
     {
-        for (std::size_t i = 0; i < followers.size(); ++i) {
-            directories[i]->start();
-            followers[i]->start();
-        }
+        SimulatedDeployment deployment;
+        deployment.daemons = count;
+        deployment.domains = DOMAINS;
+        deployment.readersPerDomain = readersPerDomain;
+        m_all = std::make_unique<SimulatedFollowers>(deployment);
+        m_all->publish(1);
+        m_all->start();
+        CHECK(reaches([this] { return m_all->haveAll(1); }));
+        CHECK(reaches([&] { return m_all->entered() == count; }));
     }
-
-    void stop()
+    bool reaches(const std::function<bool()> &condition)
     {
-        for (std::size_t i = 0; i < followers.size(); ++i) {
-            directories[i]->stop();
-            followers[i]->stop();
+        for (Duration waited{ 0 }; waited < seconds(5) && !condition(); waited += milliseconds(1)) {
+            m_all->run(milliseconds(1));
         }
-    }
-
-    bool haveAll(std::uint64_t version) const
-    {
-        return std::all_of(versions.begin(), versions.end(),
-                           [version](std::uint64_t each) { return each == version; });
-    }
-
-    IEventLoop &loop;
-    FakeKeyedLog log;
-    std::vector<std::uint64_t> versions;
-    std::vector<std::unique_ptr<DocumentFollower>> followers;
-    std::vector<std::unique_ptr<MemberDirectory>> directories;
-
-private:
-    void add(std::size_t index, std::uint32_t readersPerDomain)
-    {
-        m_exchanges.push_back(std::make_unique<DirectExchange>(*this, index));
-        versions.push_back(0);
-        DocumentFollowerSettings follower;
-        follower.stream = CONFIGURATIONS;
-        follower.key = "newest";
-        follower.self = idOf(index);
-        follower.domain = domainOf(index);
-        follower.readersPerDomain = readersPerDomain;
-        follower.wait = milliseconds(500);
-        follower.readShare = milliseconds(40);
-        follower.offerPatience = milliseconds(15);
-        follower.offerInterval = milliseconds(50);
-        ConfigurationEvents events;
-        events.onConfiguration = [this, index](const ConfigurationPtr &configuration,
-                                               const ConfigurationOrigin & /*origin*/) {
-            versions[index] = configuration->version.value();
-        };
-        followers.push_back(std::make_unique<DocumentFollower>(
-            follower, loop, log, m_reader, *m_exchanges.back(), m_random, events));
-        MemberDirectorySettings directory;
-        directory.stream = DIRECTORY;
-        directory.self = idOf(index);
-        directory.place = { Endpoint{ "10.0.0.1", static_cast<std::uint16_t>(index + 1) },
-                            domainOf(index) };
-        directory.readShare = milliseconds(50);
-        directories.push_back(std::make_unique<MemberDirectory>(
-            directory, loop, log, m_random, m_observers.observers(),
-            [](const MembershipSeed & /*seed*/) {}, [this] { return followers.size(); }));
-    }
-
-    NumberReader m_reader;
-    SeededRandom m_random{ 6 };
-    SilentObservers m_observers;
-    std::vector<std::unique_ptr<DirectExchange>> m_exchanges;
-};
-
-std::vector<ControlPeer> DirectExchange::peers() const
-{
-    std::vector<ControlPeer> peers;
-    for (std::size_t i = 0; i < m_followers.followers.size(); ++i) {
-        if (i != m_self) {
-            peers.push_back({ idOf(i), domainOf(i) });
-        }
-    }
-    return peers;
-}
-
-void DirectExchange::send(const DaemonId &to, std::string payload)
-{
-    for (std::size_t i = 0; i < m_followers.followers.size(); ++i) {
-        if (idOf(i) == to) {
-            m_followers.loop.post([this, i, payload = std::move(payload)] {
-                m_followers.followers[i]->receive(idOf(m_self), payload);
-            });
-            return;
-        }
-    }
-}
-
-} // namespace
-
-TEST_GROUP(ControlPlaneLog)
-{
-    LoopRunner m_runner;
-    std::unique_ptr<Followers> m_all;
-
-    void start(std::size_t count, std::uint32_t readersPerDomain)
-    {
-        m_runner.run([&] {
-            m_all = std::make_unique<Followers>(m_runner.loop(), count, readersPerDomain);
-            m_all->log.write(CONFIGURATIONS, "newest", "1");
-            m_all->start();
-        });
-        CHECK(m_runner.reaches([this] { return m_all->haveAll(1); }));
-        CHECK(m_runner.reaches([&] { return m_all->log.writes(DIRECTORY) == count; }));
+        return condition();
     }
     /// Calls of the log from a new version until all have it in force.
     std::size_t readsForAVersion(std::uint64_t version)
     {
-        std::size_t before = 0;
-        m_runner.run([&] {
-            before = m_all->log.reads;
-            m_all->log.write(CONFIGURATIONS, "newest", std::to_string(version));
-        });
-        CHECK(m_runner.reaches([&] { return m_all->haveAll(version); }));
-        std::size_t reads = 0;
-        m_runner.run([&] { reads = m_all->log.reads - before; });
-        return reads;
+        const std::size_t before = m_all->reads();
+        m_all->publish(version);
+        CHECK(reaches([&] { return m_all->haveAll(version); }));
+        return m_all->reads() - before;
+    }
+    std::size_t bytesOnTheWay() const
+    {
+        return m_all->bytes() + m_all->messages() * OVERHEAD_BYTES;
     }
     void teardown() override
     {
-        m_runner.run([this] {
-            m_all->stop();
-            m_all.reset();
-        });
+        m_all.reset();
     }
 };
 
@@ -380,11 +245,27 @@
     CHECK(readsForAVersion(3) < FEW);
 }
 
+// Guards against reads and messages for currency that grow with the daemons.
+TEST(ControlPlaneLog, ACalmDeploymentReadsLittleHoweverManyDaemonsThereAre)
+{
+    constexpr std::size_t SECONDS = 20;
+    start(FEW, 2);
+    std::size_t before = m_all->reads();
+    m_all->run(seconds(SECONDS));
+    const std::size_t few = m_all->reads() - before;
+
+    m_all.reset();
+    start(MANY, 2);
+    before = m_all->reads();
+    const std::size_t bytesBefore = bytesOnTheWay();
+    m_all->run(seconds(SECONDS));
+    CHECK(m_all->reads() - before <= 3 * few);
+    CHECK(bytesOnTheWay() - bytesBefore <= MANY * SECONDS * BYTES_PER_SECOND);
+}
+
 // Each reads the list, enters itself and reads once more, and reads the configuration.
 TEST(ControlPlaneLog, AStartCostsAFewReadsOfEachDaemon)
 {
     start(MANY, 2);
-    std::size_t reads = 0;
-    m_runner.run([&] { reads = m_all->log.reads; });
-    CHECK(reads <= 5 * MANY);
+    CHECK(m_all->reads() <= 5 * MANY);
 }
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -42,7 +42,7 @@
     DocumentFollowerSettings settings;
     settings.stream = STREAM;
     settings.key = "newest";
-    settings.retry = std::chrono::milliseconds(1);
+    settings.freshness.retry = std::chrono::milliseconds(1);
     settings.offerPatience = std::chrono::milliseconds(1);
     settings.offerInterval = std::chrono::hours(1);
     return settings;
@@ -69,7 +69,7 @@
         m_settings.self = DaemonId("self");
         m_settings.domain = DomainName("here");
         m_settings.readersPerDomain = 1;
-        m_settings.readShare = std::chrono::hours(1);
+        m_settings.freshness.applyWithin = std::chrono::hours(1);
         for (int i = 0; i < 20; ++i) {
             m_exchange.others.push_back(
                 { DaemonId("near-" + std::to_string(i)), m_settings.domain });
@@ -87,8 +87,9 @@
             events.onLogContact = [this](const LogContact &contact) {
                 m_contacts.push_back(contact);
             };
-            m_follower = std::make_unique<DocumentFollower>(m_settings, m_runner.loop(), m_log,
-                                                            m_reader, m_exchange, m_random, events);
+            m_follower = std::make_unique<DocumentFollower>(m_settings, m_runner.loop(),
+                                                            DocumentLogs{ m_log, m_log }, m_reader,
+                                                            m_exchange, m_random, events);
             m_follower->start();
         });
     }
@@ -143,8 +144,9 @@
         m_follower->receive(DaemonId("peer"),
                             encodeDocumentMessage(DocumentOffer{ ConfigurationVersion(6) }));
         CHECK_EQUAL(1, m_exchange.sent.size());
-        m_follower->receive(DaemonId("peer"),
-                            encodeDocumentMessage(DocumentOffer{ ConfigurationVersion(7) }));
+        m_follower->receive(
+            DaemonId("peer"),
+            encodeDocumentMessage(DocumentOffer{ ConfigurationVersion(7), Duration::zero() }));
         CHECK_EQUAL(1, m_exchange.sent.size());
     });
 }
@@ -250,14 +252,12 @@
     CHECK(std::holds_alternative<DocumentRequest>(m_exchange.sent[0]));
 }
 
-// 1. All readers are gone, cut off from the log or turned away by it, in the same moment.
-// 2. A new version comes. Nobody offers it.
-// 3. The others read in turn, without waiting. Each finds it at its turn and offers it on; with
-//    none of them reading, the old version would stay in force until new readers are chosen.
-TEST(DocumentFollower, OthersTakeTurnsToReadWhenNoReaderDoes)
+// Guards against an old version that stays in force when all readers are gone, cut off from the log
+// or turned away by it in the same moment.
+TEST(DocumentFollower, ADaemonThatNobodyTellsReadsForItself)
 {
     crowd();
-    m_settings.readShare = std::chrono::milliseconds(1);
+    m_settings.freshness.applyWithin = std::chrono::milliseconds(4);
     m_log.write(STREAM, "newest", "7");
     start();
     CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
--- a/src/app/tests/mocks/simulatedfollowers.h
+++ b/src/app/tests/mocks/simulatedfollowers.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "app/internal/control/documentfollower.h"
+#include "app/internal/control/memberdirectory.h"
 #include "app/tests/mocks/numberreader.h"
+#include "app/tests/mocks/silentobservers.h"
 #include "app/tests/mocks/simulatedlog.h"
 #include "state/internal/seededrandom.h"
 #include "transport/tests/mocks/simulatedeventloop.h"
@@ -20,6 +22,7 @@
     std::size_t daemons = 13;
     std::size_t domains = 3;
     std::uint64_t seed = 1;
+    std::uint32_t readersPerDomain = 2;
     /// Of 100 messages between daemons, so many are lost.
     std::uint64_t lostMessages = 1;
 };
@@ -44,7 +47,7 @@
         m_loop.runToEnd(
             [this] {
                 for (const auto &host : m_hosts) {
-                    host->follower->stop();
+                    host->stop();
                 }
             },
             std::chrono::minutes(1));
@@ -53,6 +56,7 @@
     void start()
     {
         for (const auto &host : m_hosts) {
+            host->directory->start();
             host->follower->start();
         }
     }
@@ -85,11 +89,20 @@
         return true;
     }
 
-    SimulatedLog &log(std::size_t index) { return m_hosts[index]->log; }
+    void setService(std::size_t index, SimulatedLog::Service service)
+    {
+        m_hosts[index]->setService(service);
+    }
+    /// The daemon's connections to the log go silent for good; new ones are served.
+    void loseConnections(std::size_t index)
+    {
+        m_hosts[index]->log.loseConnection();
+        m_hosts[index]->watchLog.loseConnection();
+    }
     void setServiceForAll(SimulatedLog::Service service)
     {
         for (const auto &host : m_hosts) {
-            host->log.setService(service);
+            host->setService(service);
         }
     }
     /// Messages between this failure domain and the others are lost.
@@ -97,7 +110,9 @@
     void mend() { m_cutDomains.clear(); }
     std::size_t domainOf(std::size_t index) const { return index % m_deployment.domains; }
 
-    std::size_t reads() const { return m_stream.reads; }
+    /// Of the configuration and of the list of members.
+    std::size_t reads() const { return m_stream.reads + m_directory.reads; }
+    std::size_t entered() const { return m_directory.records.size(); }
     std::size_t messages() const { return m_messages; }
     std::size_t bytes() const { return m_bytes; }
 
@@ -110,6 +125,8 @@
             : owner(deployment)
             , self(index)
             , log(deployment.m_loop, deployment.m_stream)
+            , watchLog(deployment.m_loop, deployment.m_stream)
+            , directoryLog(deployment.m_loop, deployment.m_directory)
             , random(deployment.m_random.next())
         {
             DocumentFollowerSettings settings;
@@ -117,13 +134,41 @@
             settings.key = KEY;
             settings.self = idOf(index);
             settings.domain = nameOf(deployment.domainOf(index));
+            settings.freshness.readTimeout = KEYED_LOG_TIMEOUT;
+            settings.readersPerDomain = deployment.m_deployment.readersPerDomain;
             ConfigurationEvents events;
             events.onConfiguration = [this](const ConfigurationPtr &configuration,
                                             const ConfigurationOrigin & /*origin*/) {
                 history[configuration->version.value()] = owner.now();
             };
-            follower = std::make_unique<DocumentFollower>(settings, owner.m_loop, log, reader,
+            follower = std::make_unique<DocumentFollower>(settings, owner.m_loop,
+                                                          DocumentLogs{ log, watchLog }, reader,
                                                           *this, random, events);
+            makeDirectory();
+        }
+
+        void makeDirectory()
+        {
+            MemberDirectorySettings settings;
+            settings.stream = StreamName("members");
+            settings.self = idOf(self);
+            settings.place = { Endpoint{ "10.0.0.1", static_cast<std::uint16_t>(self + 1) },
+                               nameOf(owner.domainOf(self)) };
+            directory = std::make_unique<MemberDirectory>(
+                settings, owner.m_loop, directoryLog, random, owner.m_observers.observers(),
+                [](const MembershipSeed & /*seed*/) {}, [this] { return owner.size(); });
+        }
+
+        void setService(SimulatedLog::Service service)
+        {
+            log.setService(service);
+            watchLog.setService(service);
+            directoryLog.setService(service);
+        }
+        void stop()
+        {
+            follower->stop();
+            directory->stop();
         }
 
         std::vector<ControlPeer> peers() const override
@@ -144,10 +189,13 @@
         SimulatedFollowers &owner;
         std::size_t self;
         SimulatedLog log;
+        SimulatedLog watchLog;
+        SimulatedLog directoryLog;
         SeededRandom random;
         NumberReader reader;
         std::map<std::uint64_t, TimePoint> history;
         std::unique_ptr<DocumentFollower> follower;
+        std::unique_ptr<MemberDirectory> directory;
     };
 
     static DaemonId idOf(std::size_t index) { return DaemonId("daemon-" + std::to_string(index)); }
@@ -186,6 +234,8 @@
     SimulatedEventLoop m_loop;
     SeededRandom m_random;
     SimulatedStream m_stream;
+    SimulatedStream m_directory;
+    SilentObservers m_observers;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::map<std::uint64_t, TimePoint> m_published;
     std::set<std::size_t> m_cutDomains;
--- /dev/null
+++ b/src/coordination/configuration/tests/freshnesstest.cpp
@@ -0,0 +1,93 @@
+#include <set>
+
+#include "coordination/configuration/internal/freshness.h"
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(Freshness)
+{
+    FreshnessOptions m_options;
+    Freshness m_freshness{ m_options };
+    SeededRandom m_random{ 5 };
+    TimePoint m_now{ seconds(50) };
+};
+
+TEST(Freshness, WaitsAddUpToTheTimeInWhichAChangeIsInForce)
+{
+    CHECK(m_options.longestAge() + m_options.readTimeout + m_options.margin
+          <= m_options.applyWithin);
+    // After the log answers again: the read that was lost meanwhile, or the longest pause.
+    CHECK(std::max(m_options.readTimeout, m_options.longestRetry) <= m_options.applyWithin);
+}
+
+TEST(Freshness, ADaemonThatKnowsNothingReadsAtOnce)
+{
+    CHECK(m_freshness.nextRead() <= m_now);
+    CHECK(m_freshness.isStale(m_now));
+    CHECK_FALSE(m_freshness.age(m_now).has_value());
+}
+
+TEST(Freshness, WhatIsKnownIsReadAgainBeforeItIsTooOld)
+{
+    std::set<TimePoint> times;
+    for (int i = 0; i < 100; ++i) {
+        m_now += milliseconds(10);
+        CHECK(m_freshness.confirm(m_now, m_now, m_random));
+        CHECK(m_freshness.nextRead() >= m_now + m_options.longestAge() / 2);
+        CHECK(m_freshness.nextRead() <= m_now + m_options.longestAge());
+        CHECK_FALSE(m_freshness.isStale(m_freshness.nextRead() - milliseconds(1)));
+        times.insert(m_freshness.nextRead());
+    }
+    CHECK(times.size() > 90);
+}
+
+TEST(Freshness, OlderNewsChangeNothing)
+{
+    m_freshness.confirm(m_now, m_now, m_random);
+    const TimePoint next = m_freshness.nextRead();
+    CHECK_FALSE(m_freshness.confirm(m_now, m_now - milliseconds(1), m_random));
+    CHECK(m_freshness.nextRead() == next);
+}
+
+// Guards against a peer whose clock runs ahead, after whose word the log would not be read for
+// long.
+TEST(Freshness, NobodyKnowsTheFuture)
+{
+    m_freshness.confirm(m_now, m_now + seconds(60), m_random);
+    CHECK(m_freshness.nextRead() <= m_now + m_options.longestAge());
+}
+
+TEST(Freshness, WhoIsBehindReadsAtOnce)
+{
+    m_freshness.confirm(m_now, m_now, m_random);
+    m_freshness.expire();
+    CHECK(m_freshness.nextRead() <= m_now);
+    CHECK(m_freshness.confirm(m_now, m_now, m_random));
+    CHECK(m_freshness.nextRead() > m_now);
+}
+
+// Guards against a daemon that follows too late because of one connection that went silent.
+TEST(Freshness, TheReadAfterALostOneBeginsAtOnce)
+{
+    m_freshness.confirm(m_now, m_now, m_random);
+    const TimePoint startedAt = m_freshness.nextRead();
+    m_freshness.onReadFailed(startedAt, m_random);
+    CHECK(m_freshness.nextRead() <= startedAt);
+}
+
+TEST(Freshness, PausesGrowUpToTheLongest)
+{
+    for (int i = 0; i < 20; ++i) {
+        m_freshness.onReadFailed(m_now, m_random);
+        CHECK(m_freshness.nextRead() <= m_now + m_options.longestRetry);
+    }
+    CHECK(m_freshness.nextRead() >= m_now + m_options.longestRetry / 2);
+    m_freshness.confirm(m_now, m_now, m_random);
+    m_freshness.onReadFailed(m_now, m_random);
+    CHECK(m_freshness.nextRead() <= m_now + m_options.longestAge());
+}
--- a/src/protocol/documentexchange.h
+++ b/src/protocol/documentexchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "state/ids.h"
 #include "state/result.h"
+#include "state/time.h"
 
 namespace ivyspar {
 
@@ -12,6 +14,8 @@
 struct DocumentOffer
 {
     ConfigurationVersion version;
+    /// So long ago the log held nothing newer; nothing if the sender doesn't know.
+    std::optional<Duration> age;
 };
 
 /// Asks for a document that is newer than this version.
--- a/src/protocol/internal/documentexchange.cpp
+++ b/src/protocol/internal/documentexchange.cpp
@@ -1,5 +1,7 @@
 #include "protocol/documentexchange.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "protocol/internal/fieldcodec.h"
@@ -22,7 +24,12 @@
 
 std::string encodeOne(const DocumentOffer &offer)
 {
-    return startMessage(MessageKind::Offer).add(offer.version).take().bytes;
+    FieldWriter writer = startMessage(MessageKind::Offer);
+    writer.add(offer.version);
+    if (offer.age) {
+        writer.add(std::uint64_t(std::max(offer.age->count(), Duration::rep(0))));
+    }
+    return writer.take().bytes;
 }
 
 std::string encodeOne(const DocumentRequest &request)
@@ -35,6 +42,17 @@
     return startMessage(MessageKind::Push).add(push.document).take().bytes;
 }
 
+std::optional<Duration> readAge(FieldReader &reader)
+{
+    if (reader.isAtEnd()) {
+        return std::nullopt;
+    }
+    std::uint64_t micros = 0;
+    reader.read(micros);
+    constexpr auto LONGEST = std::uint64_t(std::numeric_limits<Duration::rep>::max());
+    return Duration(static_cast<Duration::rep>(std::min(micros, LONGEST)));
+}
+
 DocumentMessage readBody(MessageKind kind, FieldReader &reader)
 {
     if (kind == MessageKind::Push) {
@@ -45,7 +63,7 @@
     ConfigurationVersion version;
     reader.read(version);
     if (kind == MessageKind::Offer) {
-        return DocumentOffer{ version };
+        return DocumentOffer{ version, readAge(reader) };
     }
     return DocumentRequest{ version };
 }
