Configuration: a watch that the log does not hold back pauses; names of the follower's settings

A log that answers a waiting read at once, and empty, would have been read in a loop; such an answer is no proof either that nothing came for as long as was asked. The log is lost or not by a flag, not by the text of an error.

--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -79,7 +79,7 @@
         onReadFailed(read);
         return;
     }
-    const bool wasLost = !m_logError.empty();
+    const bool wasLost = m_isLogLost;
     takePage(*read.page);
     m_freshness->confirm(m_loop.now(), read.startedAt, m_random);
     onReadDone(read);
@@ -110,7 +110,8 @@
     if (isNews) {
         offerToAllDomains();
     }
-    if (read.page->records.empty()) {
+    // Nothing came for as long as the log was asked to wait.
+    if (read.page->records.empty() && read.took >= m_settings.wait) {
         m_freshness->confirm(m_loop.now(), read.startedAt + m_settings.wait, m_random);
     }
 }
@@ -127,10 +128,11 @@
 
 void DocumentFollower::onReadDone(const DocumentRead &read)
 {
-    if (!m_logError.empty()) {
+    if (m_isLogLost) {
         notice("configuration: the log can be read again");
         tellContact(false, read.took);
     }
+    m_isLogLost = false;
     m_logError.clear();
     m_answeredAt = m_loop.now();
 }
@@ -139,9 +141,8 @@
 /// would go on under an old configuration, or without any after a start.
 void DocumentFollower::onReadFailed(const DocumentRead &read)
 {
-    const bool isNew = m_logError.empty();
     m_logError = read.page.error().text;
-    if (isNew) {
+    if (!std::exchange(m_isLogLost, true)) {
         notice("configuration: the log cannot be read: " + m_logError);
         tellContact(true, read.took);
     }
@@ -243,7 +244,7 @@
         return;
     }
     // A reader gets it from the log in the same moment, unless it cannot read there.
-    if (!isReader() || !m_logError.empty()) {
+    if (!isReader() || m_isLogLost) {
         requestFrom(from);
     }
     waitForOffered();
@@ -292,8 +293,8 @@
 void DocumentFollower::offerAgain()
 {
     if (m_freshness->isStale(m_loop.now())) {
-        m_offers.sendNear(2);
-        m_offers.sendFar(1);
+        m_offers.sendNear(m_settings.staleNearOffers);
+        m_offers.sendFar(m_settings.staleFarOffers);
     } else if (m_random.below(m_settings.offersPerFarOffer) == 0) {
         m_offers.sendFar(1);
     } else {
--- a/src/app/internal/control/documentfollower.h
+++ b/src/app/internal/control/documentfollower.h
@@ -30,9 +30,11 @@
     std::uint32_t readersPerDomain = 2;
     /// How long one read of a reader waits for news.
     Duration wait = std::chrono::seconds(5);
-    /// Random peers of the own failure domain that hear of a new version, or of a confirmation, at
-    /// once; and of other failure domains, from a daemon that heard of a version from a peer.
+    /// Random peers of the own failure domain that hear at once of a new version, or of how the log
+    /// stood a moment ago.
     std::uint32_t nearOffers = 3;
+    /// Random peers of other failure domains that hear of a version which a peer brought. Of what
+    /// was read from the log, one in each domain hears.
     std::uint32_t farOffers = 1;
     /// Time in which a daemon that hears of a newer version usually gets it from the log, if it is
     /// a reader, or from the peer that it asked.
@@ -41,8 +43,11 @@
     /// peer of another failure domain.
     Duration offerInterval = std::chrono::milliseconds(500);
     std::uint32_t offersPerFarOffer = 8;
-    /// The same while neither the log nor a peer told this daemon anything in time.
+    /// The same while neither the log nor a peer told this daemon anything in time, and to how
+    /// many.
     Duration staleOfferInterval = std::chrono::milliseconds(150);
+    std::uint32_t staleNearOffers = 2;
+    std::uint32_t staleFarOffers = 1;
 };
 
 /// The two connections of a follower to the log: a read that waits must not hold up one that does
@@ -110,6 +115,7 @@
     ConfigurationPtr m_inForce;
     std::string m_document;
     std::string m_unreadable;
+    bool m_isLogLost = false;
     std::string m_logError;
     /// When the last read that the log answered ended.
     std::optional<TimePoint> m_answeredAt;
--- a/src/app/internal/control/documentwatch.cpp
+++ b/src/app/internal/control/documentwatch.cpp
@@ -73,7 +73,8 @@
         }
         const auto took = std::chrono::duration_cast<Duration>(m_loop.now() - startedAt);
         m_onRead(DocumentRead{ page, startedAt, took });
-        if (!page) {
+        const bool isCutShort = page && page->records.empty() && took < m_wait / 2;
+        if (!page || isCutShort) {
             m_fiber.pause(m_retry);
         }
     }
--- a/src/app/internal/control/documentwatch.h
+++ b/src/app/internal/control/documentwatch.h
@@ -17,7 +17,8 @@
     using OnRead = std::function<void(const DocumentRead &)>;
 
     /// All references outlive the object. `onRead` runs in the fiber and must not suspend. After a
-    /// read that failed the next one begins after `retry`, or with `restart`.
+    /// read that failed, or that the log did not hold back, the next one begins after `retry`, or
+    /// with `restart`.
     DocumentWatch(IEventLoop &loop, IKeyedLog &log, const StreamName &stream, Duration wait,
                   Duration retry, IsNeeded isNeeded, OnRead onRead);
 
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -374,10 +374,9 @@
     if (upstream->isWithdrawn) {
         // It was withdrawn after the gate had let the call through.
         end = notRun(Reason::Draining);
-    } else if (startedAt >= found->second.deadline) {
-        end = notRun(Reason::DeadlineExceeded);
-    } else if (found->second.isHolding && !m_once.start(id)) {
-        // The process was paused past the time in which the key is its own.
+    } else if (startedAt >= found->second.deadline
+               || (found->second.isHolding && !m_once.start(id))) {
+        // The process was paused past the deadline, or past the time in which the key is its own.
         end = notRun(Reason::DeadlineExceeded);
     } else {
         end = sendToServer(service, server, id);
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -319,6 +319,21 @@
     CHECK(far < static_cast<std::ptrdiff_t>(m_exchange.receivers.size() / 4));
 }
 
+// Guards against a log that answers at once and is read again and again.
+TEST(DocumentFollower, ALogThatHoldsNoAnswerBackIsNotFlooded)
+{
+    m_log.holdsBack = false;
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
+    std::size_t reads = 0;
+    m_runner.run([&] {
+        m_runner.loop().sleepFor(std::chrono::milliseconds(50));
+        reads = m_log.reads;
+    });
+    CHECK(reads < 10);
+}
+
 // A configuration read that went silent must not leave the daemon behind when others know better.
 TEST(DocumentFollower, ADaemonThatHearsOfANewerVersionAsksForIt)
 {
--- a/src/app/tests/mocks/fakekeyedlog.h
+++ b/src/app/tests/mocks/fakekeyedlog.h
@@ -23,6 +23,8 @@
     bool isDown = false;
     /// The next read finds its records forgotten.
     bool isForgetful = false;
+    /// Reads wait for news.
+    bool holdsBack = true;
     /// Calls of `newest` and `read`.
     std::size_t reads = 0;
     /// Runs after each record that is put.
@@ -56,7 +58,7 @@
     {
         ++reads;
         const std::uint64_t calls = m_cancels;
-        const TimePoint end = m_loop.now() + wait;
+        const TimePoint end = m_loop.now() + (holdsBack ? wait : Duration::zero());
         while (m_streams[stream].size() <= from.value() && m_loop.now() < end
                && calls == m_cancels) {
             m_loop.sleepFor(std::chrono::milliseconds(1));
