--- a/src/app/tests/configurationboundtest.cpp
+++ b/src/app/tests/configurationboundtest.cpp
@@ -144,6 +144,17 @@
     schedule.change(milliseconds(700), seconds(4));
 }
 
+/// Changes that the operators held back come in a burst once the log answers again.
+void playSilenceBetweenChanges(Schedule &schedule)
+{
+    schedule.run(milliseconds(schedule.followers().random().below(5000)));
+    schedule.change(seconds(2), seconds(6));
+    schedule.silenceAll(milliseconds(5370));
+    schedule.change(milliseconds(41), milliseconds(82));
+    schedule.run(milliseconds(548));
+    schedule.change(seconds(2), seconds(6));
+}
+
 /// Connections go silent one after the other, each without a word.
 void playLostConnections(Schedule &schedule)
 {
@@ -198,6 +209,12 @@
     STRCMP_EQUAL("", playSeeds(makeDeployment(30, 6), playSilenceThenHalf).c_str());
 }
 
+// Guards against readers that lost their reads in step, and lose the next ones in step too.
+TEST(ConfigurationBound, HoldsForChangesHeldBackWhileTheLogWasSilent)
+{
+    STRCMP_EQUAL("", playSeeds(makeDeployment(13, 3), playSilenceBetweenChanges).c_str());
+}
+
 // Guards against a change that comes too late where connections to the log went silent for good.
 TEST(ConfigurationBound, HoldsWhileConnectionsToTheLogGoSilent)
 {
