Configuration: who cannot read the newest document vouches for no version

Found by reading the change: a daemon whose program is older than the newest document's publisher would have told others of its version that the log holds nothing newer, and they would not have read it themselves. Its offers carry no age now. DocumentFollower.WhoCannotReadTheNewestVouchesForNothing failed before.

--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -314,7 +314,13 @@
 
 DocumentOffer DocumentFollower::makeOffer() const
 {
-    return DocumentOffer{ version(), m_freshness->age(m_loop.now()) };
+    DocumentOffer offer;
+    offer.version = version();
+    // What this program cannot read is newer, and others may be able to.
+    if (m_unreadable.empty()) {
+        offer.age = m_freshness->age(m_loop.now());
+    }
+    return offer;
 }
 
 ConfigurationVersion DocumentFollower::version() const
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -319,6 +319,26 @@
     CHECK(far < static_cast<std::ptrdiff_t>(m_exchange.receivers.size() / 4));
 }
 
+// Guards against a daemon that cannot read the newest document and tells others that theirs is the
+// newest.
+TEST(DocumentFollower, WhoCannotReadTheNewestVouchesForNothing)
+{
+    m_log.write(STREAM, "newest", "7");
+    start();
+    CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
+    m_runner.run([this] { m_log.write(STREAM, "newest", "rubbish"); });
+    CHECK(m_runner.reaches([this] { return !m_follower->status().unreadable.empty(); }));
+    m_runner.run([this] {
+        m_exchange.sent.clear();
+        const DocumentOffer older{ ConfigurationVersion(6), std::nullopt };
+        m_follower->receive(DaemonId("peer"), encodeDocumentMessage(older));
+        CHECK_EQUAL(1, m_exchange.sent.size());
+    });
+    const DocumentOffer answer = std::get<DocumentOffer>(m_exchange.sent[0]);
+    CHECK_EQUAL(7, answer.version.value());
+    CHECK_FALSE(answer.age.has_value());
+}
+
 // Guards against a log that answers at once and is read again and again.
 TEST(DocumentFollower, ALogThatHoldsNoAnswerBackIsNotFlooded)
 {
