Configuration: stale peers do not make a daemon press the log

The store turns all daemons away for 8 s. Cause: any word of a peer that was a little newer than what a daemon knew ended the pause after its failed reads, also when both were stale, and while all are stale they tell each other all the time. Only a word that is current ends the pause now.

--- a/src/app/tests/controlplanetest.cpp
+++ b/src/app/tests/controlplanetest.cpp
@@ -263,6 +263,23 @@
     CHECK(bytesOnTheWay() - bytesBefore <= MANY * SECONDS * BYTES_PER_SECOND);
 }
 
+// Guards against daemons that press a log which turns all of them away: what they tell each other
+// is old, and must not make them read at once.
+TEST(ControlPlaneLog, ALogThatTurnsAllAwayIsNotPressed)
+{
+    constexpr std::size_t SECONDS = 8;
+    // What the log serves, and the size of the aim.
+    constexpr std::size_t READS_PER_SECOND = 2000;
+    constexpr std::size_t DAEMONS = 790;
+    start(FEW, 2);
+    m_all->setServiceForAll(SimulatedLog::Service::Refuses);
+    m_all->run(seconds(2));
+    const std::size_t before = m_all->reads();
+    m_all->run(seconds(SECONDS));
+    const std::size_t reads = m_all->reads() - before;
+    CHECK(reads * DAEMONS <= FEW * SECONDS * READS_PER_SECOND);
+}
+
 // Each reads the list, enters itself and reads once more, and reads the configuration.
 TEST(ControlPlaneLog, AStartCostsAFewReadsOfEachDaemon)
 {
--- a/src/coordination/configuration/internal/freshness.cpp
+++ b/src/coordination/configuration/internal/freshness.cpp
@@ -31,8 +31,11 @@
     m_asOf = known;
     const Duration longest = m_options.longestAge();
     m_dueAt = known + draw(longest / 2, longest, random);
-    m_failures = 0;
-    m_notBefore = TimePoint();
+    // Peers that are as stale as this daemon are no reason to press the log.
+    if (!isStale(now)) {
+        m_failures = 0;
+        m_notBefore = TimePoint();
+    }
     return true;
 }
 
