Gates: a server that has ended is told from a broken answer; runs that end as unknown are logged with a fingerprint

A connection that ends in the middle of an answer is followed by one attempt to connect; where it is refused, and the server has not said that it leaves, the server has crashed.

--- /dev/null
+++ b/src/app/internal/gate/announcement.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "state/endpoint.h"
+#include "state/ids.h"
+#include "state/member.h"
+
+namespace ivyspar {
+
+/// A server of this host that takes calls.
+struct Announcement
+{
+    UpstreamInfo info;
+    Endpoint endpoint;
+    /// The run of the server; empty if servers do not name their runs.
+    UpstreamId instance;
+};
+
+} // namespace ivyspar
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "state/fingerprint.h"
 #include "state/http.h"
 
 namespace ivyspar {
@@ -61,10 +62,29 @@
     decision.outcome = toText(verdict.outcome);
     decision.reason = toText(verdict.reason);
     decision.inputs = { { "served_ms", toMillis(served) } };
+    if (verdict.outcome == Outcome::Unknown) {
+        decision.fingerprint = fingerprintOf(message.service, message.request);
+    }
     if (isAnswered) {
         decision.inputs.push_back({ "status", static_cast<double>(status) });
     }
     m_observers.decisions.write(std::move(decision));
 }
 
+void GateRecorder::recordCrash(const Announcement &server)
+{
+    m_observers.metrics.add(Counter::ServerCrashes);
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Upstream;
+    decision.importance = Importance::Essential;
+    decision.service = server.info.service;
+    decision.choice = server.instance.value();
+    decision.outcome = "crashed";
+    decision.reason = "no-connection";
+    m_observers.decisions.write(std::move(decision));
+}
+
 } // namespace ivyspar
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "app/internal/gate/announcement.h"
 #include "app/internal/logs/observers.h"
 #include "protocol/messages.h"
 #include "state/ids.h"
@@ -39,6 +40,8 @@
     /// A run of that server ended; `status` counts if it was answered.
     void recordRun(const CallMessage &message, const UpstreamId &instance, const Verdict &verdict,
                    std::uint16_t status, Duration served);
+    /// The server has ended without a word.
+    void recordCrash(const Announcement &server);
 
 private:
     void recordState(Decision decision, const GatedCall &call);
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -48,6 +48,7 @@
     , m_recorder(observers)
     , m_options(options)
     , m_lag(loop)
+    , m_crashes(loop, client)
     , m_parents(makeParentFinder())
 {
     m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { dropGoneUpstreams(); });
@@ -68,6 +69,7 @@
     const bool hasMoved = upstream.announcement.endpoint != announcement.endpoint;
     const bool isOtherRun = upstream.announcement.instance != announcement.instance;
     upstream.announcement = announcement;
+    m_crashes.onAnnounced(announcement);
     upstream.heardAt = now;
     if (isNew) {
         upstream.gate = m_makeGate(announcement.info);
@@ -88,6 +90,7 @@
         return;
     }
     upstream.isWithdrawn = false;
+    upstream.isEndPlanned = announcement.info.draining;
     upstream.gate->setDraining(announcement.info.draining || m_isDraining);
     perform(
         service,
@@ -95,13 +98,14 @@
     reportUpstreams();
 }
 
-void GateService::withdraw(const ServiceName &service, const UpstreamId &instance)
+void GateService::withdraw(const ServiceName &service, const UpstreamId &instance, bool isPlanned)
 {
     Upstream *upstream = findUpstream(service);
     if (!upstream || upstream->announcement.instance != instance) {
         return;
     }
     upstream->isWithdrawn = true;
+    upstream->isEndPlanned = isPlanned;
     upstream->announcement.info.draining = true;
     upstream->gate->setDraining(true);
     perform(service, upstream->gate->setCapacity(m_loop.now(), 0, 0));
@@ -439,7 +443,8 @@
     if (!upstream || end.result == CallResult::Cancelled || end.result == CallResult::TimedOut) {
         return;
     }
-    const bool isBroken = end.verdict.reason == Reason::BrokenAnswer;
+    const bool isBroken =
+        end.verdict.reason == Reason::BrokenAnswer || end.verdict.reason == Reason::ServerCrashed;
     upstream->loss.add(isBroken || isTurnedAway(end.verdict));
 }
 
@@ -469,13 +474,35 @@
     m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
     m_parents->onEnd(m_loop.now(), id);
+    const bool isCrash = hasCrashed(server, result);
     RunEnd end = result ? judgeAnswer(m_dialect, std::move(*result)) : judgeFailure(result.error());
+    if (isCrash) {
+        end.verdict.reason = Reason::ServerCrashed;
+    }
     if (end.isServerDoubted) {
         tellDoubt(server.instance);
     }
     return end;
 }
 
+bool GateService::hasCrashed(const Announcement &server, const HttpResult &result)
+{
+    if (result || !result.error().hasConnectionEnded
+        || result.error().stage == HttpFailureStage::NotSent) {
+        return false;
+    }
+    const Upstream *upstream = findUpstream(server.info.service);
+    if (!upstream || upstream->isEndPlanned) {
+        return false;
+    }
+    const bool isFirst = !m_crashes.isKnownEnded(server);
+    const bool hasEnded = m_crashes.hasEnded(server);
+    if (hasEnded && isFirst) {
+        m_recorder.recordCrash(server);
+    }
+    return hasEnded;
+}
+
 void GateService::tellDoubt(const UpstreamId &instance)
 {
     if (m_onDoubt && !instance.value().empty()) {
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -6,6 +6,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "app/internal/gate/announcement.h"
+#include "app/internal/gate/crashwatch.h"
 #include "app/internal/gate/gaterecorder.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/gate/ionceservice.h"
@@ -20,22 +22,12 @@
 #include "coordination/retries/irepeatbudget.h"
 #include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
-#include "state/member.h"
 #include "state/result.h"
 #include "transport/ieventloop.h"
 #include "transport/ihttpclient.h"
 
 namespace ivyspar {
 
-/// A server of this host that takes calls.
-struct Announcement
-{
-    UpstreamInfo info;
-    Endpoint endpoint;
-    /// The run of the server; empty if servers do not name their runs.
-    UpstreamId instance;
-};
-
 struct GateServiceOptions
 {
     /// An upstream that has not announced itself for this long is gone. Zero: it stays until it is
@@ -74,7 +66,8 @@
     void announce(const Announcement &announcement);
     /// That run of the service's server takes no more calls: those that wait are refused, those
     /// that run go on.
-    void withdraw(const ServiceName &service, const UpstreamId &instance);
+    /// `isPlanned`: the server itself has said that it ends.
+    void withdraw(const ServiceName &service, const UpstreamId &instance, bool isPlanned);
     /// The daemon ends at `end`: calls that may last longer are refused from now on.
     void startLeaving(TimePoint end) { m_end = end; }
     /// Refuses new calls of all services from now on.
@@ -102,6 +95,8 @@
         TimePoint heardAt;
         std::unique_ptr<WakeTimer> tickTimer;
         bool isWithdrawn = false;
+        /// The server has said that it ends.
+        bool isEndPlanned = false;
         /// The daemon ends before calls of this service may: entries are told to go elsewhere.
         bool endsTooSoon = false;
         LossEstimate loss;
@@ -131,6 +126,8 @@
     /// Sends the call, and again while the server turns it away and repeats are left.
     RunEnd sendToServer(const ServiceName &service, const Announcement &server, CallId id);
     RunEnd exchange(const Announcement &server, CallId id, const Call &call);
+    /// Suspends until it is known whether the server has ended with the connection.
+    bool hasCrashed(const Announcement &server, const HttpResult &result);
     void noteSend(const ServiceName &service, const RunEnd &end);
     bool mayRepeat(const ServiceName &service, const Announcement &server, CallId id);
     void tellDoubt(const UpstreamId &instance);
@@ -157,6 +154,7 @@
     GateRecorder m_recorder;
     GateServiceOptions m_options;
     LoopLag m_lag;
+    CrashWatch m_crashes;
     ProcessorLoad m_processor;
     OnUpstreams m_onUpstreams;
     OnDoubt m_onDoubt;
--- a/src/app/internal/gate/upstreamwatch.cpp
+++ b/src/app/internal/gate/upstreamwatch.cpp
@@ -65,7 +65,7 @@
             serve(action.report);
             break;
         case UpstreamVerb::Stop:
-            m_gates.withdraw(action.report.service, action.report.instance);
+            m_gates.withdraw(action.report.service, action.report.instance, action.isPlanned);
             break;
         case UpstreamVerb::Check:
             m_loop.spawn([this, report = action.report] { check(report); });
--- a/src/app/tests/documentationtest.cpp
+++ b/src/app/tests/documentationtest.cpp
@@ -60,7 +60,7 @@
 TEST(Documentation, ExplainsEveryReason)
 {
     std::set<std::string> reasons;
-    for (int i = 1; i <= static_cast<int>(Reason::ShuttingDown); ++i) {
+    for (int i = 1; i <= static_cast<int>(Reason::Last); ++i) {
         reasons.insert(toText(static_cast<Reason>(i)));
     }
     checkNames(readPage("INTERFACES.md"), reasons);
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -29,6 +29,7 @@
         return tl::unexpected<HttpFailure>(
             HttpFailure{ HttpFailureStage::NotSent, HttpFailureCause::Connect, "unreachable" });
     }
+    bool isListening(const Endpoint & /*endpoint*/) override { return true; }
     void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) override
     {
         m_limits[endpoint] = connections;
--- a/src/app/tests/turnedawaytest.cpp
+++ b/src/app/tests/turnedawaytest.cpp
@@ -39,6 +39,7 @@
         }
         return HttpResponse{ 200, {}, "done" };
     }
+    bool isListening(const Endpoint & /*endpoint*/) override { return true; }
     void setConnectionLimit(const Endpoint & /*endpoint*/, std::size_t /*connections*/) override { }
     void warm(const Endpoint & /*endpoint*/, std::size_t /*connections*/) override { }
 
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -9,6 +9,19 @@
 
 namespace {
 
+RouteFeedback feedbackOfLoss(Reason reason)
+{
+    switch (reason) {
+    case Reason::BrokenAnswer:
+    case Reason::ServerCrashed:
+        return RouteFeedback::UpstreamError;
+    case Reason::LinkLost:
+        return RouteFeedback::Unreachable;
+    default:
+        return RouteFeedback::TimedOut;
+    }
+}
+
 RouteFeedback feedbackOf(const AttemptEnd &end)
 {
     switch (end.verdict.outcome) {
@@ -17,9 +30,7 @@
     case Outcome::NotRun:
         break;
     case Outcome::Unknown:
-        return end.verdict.reason == Reason::BrokenAnswer ? RouteFeedback::UpstreamError
-            : end.verdict.reason == Reason::LinkLost      ? RouteFeedback::Unreachable
-                                                          : RouteFeedback::TimedOut;
+        return feedbackOfLoss(end.verdict.reason);
     }
     switch (end.verdict.reason) {
     case Reason::Draining:
--- a/src/coordination/upstreams/internal/upstreamregister.cpp
+++ b/src/coordination/upstreams/internal/upstreamregister.cpp
@@ -17,7 +17,7 @@
 UpstreamActions UpstreamRegister::say(UpstreamVerb verb, const UpstreamReport &report,
                                       const char *why) const
 {
-    return { UpstreamAction{ verb, report, why } };
+    return { UpstreamAction{ verb, report, false, why } };
 }
 
 UpstreamActions UpstreamRegister::onReport(TimePoint now, const UpstreamReport &report)
@@ -84,7 +84,12 @@
     }
     // A goodbye may not say which run it is of.
     remember(report.instance, std::max(report.start, found->second.report.start));
-    return end(found, report.phase == UpstreamPhase::Gone ? "goodbye" : "draining");
+    UpstreamActions actions =
+        end(found, report.phase == UpstreamPhase::Gone ? "goodbye" : "draining");
+    for (UpstreamAction &action : actions) {
+        action.isPlanned = true;
+    }
+    return actions;
 }
 
 UpstreamActions UpstreamRegister::onHealth(TimePoint now, const UpstreamId &instance,
@@ -110,7 +115,7 @@
         }
         run.isServing = true;
         UpstreamActions actions = supersede(run.report);
-        actions.push_back(UpstreamAction{ UpstreamVerb::Serve, run.report, "confirmed" });
+        actions.push_back(UpstreamAction{ UpstreamVerb::Serve, run.report, false, "confirmed" });
         return actions;
     }
     ++run.failedChecks;
--- a/src/coordination/upstreams/iupstreamregister.h
+++ b/src/coordination/upstreams/iupstreamregister.h
@@ -17,6 +17,8 @@
 {
     UpstreamVerb verb = UpstreamVerb::Serve;
     UpstreamReport report;
+    /// The server itself has said that it ends.
+    bool isPlanned = false;
     /// Why, for the log. Lives as long as the program.
     const char *why = "";
 };
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -237,7 +237,7 @@
     AnswerMessage message;
     reader.read(message.stream);
     reader.read(message.verdict.outcome, Outcome::Unknown);
-    reader.read(message.verdict.reason, Reason::ShuttingDown);
+    reader.read(message.verdict.reason, Reason::Last);
     readDuration(reader, message.verdict.retryAfter);
     reader.read(message.unspent);
     readDuration(reader, message.serviceTime);
--- /dev/null
+++ b/src/state/fingerprint.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "state/http.h"
+#include "state/ids.h"
+
+namespace ivyspar {
+
+/// BLAKE2b (128 bits, in hex) of what decides how a server runs a request: its service, host,
+/// method, path, query and body. Requests of different ids have the same one. A cryptographic hash,
+/// as callers choose the bodies: with another, one caller could make requests that are taken for
+/// those of others.
+Fingerprint fingerprintOf(const ServiceName &service, const HttpRequest &request);
+
+} // namespace ivyspar
--- a/src/state/idecisionlog.h
+++ b/src/state/idecisionlog.h
@@ -66,6 +66,8 @@
     /// Text that lives as long as the program.
     const char *outcome = "";
     const char *reason = "";
+    /// Of the request, where what it does to servers matters.
+    Fingerprint fingerprint;
     /// What others said, as the text of an error.
     std::string detail;
 };
--- a/src/state/ids.h
+++ b/src/state/ids.h
@@ -15,6 +15,10 @@
 using ClassName = StrongType<std::string, struct ClassNameTag>;
 /// One run of an upstream, as the upstream names itself.
 using UpstreamId = StrongType<std::string, struct UpstreamIdTag>;
+/// Version of an upstream's software, as the upstream names it; empty if it does not say.
+using UpstreamVersion = StrongType<std::string, struct UpstreamVersionTag>;
+/// Names requests that are alike to their servers, see fingerprint.h; empty for none.
+using Fingerprint = StrongType<std::string, struct FingerprintTag>;
 /// When a run of an upstream began, in ms since the epoch by its own clock. Larger is newer; 0 if
 /// it does not say.
 using UpstreamStart = StrongType<std::uint64_t, struct UpstreamStartTag>;
--- a/src/state/imetrics.h
+++ b/src/state/imetrics.h
@@ -18,6 +18,7 @@
     Cancels,
     GateStarts,
     GateRefusals,
+    ServerCrashes,
     ClaimsWon,
     ClaimsLost,
     ClaimsUnsettled,
--- /dev/null
+++ b/src/state/internal/fingerprint.cpp
@@ -0,0 +1,58 @@
+#include "state/fingerprint.h"
+
+#include <array>
+#include <cstdint>
+
+#include <sodium.h>
+
+namespace ivyspar {
+
+namespace {
+
+constexpr std::size_t HASH_BYTES = 16;
+using Hash = std::array<unsigned char, HASH_BYTES>;
+
+const unsigned char *bytesOf(const std::string &text)
+{
+    return reinterpret_cast<const unsigned char *>(text.data());
+}
+
+/// With its length, so that no two lists of texts are hashed as the same bytes.
+void addText(crypto_generichash_state &state, const std::string &text)
+{
+    std::array<unsigned char, sizeof(std::uint64_t)> length{};
+    std::uint64_t left = text.size();
+    for (unsigned char &byte : length) {
+        byte = static_cast<unsigned char>(left);
+        left >>= 8U;
+    }
+    crypto_generichash_update(&state, length.data(), length.size());
+    crypto_generichash_update(&state, bytesOf(text), text.size());
+}
+
+std::string toHex(const Hash &hash)
+{
+    std::array<char, 2 * HASH_BYTES + 1> text{};
+    sodium_bin2hex(text.data(), text.size(), hash.data(), hash.size());
+    return text.data();
+}
+
+} // namespace
+
+Fingerprint fingerprintOf(const ServiceName &service, const HttpRequest &request)
+{
+    static const std::string NO_HOST;
+    const std::string *host = findHeader(request.headers, "Host");
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, nullptr, 0, HASH_BYTES);
+    addText(state, service.value());
+    addText(state, host != nullptr ? *host : NO_HOST);
+    addText(state, request.method);
+    addText(state, request.target);
+    addText(state, request.body);
+    Hash hash{};
+    crypto_generichash_final(&state, hash.data(), hash.size());
+    return Fingerprint(toHex(hash));
+}
+
+} // namespace ivyspar
--- a/src/state/internal/metricnames.cpp
+++ b/src/state/internal/metricnames.cpp
@@ -13,6 +13,7 @@
     { "ivyspar_cancels_total", "", "Attempts that were cancelled." },
     { "ivyspar_gate_calls_total", "verdict=\"started\"", "Calls at the gate, by verdict." },
     { "ivyspar_gate_calls_total", "verdict=\"refused\"", "" },
+    { "ivyspar_server_crashes_total", "", "Servers of this host that ended without a word." },
     { "ivyspar_claims_total", "result=\"won\"", "Claims of idempotency keys, by result." },
     { "ivyspar_claims_total", "result=\"lost\"", "" },
     { "ivyspar_claims_total", "result=\"unsettled\"", "" },
--- a/src/state/internal/metrics.h
+++ b/src/state/internal/metrics.h
@@ -41,7 +41,7 @@
 
     static constexpr std::size_t PRIORITIES = 101;
     static constexpr std::size_t OUTCOMES = 3;
-    static constexpr std::size_t REASONS = static_cast<std::size_t>(Reason::ShuttingDown) + 1;
+    static constexpr std::size_t REASONS = static_cast<std::size_t>(Reason::Last) + 1;
 
     void writeCounters(std::string &text) const;
     void writeGauges(std::string &text) const;
--- a/src/state/internal/outcome.cpp
+++ b/src/state/internal/outcome.cpp
@@ -64,6 +64,8 @@
         return "bad-request";
     case Reason::ShuttingDown:
         return "shutting-down";
+    case Reason::ServerCrashed:
+        return "server-crashed";
     }
     return "none";
 }
--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -38,6 +38,8 @@
     TooLarge,
     BadRequest,
     ShuttingDown,
+    ServerCrashed, ///< The upstream ended while it worked on the request.
+    Last = ServerCrashed,
 };
 
 const char *toText(Outcome outcome);
--- /dev/null
+++ b/src/state/tests/fingerprinttest.cpp
@@ -0,0 +1,50 @@
+#include "state/fingerprint.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+
+namespace {
+
+const ServiceName SERVICE("catalogo");
+
+HttpRequest makeRequest()
+{
+    return HttpRequest{ "POST", "/pages/1?lang=it", { { "Host", "shop.example" } }, "body" };
+}
+
+} // namespace
+
+TEST_GROUP(Fingerprint){};
+
+// Guards against a request that is new to each daemon because its own id or time left is.
+TEST(Fingerprint, HeadersOfOneAttemptDoNotChangeIt)
+{
+    HttpRequest other = makeRequest();
+    other.headers.push_back({ "Request-Id", "7" });
+    other.headers.insert(other.headers.begin(), { "Deadline", "250" });
+    CHECK(fingerprintOf(SERVICE, makeRequest()) == fingerprintOf(SERVICE, other));
+}
+
+TEST(Fingerprint, EachPartOfTheRequestChangesIt)
+{
+    const Fingerprint first = fingerprintOf(SERVICE, makeRequest());
+    CHECK(first != fingerprintOf(ServiceName("cassa"), makeRequest()));
+    const auto isOther = [&](void (*change)(HttpRequest &)) {
+        HttpRequest request = makeRequest();
+        change(request);
+        return fingerprintOf(SERVICE, request) != first;
+    };
+    CHECK(isOther([](HttpRequest &request) { request.method = "PUT"; }));
+    CHECK(isOther([](HttpRequest &request) { request.target = "/pages/1"; }));
+    CHECK(isOther([](HttpRequest &request) { request.body += ' '; }));
+    CHECK(isOther([](HttpRequest &request) { request.headers.front().value = "other"; }));
+}
+
+// Guards against two requests taken for one because text moved from one part to the next.
+TEST(Fingerprint, TextCannotMoveBetweenParts)
+{
+    const HttpRequest a{ "GET", "/ab", {}, "c" };
+    const HttpRequest b{ "GET", "/a", {}, "bc" };
+    CHECK(fingerprintOf(SERVICE, a) != fingerprintOf(SERVICE, b));
+}
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -30,6 +30,8 @@
     HttpFailureStage stage = HttpFailureStage::MaybeSent;
     HttpFailureCause cause = HttpFailureCause::Broken;
     std::string text;
+    /// The other side ended the connection before the answer was whole.
+    bool hasConnectionEnded = false;
 };
 
 using HttpResult = tl::expected<HttpResponse, HttpFailure>;
@@ -77,6 +79,10 @@
     /// Suspends the calling fiber for `timeout` at most. `cancellation` may be null.
     virtual HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request,
                                 Duration timeout, HttpCancellationPtr cancellation) = 0;
+    /// Whether a server accepts connections there now. Suspends the calling fiber for the connect
+    /// timeout at most. The connection is kept for reuse. True if the limit of connections leaves
+    /// no room to find out.
+    virtual bool isListening(const Endpoint &endpoint) = 0;
     virtual void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) = 0;
     /// Opens connections in advance, up to `connections` idle ones.
     virtual void warm(const Endpoint &endpoint, std::size_t connections) = 0;
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -65,14 +65,22 @@
     }
 }
 
-void HttpClientCore::openIdle(const HttpPoolPtr &pool, const Endpoint &endpoint)
+bool HttpClientCore::isListening(const Endpoint &endpoint)
+{
+    const HttpClientCorePtr self(this);
+    const HttpPoolPtr pool = poolFor(endpoint);
+    return !pool->reserve() || openIdle(pool, endpoint);
+}
+
+bool HttpClientCore::openIdle(const HttpPoolPtr &pool, const Endpoint &endpoint)
 {
     const TcpStreamPtr stream = makeStream();
-    if (connect(stream, endpoint)) {
-        putIdle(pool, stream);
-    } else {
+    if (!connect(stream, endpoint)) {
         pool->discard(stream);
+        return false;
     }
+    putIdle(pool, stream);
+    return true;
 }
 
 void HttpClientCore::putIdle(const HttpPoolPtr &pool, TcpStreamPtr stream)
@@ -136,6 +144,11 @@
     return m_core->exchange(endpoint, request, timeout, cancellation);
 }
 
+bool HttpClient::isListening(const Endpoint &endpoint)
+{
+    return m_core->isListening(endpoint);
+}
+
 void HttpClient::setConnectionLimit(const Endpoint &endpoint, std::size_t connections)
 {
     m_core->setConnectionLimit(endpoint, connections);
--- a/src/transport/internal/httpclient.h
+++ b/src/transport/internal/httpclient.h
@@ -26,6 +26,7 @@
 
     HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request, Duration timeout,
                         const HttpCancellationPtr &cancellation);
+    bool isListening(const Endpoint &endpoint);
     void setConnectionLimit(const Endpoint &endpoint, std::size_t connections);
     void warm(const Endpoint &endpoint, std::size_t connections);
     /// Ends everything at once.
@@ -38,7 +39,8 @@
 
 private:
     HttpPoolPtr poolFor(const Endpoint &endpoint);
-    void openIdle(const HttpPoolPtr &pool, const Endpoint &endpoint);
+    /// Opens a connection that was reserved. False if it cannot be opened.
+    bool openIdle(const HttpPoolPtr &pool, const Endpoint &endpoint);
     void startSweep();
     void sweep();
 
@@ -62,6 +64,7 @@
 
     HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request, Duration timeout,
                         HttpCancellationPtr cancellation) override;
+    bool isListening(const Endpoint &endpoint) override;
     void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) override;
     void warm(const Endpoint &endpoint, std::size_t connections) override;
 
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -188,6 +188,7 @@
             return std::move(parser.response());
         }
         if (error || m_abortCause) {
+            m_hasConnectionEnded = !m_abortCause;
             return fail(HttpFailureCause::Broken, "the answer is not whole: " + error.message());
         }
     }
@@ -204,6 +205,7 @@
     failure.stage = m_sentBytes == 0 ? HttpFailureStage::NotSent : HttpFailureStage::MaybeSent;
     failure.cause = m_abortCause.value_or(cause);
     failure.text = std::move(text);
+    failure.hasConnectionEnded = m_hasConnectionEnded;
     return tl::unexpected<HttpFailure>(std::move(failure));
 }
 
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -50,6 +50,7 @@
     /// Bytes of the request that the kernel took.
     std::size_t m_sentBytes = 0;
     bool m_isReusable = false;
+    bool m_hasConnectionEnded = false;
 };
 
 } // namespace ivyspar
--- a/src/transport/tests/mocks/mockhttpclient.h
+++ b/src/transport/tests/mocks/mockhttpclient.h
@@ -27,6 +27,9 @@
     std::function<HttpResult(const Call &)> answer;
     std::deque<HttpResult> results;
     std::vector<Call> calls;
+    /// What `isListening` says, and what it was asked.
+    bool isUp = true;
+    std::vector<Endpoint> probed;
     std::map<Endpoint, std::size_t> limits;
     std::map<Endpoint, std::size_t> warmed;
 
@@ -51,6 +54,12 @@
         return result;
     }
 
+    bool isListening(const Endpoint &endpoint) override
+    {
+        probed.push_back(endpoint);
+        return isUp;
+    }
+
     void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) override
     {
         limits[endpoint] = connections;
--- a/standins/log/inprocesshttpclient.h
+++ b/standins/log/inprocesshttpclient.h
@@ -21,6 +21,7 @@
 
     HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request, Duration timeout,
                         HttpCancellationPtr cancellation) override;
+    bool isListening(const Endpoint & /*endpoint*/) override { return true; }
     void setConnectionLimit(const Endpoint & /*endpoint*/, std::size_t /*connections*/) override { }
     void warm(const Endpoint & /*endpoint*/, std::size_t /*connections*/) override { }
 
