Tests: a request that crashes its servers and comes again (known red)

CrashingRequest, with real daemons and stand-in servers that crash: CrashingListener ends all connections of a server and listens again some seconds later.

--- a/standins/history/trial.cpp
+++ b/standins/history/trial.cpp
@@ -120,6 +120,18 @@
     return control(server.empty() ? "/behaviour" : "/behaviour?server=" + server, json);
 }
 
+bool Trial::crash(const std::string &server)
+{
+    return control("/crash?server=" + server, "");
+}
+
+std::uint32_t Trial::crashCount()
+{
+    const auto answer = exchangeBlocking(m_deployment->upstreamControl(),
+                                         { "GET", "/crashes", {}, {} }, CONTROL_TIMEOUT);
+    return answer ? static_cast<std::uint32_t>(std::strtoul(answer->body.c_str(), nullptr, 10)) : 0;
+}
+
 std::vector<StartedWork> Trial::starts()
 {
     const auto answer = exchangeBlocking(m_deployment->upstreamControl(),
--- a/standins/history/trial.h
+++ b/standins/history/trial.h
@@ -51,6 +51,10 @@
     bool setLogFaults(const std::string &json);
     /// Behaviour of one server, or, with an empty name, of all.
     bool setBehaviour(const std::string &server, const std::string &json);
+    /// The server ends as a process that crashes, and comes back.
+    bool crash(const std::string &server);
+    /// Crashes of all servers so far.
+    std::uint32_t crashCount();
     /// Work started so far.
     std::vector<StartedWork> starts();
     std::uint32_t startCount(const std::string &token);
--- a/standins/upstream/upstreamcommand.cpp
+++ b/standins/upstream/upstreamcommand.cpp
@@ -46,6 +46,12 @@
     return spec;
 }
 
+Duration readMillis(const Json &document, const char *key, Duration otherwise)
+{
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(otherwise);
+    return std::chrono::milliseconds(document.value(key, millis.count()));
+}
+
 UpstreamBehaviour parseBehaviour(const std::string &text, UpstreamBehaviour behaviour)
 {
     const Json document = Json::parse(text, nullptr, false);
@@ -59,6 +65,9 @@
     behaviour.isDraining = document.value("draining", behaviour.isDraining);
     behaviour.isSilent = document.value("silent", behaviour.isSilent);
     behaviour.isContextDropped = document.value("contextDropped", behaviour.isContextDropped);
+    behaviour.crashToken = document.value("crashToken", behaviour.crashToken);
+    behaviour.crashDelay = readMillis(document, "crashDelayMs", behaviour.crashDelay);
+    behaviour.downTime = readMillis(document, "downTimeMs", behaviour.downTime);
     behaviour.failPath = document.value("failPath", behaviour.failPath);
     return behaviour;
 }
@@ -92,6 +101,31 @@
     return HttpResponse{ 404, {}, "no such server\n" };
 }
 
+/// `POST /crash?server=NAME`
+HttpResponse crashServer(const HttpRequest &request, const Servers &servers)
+{
+    const auto at = request.target.find('=');
+    for (const auto &server : servers) {
+        if (at != std::string::npos && server->spec().name == request.target.substr(at + 1)) {
+            server->crash();
+            return HttpResponse{ 204, {}, {} };
+        }
+    }
+    return HttpResponse{ 404, {}, "no such server\n" };
+}
+
+/// Crashes of all servers so far.
+HttpResponse countCrashes(const Servers &servers)
+{
+    std::uint32_t count = 0;
+    for (const auto &server : servers) {
+        count += server->crashCount();
+    }
+    HttpResponse response;
+    response.body = std::to_string(count) + '\n';
+    return response;
+}
+
 HttpResponse listExecutions(const Servers &servers)
 {
     HttpResponse response;
@@ -117,6 +151,12 @@
     if (request.method == "GET" && request.target == "/starts") {
         return listStarts(servers);
     }
+    if (request.method == "POST" && request.target.rfind("/crash", 0) == 0) {
+        return crashServer(request, servers);
+    }
+    if (request.method == "GET" && request.target == "/crashes") {
+        return countCrashes(servers);
+    }
     if (request.method == "POST" && request.target.rfind("/daemon", 0) == 0) {
         return moveDaemon(request, servers);
     }
--- a/standins/upstream/upstreamserver.cpp
+++ b/standins/upstream/upstreamserver.cpp
@@ -79,7 +79,7 @@
     , m_random(random)
     , m_graph(graph)
     , m_spec(std::move(spec))
-    , m_server(makeHttpServer(loop))
+    , m_listener(loop)
     , m_client(makeHttpClient(loop, HttpClientLimits{}))
 {
     m_client->setConnectionLimit(m_spec.daemon, m_spec.slots * 4 + 16);
@@ -91,8 +91,8 @@
 {
     HttpLimits limits;
     limits.connections = m_spec.connections;
-    auto endpoint = m_server->listen(listen, limits,
-                                     [this](IHttpExchange &exchange) { return handle(exchange); });
+    auto endpoint = m_listener.listen(listen, limits,
+                                      [this](IHttpExchange &exchange) { return handle(exchange); });
     if (!endpoint) {
         return endpoint;
     }
@@ -105,7 +105,7 @@
 void UpstreamServer::stop(Duration timeout)
 {
     m_isStopped = true;
-    m_server->drain(timeout);
+    m_listener.stop(timeout);
 }
 
 void UpstreamServer::setDaemon(const Endpoint &daemon)
@@ -178,6 +178,12 @@
 HttpResponse UpstreamServer::work(const GraphNode &node, const std::string &token, Work &current)
 {
     m_executions.push_back(Execution{ token, m_spec.service, node.call.path });
+    if (!token.empty() && token == m_behaviour.crashToken) {
+        m_loop.callLater(m_behaviour.crashDelay, [this] { crash(); });
+        // It never ends by itself.
+        current.gone.wait(LONGEST_REQUEST);
+        return makeText(UNAVAILABLE, "crashed");
+    }
     // Exponential-like spread around the mean, bounded so that runs stay comparable.
     const double spread = 0.5 + m_random.unit();
     const auto serviceTime =
@@ -222,7 +228,7 @@
 void UpstreamServer::announceForever()
 {
     while (!m_isStopped) {
-        if (!m_behaviour.isSilent) {
+        if (!m_behaviour.isSilent && !m_listener.isDown()) {
             announce();
         }
         m_loop.sleepFor(ANNOUNCE_INTERVAL);
--- a/standins/upstream/upstreamserver.h
+++ b/standins/upstream/upstreamserver.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "standins/graph/callgraph.h"
+#include "standins/upstream/crashinglistener.h"
 #include "state/irandom.h"
 #include "transport/ieventloop.h"
 #include "transport/ihttpclient.h"
@@ -46,6 +47,12 @@
     bool isContextDropped = false;
     /// Requests for this path are answered 500 after the work; empty for none.
     std::string failPath;
+    /// Requests with this token crash the server that begins to run them, `crashDelay` later; empty
+    /// for none.
+    std::string crashToken;
+    Duration crashDelay = std::chrono::milliseconds(60);
+    /// For how long the server is away after a crash.
+    Duration downTime = std::chrono::seconds(2);
 };
 
 /// One start of work on a request.
@@ -69,6 +76,9 @@
     /// The daemon of the host was replaced by one with other ports.
     void setDaemon(const Endpoint &daemon);
     const UpstreamSpec &spec() const { return m_spec; }
+    /// Ends as a process that crashes, and comes back after the time down of its behaviour.
+    void crash() { m_listener.crash(m_behaviour.downTime); }
+    std::uint32_t crashCount() const { return m_listener.crashCount(); }
     void setBehaviour(const UpstreamBehaviour &behaviour) { m_behaviour = behaviour; }
     const UpstreamBehaviour &behaviour() const { return m_behaviour; }
     const std::vector<Execution> &executions() const { return m_executions; }
@@ -91,7 +101,7 @@
     const CallGraph &m_graph;
     UpstreamSpec m_spec;
     UpstreamBehaviour m_behaviour;
-    std::unique_ptr<IHttpServer> m_server;
+    CrashingListener m_listener;
     std::unique_ptr<IHttpClient> m_client;
     Endpoint m_endpoint;
     TimePoint m_startedAt;
