--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/control/controlnode.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <limits>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "app/internal/control/statusdocument.h"
 #include "protocol/configurationreaderfactory.h"
 #include "protocol/internal/peercodec.h"
+#include "protocol/suspectexchange.h"
 #include "state/randomfactory.h"
 #include "state/rank.h"
 #include "transport/oneshot.h"
@@ -23,7 +25,10 @@
 constexpr Duration STATUS_TIMEOUT = std::chrono::seconds(2);
 constexpr std::uint16_t OK = 200;
 constexpr std::uint16_t NOT_FOUND = 404;
+constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
 constexpr std::uint16_t UNAVAILABLE = 503;
+/// Followed by the fingerprint.
+constexpr char LIFT_PREFIX[] = "/quarantine/lift/";
 
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
@@ -176,6 +181,10 @@
 
 void ControlNode::receive(const ControlMessage &message)
 {
+    if (isSuspectMessage(message.payload)) {
+        m_traffic.receiveSuspects(message.from, message.payload);
+        return;
+    }
     if (!m_configurationDriver->receive(message.from, message.payload)) {
         m_membership.receive(message.from, message.payload);
     }
@@ -233,9 +242,31 @@
     if (target == "/metrics") {
         return answerMetrics();
     }
+    if (target.rfind(LIFT_PREFIX, 0) == 0) {
+        return answerLift(exchange.request());
+    }
     return makeAnswer(NOT_FOUND, "text/plain", "try /healthz, /status or /metrics\n");
 }
 
+HttpResponse ControlNode::answerLift(const HttpRequest &request)
+{
+    if (request.method != "POST") {
+        return makeAnswer(METHOD_NOT_ALLOWED, "text/plain", "a quarantine is lifted by POST\n");
+    }
+    const Fingerprint fingerprint(request.target.substr(sizeof(LIFT_PREFIX) - 1));
+    // Shared, as the answer of the traffic thread may come after this handler gave up.
+    const auto answer = std::make_shared<OneShot<bool>>(m_loop);
+    m_traffic.liftQuarantine(fingerprint, [this, answer](bool isKnown) {
+        m_loop.post([answer, isKnown] { answer->set(isKnown); });
+    });
+    const auto isKnown = answer->wait(STATUS_TIMEOUT);
+    if (!isKnown) {
+        return makeAnswer(UNAVAILABLE, "text/plain", "the daemon is too busy to answer\n");
+    }
+    return *isKnown ? makeAnswer(OK, "text/plain", "lifted\n")
+                    : makeAnswer(NOT_FOUND, "text/plain", "no such fingerprint is known\n");
+}
+
 HttpResponse ControlNode::answerHealth() const
 {
     if (m_isLeaving) {
@@ -269,6 +300,12 @@
             std::chrono::duration_cast<std::chrono::seconds>(m_loop.now() - m_configuredAt);
         metrics.set(Gauge::ConfigurationAgeSeconds, age.count());
     }
+    const auto quarantined = std::count_if(
+        traffic.suspects.begin(), traffic.suspects.end(), [](const SuspectStatus &suspect) {
+            return suspect.standing.suspicion == Suspicion::Quarantined;
+        });
+    metrics.set(Gauge::SuspectRequests, static_cast<std::int64_t>(traffic.suspects.size()));
+    metrics.set(Gauge::QuarantinedRequests, quarantined);
     LoadReport sum;
     for (const auto &[service, load] : traffic.gates) {
         sum.inFlight += load.inFlight;
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -31,6 +31,9 @@
     std::function<void(DaemonId, Endpoint, std::string)> send;
     /// The callback runs on the traffic thread.
     std::function<void(std::function<void(TrafficStatus)>)> fetchStatus;
+    std::function<void(DaemonId, std::string)> receiveSuspects;
+    /// The callback runs on the traffic thread; false if nothing is known of the fingerprint.
+    std::function<void(Fingerprint, std::function<void(bool)>)> liftQuarantine;
     std::function<void()> stopForDuplicate;
 };
 
@@ -51,6 +54,8 @@
         m_membership.setUpstreams(std::move(upstreams));
     }
     void receive(const ControlMessage &message);
+    /// Sends a payload of the traffic thread to another daemon.
+    void send(const DaemonId &to, std::string payload) { m_exchange.send(to, std::move(payload)); }
     void onUnreachable(const DaemonId &daemon) { m_membership.onUnreachable(daemon); }
     /// Whoever asks for the health of this daemon hears from now on that it leaves.
     void setUnready() { m_isLeaving = true; }
@@ -73,6 +78,7 @@
     HttpResponse answerHealth() const;
     HttpResponse answerStatus();
     HttpResponse answerMetrics();
+    HttpResponse answerLift(const HttpRequest &request);
     TrafficStatus fetchTraffic();
     void onMembers(std::vector<Member> members);
 
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -195,6 +195,11 @@
         onControl(
             [daemon = std::move(daemon)](ControlNode &control) { control.onUnreachable(daemon); });
     };
+    events.onPayload = [this](DaemonId to, std::string payload) {
+        onControl([to = std::move(to), payload = std::move(payload)](ControlNode &control) {
+            control.send(to, payload);
+        });
+    };
     return events;
 }
 
@@ -220,6 +225,15 @@
         onTraffic(
             [callback = std::move(callback)](TrafficNode &traffic) { callback(traffic.status()); });
     };
+    port.receiveSuspects = [this](DaemonId from, std::string payload) {
+        onTraffic([from = std::move(from), payload = std::move(payload)](TrafficNode &traffic) {
+            traffic.receiveSuspects(from, payload);
+        });
+    };
+    port.liftQuarantine = [this](Fingerprint fingerprint, std::function<void(bool)> callback) {
+        onTraffic([fingerprint = std::move(fingerprint), callback = std::move(callback)](
+                      TrafficNode &traffic) { callback(traffic.liftQuarantine(fingerprint)); });
+    };
     port.stopForDuplicate = [this] {
         std::fprintf(stderr, "ivyspar: another daemon runs as %s; stopping\n",
                      m_self.id.value().c_str());
--- a/src/app/internal/entry/entryrecorder.cpp
+++ b/src/app/internal/entry/entryrecorder.cpp
@@ -116,6 +116,7 @@
     decision.service = rejection.service;
     decision.rule = rejection.rule;
     decision.choice = rejection.choice;
+    decision.fingerprint = rejection.fingerprint;
     decision.outcome = toText(refusal.verdict.outcome);
     decision.reason = toText(refusal.verdict.reason);
     decision.inputs = rejection.inputs;
--- a/src/app/internal/entry/entryrecorder.h
+++ b/src/app/internal/entry/entryrecorder.h
@@ -47,6 +47,8 @@
     std::vector<DecisionInput> inputs;
     /// The service that had no room.
     std::string choice;
+    /// Of a request that may have crashed servers.
+    Fingerprint fingerprint;
 };
 
 /// Writes what an entry decides to the decision log and counts it. Traffic thread only.
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -7,6 +7,7 @@
 
 #include "coordination/once/iticketoffice.h"
 #include "coordination/retries/returntime.h"
+#include "state/fingerprint.h"
 #include "state/rank.h"
 #include "transport/oneshot.h"
 
@@ -33,13 +34,20 @@
 /// One request from its arrival to the end of its last attempt, which may come after its answer.
 struct EntryService::Run : boost::intrusive_ref_counter<Run, boost::thread_unsafe_counter>
 {
-    Run(IEventLoop &loop, EntryPolicies policies, Incoming terms, EntryCallTerms callTerms)
+    Run(EntryService &service, Incoming terms, EntryCallTerms callTerms)
         : incoming(std::move(terms))
-        , call(policies, incoming.ledger->ledger, std::move(callTerms))
-        , done(loop)
+        , call(service.m_policies, incoming.ledger->ledger, watch(service, std::move(callTerms)))
+        , done(service.m_loop)
     {
     }
 
+    EntryCallTerms watch(const EntryService &service, EntryCallTerms terms)
+    {
+        terms.standing = [this, &service] { return service.standingOf(incoming); };
+        terms.fingerprint = [this, &service] { return service.fingerprintOf(incoming); };
+        return terms;
+    }
+
     Incoming incoming;
     EntryCall call;
     std::vector<StreamId> streams;
@@ -53,8 +61,8 @@
 };
 
 EntryService::EntryService(IEventLoop &loop, const IRequestDialect &dialect, EntryPolicies policies,
-                           ICallSender &sender, IGateService &gates, Observers observers,
-                           EntryOptions options)
+                           ICallSender &sender, IGateService &gates, IQuarantine &quarantine,
+                           Observers observers, EntryOptions options)
     : m_loop(loop)
     , m_dialect(dialect)
     , m_policies(policies)
@@ -62,6 +70,7 @@
     , m_admission(makeRootAdmission(options.admission))
     , m_sender(sender)
     , m_gates(gates)
+    , m_quarantine(quarantine)
     , m_observers(observers)
     , m_recorder(observers)
     , m_options(options)
@@ -124,6 +133,10 @@
     if (m_isDraining && isCallers(incoming, isFromUpstream)) {
         return Refusal(reject(EarlyRefusal{ incoming.root, notRun(Reason::ShuttingDown) }));
     }
+    const Standing standing = standingOf(incoming);
+    if (standing.suspicion == Suspicion::Held || standing.suspicion == Suspicion::Quarantined) {
+        return Refusal(rejectSuspect(incoming, standing));
+    }
     if (isCallers(incoming, isFromUpstream) && !m_guard.takes(lag, incoming.priority, m_highest)) {
         return Refusal(overrunOf(incoming, lag));
     }
@@ -266,6 +279,34 @@
     return rejection;
 }
 
+/// Nothing is hashed while no request is suspected.
+Standing EntryService::standingOf(Incoming &incoming) const
+{
+    return m_quarantine.hasSuspects() ? m_quarantine.standing(fingerprintOf(incoming)) : Standing();
+}
+
+const Fingerprint &EntryService::fingerprintOf(Incoming &incoming) const
+{
+    if (incoming.fingerprint.value().empty()) {
+        incoming.fingerprint = ivyspar::fingerprintOf(incoming.request);
+    }
+    return incoming.fingerprint;
+}
+
+/// One in quarantine is not told when to come back, as that would not help.
+Rejection EntryService::rejectSuspect(const Incoming &incoming, const Standing &standing) const
+{
+    const bool isFinal = standing.suspicion == Suspicion::Quarantined;
+    const Verdict verdict{ Outcome::NotRun, isFinal ? Reason::Quarantined : Reason::Suspected,
+                           standing.retryAfter };
+    Rejection rejection = reject(EarlyRefusal{ incoming.root, verdict });
+    rejection.service = incoming.rule.service;
+    rejection.rule = incoming.rule.name;
+    rejection.fingerprint = incoming.fingerprint;
+    rejection.inputs = { { "crashes", static_cast<double>(standing.crashes) } };
+    return rejection;
+}
+
 Rejection EntryService::overrunOf(const Incoming &incoming, Duration lag)
 {
     const ServiceName &service = incoming.rule.service;
@@ -319,7 +360,7 @@
             terms.pinned = owner->daemon;
         }
     }
-    const RunPtr run = new Run(m_loop, m_policies, std::move(incoming), std::move(terms));
+    const RunPtr run = new Run(*this, std::move(incoming), std::move(terms));
 
     run->startedAt = m_loop.now();
     exchange.onDisconnect([this, run] { perform(run, run->call.onCallerGone(m_loop.now())); });
@@ -371,6 +412,7 @@
     call.granted = action.granted;
     call.once = incoming.once;
     call.request = incoming.request;
+    call.fingerprint = incoming.fingerprint;
 
     m_recorder.recordAttempt(factsOf(incoming), action, call.remaining);
     const std::size_t index = action.attempt.value();
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -12,6 +12,7 @@
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/looplag.h"
+#include "app/internal/quarantine/iquarantine.h"
 #include "coordination/admission/irootadmission.h"
 #include "coordination/admission/processorguard.h"
 #include "coordination/calls/internal/entrycall.h"
@@ -45,8 +46,8 @@
 {
 public:
     EntryService(IEventLoop &loop, const IRequestDialect &dialect, EntryPolicies policies,
-                 ICallSender &sender, IGateService &gates, Observers observers,
-                 EntryOptions options);
+                 ICallSender &sender, IGateService &gates, IQuarantine &quarantine,
+                 Observers observers, EntryOptions options);
 
     void setConfiguration(ConfigurationPtr configuration);
     void setMembers(const std::vector<Member> &members) { m_admission->setMembers(members); }
@@ -90,6 +91,8 @@
         /// Root admission let it in and waits for its end.
         bool isLetIn = false;
         std::uint32_t callerAttempt = 1;
+        /// Empty until it is asked for.
+        Fingerprint fingerprint;
     };
     struct Run;
     using RunPtr = boost::intrusive_ptr<Run>;
@@ -109,6 +112,10 @@
     static RootTarget targetOf(const Incoming &incoming);
     static Rejection reject(const EarlyRefusal &refusal);
     Rejection rejectionOf(const Incoming &incoming);
+    /// Whether the request may have crashed servers.
+    Standing standingOf(Incoming &incoming) const;
+    const Fingerprint &fingerprintOf(Incoming &incoming) const;
+    Rejection rejectSuspect(const Incoming &incoming, const Standing &standing) const;
     void bookUsage(const Run &run, const AttemptAnswer &answer);
     /// Tells root admission that a request which it let in is over.
     void tellEnd(const Run &run);
@@ -131,6 +138,7 @@
     std::unique_ptr<IRootAdmission> m_admission;
     ICallSender &m_sender;
     IGateService &m_gates;
+    IQuarantine &m_quarantine;
     Observers m_observers;
     EntryRecorder m_recorder;
     EntryOptions m_options;
--- a/src/app/internal/gate/crashwatch.cpp
+++ b/src/app/internal/gate/crashwatch.cpp
@@ -1,5 +1,9 @@
 #include "app/internal/gate/crashwatch.h"
 
+#include <utility>
+
+#include "state/idvalue.h"
+
 namespace ivyspar {
 
 namespace {
@@ -9,34 +13,33 @@
 
 } // namespace
 
-CrashWatch::CrashWatch(IEventLoop &loop, IHttpClient &client)
+CrashWatch::CrashWatch(IEventLoop &loop, IHttpClient &client, IRandom &random)
     : m_loop(loop)
     , m_client(client)
+    , m_random(random)
 {
 }
 
-bool CrashWatch::hasEnded(const Announcement &server)
+ServerEnd CrashWatch::check(const Announcement &server)
 {
-    if (isKnownEnded(server)) {
-        return true;
-    }
     const TimePoint endedAt = m_loop.now();
-    m_loop.sleepFor(SETTLE_TIME);
+    if (!isKnownEnded(server)) {
+        m_loop.sleepFor(SETTLE_TIME);
+    }
     if (isKnownEnded(server)) {
-        return true;
+        return ServerEnd::Ended;
     }
     if (seenOf(server).acceptedAt >= endedAt) {
-        return false;
+        return ServerEnd::None;
     }
     const TimePoint askedAt = m_loop.now();
     const bool isListening = m_client.isListening(server.endpoint);
     Seen &seen = seenOf(server);
     if (isListening) {
         seen.acceptedAt = askedAt;
-        return false;
+        return ServerEnd::None;
     }
-    seen.hasEnded = true;
-    return true;
+    return std::exchange(seen.hasEnded, true) ? ServerEnd::Ended : ServerEnd::FoundOut;
 }
 
 bool CrashWatch::isKnownEnded(const Announcement &server) const
@@ -46,19 +49,27 @@
         && found->second.hasEnded;
 }
 
+UpstreamId CrashWatch::runOf(const Announcement &server)
+{
+    return seenOf(server).run;
+}
+
 void CrashWatch::onAnnounced(const Announcement &server)
 {
-    if (server.instance.value().empty()) {
-        m_seen.erase(server.info.service);
+    const auto found = m_seen.find(server.info.service);
+    if (found != m_seen.end() && server.instance.value().empty() && found->second.hasEnded) {
+        m_seen.erase(found);
     }
 }
 
 CrashWatch::Seen &CrashWatch::seenOf(const Announcement &server)
 {
     Seen &seen = m_seen[server.info.service];
-    if (seen.instance != server.instance) {
+    if (seen.run.value().empty() || seen.instance != server.instance) {
         seen = Seen{};
         seen.instance = server.instance;
+        const bool hasName = !server.instance.value().empty();
+        seen.run = hasName ? server.instance : UpstreamId(toHex(m_random.next()));
     }
     return seen;
 }
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -34,6 +34,7 @@
     Decision decision = makeDecision(DecisionKind::Refuse, call.message);
     decision.importance = Importance::Essential;
     decision.reason = toText(reason);
+    decision.fingerprint = call.message.fingerprint;
     recordState(std::move(decision), call);
 }
 
@@ -63,7 +64,7 @@
     decision.reason = toText(verdict.reason);
     decision.inputs = { { "served_ms", toMillis(served) } };
     if (verdict.outcome == Outcome::Unknown) {
-        decision.fingerprint = fingerprintOf(message.service, message.request);
+        decision.fingerprint = fingerprintOf(message.request);
     }
     if (isAnswered) {
         decision.inputs.push_back({ "status", static_cast<double>(status) });
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "state/fingerprint.h"
 #include "state/idvalue.h"
 #include "state/rank.h"
 
@@ -23,6 +24,18 @@
     return verdict.outcome == Outcome::NotRun && verdict.reason == Reason::UpstreamRefused;
 }
 
+ServerKind kindOf(const Announcement &server)
+{
+    return ServerKind{ server.info.service, server.info.version };
+}
+
+Verdict verdictOf(const Standing &standing)
+{
+    const bool isFinal = standing.suspicion == Suspicion::Quarantined;
+    return Verdict{ Outcome::NotRun, isFinal ? Reason::Quarantined : Reason::Suspected,
+                    standing.retryAfter };
+}
+
 std::optional<CallId> fromToken(const std::string &token)
 {
     constexpr std::size_t TOKEN_SIZE = 16;
@@ -36,26 +49,29 @@
 } // namespace
 
 GateService::GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
-                         const IUpstreamDialect &dialect, GateMaker makeGate, Observers observers,
-                         GateServiceOptions options)
+                         IQuarantine &quarantine, const IUpstreamDialect &dialect,
+                         GateMaker makeGate, Observers observers, GateServiceOptions options)
     : m_loop(loop)
     , m_client(client)
     , m_random(random)
     , m_once(once)
+    , m_quarantine(quarantine)
     , m_dialect(dialect)
     , m_makeGate(std::move(makeGate))
     , m_observers(observers)
     , m_recorder(observers)
     , m_options(options)
     , m_lag(loop)
-    , m_crashes(loop, client)
+    , m_crashes(loop, client, random)
     , m_parents(makeParentFinder())
 {
+    m_quarantine.setListener(this);
     m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { dropGoneUpstreams(); });
 }
 
 GateService::~GateService()
 {
+    m_quarantine.setListener(nullptr);
     m_loop.cancelTimer(m_sweepTimer);
 }
 
@@ -70,6 +86,7 @@
     const bool isOtherRun = upstream.announcement.instance != announcement.instance;
     upstream.announcement = announcement;
     m_crashes.onAnnounced(announcement);
+    m_quarantine.noteServer(kindOf(announcement));
     upstream.heardAt = now;
     if (isNew) {
         upstream.gate = m_makeGate(announcement.info);
@@ -197,12 +214,105 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() });
         return;
     }
+    if (!passesQuarantine(id, *upstream)) {
+        return;
+    }
     perform(
         service,
         upstream->gate->offer(
             m_loop.now(), GateRequest{ id, call.message.rank, call.deadline, call.message.letIn }));
 }
 
+Standing GateService::standingOf(Call &call, const Upstream &upstream) const
+{
+    if (!m_quarantine.hasSuspects()) {
+        return {};
+    }
+    Fingerprint &fingerprint = call.message.fingerprint;
+    if (fingerprint.value().empty()) {
+        fingerprint = fingerprintOf(call.message.request);
+    }
+    return m_quarantine.standing(fingerprint, kindOf(upstream.announcement));
+}
+
+bool GateService::passesQuarantine(CallId id, Upstream &upstream)
+{
+    Call &call = m_calls.at(id);
+    const Standing standing = standingOf(call, upstream);
+    call.isTrial = standing.isTrial;
+    if (standing.suspicion == Suspicion::None) {
+        return true;
+    }
+    if (standing.suspicion != Suspicion::Suspect) {
+        refuseCall(id, verdictOf(standing));
+        return false;
+    }
+    if (upstream.isolation.isFree()) {
+        upstream.isolation.begin(id);
+        call.isIsolated = true;
+        return true;
+    }
+    if (!upstream.isolation.hasRoom()) {
+        refuseCall(id, verdictOf(standing));
+        return false;
+    }
+    upstream.isolation.wait(id, call.message.fingerprint);
+    call.isWaitingAlone = true;
+    return false;
+}
+
+/// It may have become a suspect while it waited at the gate.
+std::optional<RunEnd> GateService::stopSuspect(CallId id, Upstream &upstream)
+{
+    Call &call = m_calls.at(id);
+    const Standing standing = standingOf(call, upstream);
+    call.isTrial = standing.isTrial;
+    if (standing.suspicion == Suspicion::None
+        || (standing.suspicion == Suspicion::Suspect && call.isIsolated)) {
+        return std::nullopt;
+    }
+    if (standing.suspicion == Suspicion::Suspect && upstream.isolation.isFree()) {
+        upstream.isolation.begin(id);
+        call.isIsolated = true;
+        return std::nullopt;
+    }
+    RunEnd end = notRun(Reason::Suspected);
+    end.verdict = verdictOf(standing);
+    return end;
+}
+
+/// Called when the call has ended, so that the next suspect may run.
+void GateService::leaveIsolation(const ServiceName &service, CallId id)
+{
+    Upstream *upstream = findUpstream(service);
+    if (!upstream || !upstream->isolation.leave(id)) {
+        return;
+    }
+    while (upstream) {
+        const auto next = upstream->isolation.takeNext();
+        if (!next) {
+            return;
+        }
+        m_calls.at(*next).isWaitingAlone = false;
+        enterGate(*next);
+        upstream = findUpstream(service);
+    }
+}
+
+/// Those that wait may be cleared now, or in quarantine.
+void GateService::onSuspectChanged(const Fingerprint &fingerprint)
+{
+    std::vector<CallId> waiting;
+    for (auto &[service, upstream] : m_upstreams) {
+        const std::vector<CallId> taken = upstream.isolation.take(fingerprint);
+        waiting.insert(waiting.end(), taken.begin(), taken.end());
+    }
+    for (const CallId id : waiting) {
+        m_calls.at(id).isWaitingAlone = false;
+        enterGate(id);
+    }
+}
+
 void GateService::onOnceProceed(CallId id)
 {
     const auto found = m_calls.find(id);
@@ -236,6 +346,10 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
         return;
     }
+    if (call.isWaitingAlone) {
+        refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
+        return;
+    }
     Upstream *upstream = findUpstream(call.message.service);
     if (upstream && upstream->gate->cancel(m_loop.now(), id) == CancelEffect::NotStarted) {
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
@@ -382,6 +496,8 @@
                || (found->second.isHolding && !m_once.start(id))) {
         // The process was paused past the deadline, or past the time in which the key is its own.
         end = notRun(Reason::DeadlineExceeded);
+    } else if (auto stopped = stopSuspect(id, *upstream)) {
+        end = std::move(*stopped);
     } else {
         end = sendToServer(service, server, id);
     }
@@ -479,12 +595,32 @@
     if (isCrash) {
         end.verdict.reason = Reason::ServerCrashed;
     }
+    tellQuarantine(server, id, request, end);
     if (end.isServerDoubted) {
         tellDoubt(server.instance);
     }
     return end;
 }
 
+void GateService::tellQuarantine(const Announcement &server, CallId id, const HttpRequest &request,
+                                 const RunEnd &end)
+{
+    const bool isCrash = end.verdict.reason == Reason::ServerCrashed;
+    const bool isCompletion = end.verdict.outcome == Outcome::Answered;
+    if (!isCrash && !(isCompletion && m_quarantine.hasSuspects())) {
+        return;
+    }
+    const Fingerprint fingerprint = fingerprintOf(request);
+    if (isCompletion) {
+        m_quarantine.noteCompletion(fingerprint, kindOf(server));
+        return;
+    }
+    const auto found = m_calls.find(id);
+    const bool isTrial = found != m_calls.end() && found->second.isTrial;
+    m_quarantine.noteCrash(fingerprint,
+                           Crash{ m_crashes.runOf(server), kindOf(server), m_loop.now(), isTrial });
+}
+
 bool GateService::hasCrashed(const Announcement &server, const HttpResult &result)
 {
     if (result || !result.error().hasConnectionEnded
@@ -495,12 +631,11 @@
     if (!upstream || upstream->isEndPlanned) {
         return false;
     }
-    const bool isFirst = !m_crashes.isKnownEnded(server);
-    const bool hasEnded = m_crashes.hasEnded(server);
-    if (hasEnded && isFirst) {
+    const ServerEnd end = m_crashes.check(server);
+    if (end == ServerEnd::FoundOut) {
         m_recorder.recordCrash(server);
     }
-    return hasEnded;
+    return end != ServerEnd::None;
 }
 
 void GateService::tellDoubt(const UpstreamId &instance)
@@ -546,7 +681,9 @@
     addUsage(answer.usage,
              { ServiceUsage{ call.message.service, answer.serviceTime, answer.load.demand,
                              upstream ? upstream->loss.share() : LossShare() } });
+    const ServiceName service = call.message.service;
     call.reply(std::move(answer));
+    leaveIsolation(service, id);
 }
 
 GatedCall GateService::stateOf(const Call &call) const
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -14,11 +14,13 @@
 #include "app/internal/gate/runend.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/looplag.h"
+#include "app/internal/quarantine/iquarantine.h"
 #include "app/internal/waketimer.h"
 #include "coordination/admission/igate.h"
 #include "coordination/admission/lossestimate.h"
 #include "coordination/admission/processorload.h"
 #include "coordination/calls/iparentfinder.h"
+#include "coordination/quarantine/isolation.h"
 #include "coordination/retries/irepeatbudget.h"
 #include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
@@ -47,7 +49,7 @@
 };
 
 /// Runs calls on the upstreams of this host. Traffic thread only.
-class GateService : public IGateService, public IOnceListener
+class GateService : public IGateService, public IOnceListener, public ISuspectListener
 {
 public:
     using GateMaker = std::function<std::unique_ptr<IGate>(const UpstreamInfo &)>;
@@ -55,8 +57,8 @@
     using OnDoubt = std::function<void(const UpstreamId &)>;
 
     GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
-                const IUpstreamDialect &dialect, GateMaker makeGate, Observers observers,
-                GateServiceOptions options);
+                IQuarantine &quarantine, const IUpstreamDialect &dialect, GateMaker makeGate,
+                Observers observers, GateServiceOptions options);
     ~GateService() override;
 
     /// Runs whenever the announced upstreams, or what they announced, changed.
@@ -86,6 +88,7 @@
 
     void onOnceProceed(CallId call) override;
     void onOnceReply(const OnceReply &reply) override;
+    void onSuspectChanged(const Fingerprint &fingerprint) override;
 
 private:
     struct Upstream
@@ -101,6 +104,7 @@
         bool endsTooSoon = false;
         LossEstimate loss;
         std::unique_ptr<IRepeatBudget> repeats;
+        Isolation isolation;
     };
     struct Call
     {
@@ -116,6 +120,11 @@
         bool isClaiming = false;
         /// Holds its key or ticket: the end of its run is told to the once service.
         bool isHolding = false;
+        /// A suspect that waits for its turn, before the gate, or has it.
+        bool isIsolated = false;
+        bool isWaitingAlone = false;
+        /// A suspect that was in quarantine.
+        bool isTrial = false;
     };
     Upstream *findUpstream(const ServiceName &service);
     CallContext makeContext(const Call &call) const;
@@ -128,6 +137,9 @@
     RunEnd exchange(const Announcement &server, CallId id, const Call &call);
     /// Suspends until it is known whether the server has ended with the connection.
     bool hasCrashed(const Announcement &server, const HttpResult &result);
+    /// Tells what the end of the run says of the request as the cause of crashes.
+    void tellQuarantine(const Announcement &server, CallId id, const HttpRequest &request,
+                        const RunEnd &end);
     void noteSend(const ServiceName &service, const RunEnd &end);
     bool mayRepeat(const ServiceName &service, const Announcement &server, CallId id);
     void tellDoubt(const UpstreamId &instance);
@@ -136,6 +148,12 @@
     GatedCall stateOf(const Call &call) const;
     Duration noteArrival(TimePoint now, const CallMessage &message, CallSource source);
     void enterGate(CallId id);
+    /// False: the call was refused, or waits until no other suspect runs.
+    bool passesQuarantine(CallId id, Upstream &upstream);
+    /// The same for a call that has got its turn at the gate; not let through, it is not run.
+    std::optional<RunEnd> stopSuspect(CallId id, Upstream &upstream);
+    Standing standingOf(Call &call, const Upstream &upstream) const;
+    void leaveIsolation(const ServiceName &service, CallId id);
     void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
     void tick(const ServiceName &service);
@@ -148,6 +166,7 @@
     IHttpClient &m_client;
     IRandom &m_random;
     IOnceService &m_once;
+    IQuarantine &m_quarantine;
     const IUpstreamDialect &m_dialect;
     GateMaker m_makeGate;
     Observers m_observers;
--- a/src/app/internal/gate/upstreamwatch.cpp
+++ b/src/app/internal/gate/upstreamwatch.cpp
@@ -83,6 +83,7 @@
     announcement.info.connections = report.connections > 0 ? report.connections : report.slots;
     announcement.info.draining = report.phase != UpstreamPhase::Ready;
     announcement.info.coldLeft = report.coldLeft;
+    announcement.info.version = report.version;
     announcement.endpoint = report.endpoint;
     announcement.instance = report.instance;
     m_gates.announce(announcement);
--- /dev/null
+++ b/src/app/internal/quarantine/quarantineservice.cpp
@@ -0,0 +1,252 @@
+#include "app/internal/quarantine/quarantineservice.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/suspectexchange.h"
+
+namespace ivyspar {
+
+namespace {
+
+const char *toText(Suspicion suspicion)
+{
+    switch (suspicion) {
+    case Suspicion::None:
+        return "cleared";
+    case Suspicion::Suspect:
+        return "suspect";
+    case Suspicion::Held:
+        return "held";
+    case Suspicion::Quarantined:
+        return "quarantined";
+    }
+    return "";
+}
+
+std::string runsOf(const SuspectRecord &record)
+{
+    std::string text;
+    for (const Crash &crash : record.crashes) {
+        text += (text.empty() ? "" : " ") + crash.run.value();
+    }
+    return text;
+}
+
+} // namespace
+
+QuarantineService::QuarantineService(IEventLoop &loop, IRandom &random, Observers observers,
+                                     Send send, const QuarantineOptions &options)
+    : m_loop(loop)
+    , m_observers(observers)
+    , m_send(std::move(send))
+    , m_options(options)
+    , m_table(makeSuspectTable(options.table))
+    , m_spread(*m_table, random)
+{
+}
+
+QuarantineService::~QuarantineService()
+{
+    m_loop.cancelTimer(m_flushTimer);
+    m_loop.cancelTimer(m_compareTimer);
+}
+
+void QuarantineService::setMembers(const DaemonId &self, const std::vector<Member> &members)
+{
+    std::vector<DaemonId> peers;
+    for (const Member &member : members) {
+        if (member.id != self) {
+            peers.push_back(member.id);
+        }
+    }
+    m_spread.setPeers(m_loop.now(), peers);
+    armCompare();
+}
+
+void QuarantineService::receive(const DaemonId &from, const std::string &payload)
+{
+    const auto message = decodeSuspectMessage(payload, m_loop.now());
+    if (!message || !m_options.isOn) {
+        return;
+    }
+    std::vector<Fingerprint> changed;
+    const SuspectSends sends = m_spread.receive(m_loop.now(), from, *message, changed);
+    for (const Fingerprint &fingerprint : changed) {
+        onChanged(fingerprint);
+    }
+    sendAll(sends);
+    armFlush();
+    armCompare();
+}
+
+bool QuarantineService::lift(const Fingerprint &fingerprint)
+{
+    const bool isKnown = m_table->lift(m_loop.now(), fingerprint);
+    if (isKnown) {
+        onOwnNews(fingerprint);
+    }
+    return isKnown;
+}
+
+std::vector<SuspectStatus> QuarantineService::status() const
+{
+    const TimePoint now = m_loop.now();
+    std::vector<SuspectStatus> all;
+    for (SuspectRecord &record : m_table->records()) {
+        SuspectStatus status;
+        status.standing = m_table->standing(now, record.fingerprint);
+        if (status.standing.suspicion == Suspicion::None) {
+            continue;
+        }
+        TimePoint first = now;
+        for (const Crash &crash : record.crashes) {
+            first = std::min(first, crash.at);
+        }
+        status.firstAge = std::chrono::duration_cast<Duration>(now - first);
+        status.lastAge = std::chrono::duration_cast<Duration>(now - record.changedAt);
+        status.record = std::move(record);
+        all.push_back(std::move(status));
+    }
+    std::stable_sort(all.begin(), all.end(), [](const SuspectStatus &a, const SuspectStatus &b) {
+        return a.standing.suspicion > b.standing.suspicion;
+    });
+    return all;
+}
+
+bool QuarantineService::hasSuspects() const
+{
+    return !m_table->isEmpty();
+}
+
+Standing QuarantineService::standing(const Fingerprint &fingerprint) const
+{
+    return m_table->standing(m_loop.now(), fingerprint);
+}
+
+Standing QuarantineService::standing(const Fingerprint &fingerprint, const ServerKind &kind) const
+{
+    return m_table->standing(m_loop.now(), fingerprint, kind);
+}
+
+void QuarantineService::noteCrash(const Fingerprint &fingerprint, const Crash &crash)
+{
+    if (m_options.isOn && m_table->addCrash(m_loop.now(), fingerprint, crash)) {
+        onOwnNews(fingerprint);
+    }
+}
+
+void QuarantineService::noteCompletion(const Fingerprint &fingerprint, const ServerKind &kind)
+{
+    if (m_table->addCompletion(fingerprint, kind)) {
+        onOwnNews(fingerprint);
+    }
+}
+
+void QuarantineService::noteServer(const ServerKind &kind)
+{
+    if (!m_servers.insert(kind).second) {
+        return;
+    }
+    for (const SuspectRecord &record : m_table->records()) {
+        offer(record.fingerprint);
+    }
+}
+
+void QuarantineService::onOwnNews(const Fingerprint &fingerprint)
+{
+    m_spread.noteOwn(fingerprint);
+    onChanged(fingerprint);
+    armFlush();
+    armCompare();
+}
+
+void QuarantineService::onChanged(const Fingerprint &fingerprint)
+{
+    offer(fingerprint);
+    record(fingerprint);
+    if (m_listener) {
+        m_listener->onSuspectChanged(fingerprint);
+    }
+}
+
+/// Entries send a request in quarantine to a new version only once they know that there is one.
+void QuarantineService::offer(const Fingerprint &fingerprint)
+{
+    for (const ServerKind &kind : m_servers) {
+        if (m_table->addOffer(fingerprint, kind)) {
+            m_spread.noteOwn(fingerprint);
+            armFlush();
+        }
+    }
+}
+
+/// Of the many that are suspects for a moment only those are told that are found guilty, and those
+/// that no longer are.
+void QuarantineService::record(const Fingerprint &fingerprint)
+{
+    const auto found = m_table->find(fingerprint);
+    const Standing now = standing(fingerprint);
+    const bool wasQuarantined = m_quarantined.count(fingerprint) > 0;
+    const bool isQuarantined = now.suspicion == Suspicion::Quarantined;
+    if (!found || isQuarantined == wasQuarantined) {
+        return;
+    }
+    if (isQuarantined) {
+        m_quarantined.insert(fingerprint);
+        m_observers.metrics.add(Counter::Quarantines);
+    } else {
+        m_quarantined.erase(fingerprint);
+    }
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Quarantine;
+    decision.importance = Importance::Essential;
+    decision.service = found->crashes.empty() ? ServiceName() : found->crashes.front().kind.service;
+    decision.fingerprint = fingerprint;
+    decision.outcome = toText(now.suspicion);
+    decision.inputs = { { "crashes", static_cast<double>(now.crashes) } };
+    decision.detail = runsOf(*found);
+    m_observers.decisions.write(std::move(decision));
+}
+
+void QuarantineService::armFlush()
+{
+    if (!m_spread.hasNews() || std::exchange(m_isFlushArmed, true)) {
+        return;
+    }
+    m_flushTimer = m_loop.callLater(m_options.flushDelay, [this] {
+        m_isFlushArmed = false;
+        sendAll(m_spread.flush());
+    });
+}
+
+void QuarantineService::armCompare()
+{
+    if (!m_spread.wantsToCompare(m_loop.now()) || std::exchange(m_isCompareArmed, true)) {
+        return;
+    }
+    m_compareTimer = m_loop.callLater(m_options.compareInterval, [this] { compare(); });
+}
+
+void QuarantineService::compare()
+{
+    m_isCompareArmed = false;
+    m_table->expire(m_loop.now());
+    for (auto it = m_quarantined.begin(); it != m_quarantined.end();) {
+        it = m_table->find(*it) ? std::next(it) : m_quarantined.erase(it);
+    }
+    sendAll(m_spread.compare());
+    armCompare();
+}
+
+void QuarantineService::sendAll(const SuspectSends &sends)
+{
+    for (const SuspectSend &send : sends) {
+        m_send(send.to, encodeSuspectMessage(send.message, m_loop.now()));
+    }
+}
+
+} // namespace ivyspar
--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -31,6 +31,7 @@
     { "turned-away", &Ablations::turnedAway },
     { "datagrams", &Ablations::datagrams },
     { "readers", &Ablations::readers },
+    { "quarantine", &Ablations::quarantine },
 };
 
 } // namespace
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -60,6 +60,13 @@
     return options;
 }
 
+QuarantineOptions makeQuarantineOptions(const DaemonSettings &settings)
+{
+    QuarantineOptions options;
+    options.isOn = !settings.ablations.quarantine;
+    return options;
+}
+
 TicketSecret makeSecret(IRandom &random)
 {
     TicketSecret secret{};
@@ -91,6 +98,7 @@
                          TrafficEvents events, Observers observers)
     : m_loop(loop)
     , m_settings(settings)
+    , m_self(self.id)
     , m_events(std::move(events))
     , m_requestDialect(platform.makeRequestDialect())
     , m_upstreamDialect(platform.makeUpstreamDialect())
@@ -115,9 +123,11 @@
     } else {
         m_once = std::make_unique<NoOnceService>();
     }
-    m_gates =
-        std::make_unique<GateService>(loop, *m_client, *m_random, *m_once, *m_upstreamDialect,
-                                      makeLocalGate, observers, makeGateServiceOptions(settings));
+    m_quarantine = std::make_unique<QuarantineService>(
+        loop, *m_random, observers, m_events.onPayload, makeQuarantineOptions(settings));
+    m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, *m_once, *m_quarantine,
+                                            *m_upstreamDialect, makeLocalGate, observers,
+                                            makeGateServiceOptions(settings));
     m_watch =
         std::make_unique<UpstreamWatch>(loop, *m_client, *m_upstreamDialect, *m_gates, observers);
     m_once->setListener(m_gates.get());
@@ -135,7 +145,7 @@
     m_peerCalls->setOnUnreachable(m_events.onUnreachable);
     m_entry = std::make_unique<EntryService>(
         m_loop, *m_requestDialect, EntryPolicies{ *m_router, *m_retries, *m_random }, *m_peerCalls,
-        *m_gates, observers, makeEntryOptions(m_settings));
+        *m_gates, *m_quarantine, observers, makeEntryOptions(m_settings));
     m_entry->setHostService(m_settings.hostService);
 }
 
@@ -201,6 +211,7 @@
     m_retries->setDaemons(members.size());
     m_entry->setMembers(members);
     m_once->setMembers(members);
+    m_quarantine->setMembers(m_self, members);
 }
 
 void TrafficNode::setConfiguration(const ConfigurationPtr &configuration)
@@ -215,6 +226,16 @@
     m_peerCalls->sendControl(target, endpoint, std::move(payload));
 }
 
+void TrafficNode::receiveSuspects(const DaemonId &from, const std::string &payload)
+{
+    m_quarantine->receive(from, payload);
+}
+
+bool TrafficNode::liftQuarantine(const Fingerprint &fingerprint)
+{
+    return m_quarantine->lift(fingerprint);
+}
+
 TrafficStatus TrafficNode::status() const
 {
     TrafficStatus status;
@@ -223,6 +244,7 @@
     status.calls = m_gates->callCount();
     status.links = m_network->linkCount();
     status.callerConnections = m_callerServer->connectionCount();
+    status.suspects = m_quarantine->status();
     return status;
 }
 
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -9,6 +9,7 @@
 #include "app/internal/gate/gateservice.h"
 #include "app/internal/gate/onceservice.h"
 #include "app/internal/gate/upstreamwatch.h"
+#include "app/internal/quarantine/quarantineservice.h"
 #include "app/iplatform.h"
 #include "app/readyfile.h"
 #include "app/settings.h"
@@ -27,6 +28,8 @@
     std::function<void(std::vector<UpstreamInfo>)> onUpstreams;
     std::function<void(ControlMessage)> onControl;
     std::function<void(DaemonId)> onUnreachable;
+    /// A control payload for another daemon.
+    std::function<void(DaemonId, std::string)> onPayload;
 };
 
 /// Figures of the traffic thread for `/status`.
@@ -37,6 +40,7 @@
     std::size_t calls = 0;
     std::size_t links = 0;
     std::size_t callerConnections = 0;
+    std::vector<SuspectStatus> suspects;
 };
 
 /// All that the traffic thread owns: listeners for callers, upstreams and peers, and the services
@@ -54,6 +58,10 @@
     void setConfiguration(const ConfigurationPtr &configuration);
     void setHostService(const ServiceName &service) { m_entry->setHostService(service); }
     void sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload);
+    /// A control payload of another daemon about suspects.
+    void receiveSuspects(const DaemonId &from, const std::string &payload);
+    /// False if nothing is known of it.
+    bool liftQuarantine(const Fingerprint &fingerprint);
     TrafficStatus status() const;
     /// The daemon ends at `end`. Callers are sent elsewhere with their next request, and calls of
     /// other daemons that may last longer are refused; others are still taken, as the server beside
@@ -81,6 +89,7 @@
 
     IEventLoop &m_loop;
     DaemonSettings m_settings;
+    DaemonId m_self;
     TrafficEvents m_events;
     std::unique_ptr<IRequestDialect> m_requestDialect;
     std::unique_ptr<IUpstreamDialect> m_upstreamDialect;
@@ -94,6 +103,7 @@
     std::unique_ptr<IHttpClient> m_logClient;
     std::unique_ptr<ILogService> m_log;
     std::unique_ptr<IOnceService> m_once;
+    std::unique_ptr<QuarantineService> m_quarantine;
     std::unique_ptr<GateService> m_gates;
     std::unique_ptr<UpstreamWatch> m_watch;
     std::unique_ptr<PeerCalls> m_peerCalls;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -71,6 +71,8 @@
     bool datagrams = false;
     /// Every daemon follows the platform's streams.
     bool readers = false;
+    /// Requests that crash servers are sent to others.
+    bool quarantine = false;
 };
 
 /// Switches off the policies of a comma-separated list. Returns the names that are none.
--- a/src/app/tests/crashwatchtest.cpp
+++ b/src/app/tests/crashwatchtest.cpp
@@ -1,6 +1,7 @@
 #include "app/internal/gate/crashwatch.h"
 
 #include "app/tests/mocks/inlineeventloop.h"
+#include "state/internal/seededrandom.h"
 #include "transport/tests/mocks/mockhttpclient.h"
 
 #include <CppUTest/TestHarness.h>
@@ -12,7 +13,8 @@
 {
     InlineEventLoop m_loop;
     MockHttpClient m_client;
-    CrashWatch m_watch{ m_loop, m_client };
+    SeededRandom m_random{ 1 };
+    CrashWatch m_watch{ m_loop, m_client, m_random };
 
     static Announcement server(const std::string &instance = "i-1")
     {
@@ -25,15 +27,15 @@
 // Guards against a broken answer of a server that works on being taken for its end.
 TEST(CrashWatch, AServerThatAcceptsConnectionsHasNotEnded)
 {
-    CHECK_FALSE(m_watch.hasEnded(server()));
+    CHECK(m_watch.check(server()) == ServerEnd::None);
     CHECK_FALSE(m_watch.isKnownEnded(server()));
 }
 
 TEST(CrashWatch, AServerThatRefusesConnectionsHasEnded)
 {
     m_client.isUp = false;
-    CHECK(m_watch.hasEnded(server()));
-    CHECK(m_watch.hasEnded(server()));
+    CHECK(m_watch.check(server()) == ServerEnd::FoundOut);
+    CHECK(m_watch.check(server()) == ServerEnd::Ended);
     CHECK_EQUAL(1, m_client.probed.size());
 }
 
@@ -41,15 +43,15 @@
 TEST(CrashWatch, TheNextRunIsAskedAnew)
 {
     m_client.isUp = false;
-    CHECK(m_watch.hasEnded(server()));
+    CHECK(m_watch.check(server()) == ServerEnd::FoundOut);
     m_client.isUp = true;
-    CHECK_FALSE(m_watch.hasEnded(server("i-2")));
+    CHECK(m_watch.check(server("i-2")) == ServerEnd::None);
 }
 
 TEST(CrashWatch, AServerWithoutNameIsBackWhenItAnnouncesItself)
 {
     m_client.isUp = false;
-    CHECK(m_watch.hasEnded(server("")));
+    CHECK(m_watch.check(server("")) == ServerEnd::FoundOut);
     m_watch.onAnnounced(server(""));
     CHECK_FALSE(m_watch.isKnownEnded(server("")));
 }
@@ -57,8 +59,8 @@
 // Guards against a crash right after a reset connection that is judged by the earlier answer.
 TEST(CrashWatch, AnEarlierConnectionProvesNothing)
 {
-    CHECK_FALSE(m_watch.hasEnded(server()));
+    CHECK(m_watch.check(server()) == ServerEnd::None);
     m_loop.advance(1ms);
     m_client.isUp = false;
-    CHECK(m_watch.hasEnded(server()));
+    CHECK(m_watch.check(server()) == ServerEnd::FoundOut);
 }
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -4,6 +4,7 @@
 #include "app/internal/gate/gateservice.h"
 #include "app/internal/gate/noonceservice.h"
 #include "app/tests/mocks/lateeventloop.h"
+#include "app/tests/mocks/noquarantine.h"
 #include "app/tests/mocks/silentobservers.h"
 #include "coordination/admission/gatefactory.h"
 #include "protocol/owndialects.h"
@@ -63,12 +64,13 @@
     LimitRecorder m_client;
     SeededRandom m_random{ 1 };
     NoOnceService m_once;
+    NoQuarantine m_quarantine;
     std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
     NoLog m_log;
     RecordingDecisionLog m_decisions;
     std::unique_ptr<IMetrics> m_metrics = makeMetrics();
     std::unique_ptr<GateService> m_gates = std::make_unique<GateService>(
-        *m_loop, m_client, m_random, m_once, *m_dialect, makeDefaultGate,
+        *m_loop, m_client, m_random, m_once, m_quarantine, *m_dialect, makeDefaultGate,
         Observers{ m_log, m_decisions, *m_metrics }, GateServiceOptions{});
 };
 
@@ -120,6 +122,7 @@
     LimitRecorder m_client;
     SeededRandom m_random{ 1 };
     NoOnceService m_once;
+    NoQuarantine m_quarantine;
     std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
     SilentObservers m_observers;
     std::unique_ptr<GateService> m_gates;
@@ -129,8 +132,9 @@
     {
         GateServiceOptions options;
         options.mindsLag = true;
-        m_gates = std::make_unique<GateService>(m_loop, m_client, m_random, m_once, *m_dialect,
-                                                makeDefaultGate, m_observers.observers(), options);
+        m_gates = std::make_unique<GateService>(m_loop, m_client, m_random, m_once, m_quarantine,
+                                                *m_dialect, makeDefaultGate,
+                                                m_observers.observers(), options);
         m_gates->announce(
             Announcement{ { ServiceName("cassa"), 300, 2000, false }, { "127.0.0.1", 9000 }, {} });
     }
--- /dev/null
+++ b/src/app/tests/mocks/noquarantine.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "app/internal/quarantine/iquarantine.h"
+
+namespace ivyspar {
+
+/// Suspects nobody.
+class NoQuarantine : public IQuarantine
+{
+public:
+    bool hasSuspects() const override { return false; }
+    Standing standing(const Fingerprint & /*fingerprint*/) const override { return {}; }
+    Standing standing(const Fingerprint & /*fingerprint*/,
+                      const ServerKind & /*kind*/) const override
+    {
+        return {};
+    }
+    void noteCrash(const Fingerprint & /*fingerprint*/, const Crash & /*crash*/) override { }
+    void noteCompletion(const Fingerprint & /*fingerprint*/, const ServerKind & /*kind*/) override
+    {
+    }
+    void noteServer(const ServerKind & /*kind*/) override { }
+    void setListener(ISuspectListener * /*listener*/) override { }
+};
+
+} // namespace ivyspar
--- a/src/app/tests/turnedawaytest.cpp
+++ b/src/app/tests/turnedawaytest.cpp
@@ -4,6 +4,7 @@
 #include "app/internal/gate/gateservice.h"
 #include "app/internal/gate/noonceservice.h"
 #include "app/tests/mocks/inlineeventloop.h"
+#include "app/tests/mocks/noquarantine.h"
 #include "app/tests/mocks/silentobservers.h"
 #include "coordination/admission/gatefactory.h"
 #include "protocol/headers.h"
@@ -78,6 +79,7 @@
     SheddingServer m_server;
     SeededRandom m_random{ 1 };
     NoOnceService m_once;
+    NoQuarantine m_quarantine;
     SilentObservers m_observers;
     std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
     std::unique_ptr<GateService> m_gates;
@@ -85,9 +87,9 @@
 
     void start(bool isOn)
     {
-        m_gates =
-            std::make_unique<GateService>(m_loop, m_server, m_random, m_once, *m_dialect,
-                                          makeOpenGate, m_observers.observers(), makeOptions(isOn));
+        m_gates = std::make_unique<GateService>(m_loop, m_server, m_random, m_once, m_quarantine,
+                                                *m_dialect, makeOpenGate, m_observers.observers(),
+                                                makeOptions(isOn));
         m_gates->announce(Announcement{ { SERVICE, 49, 400, false }, { "127.0.0.1", 9000 }, {} });
     }
 
--- a/src/coordination/admission/internal/rootend.cpp
+++ b/src/coordination/admission/internal/rootend.cpp
@@ -21,6 +21,8 @@
     case Reason::ConnectFailed:
     case Reason::Draining:
     case Reason::ShuttingDown:
+    case Reason::Suspected:
+    case Reason::Quarantined:
         return true;
     default:
         return false;
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+/// After a crash: by then other daemons have told which of the requests under way there have
+/// completed elsewhere, and so have not caused it.
+constexpr Duration CRASH_PAUSE = std::chrono::milliseconds(100);
+/// Servers that a call may have crashed before it is repeated no more.
+constexpr std::size_t MOST_CRASHES = 1;
+
 RouteFeedback feedbackOfLoss(Reason reason)
 {
     switch (reason) {
@@ -40,6 +46,8 @@
     case Reason::ConnectFailed:
         return end.hasLoad ? RouteFeedback::UpstreamError : RouteFeedback::Unreachable;
     case Reason::Cancelled:
+    case Reason::Suspected:
+    case Reason::Quarantined:
         return RouteFeedback::Cancelled;
     default:
         return RouteFeedback::Refused;
@@ -118,6 +126,9 @@
     if (!end.holder.value().empty() && !m_isRedirected) {
         return redirectTo(now, end.holder);
     }
+    if (postpone(now, index, end)) {
+        return {};
+    }
     if (mayRetry(now, end, false)) {
         Verdict failure;
         if (auto action = sendNext(now, failure)) {
@@ -130,6 +141,41 @@
     return finish(now, index, end.verdict);
 }
 
+/// Sent on to the next server at once, a request that crashes servers would take one after the
+/// other within a second. All others that were under way there lose a moment.
+bool EntryCall::postpone(TimePoint now, AttemptIndex index, const AttemptEnd &end)
+{
+    const bool isCrash =
+        end.verdict.outcome == Outcome::Unknown && end.verdict.reason == Reason::ServerCrashed;
+    const bool mayRepeat =
+        !m_terms.isSingleAttempt && m_terms.rule.repetition == Repetition::Idempotent;
+    if (!isCrash || !mayRepeat || hasOpenAttempt() || now + CRASH_PAUSE >= m_terms.deadline) {
+        return false;
+    }
+    m_postponed = Postponed{ now + CRASH_PAUSE, index, end };
+    return true;
+}
+
+EntryActions EntryCall::resume(TimePoint now)
+{
+    const Postponed postponed = *m_postponed;
+    m_postponed.reset();
+    const Standing current = standing();
+    const bool isCleared = current.suspicion == Suspicion::None;
+    if ((isCleared || current.crashes <= MOST_CRASHES) && mayRetry(now, postponed.end, false)) {
+        Verdict failure;
+        if (auto action = sendNext(now, failure)) {
+            return { *action };
+        }
+    }
+    return finish(now, postponed.attempt, postponed.end.verdict);
+}
+
+Standing EntryCall::standing() const
+{
+    return m_terms.standing ? m_terms.standing() : Standing();
+}
+
 EntryActions EntryCall::redirectTo(TimePoint now, const DaemonId &holder)
 {
     m_isRedirected = true;
@@ -151,10 +197,16 @@
             hasOpenAttempt() || m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
         return finish(now, AttemptIndex(0), Verdict{ outcome, Reason::Timeout, Duration::zero() });
     }
+    if (m_postponed && now >= m_postponed->until) {
+        return resume(now);
+    }
     if (!m_hedgeAt || now < *m_hedgeAt) {
         return {};
     }
     m_hedgeAt.reset();
+    if (m_postponed || standing().suspicion != Suspicion::None) {
+        return {};
+    }
     if (!mayReachAnother() || !m_policies.retries.takeHedge(now, m_terms.rule.service)) {
         return {};
     }
@@ -182,7 +234,11 @@
     if (m_isFinished) {
         return TimePoint::max();
     }
-    return m_hedgeAt ? std::min(*m_hedgeAt, m_terms.deadline) : m_terms.deadline;
+    TimePoint next = m_terms.deadline;
+    if (m_hedgeAt) {
+        next = std::min(next, *m_hedgeAt);
+    }
+    return m_postponed ? std::min(next, m_postponed->until) : next;
 }
 
 std::uint32_t EntryCall::attempts() const
@@ -199,6 +255,7 @@
 {
     m_isFinished = true;
     m_hedgeAt.reset();
+    m_postponed.reset();
     EntryActions actions;
     for (std::uint32_t i = 0; i < m_attempts.size(); ++i) {
         if (m_attempts[i].isOpen) {
@@ -211,8 +268,8 @@
     if (verdict.outcome == Outcome::NotRun && (m_mayHaveRun || hasOpenAttempt())) {
         verdict.outcome = Outcome::Unknown;
     }
-    const bool canComeBack =
-        verdict.outcome == Outcome::NotRun && verdict.reason != Reason::BudgetSpent;
+    const bool canComeBack = verdict.outcome == Outcome::NotRun
+        && verdict.reason != Reason::BudgetSpent && verdict.reason != Reason::Quarantined;
     if (canComeBack && verdict.retryAfter == Duration::zero()) {
         verdict.retryAfter =
             m_policies.retries.retryAfter(now, m_terms.rule.service, m_policies.random);
@@ -239,7 +296,17 @@
         }
         return launch(now, m_terms.pinned, "ticket");
     }
-    const RouteRequest request{ m_terms.rule.service, m_terms.rank, m_tried };
+    const Standing current = standing();
+    if (current.suspicion == Suspicion::Quarantined || current.suspicion == Suspicion::Held) {
+        const bool isFinal = current.suspicion == Suspicion::Quarantined;
+        failure.reason = isFinal ? Reason::Quarantined : Reason::Suspected;
+        failure.retryAfter = current.retryAfter;
+        return std::nullopt;
+    }
+    RouteRequest request{ m_terms.rule.service, m_terms.rank, m_tried };
+    if (current.suspicion == Suspicion::Suspect && m_terms.fingerprint) {
+        request.fingerprint = m_terms.fingerprint();
+    }
     const RouteChoice choice = m_policies.router.choose(now, request, m_policies.random);
     if (choice.daemon.value().empty()) {
         failure.reason = choice.reason;
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <vector>
 
 #include "coordination/calls/ientrycall.h"
+#include "coordination/quarantine/suspect.h"
 #include "coordination/retries/iattemptledger.h"
 #include "coordination/retries/iretrypolicy.h"
 #include "coordination/routing/irouter.h"
@@ -28,6 +30,11 @@
     bool isSingleAttempt = false;
     /// The only daemon that may take the call; empty for any. Given by a ticket.
     DaemonId pinned;
+    /// Whether the request may have crashed servers, asked before each attempt. Empty: it is no
+    /// suspect.
+    std::function<Standing()> standing = {};
+    /// Of the request, while it is a suspect.
+    std::function<Fingerprint()> fingerprint = {};
 };
 
 class EntryCall : public IEntryCall
@@ -59,6 +66,10 @@
     std::optional<EntryAction> sendNext(TimePoint now, Verdict &failure);
     EntryActions followUp(TimePoint now, AttemptIndex attempt, const AttemptEnd &end);
     EntryActions redirectTo(TimePoint now, const DaemonId &holder);
+    /// The server crashed: whether the call is to be repeated is seen a moment later.
+    bool postpone(TimePoint now, AttemptIndex attempt, const AttemptEnd &end);
+    EntryActions resume(TimePoint now);
+    Standing standing() const;
     std::optional<EntryAction> launch(TimePoint now, const DaemonId &target, const char *why);
     /// `isFromBelow`: the upstream answered with an error of its own or of a call that it made.
     bool mayRetry(TimePoint now, const AttemptEnd &end, bool isFromBelow);
@@ -76,6 +87,14 @@
     std::vector<Attempt> m_attempts;
     std::vector<DaemonId> m_tried;
     std::optional<TimePoint> m_hedgeAt;
+    /// The attempt whose server crashed, while its repetition is put off until then.
+    struct Postponed
+    {
+        TimePoint until;
+        AttemptIndex attempt;
+        AttemptEnd end;
+    };
+    std::optional<Postponed> m_postponed;
     /// An attempt may have run without our knowing how it ended.
     bool m_mayHaveRun = false;
     /// Attempts that reached an upstream, or may have.
--- /dev/null
+++ b/src/coordination/quarantine/internal/suspecttable.cpp
@@ -0,0 +1,338 @@
+#include "coordination/quarantine/internal/suspecttable.h"
+
+#include <algorithm>
+#include <string>
+
+#include <xxhash.h>
+
+namespace ivyspar {
+
+namespace {
+
+using Kinds = std::vector<ServerKind>;
+
+bool hasCompleted(const SuspectRecord &record, const ServerKind &kind)
+{
+    return std::binary_search(record.completed.begin(), record.completed.end(), kind);
+}
+
+/// Keeps their order. False if the kind is there.
+bool addKind(Kinds &kinds, const ServerKind &kind)
+{
+    const auto place = std::lower_bound(kinds.begin(), kinds.end(), kind);
+    if (place != kinds.end() && *place == kind) {
+        return false;
+    }
+    kinds.insert(place, kind);
+    return true;
+}
+
+bool addKinds(Kinds &kinds, const Kinds &others)
+{
+    bool isNew = false;
+    for (const ServerKind &kind : others) {
+        isNew = addKind(kinds, kind) || isNew;
+    }
+    return isNew;
+}
+
+std::size_t countCrashes(const SuspectRecord &record, const ServerKind &kind)
+{
+    return static_cast<std::size_t>(
+        std::count_if(record.crashes.begin(), record.crashes.end(),
+                      [&](const Crash &crash) { return crash.kind == kind; }));
+}
+
+/// The most crashes at servers of one kind other than this.
+std::size_t countElsewhere(const SuspectRecord &record, const ServerKind &kind)
+{
+    std::size_t most = 0;
+    for (const Crash &crash : record.crashes) {
+        if (crash.kind != kind) {
+            most = std::max(most, countCrashes(record, crash.kind));
+        }
+    }
+    return most;
+}
+
+bool hasCrashedService(const SuspectRecord &record, const ServiceName &service)
+{
+    return std::any_of(record.crashes.begin(), record.crashes.end(),
+                       [&](const Crash &crash) { return crash.kind.service == service; });
+}
+
+std::size_t countTrials(const SuspectRecord &record)
+{
+    return static_cast<std::size_t>(
+        std::count_if(record.crashes.begin(), record.crashes.end(),
+                      [](const Crash &crash) { return crash.isTrial; }));
+}
+
+std::string textOf(const ServerKind &kind)
+{
+    return kind.service.value() + '/' + kind.version.value();
+}
+
+std::uint64_t hashOf(const SuspectRecord &record)
+{
+    std::string text = record.fingerprint.value() + '\n' + std::to_string(record.epoch);
+    for (const Crash &crash : record.crashes) {
+        text += '\n' + crash.run.value() + (crash.isTrial ? '+' : '-') + textOf(crash.kind);
+    }
+    for (const ServerKind &kind : record.completed) {
+        text += '\r' + textOf(kind);
+    }
+    for (const ServerKind &kind : record.offered) {
+        text += '\t' + textOf(kind);
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+std::unique_ptr<ISuspectTable> makeSuspectTable(const SuspectTableOptions &options)
+{
+    return std::make_unique<SuspectTable>(options);
+}
+
+SuspectTable::SuspectTable(const SuspectTableOptions &options)
+    : m_options(options)
+{
+}
+
+Standing SuspectTable::standing(TimePoint now, const Fingerprint &fingerprint,
+                                const ServerKind &kind) const
+{
+    const auto found = m_records.find(fingerprint);
+    return found == m_records.end() ? Standing() : judge(now, found->second, kind);
+}
+
+Standing SuspectTable::standing(TimePoint now, const Fingerprint &fingerprint) const
+{
+    const auto found = m_records.find(fingerprint);
+    if (found == m_records.end() || found->second.crashes.empty()) {
+        return {};
+    }
+    const SuspectRecord &record = found->second;
+    Standing least = judge(now, record, record.crashes.front().kind);
+    const auto consider = [&](const ServerKind &kind) {
+        const Standing each = judge(now, record, kind);
+        least = each.suspicion < least.suspicion ? each : least;
+    };
+    for (const Crash &crash : record.crashes) {
+        consider(crash.kind);
+    }
+    std::for_each(record.completed.begin(), record.completed.end(), consider);
+    std::for_each(record.offered.begin(), record.offered.end(), consider);
+    return least;
+}
+
+Standing SuspectTable::judge(TimePoint now, const SuspectRecord &record,
+                             const ServerKind &kind) const
+{
+    Standing standing;
+    standing.crashes = record.crashes.size();
+    if (standing.crashes == 0 || hasCompleted(record, kind)) {
+        return standing;
+    }
+    const std::size_t here = countCrashes(record, kind);
+    const bool isKnownElsewhere = countElsewhere(record, kind) >= m_options.crashes;
+    const bool isCondemnedHere = here >= m_options.crashes || (isKnownElsewhere && here > 0);
+    const Duration since = std::chrono::duration_cast<Duration>(now - record.changedAt);
+    if (isCondemnedHere || isKnownElsewhere) {
+        const bool isDue = !isCondemnedHere || since >= m_options.trialPause;
+        if (!isDue || countTrials(record) >= m_options.trials) {
+            standing.suspicion = Suspicion::Quarantined;
+            return standing;
+        }
+        standing.isTrial = true;
+    }
+    standing.suspicion = Suspicion::Suspect;
+    // Each crash takes a server from all other requests: the next one waits until it is back.
+    if (standing.crashes > 1 && since < m_options.recovery) {
+        standing.suspicion = Suspicion::Held;
+        standing.retryAfter = m_options.recovery - since;
+    }
+    return standing;
+}
+
+bool SuspectTable::addCrash(TimePoint now, const Fingerprint &fingerprint, const Crash &crash)
+{
+    SuspectRecord record;
+    record.fingerprint = fingerprint;
+    const auto found = m_records.find(fingerprint);
+    record.epoch = found == m_records.end() ? 0 : found->second.epoch;
+    record.crashes = { crash };
+    record.changedAt = crash.at;
+    return merge(now, record);
+}
+
+bool SuspectTable::addCompletion(const Fingerprint &fingerprint, const ServerKind &kind)
+{
+    const auto found = m_records.find(fingerprint);
+    return found != m_records.end() && addKind(found->second.completed, kind);
+}
+
+bool SuspectTable::addOffer(const Fingerprint &fingerprint, const ServerKind &kind)
+{
+    const auto found = m_records.find(fingerprint);
+    if (found == m_records.end() || !isCondemned(found->second)
+        || !hasCrashedService(found->second, kind.service)
+        || countCrashes(found->second, kind) > 0) {
+        return false;
+    }
+    return addKind(found->second.offered, kind);
+}
+
+bool SuspectTable::merge(TimePoint now, const SuspectRecord &record)
+{
+    const auto found = m_records.find(record.fingerprint);
+    if (found != m_records.end()) {
+        return unite(record, found->second);
+    }
+    if (isExpired(now, record) || !makeRoom()) {
+        return false;
+    }
+    SuspectRecord added;
+    added.fingerprint = record.fingerprint;
+    added.epoch = record.epoch;
+    added.changedAt = record.changedAt;
+    unite(record, added);
+    m_records.emplace(record.fingerprint, std::move(added));
+    return true;
+}
+
+bool SuspectTable::unite(const SuspectRecord &from, SuspectRecord &into) const
+{
+    if (from.epoch < into.epoch) {
+        return false;
+    }
+    bool isNew = false;
+    if (from.epoch > into.epoch) {
+        isNew = true;
+        into.epoch = from.epoch;
+        into.crashes.clear();
+        into.completed.clear();
+        into.offered.clear();
+        into.changedAt = from.changedAt;
+    }
+    for (const Crash &crash : from.crashes) {
+        isNew = insert(crash, into) || isNew;
+    }
+    isNew = addKinds(into.completed, from.completed) || isNew;
+    isNew = addKinds(into.offered, from.offered) || isNew;
+    return isNew;
+}
+
+bool SuspectTable::insert(const Crash &crash, SuspectRecord &into) const
+{
+    auto &crashes = into.crashes;
+    const auto place =
+        std::lower_bound(crashes.begin(), crashes.end(), crash,
+                         [](const Crash &a, const Crash &b) { return a.run < b.run; });
+    if (place != crashes.end() && place->run == crash.run) {
+        const bool isNew = crash.isTrial && !place->isTrial;
+        place->isTrial = place->isTrial || crash.isTrial;
+        return isNew;
+    }
+    // The same ones are left out everywhere, or daemons would never know the same.
+    if (crashes.size() >= m_options.mostCrashes && place == crashes.end()) {
+        return false;
+    }
+    crashes.insert(place, crash);
+    if (crashes.size() > m_options.mostCrashes) {
+        crashes.pop_back();
+    }
+    into.changedAt = std::max(into.changedAt, crash.at);
+    return true;
+}
+
+bool SuspectTable::lift(TimePoint now, const Fingerprint &fingerprint)
+{
+    const auto found = m_records.find(fingerprint);
+    if (found == m_records.end()) {
+        return false;
+    }
+    SuspectRecord lifted;
+    lifted.fingerprint = fingerprint;
+    lifted.epoch = found->second.epoch + 1;
+    lifted.changedAt = now;
+    return unite(lifted, found->second);
+}
+
+void SuspectTable::expire(TimePoint now)
+{
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        it = isExpired(now, it->second) ? m_records.erase(it) : std::next(it);
+    }
+}
+
+bool SuspectTable::isExpired(TimePoint now, const SuspectRecord &record) const
+{
+    const Duration memory = isCleared(record) ? m_options.clearedMemory
+        : isCondemned(record)                 ? m_options.quarantineMemory
+                                              : m_options.suspectMemory;
+    return now - record.changedAt >= memory;
+}
+
+bool SuspectTable::isCondemned(const SuspectRecord &record) const
+{
+    return std::any_of(record.crashes.begin(), record.crashes.end(), [&](const Crash &crash) {
+        return !hasCompleted(record, crash.kind)
+            && countCrashes(record, crash.kind) >= m_options.crashes;
+    });
+}
+
+bool SuspectTable::isCleared(const SuspectRecord &record) const
+{
+    return std::all_of(record.crashes.begin(), record.crashes.end(),
+                       [&](const Crash &crash) { return hasCompleted(record, crash.kind); });
+}
+
+/// The oldest harmless ones go; a flood of suspects must not free one that is in quarantine.
+bool SuspectTable::makeRoom()
+{
+    if (m_records.size() < m_options.mostRecords) {
+        return true;
+    }
+    auto oldest = m_records.end();
+    for (auto it = m_records.begin(); it != m_records.end(); ++it) {
+        const bool isOlder =
+            oldest == m_records.end() || it->second.changedAt < oldest->second.changedAt;
+        if (isOlder && !isCondemned(it->second)) {
+            oldest = it;
+        }
+    }
+    if (oldest == m_records.end()) {
+        return false;
+    }
+    m_records.erase(oldest);
+    return true;
+}
+
+std::optional<SuspectRecord> SuspectTable::find(const Fingerprint &fingerprint) const
+{
+    const auto found = m_records.find(fingerprint);
+    return found == m_records.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<SuspectRecord> SuspectTable::records() const
+{
+    std::vector<SuspectRecord> records;
+    records.reserve(m_records.size());
+    for (const auto &[key, record] : m_records) {
+        records.push_back(record);
+    }
+    return records;
+}
+
+std::uint64_t SuspectTable::digest() const
+{
+    std::uint64_t digest = 0;
+    for (const auto &[key, record] : m_records) {
+        digest ^= hashOf(record);
+    }
+    return digest;
+}
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/quarantine/internal/suspecttable.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+
+#include "coordination/quarantine/isuspecttable.h"
+
+namespace ivyspar {
+
+class SuspectTable : public ISuspectTable
+{
+public:
+    explicit SuspectTable(const SuspectTableOptions &options);
+
+    bool isEmpty() const override { return m_records.empty(); }
+    Standing standing(TimePoint now, const Fingerprint &fingerprint,
+                      const ServerKind &kind) const override;
+    Standing standing(TimePoint now, const Fingerprint &fingerprint) const override;
+    bool addCrash(TimePoint now, const Fingerprint &fingerprint, const Crash &crash) override;
+    bool addCompletion(const Fingerprint &fingerprint, const ServerKind &kind) override;
+    bool addOffer(const Fingerprint &fingerprint, const ServerKind &kind) override;
+    bool merge(TimePoint now, const SuspectRecord &record) override;
+    bool lift(TimePoint now, const Fingerprint &fingerprint) override;
+    void expire(TimePoint now) override;
+    std::optional<SuspectRecord> find(const Fingerprint &fingerprint) const override;
+    std::vector<SuspectRecord> records() const override;
+    std::uint64_t digest() const override;
+
+private:
+    using Records = std::map<Fingerprint, SuspectRecord>;
+
+    Standing judge(TimePoint now, const SuspectRecord &record, const ServerKind &kind) const;
+    bool isCondemned(const SuspectRecord &record) const;
+    bool isCleared(const SuspectRecord &record) const;
+    bool isExpired(TimePoint now, const SuspectRecord &record) const;
+    bool unite(const SuspectRecord &from, SuspectRecord &into) const;
+    bool insert(const Crash &crash, SuspectRecord &into) const;
+    /// False if there is no room for one more.
+    bool makeRoom();
+
+    SuspectTableOptions m_options;
+    Records m_records;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/quarantine/tests/mocks/suspectfleet.h
@@ -0,0 +1,245 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/quarantine/isuspecttable.h"
+#include "coordination/quarantine/suspectspread.h"
+#include "state/internal/seededrandom.h"
+
+namespace ivyspar {
+
+/// Tables of suspects of many daemons under a fake clock, which exchange messages with a delay,
+/// losses and cuts. Beside each daemon is a server that crashes under one request and is back
+/// later.
+class SuspectFleet
+{
+public:
+    static constexpr Duration STEP = std::chrono::milliseconds(1);
+    static constexpr Duration DELAY = std::chrono::milliseconds(2);
+    static constexpr Duration COMPARE = std::chrono::milliseconds(300);
+    static constexpr Duration RUN_TIME = std::chrono::milliseconds(60);
+    static constexpr Duration DOWN_TIME = std::chrono::seconds(2);
+
+    SuspectFleet(std::size_t daemons, std::uint64_t seed, double lossShare)
+        : m_random(seed)
+        , m_lossShare(lossShare)
+    {
+        for (std::size_t i = 0; i < daemons; ++i) {
+            m_nodes.push_back(makeNode(i));
+        }
+        shareMembers();
+    }
+
+    /// All messages between these daemons and the others are lost from now on.
+    void cutOff(std::set<std::size_t> daemons)
+    {
+        m_cutOff = std::move(daemons);
+        shareMembers();
+    }
+
+    /// The daemon's process starts anew and knows nothing.
+    void restart(std::size_t index)
+    {
+        m_nodes[index] = makeNode(index);
+        introduce(index);
+    }
+
+    void advance(Duration time)
+    {
+        for (const TimePoint end = m_now + time; m_now < end;) {
+            m_now += STEP;
+            step();
+        }
+    }
+
+    /// The crashing request arrives at the daemon, which sends it to some server it knows, unless
+    /// it knows better. True if a server began to run it.
+    bool sendCrasher(std::size_t entry)
+    {
+        Node &from = *m_nodes[entry];
+        const Suspicion here = from.table->standing(m_now, CRASHER).suspicion;
+        if (here == Suspicion::Held || here == Suspicion::Quarantined) {
+            return false;
+        }
+        const std::size_t target = here == Suspicion::Suspect ? firstUp(entry) : randomUp(entry);
+        Node &gate = *m_nodes[target];
+        const Suspicion there = gate.table->standing(m_now, CRASHER, KIND).suspicion;
+        const bool isRefused = there == Suspicion::Held || there == Suspicion::Quarantined
+            || (there == Suspicion::Suspect && gate.crashAt != TimePoint::max());
+        if (isRefused || m_now < gate.upAt) {
+            return false;
+        }
+        gate.crashAt = std::min(gate.crashAt, m_now + RUN_TIME);
+        ++m_sends;
+        return true;
+    }
+
+    bool isQuarantinedAt(std::size_t index) const
+    {
+        return m_nodes[index]->table->standing(m_now, CRASHER).suspicion == Suspicion::Quarantined;
+    }
+    std::size_t countQuarantining() const
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            count += isQuarantinedAt(i) ? 1 : 0;
+        }
+        return count;
+    }
+    std::size_t size() const { return m_nodes.size(); }
+    std::size_t crashes() const { return m_crashes; }
+    std::size_t sends() const { return m_sends; }
+    std::size_t messages() const { return m_messages; }
+    TimePoint now() const { return m_now; }
+
+private:
+    struct Node
+    {
+        std::unique_ptr<SeededRandom> random;
+        std::unique_ptr<ISuspectTable> table;
+        std::unique_ptr<SuspectSpread> spread;
+        TimePoint compareAt;
+        TimePoint crashAt = TimePoint::max();
+        TimePoint upAt;
+    };
+    struct Message
+    {
+        std::size_t from;
+        std::size_t to;
+        SuspectMessage message;
+    };
+
+    inline static const Fingerprint CRASHER{ "c0ffee" };
+    inline static const ServerKind KIND{ ServiceName("desk"), UpstreamVersion("v1") };
+
+    static DaemonId idOf(std::size_t index) { return DaemonId("daemon-" + std::to_string(index)); }
+    static std::size_t indexOf(const DaemonId &id)
+    {
+        return std::stoul(id.value().substr(id.value().find('-') + 1));
+    }
+
+    std::unique_ptr<Node> makeNode(std::size_t index)
+    {
+        auto node = std::make_unique<Node>();
+        node->random = std::make_unique<SeededRandom>(m_random.next() + index);
+        node->table = makeSuspectTable();
+        node->spread = std::make_unique<SuspectSpread>(*node->table, *node->random);
+        node->compareAt = m_now + Duration(m_random.below(COMPARE.count()));
+        return node;
+    }
+
+    bool areLinked(std::size_t a, std::size_t b) const
+    {
+        return m_cutOff.count(a) == m_cutOff.count(b);
+    }
+
+    void introduce(std::size_t index)
+    {
+        std::vector<DaemonId> peers;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (i != index && areLinked(i, index)) {
+                peers.push_back(idOf(i));
+            }
+        }
+        m_nodes[index]->spread->setPeers(m_now, peers);
+    }
+
+    void shareMembers()
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            introduce(i);
+        }
+    }
+
+    std::size_t randomUp(std::size_t entry)
+    {
+        for (int tries = 0; tries < 1000; ++tries) {
+            const std::size_t index = m_random.below(m_nodes.size());
+            if (areLinked(entry, index) && m_now >= m_nodes[index]->upAt) {
+                return index;
+            }
+        }
+        return entry;
+    }
+
+    /// All entries choose the same server for a suspect.
+    std::size_t firstUp(std::size_t entry) const
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (areLinked(entry, i) && m_now >= m_nodes[i]->upAt) {
+                return i;
+            }
+        }
+        return entry;
+    }
+
+    void post(std::size_t from, const SuspectSends &sends)
+    {
+        for (const SuspectSend &send : sends) {
+            const std::size_t to = indexOf(send.to);
+            ++m_messages;
+            if (areLinked(from, to) && m_random.unit() >= m_lossShare) {
+                m_onTheWay[m_now + DELAY].push_back(Message{ from, to, send.message });
+            }
+        }
+    }
+
+    void step()
+    {
+        while (!m_onTheWay.empty() && m_onTheWay.begin()->first <= m_now) {
+            const std::vector<Message> arrived = std::move(m_onTheWay.begin()->second);
+            m_onTheWay.erase(m_onTheWay.begin());
+            for (const Message &message : arrived) {
+                deliver(message);
+            }
+        }
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            stepNode(i);
+        }
+    }
+
+    void deliver(const Message &message)
+    {
+        std::vector<Fingerprint> changed;
+        post(message.to,
+             m_nodes[message.to]->spread->receive(m_now, idOf(message.from), message.message,
+                                                  changed));
+    }
+
+    void stepNode(std::size_t index)
+    {
+        Node &node = *m_nodes[index];
+        if (m_now >= node.crashAt) {
+            node.crashAt = TimePoint::max();
+            node.upAt = m_now + DOWN_TIME;
+            const UpstreamId run("run-" + std::to_string(++m_crashes));
+            node.table->addCrash(m_now, CRASHER, Crash{ run, KIND, m_now, false });
+            node.spread->noteOwn(CRASHER);
+        }
+        if (node.spread->hasNews()) {
+            post(index, node.spread->flush());
+        }
+        if (m_now >= node.compareAt && node.spread->wantsToCompare(m_now)) {
+            node.compareAt = m_now + COMPARE;
+            post(index, node.spread->compare());
+        }
+    }
+
+    SeededRandom m_random;
+    double m_lossShare;
+    TimePoint m_now{ std::chrono::seconds(100) };
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::set<std::size_t> m_cutOff;
+    std::map<TimePoint, std::vector<Message>> m_onTheWay;
+    std::size_t m_crashes = 0;
+    std::size_t m_sends = 0;
+    std::size_t m_messages = 0;
+};
+
+} // namespace ivyspar
--- /dev/null
+++ b/src/coordination/quarantine/tests/suspectspreadtest.cpp
@@ -0,0 +1,111 @@
+#include "coordination/quarantine/tests/mocks/suspectfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t SMALL = 10;
+/// Of the aim.
+constexpr std::size_t LARGE = 790;
+constexpr std::uint64_t SEEDS = 50;
+constexpr double MANY_LOST = 0.2;
+constexpr Duration INTERVAL = 150ms;
+/// In this time all daemons in touch must know.
+constexpr Duration CONTACT = 3s;
+constexpr Duration COMPARE_TWICE = 1s;
+constexpr std::size_t CRASHES = 3;
+
+/// Sends the crashing request at `INTERVAL` to daemons in turn, until three servers have crashed
+/// under it, and for `CONTACT` more.
+void crashThree(SuspectFleet &fleet, std::size_t entries)
+{
+    std::size_t entry = 0;
+    for (Duration time{ 0 }; time < 20s && fleet.crashes() < CRASHES; time += INTERVAL) {
+        fleet.sendCrasher(entry++ % entries);
+        fleet.advance(INTERVAL);
+    }
+    for (Duration time{ 0 }; time < CONTACT; time += INTERVAL) {
+        fleet.sendCrasher(entry++ % entries);
+        fleet.advance(INTERVAL);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(SuspectSpread){};
+
+// Guards against daemons that still send a request on, seconds after it has crashed three servers.
+TEST(SuspectSpread, AllKnowOfTheThirdCrashInTime)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        SuspectFleet fleet(SMALL, seed, MANY_LOST);
+        crashThree(fleet, SMALL);
+        LONGS_EQUAL(SMALL, fleet.countQuarantining());
+        CHECK_COMPARE(fleet.crashes(), <=, CRASHES + 1);
+    }
+}
+
+TEST(SuspectSpread, AllKnowOfTheThirdCrashInTimeAtSize)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        SuspectFleet fleet(LARGE, seed, MANY_LOST);
+        crashThree(fleet, LARGE);
+        LONGS_EQUAL(LARGE, fleet.countQuarantining());
+        CHECK_COMPARE(fleet.crashes(), <=, CRASHES + 1);
+    }
+}
+
+// Guards against a domain that sends on what it could not hear of while it was cut off.
+TEST(SuspectSpread, WhoWasCutOffLearnsItWhenItIsBack)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        SuspectFleet fleet(SMALL, seed, MANY_LOST);
+        fleet.cutOff({ 7, 8, 9 });
+        crashThree(fleet, 7);
+        LONGS_EQUAL(7, fleet.countQuarantining());
+        fleet.cutOff({});
+        fleet.advance(CONTACT);
+        LONGS_EQUAL(SMALL, fleet.countQuarantining());
+    }
+}
+
+// Guards against a daemon that starts, knows nothing, and sends the request on.
+TEST(SuspectSpread, WhoStartsLateLearnsItWithItsFirstExchange)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        SuspectFleet fleet(SMALL, seed, 0);
+        crashThree(fleet, SMALL);
+        fleet.restart(4);
+        fleet.advance(COMPARE_TWICE);
+        CHECK(fleet.isQuarantinedAt(4));
+    }
+}
+
+TEST(SuspectSpread, WhoStartsLateAtSizeLearnsItInTime)
+{
+    SuspectFleet fleet(LARGE, 7, MANY_LOST);
+    crashThree(fleet, LARGE);
+    for (std::size_t i = 0; i < 30; ++i) {
+        fleet.restart(i * 20);
+    }
+    fleet.advance(CONTACT);
+    LONGS_EQUAL(LARGE, fleet.countQuarantining());
+}
+
+// Guards against an exchange that costs all the time what is needed at crashes only.
+TEST(SuspectSpread, NothingIsSentWhileNothingIsSuspected)
+{
+    SuspectFleet fleet(SMALL, 1, 0);
+    fleet.advance(CONTACT);
+    const std::size_t atStart = fleet.messages();
+    fleet.advance(10s);
+    LONGS_EQUAL(atStart, fleet.messages());
+    crashThree(fleet, SMALL);
+    const std::size_t before = fleet.messages();
+    fleet.advance(10s);
+    const std::size_t rounds = 10s / SuspectFleet::COMPARE + 1;
+    CHECK_COMPARE(fleet.messages() - before, <=, SMALL * rounds);
+}
--- /dev/null
+++ b/src/coordination/quarantine/tests/suspecttabletest.cpp
@@ -0,0 +1,199 @@
+#include "coordination/quarantine/isuspecttable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Fingerprint REQUEST("4f00");
+const Fingerprint OTHER("77aa");
+const ServerKind KIND{ ServiceName("catalogo"), UpstreamVersion("v1") };
+const ServerKind NEXT_KIND{ ServiceName("catalogo"), UpstreamVersion("v2") };
+const ServerKind OTHER_SERVICE{ ServiceName("cassa"), UpstreamVersion("v1") };
+
+} // namespace
+
+TEST_GROUP(SuspectTable)
+{
+    TimePoint m_now{ 1000s };
+    std::unique_ptr<ISuspectTable> m_table = makeSuspectTable();
+
+    bool crash(const Fingerprint &fingerprint, const std::string &run,
+               const ServerKind &kind = KIND, bool isTrial = false)
+    {
+        return m_table->addCrash(m_now, fingerprint,
+                                 Crash{ UpstreamId(run), kind, m_now, isTrial });
+    }
+    Suspicion at(const ServerKind &kind, const Fingerprint &fingerprint = REQUEST)
+    {
+        return m_table->standing(m_now, fingerprint, kind).suspicion;
+    }
+    Suspicion anywhere(const Fingerprint &fingerprint = REQUEST)
+    {
+        return m_table->standing(m_now, fingerprint).suspicion;
+    }
+    void condemn()
+    {
+        crash(REQUEST, "i-1");
+        crash(REQUEST, "i-2");
+        crash(REQUEST, "i-3");
+    }
+};
+
+TEST(SuspectTable, ThreeRunsOfServersThatEndedMakeAQuarantine)
+{
+    CHECK(at(KIND) == Suspicion::None);
+    crash(REQUEST, "i-1");
+    CHECK(at(KIND) == Suspicion::Suspect);
+    crash(REQUEST, "i-2");
+    CHECK(at(KIND) == Suspicion::Held);
+    m_now += 3s;
+    CHECK(at(KIND) == Suspicion::Suspect);
+    crash(REQUEST, "i-3");
+    CHECK(at(KIND) == Suspicion::Quarantined);
+    CHECK(anywhere() == Suspicion::Quarantined);
+    CHECK(m_table->standing(m_now, REQUEST).retryAfter == Duration::zero());
+}
+
+// Guards against one crash that counts as several because several daemons tell of it.
+TEST(SuspectTable, WhatIsToldTwiceCountsOnce)
+{
+    CHECK(crash(REQUEST, "i-1"));
+    CHECK_FALSE(crash(REQUEST, "i-1"));
+    const auto copy = makeSuspectTable();
+    for (const SuspectRecord &record : m_table->records()) {
+        CHECK(copy->merge(m_now, record));
+        CHECK_FALSE(copy->merge(m_now, record));
+    }
+    LONGS_EQUAL(1, copy->standing(m_now, REQUEST, KIND).crashes);
+    CHECK(copy->digest() == m_table->digest());
+}
+
+// Guards against a request in demand that is held responsible as it is under way at every crash.
+TEST(SuspectTable, ACompletedRequestIsNotTheCause)
+{
+    crash(REQUEST, "i-1");
+    CHECK(m_table->addCompletion(REQUEST, KIND));
+    crash(REQUEST, "i-2");
+    crash(REQUEST, "i-3");
+    crash(REQUEST, "i-4");
+    CHECK(at(KIND) == Suspicion::None);
+    CHECK(anywhere() == Suspicion::None);
+}
+
+TEST(SuspectTable, CompletionsOfOthersAreNotKept)
+{
+    CHECK_FALSE(m_table->addCompletion(REQUEST, KIND));
+    CHECK(m_table->isEmpty());
+}
+
+// Guards against a request that is quarantined for ever though its service was mended.
+TEST(SuspectTable, ServersOfAnotherKindGetOneTryEach)
+{
+    condemn();
+    CHECK(m_table->addOffer(REQUEST, NEXT_KIND));
+    CHECK_FALSE(m_table->addOffer(REQUEST, OTHER_SERVICE));
+    m_now += 3s;
+    CHECK(m_table->standing(m_now, REQUEST, NEXT_KIND).isTrial);
+    CHECK(anywhere() == Suspicion::Suspect);
+    CHECK(at(KIND) == Suspicion::Quarantined);
+    crash(REQUEST, "i-4", NEXT_KIND, true);
+    CHECK(at(NEXT_KIND) == Suspicion::Quarantined);
+    CHECK(anywhere() == Suspicion::Quarantined);
+}
+
+TEST(SuspectTable, AMendedServiceEndsTheQuarantine)
+{
+    condemn();
+    m_table->addOffer(REQUEST, NEXT_KIND);
+    m_table->addCompletion(REQUEST, NEXT_KIND);
+    CHECK(at(NEXT_KIND) == Suspicion::None);
+    CHECK(anywhere() == Suspicion::None);
+    CHECK(at(KIND) == Suspicion::Quarantined);
+}
+
+// Guards against tries that together crash more servers than the quarantine was to save.
+TEST(SuspectTable, TriesAreBounded)
+{
+    condemn();
+    for (int version = 2; version < 5; ++version) {
+        m_now += 1min;
+        const ServerKind kind{ KIND.service, UpstreamVersion("v" + std::to_string(version)) };
+        CHECK(m_table->standing(m_now, REQUEST, kind).isTrial);
+        crash(REQUEST, "i-v" + std::to_string(version), kind, true);
+    }
+    m_now += 1h;
+    CHECK(at(ServerKind{ KIND.service, UpstreamVersion("v9") }) == Suspicion::Quarantined);
+    CHECK(at(KIND) == Suspicion::Quarantined);
+}
+
+TEST(SuspectTable, AfterALongTimeItIsTriedAgain)
+{
+    condemn();
+    m_now += 9min;
+    CHECK(at(KIND) == Suspicion::Quarantined);
+    m_now += 1min;
+    CHECK(m_table->standing(m_now, REQUEST, KIND).isTrial);
+    crash(REQUEST, "i-4", KIND, true);
+    CHECK(at(KIND) == Suspicion::Quarantined);
+}
+
+TEST(SuspectTable, AnOperatorLiftsAQuarantineEverywhere)
+{
+    condemn();
+    const auto other = makeSuspectTable();
+    other->merge(m_now, *m_table->find(REQUEST));
+    CHECK(m_table->lift(m_now, REQUEST));
+    CHECK(at(KIND) == Suspicion::None);
+    // What another daemon still holds against it does not come back.
+    CHECK_FALSE(m_table->merge(m_now, *other->find(REQUEST)));
+    CHECK(other->merge(m_now, *m_table->find(REQUEST)));
+    CHECK(other->standing(m_now, REQUEST, KIND).suspicion == Suspicion::None);
+    crash(REQUEST, "i-9");
+    CHECK(at(KIND) == Suspicion::Suspect);
+}
+
+TEST(SuspectTable, SuspectsAreForgotten)
+{
+    crash(REQUEST, "i-1");
+    crash(OTHER, "i-1");
+    m_table->addCompletion(OTHER, KIND);
+    m_now += 60s;
+    m_table->expire(m_now);
+    CHECK_FALSE(m_table->find(OTHER).has_value());
+    CHECK(m_table->find(REQUEST).has_value());
+    // A daemon that has not forgotten yet does not bring it back.
+    const SuspectRecord late = *m_table->find(REQUEST);
+    m_now += 4min;
+    m_table->expire(m_now);
+    CHECK(m_table->isEmpty());
+    CHECK_FALSE(m_table->merge(m_now, late));
+}
+
+// Guards against callers who free a request from quarantine with a flood of suspects.
+TEST(SuspectTable, AFloodOfSuspectsFreesNoneFromQuarantine)
+{
+    condemn();
+    for (int i = 0; i < 5000; ++i) {
+        m_now += 1ms;
+        crash(Fingerprint("flood-" + std::to_string(i)), "i-" + std::to_string(i));
+    }
+    CHECK(at(KIND) == Suspicion::Quarantined);
+    LONGS_EQUAL(SuspectTableOptions().mostRecords, m_table->records().size());
+    CHECK(at(KIND, Fingerprint("flood-4999")) == Suspicion::Suspect);
+}
+
+// Guards against daemons that never agree on a record because each has dropped other crashes.
+TEST(SuspectTable, ManyCrashesAreCutTheSameEverywhere)
+{
+    const auto other = makeSuspectTable();
+    for (int i = 0; i < 40; ++i) {
+        crash(REQUEST, "i-" + std::to_string(i));
+        other->addCrash(m_now, REQUEST,
+                        Crash{ UpstreamId("i-" + std::to_string(39 - i)), KIND, m_now, false });
+    }
+    LONGS_EQUAL(SuspectTableOptions().mostCrashes, m_table->find(REQUEST)->crashes.size());
+    CHECK(other->digest() == m_table->digest());
+}
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -23,6 +23,8 @@
     case Reason::UpstreamRefused:
     case Reason::LinkLost:
     case Reason::ShuttingDown:
+    case Reason::Suspected:
+    case Reason::Quarantined: // A server of another version may take it.
         return true;
     default:
         // The others stay true for the whole request (deadline, budget, key) or for the whole
--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace ivyspar {
 
 namespace {
@@ -100,8 +102,27 @@
     return choice.daemon.value().empty() ? refusal(query) : choice;
 }
 
+void Router::pickForSuspect(const Query &query, Filter filter, RouteChoice &choice) const
+{
+    const std::string &fingerprint = query.request.fingerprint.value();
+    std::uint64_t highest = 0;
+    for (const auto &[daemon, server] : query.service.servers) {
+        const std::string text = fingerprint + daemon.value();
+        const std::uint64_t hash = XXH3_64bits(text.data(), text.size());
+        if (hash >= highest && (this->*filter)(query, server)) {
+            highest = hash;
+            choice.daemon = daemon;
+            choice.why = "suspect";
+        }
+    }
+}
+
 void Router::pick(const Query &query, Filter filter, RouteChoice &choice) const
 {
+    if (!query.request.fingerprint.value().empty()) {
+        pickForSuspect(query, filter, choice);
+        return;
+    }
     const double typical = query.service.latency;
     const Server *own = better(query, query.service.own, filter, choice);
     if (own != nullptr && !own->isSaturated(query.now, typical, m_options)) {
--- a/src/coordination/routing/internal/router.h
+++ b/src/coordination/routing/internal/router.h
@@ -58,6 +58,8 @@
                        const Server *other) const;
     const Server *better(const Query &query, const std::vector<Server *> &servers, Filter filter,
                          RouteChoice &choice) const;
+    /// The server of the request's fingerprint.
+    void pickForSuspect(const Query &query, Filter filter, RouteChoice &choice) const;
     void pick(const Query &query, Filter filter, RouteChoice &choice) const;
     RouteChoice refusal(const Query &query) const;
 
--- a/src/coordination/routing/irouter.h
+++ b/src/coordination/routing/irouter.h
@@ -18,6 +18,9 @@
     Rank rank;
     /// Daemons already tried for this call.
     std::vector<DaemonId> excluded;
+    /// A suspect's: all requests of one fingerprint go to the same server, so that those which come
+    /// at once crash one at most. Empty for others.
+    Fingerprint fingerprint = {};
 };
 
 struct RouteCandidate
--- a/src/coordination/upstreams/upstreamreport.h
+++ b/src/coordination/upstreams/upstreamreport.h
@@ -23,6 +23,7 @@
     /// Tells apart runs that follow each other under one name.
     UpstreamStart start;
     ServiceName service;
+    UpstreamVersion version;
     Endpoint endpoint;
     std::uint32_t slots = 0;
     /// Connections that the server accepts; 0 if it does not say.
--- a/src/protocol/internal/ownrequestdialect.cpp
+++ b/src/protocol/internal/ownrequestdialect.cpp
@@ -78,6 +78,8 @@
     }
     read.rule = findRule(configuration.rules, ServiceName(service), request.method,
                          pathOf(read.forwarded.target));
+    // It names this daemon, and is another one where the caller comes again.
+    removeHeader(read.forwarded.headers, "Host");
     return true;
 }
 
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -140,6 +140,7 @@
     addHeaders(writer, message.request.headers);
     writer.add(message.request.body);
     addOnce(writer, message.once);
+    writer.add(message.fingerprint);
     return endFrame(writer);
 }
 
@@ -229,6 +230,9 @@
     readHeaders(reader, message.request.headers);
     reader.read(message.request.body);
     readOnce(reader, message.once);
+    if (!reader.isAtEnd()) {
+        reader.read(message.fingerprint);
+    }
     return message;
 }
 
--- /dev/null
+++ b/src/protocol/internal/suspectexchange.cpp
@@ -0,0 +1,219 @@
+#include "protocol/suspectexchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/internal/fieldcodec.h"
+
+namespace ivyspar {
+
+namespace {
+
+/// First field of each message, so that other exchanges on the same links are told apart.
+constexpr char EXCHANGE[] = "suspects";
+/// A crash of the future would be remembered for ever, and one of long ago means nothing.
+constexpr std::uint64_t MOST_AGE_MICROS = 7ULL * 24 * 3600 * 1'000'000;
+/// Bounds on what a message may hold.
+constexpr std::size_t MOST_RECORDS = 4096;
+constexpr std::size_t MOST_ITEMS = 64;
+constexpr std::size_t MOST_TEXT = 256;
+
+enum class MessageKind : std::uint8_t { Digest = 1, News, State };
+
+FieldWriter startMessage(MessageKind kind)
+{
+    FieldWriter writer;
+    writer.add(std::string(EXCHANGE)).add(std::uint64_t(kind));
+    return writer;
+}
+
+std::uint64_t ageOf(TimePoint at, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<Duration>(now - at).count();
+    return std::uint64_t(std::max(age, Duration::rep(0)));
+}
+
+PackedFields writeCrash(const Crash &crash, TimePoint now)
+{
+    FieldWriter writer;
+    writer.add(crash.run)
+        .add(crash.kind.service)
+        .add(crash.kind.version)
+        .add(ageOf(crash.at, now))
+        .add(crash.isTrial);
+    return writer.take();
+}
+
+PackedFields writeKinds(const std::vector<ServerKind> &kinds)
+{
+    FieldWriter writer;
+    for (const ServerKind &kind : kinds) {
+        writer.add(FieldWriter().add(kind.service).add(kind.version).take());
+    }
+    return writer.take();
+}
+
+PackedFields writeRecord(const SuspectRecord &record, TimePoint now)
+{
+    FieldWriter crashes;
+    for (const Crash &crash : record.crashes) {
+        crashes.add(writeCrash(crash, now));
+    }
+    FieldWriter writer;
+    writer.add(record.fingerprint).add(std::uint64_t(record.epoch));
+    writer.add(ageOf(record.changedAt, now)).add(crashes.take());
+    writer.add(writeKinds(record.completed)).add(writeKinds(record.offered));
+    return writer.take();
+}
+
+PackedFields writeRecords(const std::vector<SuspectRecord> &records, TimePoint now)
+{
+    FieldWriter writer;
+    for (const SuspectRecord &record : records) {
+        writer.add(writeRecord(record, now));
+    }
+    return writer.take();
+}
+
+std::string encodeOne(const SuspectDigest &digest, TimePoint /*now*/)
+{
+    return startMessage(MessageKind::Digest).add(digest.digest).take().bytes;
+}
+
+std::string encodeOne(const SuspectNews &news, TimePoint now)
+{
+    return startMessage(MessageKind::News).add(writeRecords(news.records, now)).take().bytes;
+}
+
+std::string encodeOne(const SuspectState &state, TimePoint now)
+{
+    FieldWriter writer = startMessage(MessageKind::State);
+    writer.add(state.digest).add(state.isAnswerWanted).add(writeRecords(state.records, now));
+    return writer.take().bytes;
+}
+
+template <typename Text> void readText(FieldReader &reader, Text &text)
+{
+    reader.read(text);
+    if (text.value().size() > MOST_TEXT) {
+        reader.fail();
+    }
+}
+
+void readTime(FieldReader &reader, TimePoint now, TimePoint &at)
+{
+    std::uint64_t age = 0;
+    reader.read(age);
+    at = now - Duration(static_cast<Duration::rep>(std::min(age, MOST_AGE_MICROS)));
+}
+
+/// Reads a list of lists of fields, `most` of them.
+template <typename ReadFields>
+void readItems(FieldReader &reader, std::size_t most, const ReadFields &readFields)
+{
+    FieldReader list = reader.readArray();
+    for (std::size_t count = 0; list.isGood() && !list.isAtEnd(); ++count) {
+        FieldReader fields = list.readArray();
+        readFields(fields);
+        if (!fields.isGood() || count >= most) {
+            list.fail();
+        }
+    }
+    if (!list.isGood()) {
+        reader.fail();
+    }
+}
+
+void readKind(FieldReader &reader, ServerKind &kind)
+{
+    readText(reader, kind.service);
+    readText(reader, kind.version);
+}
+
+void readKinds(FieldReader &reader, std::vector<ServerKind> &kinds)
+{
+    readItems(reader, MOST_ITEMS,
+              [&](FieldReader &fields) { readKind(fields, kinds.emplace_back()); });
+}
+
+void readCrash(FieldReader &reader, TimePoint now, Crash &crash)
+{
+    readText(reader, crash.run);
+    readKind(reader, crash.kind);
+    readTime(reader, now, crash.at);
+    reader.read(crash.isTrial);
+}
+
+void readRecord(FieldReader &reader, TimePoint now, SuspectRecord &record)
+{
+    readText(reader, record.fingerprint);
+    reader.read(record.epoch);
+    readTime(reader, now, record.changedAt);
+    readItems(reader, MOST_ITEMS,
+              [&](FieldReader &fields) { readCrash(fields, now, record.crashes.emplace_back()); });
+    readKinds(reader, record.completed);
+    readKinds(reader, record.offered);
+}
+
+std::vector<SuspectRecord> readRecords(FieldReader &reader, TimePoint now)
+{
+    std::vector<SuspectRecord> records;
+    readItems(reader, MOST_RECORDS,
+              [&](FieldReader &fields) { readRecord(fields, now, records.emplace_back()); });
+    return records;
+}
+
+SuspectMessage readBody(MessageKind kind, FieldReader &reader, TimePoint now)
+{
+    if (kind == MessageKind::News) {
+        return SuspectNews{ readRecords(reader, now) };
+    }
+    if (kind == MessageKind::State) {
+        SuspectState state;
+        reader.read(state.digest);
+        reader.read(state.isAnswerWanted);
+        state.records = readRecords(reader, now);
+        return state;
+    }
+    SuspectDigest digest;
+    reader.read(digest.digest);
+    return digest;
+}
+
+bool isOurs(FieldReader &reader)
+{
+    std::string exchange;
+    reader.read(exchange);
+    return reader.isGood() && exchange == EXCHANGE;
+}
+
+} // namespace
+
+std::string encodeSuspectMessage(const SuspectMessage &message, TimePoint now)
+{
+    return std::visit([now](const auto &each) { return encodeOne(each, now); }, message);
+}
+
+bool isSuspectMessage(const std::string &payload)
+{
+    auto fields = FieldReader::open(payload);
+    return fields && isOurs(*fields);
+}
+
+RetVal<SuspectMessage> decodeSuspectMessage(const std::string &payload, TimePoint now)
+{
+    auto fields = FieldReader::open(payload);
+    if (!fields || !isOurs(*fields)) {
+        return makeError(ErrorCode::NotFound, "a message of another exchange");
+    }
+    FieldReader &reader = *fields;
+    MessageKind kind = MessageKind::Digest;
+    reader.read(kind, MessageKind::State);
+    SuspectMessage message = readBody(kind, reader, now);
+    if (!reader.isGood()) {
+        return makeError(ErrorCode::InvalidArgument, "malformed message of suspects");
+    }
+    return message;
+}
+
+} // namespace ivyspar
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -59,6 +59,8 @@
     /// Present when the rule says at most once and the caller gave a key or a ticket.
     std::optional<OnceTerms> once;
     HttpRequest request;
+    /// Of the request; empty if it has not been worked out.
+    Fingerprint fingerprint;
 };
 
 /// End of one attempt. Exactly one for each `CallMessage`, unless the link is lost.
--- /dev/null
+++ b/src/protocol/tests/suspectexchangetest.cpp
@@ -0,0 +1,96 @@
+#include "protocol/suspectexchange.h"
+
+#include "protocol/documentexchange.h"
+#include "state/internal/seededrandom.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint THEN{ 500s };
+/// The receiver's clock has another zero.
+const TimePoint NOW{ 9000s };
+const ServerKind KIND{ ServiceName("catalogo"), UpstreamVersion("v1") };
+
+SuspectRecord makeRecord()
+{
+    SuspectRecord record;
+    record.fingerprint = Fingerprint("4f00");
+    record.epoch = 2;
+    record.crashes = { Crash{ UpstreamId("i-1"), KIND, THEN - 7s, false },
+                       Crash{ UpstreamId("i-2"), KIND, THEN - 1s, true } };
+    record.completed = { KIND };
+    record.offered = { { ServiceName("catalogo"), UpstreamVersion("v2") } };
+    record.changedAt = THEN - 1s;
+    return record;
+}
+
+} // namespace
+
+TEST_GROUP(SuspectExchange){};
+
+TEST(SuspectExchange, RecordsArriveWithTheirAges)
+{
+    const std::string payload = encodeSuspectMessage(SuspectNews{ { makeRecord() } }, THEN);
+    CHECK(isSuspectMessage(payload));
+    const auto read = decodeSuspectMessage(payload, NOW);
+    CHECK(read.has_value());
+    const SuspectRecord &record = std::get<SuspectNews>(*read).records.at(0);
+    CHECK(record.fingerprint == Fingerprint("4f00"));
+    LONGS_EQUAL(2, record.epoch);
+    CHECK(record.crashes.at(0).at == NOW - 7s);
+    CHECK(record.crashes.at(1).isTrial);
+    CHECK(record.crashes.at(1).run == UpstreamId("i-2"));
+    CHECK(record.completed.at(0) == KIND);
+    CHECK(record.offered.at(0).version == UpstreamVersion("v2"));
+    CHECK(record.changedAt == NOW - 1s);
+}
+
+TEST(SuspectExchange, StatesAndDigestsAreKept)
+{
+    const SuspectState state{ 77, true, { makeRecord(), makeRecord() } };
+    const auto read = decodeSuspectMessage(encodeSuspectMessage(state, THEN), NOW);
+    CHECK(std::get<SuspectState>(*read).isAnswerWanted);
+    LONGS_EQUAL(2, std::get<SuspectState>(*read).records.size());
+    const auto digest = decodeSuspectMessage(encodeSuspectMessage(SuspectDigest{ 9 }, THEN), NOW);
+    LONGS_EQUAL(9, std::get<SuspectDigest>(*digest).digest);
+}
+
+TEST(SuspectExchange, OtherExchangesAreToldApart)
+{
+    const std::string other = encodeDocumentMessage(DocumentRequest{ ConfigurationVersion(3) });
+    CHECK_FALSE(isSuspectMessage(other));
+    CHECK(decodeSuspectMessage(other, NOW).error().code == ErrorCode::NotFound);
+    const std::string own = encodeSuspectMessage(SuspectDigest{ 1 }, THEN);
+    CHECK(decodeDocumentMessage(own).error().code == ErrorCode::NotFound);
+}
+
+// Guards against a message that ends the daemon or holds more than is bearable.
+TEST(SuspectExchange, DamagedMessagesAreRefusedOrHarmless)
+{
+    const std::string whole =
+        encodeSuspectMessage(SuspectState{ 7, false, { makeRecord() } }, THEN);
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        CHECK_FALSE(decodeSuspectMessage(whole.substr(0, length), NOW).has_value());
+    }
+    SeededRandom random(5);
+    for (int i = 0; i < 20000; ++i) {
+        std::string damaged = whole;
+        damaged[random.below(damaged.size())] = static_cast<char>(random.next());
+        (void)decodeSuspectMessage(damaged, NOW);
+    }
+}
+
+TEST(SuspectExchange, RecordsOfNewsFitIntoADatagram)
+{
+    SuspectRecord record = makeRecord();
+    record.fingerprint = Fingerprint(std::string(32, 'f'));
+    record.crashes.pop_back();
+    record.offered.clear();
+    record.crashes.front().run = UpstreamId("i-1234567890");
+    const SuspectNews news{ std::vector<SuspectRecord>(8, record) };
+    CHECK_COMPARE(encodeSuspectMessage(news, THEN).size(), <, 1100);
+}
--- a/src/state/fingerprint.h
+++ b/src/state/fingerprint.h
@@ -5,10 +5,10 @@
 
 namespace ivyspar {
 
-/// BLAKE2b (128 bits, in hex) of what decides how a server runs a request: its service, host,
-/// method, path, query and body. Requests of different ids have the same one. A cryptographic hash,
+/// BLAKE2b (128 bits, in hex) of what decides how a server runs a request: host, method, path,
+/// query and body. Requests of different ids have the same one. A cryptographic hash,
 /// as callers choose the bodies: with another, one caller could make requests that are taken for
 /// those of others.
-Fingerprint fingerprintOf(const ServiceName &service, const HttpRequest &request);
+Fingerprint fingerprintOf(const HttpRequest &request);
 
 } // namespace ivyspar
--- a/src/state/http.h
+++ b/src/state/http.h
@@ -39,6 +39,8 @@
 const std::string *findHeader(const std::vector<HttpHeader> &headers, const std::string &name);
 /// Removes all headers of that name (compared without case).
 void removeHeader(std::vector<HttpHeader> &headers, const std::string &name);
+/// The name in a `Host` header: without port, in lower case.
+std::string hostNameOf(const std::string &host);
 /// Compares header names, without case.
 bool isSameHeader(const std::string &a, const std::string &b);
 
--- a/src/state/idecisionlog.h
+++ b/src/state/idecisionlog.h
@@ -21,6 +21,7 @@
     Membership, ///< The daemons that are believed to work changed.
     Upstream, ///< What is believed of a server of this host changed.
     Dependency, ///< Something that this daemon needs was lost or is back.
+    Quarantine, ///< A request is kept from servers that it would crash, or is not any more.
     Lifecycle, ///< Start, stop and reload of this daemon.
 };
 
--- a/src/state/internal/configuration.cpp
+++ b/src/state/internal/configuration.cpp
@@ -1,9 +1,10 @@
 #include "state/configuration.h"
 
 #include <algorithm>
-#include <cctype>
 #include <tuple>
 
+#include "state/http.h"
+
 namespace ivyspar {
 
 namespace {
@@ -21,13 +22,6 @@
 }
 
 /// `Host` names are compared without case, and clients may add the port.
-std::string normalizedHost(const std::string &host)
-{
-    std::string name = host.substr(0, host.find(':'));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return name;
-}
 
 /// No host name contains a slash, so host and path cannot be confused.
 std::string indexKey(const std::string &host, const std::string &prefix)
@@ -63,14 +57,14 @@
     for (std::size_t i = 0; i < rules.rules.size(); ++i) {
         const RuleSpec &rule = rules.rules[i];
         if (!rule.host.empty()) {
-            m_rules.emplace(indexKey(normalizedHost(rule.host), rule.path), i);
+            m_rules.emplace(indexKey(hostNameOf(rule.host), rule.path), i);
         }
     }
 }
 
 std::optional<std::size_t> HostIndex::find(const std::string &host, const std::string &path) const
 {
-    const std::string name = normalizedHost(host);
+    const std::string name = hostNameOf(host);
     // Prefixes end with a slash: only the path's beginnings up to one of its slashes can match.
     for (auto end = path.rfind('/'); end != std::string::npos; end = path.rfind('/', end - 1)) {
         const auto found = m_rules.find(indexKey(name, path.substr(0, end + 1)));
--- a/src/state/internal/decision.cpp
+++ b/src/state/internal/decision.cpp
@@ -29,6 +29,8 @@
         return "upstream";
     case DecisionKind::Dependency:
         return "dependency";
+    case DecisionKind::Quarantine:
+        return "quarantine";
     case DecisionKind::Lifecycle:
         return "lifecycle";
     }
--- a/src/state/internal/fingerprint.cpp
+++ b/src/state/internal/fingerprint.cpp
@@ -39,14 +39,12 @@
 
 } // namespace
 
-Fingerprint fingerprintOf(const ServiceName &service, const HttpRequest &request)
+Fingerprint fingerprintOf(const HttpRequest &request)
 {
-    static const std::string NO_HOST;
     const std::string *host = findHeader(request.headers, "Host");
     crypto_generichash_state state;
     crypto_generichash_init(&state, nullptr, 0, HASH_BYTES);
-    addText(state, service.value());
-    addText(state, host != nullptr ? *host : NO_HOST);
+    addText(state, host != nullptr ? hostNameOf(*host) : std::string());
     addText(state, request.method);
     addText(state, request.target);
     addText(state, request.body);
--- a/src/state/internal/http.cpp
+++ b/src/state/internal/http.cpp
@@ -3,6 +3,7 @@
 #include <strings.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace ivyspar {
 
@@ -26,4 +27,12 @@
                   headers.end());
 }
 
+std::string hostNameOf(const std::string &host)
+{
+    std::string name = host.substr(0, host.find(':'));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return name;
+}
+
 } // namespace ivyspar
--- a/src/state/internal/outcome.cpp
+++ b/src/state/internal/outcome.cpp
@@ -66,6 +66,10 @@
         return "shutting-down";
     case Reason::ServerCrashed:
         return "server-crashed";
+    case Reason::Suspected:
+        return "suspected";
+    case Reason::Quarantined:
+        return "quarantined";
     }
     return "none";
 }
--- a/src/state/member.h
+++ b/src/state/member.h
@@ -20,6 +20,8 @@
     /// How much longer it is slow after its start, when it last said so; nothing if servers of this
     /// deployment do not say.
     std::optional<Duration> coldLeft = {};
+    /// Known beside the server only.
+    UpstreamVersion version = {};
 };
 
 /// What the other daemons know of one daemon. Of two records of a daemon the one with the larger
--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -39,7 +39,9 @@
     BadRequest,
     ShuttingDown,
     ServerCrashed, ///< The upstream ended while it worked on the request.
-    Last = ServerCrashed,
+    Suspected, ///< It may have crashed servers and waits until they are back.
+    Quarantined, ///< It crashes the servers that run it.
+    Last = Quarantined,
 };
 
 const char *toText(Outcome outcome);
--- a/src/state/tests/fingerprinttest.cpp
+++ b/src/state/tests/fingerprinttest.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-const ServiceName SERVICE("catalogo");
-
 HttpRequest makeRequest()
 {
     return HttpRequest{ "POST", "/pages/1?lang=it", { { "Host", "shop.example" } }, "body" };
@@ -23,17 +21,17 @@
     HttpRequest other = makeRequest();
     other.headers.push_back({ "Request-Id", "7" });
     other.headers.insert(other.headers.begin(), { "Deadline", "250" });
-    CHECK(fingerprintOf(SERVICE, makeRequest()) == fingerprintOf(SERVICE, other));
+    other.headers.at(1).value = "SHOP.example:8080";
+    CHECK(fingerprintOf(makeRequest()) == fingerprintOf(other));
 }
 
 TEST(Fingerprint, EachPartOfTheRequestChangesIt)
 {
-    const Fingerprint first = fingerprintOf(SERVICE, makeRequest());
-    CHECK(first != fingerprintOf(ServiceName("cassa"), makeRequest()));
+    const Fingerprint first = fingerprintOf(makeRequest());
     const auto isOther = [&](void (*change)(HttpRequest &)) {
         HttpRequest request = makeRequest();
         change(request);
-        return fingerprintOf(SERVICE, request) != first;
+        return fingerprintOf(request) != first;
     };
     CHECK(isOther([](HttpRequest &request) { request.method = "PUT"; }));
     CHECK(isOther([](HttpRequest &request) { request.target = "/pages/1"; }));
@@ -46,5 +44,5 @@
 {
     const HttpRequest a{ "GET", "/ab", {}, "c" };
     const HttpRequest b{ "GET", "/a", {}, "bc" };
-    CHECK(fingerprintOf(SERVICE, a) != fingerprintOf(SERVICE, b));
+    CHECK(fingerprintOf(a) != fingerprintOf(b));
 }
