--- a/src/app/internal/commands/commandline.cpp
+++ b/src/app/internal/commands/commandline.cpp
@@ -40,6 +40,7 @@
     { "publish", runPublishCommand },
     { "status", runStatusCommand },
     { "explain", runExplainCommand },
+    { "lift", runLiftCommand },
     { "version", printVersion },
     { "help", runHelp },
     { "--version", printVersion },
@@ -57,6 +58,7 @@
   publish  bring a new version of inventory and rules into force
   status   show what a daemon knows and does
   explain  print the course of a request from the logs of daemons
+  lift     let a request run again that is kept from servers
   version  print the version
   help     print this, or the help of a command: ivyspar help daemon
 
--- a/src/app/internal/commands/operatorclient.cpp
+++ b/src/app/internal/commands/operatorclient.cpp
@@ -44,12 +44,9 @@
     }
 }
 
-} // namespace
-
-RetVal<std::string> fetchFromOperatorEndpoint(const Endpoint &endpoint, const std::string &target,
-                                              Duration timeout)
+RetVal<std::string> ask(const Endpoint &endpoint, const HttpRequest &request, Duration timeout)
 {
-    HttpResult result = exchange(endpoint, { "GET", target, {}, {} }, timeout);
+    HttpResult result = exchange(endpoint, request, timeout);
     if (!result) {
         return makeError(ErrorCode::Unavailable, describe(endpoint, result.error(), timeout));
     }
@@ -61,4 +58,18 @@
     return std::move(result->body);
 }
 
+} // namespace
+
+RetVal<std::string> fetchFromOperatorEndpoint(const Endpoint &endpoint, const std::string &target,
+                                              Duration timeout)
+{
+    return ask(endpoint, { "GET", target, {}, {} }, timeout);
+}
+
+RetVal<std::string> postToOperatorEndpoint(const Endpoint &endpoint, const std::string &target,
+                                           Duration timeout)
+{
+    return ask(endpoint, { "POST", target, {}, {} }, timeout);
+}
+
 } // namespace ivyspar
--- a/src/app/internal/commands/operatorclient.h
+++ b/src/app/internal/commands/operatorclient.h
@@ -12,5 +12,8 @@
 /// `timeout` at most. Fails with `Unavailable` on anything else.
 RetVal<std::string> fetchFromOperatorEndpoint(const Endpoint &endpoint, const std::string &target,
                                               Duration timeout);
+/// The same with a POST without body.
+RetVal<std::string> postToOperatorEndpoint(const Endpoint &endpoint, const std::string &target,
+                                           Duration timeout);
 
 } // namespace ivyspar
--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -15,7 +15,7 @@
     const char *sentence;
 };
 
-constexpr std::array<Explanation, 14> EXPLANATIONS{ {
+constexpr std::array<Explanation, 17> EXPLANATIONS{ {
     { "below-floor", "its tree would have lost a call at a service that has no room" },
     { "queue-full", "the queue of the server's gate was full of calls that go first" },
     { "doomed", "less time was left than the server usually takes" },
@@ -30,6 +30,9 @@
     { "upstream-refused", "the server itself said that it did not run it" },
     { "cancelled", "the caller left" },
     { "draining", "the server or its daemon was about to stop" },
+    { "server-crashed", "the server ended while it worked on it" },
+    { "suspected", "servers may have ended under such requests and were not back yet" },
+    { "quarantined", "servers that run such a request end, so it is not run any more" },
 } };
 
 std::string sentenceOf(const std::string &reason)
@@ -84,6 +87,10 @@
 
 std::string grounds(const HistoryEvent &event)
 {
+    if (event.has("crashes")) {
+        return " (fingerprint " + event.text("fingerprint") + ", crashes "
+            + numberOf(event, "crashes") + ")";
+    }
     if (event.has("lag_ms")) {
         return " (the daemon was " + numberOf(event, "lag_ms") + " ms behind)";
     }
--- a/src/app/internal/commands/requesthistory.cpp
+++ b/src/app/internal/commands/requesthistory.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::array<const char *, 5> BELIEFS{ "configuration", "membership", "upstream",
-                                               "dependency", "lifecycle" };
+constexpr std::array<const char *, 6> BELIEFS{ "configuration", "membership", "quarantine",
+                                               "upstream",      "dependency", "lifecycle" };
 /// Changes of belief that are older were known to all when the request came.
 constexpr double BEFORE_SECONDS = 1;
 
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -67,6 +67,37 @@
                  { "snapshots_written", status.snapshotsAppended } };
 }
 
+Json makeSuspect(const SuspectStatus &suspect)
+{
+    Json runs = Json::array();
+    for (const Crash &crash : suspect.record.crashes) {
+        runs.push_back({ { "run", crash.run.value() },
+                         { "service", crash.kind.service.value() },
+                         { "version", crash.kind.version.value() },
+                         { "trial", crash.isTrial } });
+    }
+    return Json{ { "fingerprint", suspect.record.fingerprint.value() },
+                 { "standing", toText(suspect.standing.suspicion) },
+                 { "crashes", suspect.standing.crashes },
+                 { "first_s_ago", toSeconds(suspect.firstAge) },
+                 { "last_s_ago", toSeconds(suspect.lastAge) },
+                 { "runs", runs } };
+}
+
+/// A crash makes suspects of all that was under way, and most of them are cleared soon.
+Json makeSuspects(const std::vector<SuspectStatus> &suspects)
+{
+    constexpr std::size_t MOST_LISTED = 50;
+    Json list = Json::array();
+    for (const SuspectStatus &suspect : suspects) {
+        if (list.size() >= MOST_LISTED) {
+            break;
+        }
+        list.push_back(makeSuspect(suspect));
+    }
+    return list;
+}
+
 } // namespace
 
 std::string makeStatusDocument(const DaemonStatus &status)
@@ -88,6 +119,8 @@
     for (const auto &[service, load] : status.traffic.gates) {
         document["gates"].push_back(makeGate(service, load));
     }
+    document["suspects"] = makeSuspects(status.traffic.suspects);
+    document["suspect_count"] = status.traffic.suspects.size();
     document["requests_in_flight"] = status.traffic.requests;
     document["calls_in_flight"] = status.traffic.calls;
     document["links"] = status.traffic.links;
--- a/src/app/internal/quarantine/quarantineservice.cpp
+++ b/src/app/internal/quarantine/quarantineservice.cpp
@@ -9,21 +9,6 @@
 
 namespace {
 
-const char *toText(Suspicion suspicion)
-{
-    switch (suspicion) {
-    case Suspicion::None:
-        return "cleared";
-    case Suspicion::Suspect:
-        return "suspect";
-    case Suspicion::Held:
-        return "held";
-    case Suspicion::Quarantined:
-        return "quarantined";
-    }
-    return "";
-}
-
 std::string runsOf(const SuspectRecord &record)
 {
     std::string text;
--- a/src/app/tests/explaintest.cpp
+++ b/src/app/tests/explaintest.cpp
@@ -19,6 +19,12 @@
 12.5 host-2 {"time":"2026-12-02T10:00:00.300Z","daemon":"d2","event":"refuse","request":"00000000000000aa","call":"00000000000000cc","service":"stock","outcome":"not-run","reason":"queue-full","in_flight":4,"queued":4,"limit":4,"left_ms":90.5}
 )";
 
+std::string refusal(const char *inputs)
+{
+    return R"({"time":"2026-12-02T10:00:00.100Z","daemon":"d1","event":"refuse","request":"00000000000000aa","service":"shop","outcome":"not-run",)"
+        + std::string(inputs) + "}\n";
+}
+
 } // namespace
 
 TEST_GROUP(Explain){
@@ -94,10 +100,6 @@
 
 TEST(Explain, RefusalByTheOddsOrTheLagTellsThem)
 {
-    const auto refusal = [](const char *inputs) {
-        return R"({"time":"2026-12-02T10:00:00.100Z","daemon":"d1","event":"refuse","request":"00000000000000aa","service":"shop","outcome":"not-run",)"
-            + std::string(inputs) + "}\n";
-    };
     STRCMP_CONTAINS(
         "too few of its trees end whole now; share begun 0.03",
         explain("00000000000000aa",
@@ -109,6 +111,16 @@
             .c_str());
 }
 
+TEST(Explain, NamesTheFingerprintOfARequestInQuarantine)
+{
+    STRCMP_CONTAINS(
+        "servers that run such a request end, so it is not run any more (fingerprint 4f00, crashes "
+        "3",
+        explain("00000000000000aa",
+                { refusal(R"("reason":"quarantined","crashes":3,"fingerprint":"4f00")") })
+            .c_str());
+}
+
 TEST(Explain, BeliefsAroundTheRequestAreShownAndOthersNot)
 {
     const std::string log = std::string(ENTRY_LOG)
--- /dev/null
+++ b/src/app/tests/gatesuspectstest.cpp
@@ -0,0 +1,242 @@
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/internal/gate/gateservice.h"
+#include "app/internal/gate/noonceservice.h"
+#include "app/tests/mocks/fakequarantine.h"
+#include "app/tests/mocks/inlineeventloop.h"
+#include "app/tests/mocks/silentobservers.h"
+#include "coordination/admission/gatefactory.h"
+#include "protocol/owndialects.h"
+#include "state/fingerprint.h"
+#include "state/internal/seededrandom.h"
+#include "transport/tests/mocks/mockhttpclient.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName SERVICE("catalogo");
+const UpstreamId INSTANCE("i-1");
+
+std::unique_ptr<IGate> makeOpenGate(const UpstreamInfo & /*info*/)
+{
+    GateOptions options;
+    options.limit = LimitKind::Fixed;
+    return makeGate(options);
+}
+
+HttpRequest makeRequest(const std::string &path)
+{
+    return HttpRequest{ "GET", path, {}, {} };
+}
+
+Fingerprint fingerprintOfPath(const std::string &path)
+{
+    return fingerprintOf(makeRequest(path));
+}
+
+} // namespace
+
+TEST_GROUP(GateSuspects)
+{
+    InlineEventLoop m_loop;
+    MockHttpClient m_client;
+    SeededRandom m_random{ 1 };
+    NoOnceService m_once;
+    FakeQuarantine m_quarantine;
+    SilentObservers m_observers;
+    std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
+    std::unique_ptr<GateService> m_gates;
+    std::vector<Verdict> m_verdicts;
+
+    void setup() override
+    {
+        m_gates = std::make_unique<GateService>(m_loop, m_client, m_random, m_once, m_quarantine,
+                                                *m_dialect, makeOpenGate, m_observers.observers(),
+                                                GateServiceOptions{});
+        announce(false);
+    }
+    void announce(bool isDraining)
+    {
+        UpstreamInfo info{ SERVICE, 50, 400, isDraining };
+        info.version = UpstreamVersion("v1");
+        m_gates->announce(Announcement{ info, { "127.0.0.1", 9000 }, INSTANCE });
+    }
+    CallId call(const std::string &path)
+    {
+        CallMessage message;
+        message.service = SERVICE;
+        message.remaining = 2s;
+        message.request = makeRequest(path);
+        return m_gates->handle(
+            std::move(message), CallSource::Link,
+            [this](const AnswerMessage &answer) { m_verdicts.push_back(answer.verdict); });
+    }
+    /// The server ends its connections in the middle of the next answer.
+    void breakOff(bool isServerUp)
+    {
+        m_client.isUp = isServerUp;
+        HttpFailure failure{ HttpFailureStage::MaybeSent, HttpFailureCause::Broken, "mock" };
+        failure.hasConnectionEnded = true;
+        m_client.results.emplace_back(tl::unexpect, failure);
+    }
+};
+
+TEST(GateSuspects, WhatWasUnderWayWhenTheServerCrashedIsTold)
+{
+    breakOff(false);
+    call("/a");
+    CHECK(m_verdicts.back().outcome == Outcome::Unknown);
+    CHECK(m_verdicts.back().reason == Reason::ServerCrashed);
+    LONGS_EQUAL(1, m_quarantine.crashes.size());
+    CHECK(m_quarantine.crashes[0].first == fingerprintOfPath("/a"));
+    CHECK(m_quarantine.crashes[0].second.run == INSTANCE);
+    CHECK(m_quarantine.crashes[0].second.kind.version == UpstreamVersion("v1"));
+}
+
+// Guards against innocent requests that are suspected for a reset connection or a broken answer.
+TEST(GateSuspects, ABrokenAnswerOfAServerThatWorksOnIsNoCrash)
+{
+    breakOff(true);
+    call("/a");
+    CHECK(m_verdicts.back().reason == Reason::BrokenAnswer);
+    m_client.isUp = false;
+    m_client.failNext(HttpFailureStage::MaybeSent, HttpFailureCause::Broken);
+    call("/a");
+    CHECK(m_verdicts.back().reason == Reason::BrokenAnswer);
+    CHECK(m_quarantine.crashes.empty());
+}
+
+// Guards against innocent requests that are suspected as their server was replaced.
+TEST(GateSuspects, ThePlannedEndOfAServerIsNoCrash)
+{
+    m_client.answer = [this](const MockHttpClient::Call &) -> HttpResult {
+        m_gates->withdraw(SERVICE, INSTANCE, true);
+        m_client.isUp = false;
+        HttpFailure failure{ HttpFailureStage::MaybeSent, HttpFailureCause::Broken, "mock" };
+        failure.hasConnectionEnded = true;
+        return tl::unexpected<HttpFailure>(failure);
+    };
+    call("/a");
+    CHECK(m_verdicts.back().reason == Reason::BrokenAnswer);
+    CHECK(m_quarantine.crashes.empty());
+}
+
+// A server that is found silent a moment after its crash has not said that it leaves.
+TEST(GateSuspects, AWithdrawnServerMayHaveCrashed)
+{
+    m_client.answer = [this](const MockHttpClient::Call &) -> HttpResult {
+        m_gates->withdraw(SERVICE, INSTANCE, false);
+        m_client.isUp = false;
+        HttpFailure failure{ HttpFailureStage::MaybeSent, HttpFailureCause::Broken, "mock" };
+        failure.hasConnectionEnded = true;
+        return tl::unexpected<HttpFailure>(failure);
+    };
+    call("/a");
+    LONGS_EQUAL(1, m_quarantine.crashes.size());
+}
+
+TEST(GateSuspects, OneInQuarantineReachesNoServer)
+{
+    m_quarantine.set(fingerprintOfPath("/bad"), Suspicion::Quarantined);
+    call("/bad");
+    CHECK(m_client.calls.empty());
+    CHECK(m_verdicts.back().outcome == Outcome::NotRun);
+    CHECK(m_verdicts.back().reason == Reason::Quarantined);
+    CHECK(m_verdicts.back().retryAfter == Duration::zero());
+    call("/good");
+    LONGS_EQUAL(1, m_client.calls.size());
+    CHECK(m_quarantine.completions.back() == fingerprintOfPath("/good"));
+}
+
+TEST(GateSuspects, OneThatIsHeldHearsWhenToComeBack)
+{
+    Standing held;
+    held.suspicion = Suspicion::Held;
+    held.retryAfter = 1500ms;
+    m_quarantine.standings[fingerprintOfPath("/bad")] = held;
+    call("/bad");
+    CHECK(m_client.calls.empty());
+    CHECK(m_verdicts.back().reason == Reason::Suspected);
+    CHECK(m_verdicts.back().retryAfter == 1500ms);
+}
+
+// Guards against two suspects that are both held responsible for the crash that one of them caused.
+TEST(GateSuspects, OneSuspectRunsAtATime)
+{
+    m_quarantine.set(fingerprintOfPath("/a"), Suspicion::Suspect);
+    m_quarantine.set(fingerprintOfPath("/b"), Suspicion::Suspect);
+    std::vector<std::string> order;
+    m_client.answer = [&](const MockHttpClient::Call &sent) -> HttpResult {
+        order.push_back(sent.request.target);
+        if (sent.request.target == "/a") {
+            call("/b");
+            call("/free");
+            order.emplace_back("end of /a");
+        }
+        return HttpResponse();
+    };
+    call("/a");
+    const std::vector<std::string> expected{ "/a", "/free", "end of /a", "/b" };
+    CHECK(order == expected);
+    LONGS_EQUAL(3, m_verdicts.size());
+}
+
+// Guards against a request in demand that waits in line after it was cleared.
+TEST(GateSuspects, OneThatIsClearedWaitsNoLonger)
+{
+    m_quarantine.set(fingerprintOfPath("/a"), Suspicion::Suspect);
+    m_quarantine.set(fingerprintOfPath("/b"), Suspicion::Suspect);
+    std::vector<std::string> order;
+    m_client.answer = [&](const MockHttpClient::Call &sent) -> HttpResult {
+        order.push_back(sent.request.target);
+        if (sent.request.target == "/a") {
+            call("/b");
+            m_quarantine.set(fingerprintOfPath("/b"), Suspicion::None);
+            order.emplace_back("end of /a");
+        }
+        return HttpResponse();
+    };
+    call("/a");
+    const std::vector<std::string> expected{ "/a", "/b", "end of /a" };
+    CHECK(order == expected);
+}
+
+TEST(GateSuspects, OneThatWaitsAndIsQuarantinedIsRefusedAtOnce)
+{
+    m_quarantine.set(fingerprintOfPath("/a"), Suspicion::Suspect);
+    m_client.answer = [&](const MockHttpClient::Call &) -> HttpResult {
+        if (m_verdicts.empty()) {
+            call("/a");
+            CHECK(m_verdicts.empty());
+            m_quarantine.set(fingerprintOfPath("/a"), Suspicion::Quarantined);
+            LONGS_EQUAL(1, m_verdicts.size());
+            CHECK(m_verdicts.back().reason == Reason::Quarantined);
+        }
+        return HttpResponse();
+    };
+    call("/a");
+    LONGS_EQUAL(1, m_client.calls.size());
+}
+
+TEST(GateSuspects, OneThatWaitsMayLeave)
+{
+    m_quarantine.set(fingerprintOfPath("/a"), Suspicion::Suspect);
+    m_client.answer = [&](const MockHttpClient::Call &) -> HttpResult {
+        if (m_verdicts.empty()) {
+            m_gates->cancel(call("/a"));
+        }
+        return HttpResponse();
+    };
+    call("/a");
+    LONGS_EQUAL(1, m_client.calls.size());
+    CHECK(m_verdicts.front().outcome == Outcome::NotRun);
+    CHECK(m_verdicts.front().reason == Reason::Cancelled);
+    LONGS_EQUAL(0, m_gates->callCount());
+}
--- /dev/null
+++ b/src/app/tests/mocks/fakequarantine.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "app/internal/quarantine/iquarantine.h"
+
+namespace ivyspar {
+
+/// Says of each fingerprint what the test has set, and keeps what it is told.
+class FakeQuarantine : public IQuarantine
+{
+public:
+    std::map<Fingerprint, Standing> standings;
+    std::vector<std::pair<Fingerprint, Crash>> crashes;
+    std::vector<Fingerprint> completions;
+
+    void set(const Fingerprint &fingerprint, Suspicion suspicion)
+    {
+        standings[fingerprint].suspicion = suspicion;
+        if (m_listener != nullptr) {
+            m_listener->onSuspectChanged(fingerprint);
+        }
+    }
+
+    bool hasSuspects() const override { return !standings.empty(); }
+    Standing standing(const Fingerprint &fingerprint) const override
+    {
+        const auto found = standings.find(fingerprint);
+        return found == standings.end() ? Standing() : found->second;
+    }
+    Standing standing(const Fingerprint &fingerprint, const ServerKind & /*kind*/) const override
+    {
+        return standing(fingerprint);
+    }
+    void noteCrash(const Fingerprint &fingerprint, const Crash &crash) override
+    {
+        crashes.emplace_back(fingerprint, crash);
+    }
+    void noteCompletion(const Fingerprint &fingerprint, const ServerKind & /*kind*/) override
+    {
+        completions.push_back(fingerprint);
+    }
+    void noteServer(const ServerKind & /*kind*/) override { }
+    void setListener(ISuspectListener *listener) override { m_listener = listener; }
+
+private:
+    ISuspectListener *m_listener = nullptr;
+};
+
+} // namespace ivyspar
--- a/src/coordination/calls/tests/mocks/fakerouter.h
+++ b/src/coordination/calls/tests/mocks/fakerouter.h
@@ -17,12 +17,15 @@
     Rank lowest;
     std::vector<std::pair<DaemonId, RouteFeedback>> ends;
     int sent = 0;
+    /// Of the requests for which a daemon was chosen.
+    std::vector<Fingerprint> fingerprints;
 
     void setMembers(TimePoint /*now*/, const std::vector<Member> & /*members*/) override { }
 
     RouteChoice choose(TimePoint /*now*/, const RouteRequest &request,
                        IRandom & /*random*/) override
     {
+        fingerprints.push_back(request.fingerprint);
         RouteChoice choice;
         choice.reason = Reason::NoServer;
         for (const DaemonId &daemon : daemons) {
--- a/src/coordination/quarantine/suspect.h
+++ b/src/coordination/quarantine/suspect.h
@@ -61,6 +61,9 @@
     Quarantined, ///< It crashes the servers that run it.
 };
 
+/// Text that lives as long as the program.
+const char *toText(Suspicion suspicion);
+
 /// What is to be done with a request.
 struct Standing
 {
--- a/src/coordination/routing/tests/routertest.cpp
+++ b/src/coordination/routing/tests/routertest.cpp
@@ -88,6 +88,14 @@
         return m_router->choose(m_now, { SERVICE, rank, excluded }, m_random);
     }
 
+    std::string chooseForSuspect(const std::string &fingerprint,
+                                 const std::vector<DaemonId> &excluded = {})
+    {
+        const RouteRequest request{ SERVICE, lowestRankOf(Priority(50)), excluded,
+                                    Fingerprint(fingerprint) };
+        return m_router->choose(m_now, request, m_random).daemon.value();
+    }
+
     /// Share of the calls of the last run that went to the server.
     double shareOf(const std::string &name)
     {
@@ -499,3 +507,30 @@
     entry.router().setMembers(entry.now(), {});
     CHECK(entry.choose().reason == Reason::NoServer);
 }
+
+// Guards against copies of a request that come at once and crash a server each.
+TEST(Router, AllEntriesSendASuspectToOneServer)
+{
+    Entry a(ownOptions());
+    RouterOptions elsewhere;
+    elsewhere.domain = OTHER;
+    Entry b(elsewhere);
+    for (const char *name : { "s1", "s2", "s3", "s4" }) {
+        a.server(name).domain = name < std::string("s3") ? OWN : OTHER;
+        b.server(name).domain = a.server(name).domain;
+    }
+    a.announce();
+    b.announce();
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 200; ++i) {
+        const std::string fingerprint = "f" + std::to_string(i);
+        const std::string first = a.chooseForSuspect(fingerprint);
+        CHECK_EQUAL(first, b.chooseForSuspect(fingerprint));
+        CHECK(first != a.chooseForSuspect(fingerprint, { DaemonId(first) }));
+        ++chosen[first];
+    }
+    for (const auto &[name, count] : chosen) {
+        CHECK_COMPARE(count, >, 25);
+    }
+    LONGS_EQUAL(4, chosen.size());
+}
--- a/tests/process/commandlinetest.cpp
+++ b/tests/process/commandlinetest.cpp
@@ -61,7 +61,8 @@
 {
     checkRun(runBinary("--help"), 0, "Usage: ivyspar COMMAND");
     checkRun(runBinary("help"), 0, "Usage: ivyspar COMMAND");
-    for (const std::string command : { "daemon", "check", "publish", "status", "version" }) {
+    for (const std::string command :
+         { "daemon", "check", "publish", "status", "explain", "lift", "version" }) {
         checkRun(runBinary(command + " --help"), 0, "Usage: ivyspar " + command);
         checkRun(runBinary("help " + command), 0, "Usage: ivyspar " + command);
     }
@@ -85,6 +86,12 @@
     checkRun(runBinary("version"), 0, "ivyspar 0.");
 }
 
+TEST(CommandLine, LiftTakesOneFingerprint)
+{
+    checkRun(runBinary("lift"), 2, "one fingerprint of 32 hexadecimal digits is needed");
+    checkRun(runBinary("lift 4F00"), 2, "one fingerprint of 32 hexadecimal digits is needed");
+}
+
 TEST(CommandLine, CheckPrintsASummary)
 {
     checkRun(runBinary("check " + TALLOWOOD), 0,
--- a/tests/process/crashingrequesttest.cpp
+++ b/tests/process/crashingrequesttest.cpp
@@ -1,6 +1,10 @@
 #include <chrono>
 #include <thread>
 
+#include <nlohmann/json.hpp>
+
+#include "standins/deployment/blockinghttp.h"
+
 #include "tests/process/failuretest.h"
 
 using namespace ivyspar::lab;
@@ -113,6 +117,29 @@
         return m_inDemandCallers > 0 ? served / m_inDemandCallers : 0;
     }
 
+    /// The fingerprint that the daemon lists as quarantined; empty if there is none.
+    static std::string quarantinedAt(const ivyspar::Endpoint &operators)
+    {
+        const auto answer = exchangeBlocking(operators, { "GET", "/status", {}, {} }, seconds(5));
+        const auto status =
+            answer ? nlohmann::json::parse(answer->body, nullptr, false) : nlohmann::json();
+        for (const auto &suspect : status.value("suspects", nlohmann::json::array())) {
+            if (suspect.value("standing", "") == "quarantined") {
+                return suspect.value("fingerprint", "");
+            }
+        }
+        return "";
+    }
+
+    std::uint32_t countQuarantining()
+    {
+        std::uint32_t count = 0;
+        for (std::uint32_t host = 0; host < SERVERS; ++host) {
+            count += quarantinedAt(m_trial->host(host).operators).empty() ? 0 : 1;
+        }
+        return count;
+    }
+
     void checkContained(const Course &course)
     {
         CHECK_COMPARE(course.sends, >=, CRASHES);
@@ -139,6 +166,32 @@
     checkContained(play(m_record, seconds(9)));
 }
 
+// Guards against a quarantine that nobody can see, or lift when its cause is mended.
+TEST(CrashingRequest, IsListedAndLiftedByHand)
+{
+    startServers(CRASHER);
+    checkContained(play({ "desk", "GET", "/wait/4" }, seconds(6)));
+    const ivyspar::Endpoint &operators = m_trial->host(2).operators;
+    const std::string fingerprint = quarantinedAt(operators);
+    LONGS_EQUAL(32, fingerprint.size());
+    CHECK(m_trial->setBehaviour("", R"({"crashToken":""})"));
+    const auto lifted = exchangeBlocking(
+        operators, { "POST", "/quarantine/lift/" + fingerprint, {}, {} }, seconds(5));
+    CHECK(lifted && lifted->status == 200);
+    CHECK(waitUntil([this] { return countQuarantining() == 0; }));
+    for (std::uint32_t entry = 0; entry < SERVERS; ++entry) {
+        sendOther({ "desk", "GET", "/wait/4" }, CRASHER, entry);
+    }
+    const History history = m_trial->history();
+    std::uint32_t served = 0;
+    for (const CallerAction &action : history.actions) {
+        for (const CallerAttempt &attempt : action.attempts) {
+            served += action.token == CRASHER && attempt.status == 200 ? 1 : 0;
+        }
+    }
+    LONGS_EQUAL(SERVERS, served);
+}
+
 // Guards against requests that are held responsible for crashes which no request caused.
 TEST(CrashingRequest, CrashesWithoutACauseAccuseNobody)
 {
