Quarantine: servers that end together count once; runs given up before a crash count; suspects and crashes leave GateService

- Runs under which a request was not yet a suspect count as one piece of evidence: when all servers of a service end at once, of whatever, a request in demand is under way at each of them and none is left to clear it (-g SuspectTable, ServersThatEndTogetherCountOnce; it was quarantined at once before).
- A caller that leaves before the server crashes under its request no longer hides it (-g GateSuspects).
- A crash with a hedge still open is not followed by the next server at once (-g SuspectCall).
- Servers may announce the version of their software in the product's own announcements too.

--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -74,6 +74,7 @@
         runs.push_back({ { "run", crash.run.value() },
                          { "service", crash.kind.service.value() },
                          { "version", crash.kind.version.value() },
+                         { "alone", crash.isAlone },
                          { "trial", crash.isTrial } });
     }
     return Json{ { "fingerprint", suspect.record.fingerprint.value() },
--- a/src/app/internal/gate/announcement.h
+++ b/src/app/internal/gate/announcement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/quarantine/suspect.h"
 #include "state/endpoint.h"
 #include "state/ids.h"
 #include "state/member.h"
@@ -15,4 +16,9 @@
     UpstreamId instance;
 };
 
+inline ServerKind kindOf(const Announcement &server)
+{
+    return ServerKind{ server.info.service, server.info.version };
+}
+
 } // namespace ivyspar
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "state/fingerprint.h"
 #include "state/idvalue.h"
 #include "state/rank.h"
 
@@ -24,18 +23,6 @@
     return verdict.outcome == Outcome::NotRun && verdict.reason == Reason::UpstreamRefused;
 }
 
-ServerKind kindOf(const Announcement &server)
-{
-    return ServerKind{ server.info.service, server.info.version };
-}
-
-Verdict verdictOf(const Standing &standing)
-{
-    const bool isFinal = standing.suspicion == Suspicion::Quarantined;
-    return Verdict{ Outcome::NotRun, isFinal ? Reason::Quarantined : Reason::Suspected,
-                    standing.retryAfter };
-}
-
 std::optional<CallId> fromToken(const std::string &token)
 {
     constexpr std::size_t TOKEN_SIZE = 16;
@@ -62,7 +49,8 @@
     , m_recorder(observers)
     , m_options(options)
     , m_lag(loop)
-    , m_crashes(loop, client, random)
+    , m_crashes(loop, client, random, quarantine, m_recorder)
+    , m_suspects(quarantine)
     , m_parents(makeParentFinder())
 {
     m_quarantine.setListener(this);
@@ -86,7 +74,6 @@
     const bool isOtherRun = upstream.announcement.instance != announcement.instance;
     upstream.announcement = announcement;
     m_crashes.onAnnounced(announcement);
-    m_quarantine.noteServer(kindOf(announcement));
     upstream.heardAt = now;
     if (isNew) {
         upstream.gate = m_makeGate(announcement.info);
@@ -223,92 +210,30 @@
             m_loop.now(), GateRequest{ id, call.message.rank, call.deadline, call.message.letIn }));
 }
 
-Standing GateService::standingOf(Call &call, const Upstream &upstream) const
+bool GateService::passesQuarantine(CallId id, const Upstream &upstream)
 {
-    if (!m_quarantine.hasSuspects()) {
-        return {};
+    const SuspectRuling ruling =
+        m_suspects.admit(id, m_calls.at(id).message, upstream.announcement);
+    if (ruling.pass == SuspectPass::Refuse) {
+        refuseCall(id, ruling.verdict);
     }
-    Fingerprint &fingerprint = call.message.fingerprint;
-    if (fingerprint.value().empty()) {
-        fingerprint = fingerprintOf(call.message.request);
-    }
-    return m_quarantine.standing(fingerprint, kindOf(upstream.announcement));
+    return ruling.pass == SuspectPass::Go;
 }
 
-bool GateService::passesQuarantine(CallId id, Upstream &upstream)
+void GateService::letNextSuspectIn(const ServiceName &service, CallId ended)
 {
-    Call &call = m_calls.at(id);
-    const Standing standing = standingOf(call, upstream);
-    call.isTrial = standing.isTrial;
-    if (standing.suspicion == Suspicion::None) {
-        return true;
-    }
-    if (standing.suspicion != Suspicion::Suspect) {
-        refuseCall(id, verdictOf(standing));
-        return false;
-    }
-    if (upstream.isolation.isFree()) {
-        upstream.isolation.begin(id);
-        call.isIsolated = true;
-        return true;
-    }
-    if (!upstream.isolation.hasRoom()) {
-        refuseCall(id, verdictOf(standing));
-        return false;
-    }
-    upstream.isolation.wait(id, call.message.fingerprint);
-    call.isWaitingAlone = true;
-    return false;
-}
-
-/// It may have become a suspect while it waited at the gate.
-std::optional<RunEnd> GateService::stopSuspect(CallId id, Upstream &upstream)
-{
-    Call &call = m_calls.at(id);
-    const Standing standing = standingOf(call, upstream);
-    call.isTrial = standing.isTrial;
-    if (standing.suspicion == Suspicion::None
-        || (standing.suspicion == Suspicion::Suspect && call.isIsolated)) {
-        return std::nullopt;
-    }
-    if (standing.suspicion == Suspicion::Suspect && upstream.isolation.isFree()) {
-        upstream.isolation.begin(id);
-        call.isIsolated = true;
-        return std::nullopt;
-    }
-    RunEnd end = notRun(Reason::Suspected);
-    end.verdict = verdictOf(standing);
-    return end;
-}
-
-/// Called when the call has ended, so that the next suspect may run.
-void GateService::leaveIsolation(const ServiceName &service, CallId id)
-{
-    Upstream *upstream = findUpstream(service);
-    if (!upstream || !upstream->isolation.leave(id)) {
+    if (!m_suspects.leave(ended)) {
         return;
     }
-    while (upstream) {
-        const auto next = upstream->isolation.takeNext();
-        if (!next) {
-            return;
-        }
-        m_calls.at(*next).isWaitingAlone = false;
+    while (const auto next = m_suspects.takeNext(service)) {
         enterGate(*next);
-        upstream = findUpstream(service);
     }
 }
 
 /// Those that wait may be cleared now, or in quarantine.
 void GateService::onSuspectChanged(const Fingerprint &fingerprint)
 {
-    std::vector<CallId> waiting;
-    for (auto &[service, upstream] : m_upstreams) {
-        const std::vector<CallId> taken = upstream.isolation.take(fingerprint);
-        waiting.insert(waiting.end(), taken.begin(), taken.end());
-    }
-    for (const CallId id : waiting) {
-        m_calls.at(id).isWaitingAlone = false;
+    for (const CallId id : m_suspects.takeWaiting(fingerprint)) {
         enterGate(id);
     }
 }
@@ -346,7 +271,7 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
         return;
     }
-    if (call.isWaitingAlone) {
+    if (m_suspects.isWaiting(id)) {
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::Cancelled, Duration::zero() });
         return;
     }
@@ -496,8 +421,10 @@
                || (found->second.isHolding && !m_once.start(id))) {
         // The process was paused past the deadline, or past the time in which the key is its own.
         end = notRun(Reason::DeadlineExceeded);
-    } else if (auto stopped = stopSuspect(id, *upstream)) {
-        end = std::move(*stopped);
+    } else if (const auto ruling = m_suspects.start(id, found->second.message, server);
+               ruling.pass == SuspectPass::Refuse) {
+        end = notRun(ruling.verdict.reason);
+        end.verdict = ruling.verdict;
     } else {
         end = sendToServer(service, server, id);
     }
@@ -590,52 +517,22 @@
     m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
     m_parents->onEnd(m_loop.now(), id);
-    const bool isCrash = hasCrashed(server, result);
+    const bool isCrash = m_crashes.hasCrashed(server, result, isEndPlanned(server.info.service));
     RunEnd end = result ? judgeAnswer(m_dialect, std::move(*result)) : judgeFailure(result.error());
     if (isCrash) {
         end.verdict.reason = Reason::ServerCrashed;
     }
-    tellQuarantine(server, id, request, end);
+    m_crashes.onEnd(server, request, end, m_suspects.runOf(id));
     if (end.isServerDoubted) {
         tellDoubt(server.instance);
     }
     return end;
 }
 
-void GateService::tellQuarantine(const Announcement &server, CallId id, const HttpRequest &request,
-                                 const RunEnd &end)
-{
-    const bool isCrash = end.verdict.reason == Reason::ServerCrashed;
-    const bool isCompletion = end.verdict.outcome == Outcome::Answered;
-    if (!isCrash && !(isCompletion && m_quarantine.hasSuspects())) {
-        return;
-    }
-    const Fingerprint fingerprint = fingerprintOf(request);
-    if (isCompletion) {
-        m_quarantine.noteCompletion(fingerprint, kindOf(server));
-        return;
-    }
-    const auto found = m_calls.find(id);
-    const bool isTrial = found != m_calls.end() && found->second.isTrial;
-    m_quarantine.noteCrash(fingerprint,
-                           Crash{ m_crashes.runOf(server), kindOf(server), m_loop.now(), isTrial });
-}
-
-bool GateService::hasCrashed(const Announcement &server, const HttpResult &result)
+bool GateService::isEndPlanned(const ServiceName &service)
 {
-    if (result || !result.error().hasConnectionEnded
-        || result.error().stage == HttpFailureStage::NotSent) {
-        return false;
-    }
-    const Upstream *upstream = findUpstream(server.info.service);
-    if (!upstream || upstream->isEndPlanned) {
-        return false;
-    }
-    const ServerEnd end = m_crashes.check(server);
-    if (end == ServerEnd::FoundOut) {
-        m_recorder.recordCrash(server);
-    }
-    return end != ServerEnd::None;
+    const Upstream *upstream = findUpstream(service);
+    return !upstream || upstream->isEndPlanned;
 }
 
 void GateService::tellDoubt(const UpstreamId &instance)
@@ -683,7 +580,7 @@
                              upstream ? upstream->loss.share() : LossShare() } });
     const ServiceName service = call.message.service;
     call.reply(std::move(answer));
-    leaveIsolation(service, id);
+    letNextSuspectIn(service, id);
 }
 
 GatedCall GateService::stateOf(const Call &call) const
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -7,11 +7,12 @@
 #include <vector>
 
 #include "app/internal/gate/announcement.h"
-#include "app/internal/gate/crashwatch.h"
+#include "app/internal/gate/crashreporter.h"
 #include "app/internal/gate/gaterecorder.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/gate/ionceservice.h"
 #include "app/internal/gate/runend.h"
+#include "app/internal/gate/suspectgate.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/looplag.h"
 #include "app/internal/quarantine/iquarantine.h"
@@ -20,7 +21,6 @@
 #include "coordination/admission/lossestimate.h"
 #include "coordination/admission/processorload.h"
 #include "coordination/calls/iparentfinder.h"
-#include "coordination/quarantine/isolation.h"
 #include "coordination/retries/irepeatbudget.h"
 #include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
@@ -104,7 +104,6 @@
         bool endsTooSoon = false;
         LossEstimate loss;
         std::unique_ptr<IRepeatBudget> repeats;
-        Isolation isolation;
     };
     struct Call
     {
@@ -120,11 +119,6 @@
         bool isClaiming = false;
         /// Holds its key or ticket: the end of its run is told to the once service.
         bool isHolding = false;
-        /// A suspect that waits for its turn, before the gate, or has it.
-        bool isIsolated = false;
-        bool isWaitingAlone = false;
-        /// A suspect that was in quarantine.
-        bool isTrial = false;
     };
     Upstream *findUpstream(const ServiceName &service);
     CallContext makeContext(const Call &call) const;
@@ -135,11 +129,7 @@
     /// Sends the call, and again while the server turns it away and repeats are left.
     RunEnd sendToServer(const ServiceName &service, const Announcement &server, CallId id);
     RunEnd exchange(const Announcement &server, CallId id, const Call &call);
-    /// Suspends until it is known whether the server has ended with the connection.
-    bool hasCrashed(const Announcement &server, const HttpResult &result);
-    /// Tells what the end of the run says of the request as the cause of crashes.
-    void tellQuarantine(const Announcement &server, CallId id, const HttpRequest &request,
-                        const RunEnd &end);
+    bool isEndPlanned(const ServiceName &service);
     void noteSend(const ServiceName &service, const RunEnd &end);
     bool mayRepeat(const ServiceName &service, const Announcement &server, CallId id);
     void tellDoubt(const UpstreamId &instance);
@@ -149,11 +139,9 @@
     Duration noteArrival(TimePoint now, const CallMessage &message, CallSource source);
     void enterGate(CallId id);
     /// False: the call was refused, or waits until no other suspect runs.
-    bool passesQuarantine(CallId id, Upstream &upstream);
-    /// The same for a call that has got its turn at the gate; not let through, it is not run.
-    std::optional<RunEnd> stopSuspect(CallId id, Upstream &upstream);
-    Standing standingOf(Call &call, const Upstream &upstream) const;
-    void leaveIsolation(const ServiceName &service, CallId id);
+    bool passesQuarantine(CallId id, const Upstream &upstream);
+    /// The call has ended: if it was a suspect, those that wait have their turn.
+    void letNextSuspectIn(const ServiceName &service, CallId ended);
     void endRun(CallId id, RunEnd end, Duration serviceTime);
     void armTick(const ServiceName &service);
     void tick(const ServiceName &service);
@@ -173,7 +161,8 @@
     GateRecorder m_recorder;
     GateServiceOptions m_options;
     LoopLag m_lag;
-    CrashWatch m_crashes;
+    CrashReporter m_crashes;
+    SuspectGate m_suspects;
     ProcessorLoad m_processor;
     OnUpstreams m_onUpstreams;
     OnDoubt m_onDoubt;
--- /dev/null
+++ b/src/app/internal/gate/suspectgate.cpp
@@ -0,0 +1,123 @@
+#include "app/internal/gate/suspectgate.h"
+
+#include "state/fingerprint.h"
+
+namespace ivyspar {
+
+namespace {
+
+SuspectRuling refuse(const Standing &standing)
+{
+    const bool isFinal = standing.suspicion == Suspicion::Quarantined;
+    const Reason reason = isFinal ? Reason::Quarantined : Reason::Suspected;
+    return { SuspectPass::Refuse, Verdict{ Outcome::NotRun, reason, standing.retryAfter } };
+}
+
+} // namespace
+
+SuspectGate::SuspectGate(IQuarantine &quarantine)
+    : m_quarantine(quarantine)
+{
+}
+
+SuspectRuling SuspectGate::admit(CallId call, CallMessage &message, const Announcement &server)
+{
+    const Standing standing = standingOf(message, server);
+    if (standing.suspicion == Suspicion::None) {
+        return {};
+    }
+    if (standing.suspicion != Suspicion::Suspect) {
+        return refuse(standing);
+    }
+    Isolation &isolation = m_isolations[message.service];
+    if (isolation.isFree()) {
+        return begin(call, message, standing);
+    }
+    if (!isolation.hasRoom()) {
+        return refuse(standing);
+    }
+    isolation.wait(call, message.fingerprint);
+    m_suspects[call] = Suspect{ message.service, true, standing.isTrial };
+    return { SuspectPass::Wait, {} };
+}
+
+SuspectRuling SuspectGate::start(CallId call, CallMessage &message, const Announcement &server)
+{
+    const Standing standing = standingOf(message, server);
+    if (standing.suspicion == Suspicion::None) {
+        return {};
+    }
+    if (standing.suspicion != Suspicion::Suspect) {
+        return refuse(standing);
+    }
+    if (m_suspects.count(call) > 0) {
+        return {};
+    }
+    return m_isolations[message.service].isFree() ? begin(call, message, standing)
+                                                  : refuse(standing);
+}
+
+SuspectRuling SuspectGate::begin(CallId call, const CallMessage &message, const Standing &standing)
+{
+    m_isolations[message.service].begin(call);
+    m_suspects[call] = Suspect{ message.service, false, standing.isTrial };
+    return {};
+}
+
+/// Nothing is hashed while nothing is suspected.
+Standing SuspectGate::standingOf(CallMessage &message, const Announcement &server) const
+{
+    if (!m_quarantine.hasSuspects()) {
+        return {};
+    }
+    if (message.fingerprint.value().empty()) {
+        message.fingerprint = fingerprintOf(message.request);
+    }
+    return m_quarantine.standing(message.fingerprint, kindOf(server));
+}
+
+bool SuspectGate::isWaiting(CallId call) const
+{
+    const auto found = m_suspects.find(call);
+    return found != m_suspects.end() && found->second.isWaiting;
+}
+
+SuspectRun SuspectGate::runOf(CallId call) const
+{
+    const auto found = m_suspects.find(call);
+    return found == m_suspects.end() ? SuspectRun{} : SuspectRun{ true, found->second.isTrial };
+}
+
+bool SuspectGate::leave(CallId call)
+{
+    const auto found = m_suspects.find(call);
+    if (found == m_suspects.end()) {
+        return false;
+    }
+    m_isolations[found->second.service].leave(call);
+    m_suspects.erase(found);
+    return true;
+}
+
+std::optional<CallId> SuspectGate::takeNext(const ServiceName &service)
+{
+    const auto next = m_isolations[service].takeNext();
+    if (next) {
+        m_suspects.erase(*next);
+    }
+    return next;
+}
+
+std::vector<CallId> SuspectGate::takeWaiting(const Fingerprint &fingerprint)
+{
+    std::vector<CallId> waiting;
+    for (auto &[service, isolation] : m_isolations) {
+        for (const CallId call : isolation.take(fingerprint)) {
+            m_suspects.erase(call);
+            waiting.push_back(call);
+        }
+    }
+    return waiting;
+}
+
+} // namespace ivyspar
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -15,6 +15,11 @@
 /// Servers that a call may have crashed before it is repeated no more.
 constexpr std::size_t MOST_CRASHES = 1;
 
+bool hasCrashedServer(const Verdict &verdict)
+{
+    return verdict.outcome == Outcome::Unknown && verdict.reason == Reason::ServerCrashed;
+}
+
 RouteFeedback feedbackOfLoss(Reason reason)
 {
     switch (reason) {
@@ -126,10 +131,11 @@
     if (!end.holder.value().empty() && !m_isRedirected) {
         return redirectTo(now, end.holder);
     }
-    if (postpone(now, index, end)) {
+    const bool isCrash = hasCrashedServer(end.verdict);
+    if (isCrash && postpone(now, index, end)) {
         return {};
     }
-    if (mayRetry(now, end, false)) {
+    if (!isCrash && mayRetry(now, end, false)) {
         Verdict failure;
         if (auto action = sendNext(now, failure)) {
             return { *action };
@@ -145,11 +151,9 @@
 /// other within a second. All others that were under way there lose a moment.
 bool EntryCall::postpone(TimePoint now, AttemptIndex index, const AttemptEnd &end)
 {
-    const bool isCrash =
-        end.verdict.outcome == Outcome::Unknown && end.verdict.reason == Reason::ServerCrashed;
     const bool mayRepeat =
         !m_terms.isSingleAttempt && m_terms.rule.repetition == Repetition::Idempotent;
-    if (!isCrash || !mayRepeat || hasOpenAttempt() || now + CRASH_PAUSE >= m_terms.deadline) {
+    if (!mayRepeat || hasOpenAttempt() || now + CRASH_PAUSE >= m_terms.deadline) {
         return false;
     }
     m_postponed = Postponed{ now + CRASH_PAUSE, index, end };
--- a/src/coordination/calls/tests/suspectcalltest.cpp
+++ b/src/coordination/calls/tests/suspectcalltest.cpp
@@ -154,3 +154,16 @@
     CHECK(findAction(call.onCallerGone(m_now), EntryVerb::Finish) != nullptr);
     CHECK(call.onTimer(m_now + 100ms).empty());
 }
+
+// Guards against a call whose hedge is still open, and that takes the next server at once.
+TEST(SuspectCall, WithAnotherAttemptOpenItIsNotRepeatedAtOnce)
+{
+    m_retries.hedgeAfter = 50ms;
+    EntryCall call = makeCall();
+    call.start(m_now);
+    m_now += 50ms;
+    CHECK(findAction(call.onTimer(m_now), EntryVerb::Send) != nullptr);
+    suspect(1);
+    CHECK(call.onEnd(m_now, AttemptIndex(0), crash()).empty());
+    LONGS_EQUAL(2, call.attempts());
+}
--- a/src/coordination/quarantine/internal/suspecttable.cpp
+++ b/src/coordination/quarantine/internal/suspecttable.cpp
@@ -36,11 +36,18 @@
     return isNew;
 }
 
+/// Of servers of one kind, as evidence against the request.
 std::size_t countCrashes(const SuspectRecord &record, const ServerKind &kind)
 {
-    return static_cast<std::size_t>(
-        std::count_if(record.crashes.begin(), record.crashes.end(),
-                      [&](const Crash &crash) { return crash.kind == kind; }));
+    std::size_t alone = 0;
+    bool isAmongOthers = false;
+    for (const Crash &crash : record.crashes) {
+        if (crash.kind == kind) {
+            alone += crash.isAlone ? 1 : 0;
+            isAmongOthers = isAmongOthers || !crash.isAlone;
+        }
+    }
+    return alone + (isAmongOthers ? 1 : 0);
 }
 
 /// The most crashes at servers of one kind other than this.
@@ -77,7 +84,8 @@
 {
     std::string text = record.fingerprint.value() + '\n' + std::to_string(record.epoch);
     for (const Crash &crash : record.crashes) {
-        text += '\n' + crash.run.value() + (crash.isTrial ? '+' : '-') + textOf(crash.kind);
+        text += '\n' + crash.run.value() + (crash.isAlone ? '+' : '-') + (crash.isTrial ? '+' : '-')
+            + textOf(crash.kind);
     }
     for (const ServerKind &kind : record.completed) {
         text += '\r' + textOf(kind);
@@ -131,12 +139,13 @@
                              const ServerKind &kind) const
 {
     Standing standing;
-    standing.crashes = record.crashes.size();
-    if (standing.crashes == 0 || hasCompleted(record, kind)) {
+    if (record.crashes.empty() || hasCompleted(record, kind)) {
         return standing;
     }
     const std::size_t here = countCrashes(record, kind);
-    const bool isKnownElsewhere = countElsewhere(record, kind) >= m_options.crashes;
+    const std::size_t elsewhere = countElsewhere(record, kind);
+    standing.crashes = here + elsewhere;
+    const bool isKnownElsewhere = elsewhere >= m_options.crashes;
     const bool isCondemnedHere = here >= m_options.crashes || (isKnownElsewhere && here > 0);
     const Duration since = std::chrono::duration_cast<Duration>(now - record.changedAt);
     if (isCondemnedHere || isKnownElsewhere) {
@@ -231,8 +240,9 @@
         std::lower_bound(crashes.begin(), crashes.end(), crash,
                          [](const Crash &a, const Crash &b) { return a.run < b.run; });
     if (place != crashes.end() && place->run == crash.run) {
-        const bool isNew = crash.isTrial && !place->isTrial;
+        const bool isNew = (crash.isTrial && !place->isTrial) || (crash.isAlone && !place->isAlone);
         place->isTrial = place->isTrial || crash.isTrial;
+        place->isAlone = place->isAlone || crash.isAlone;
         return isNew;
     }
     // The same ones are left out everywhere, or daemons would never know the same.
--- a/src/coordination/quarantine/isuspecttable.h
+++ b/src/coordination/quarantine/isuspecttable.h
@@ -34,9 +34,12 @@
 /// Which requests may have crashed servers, and which do. Plain object.
 ///
 /// All that a server works on ends with it, so each crash makes suspects of all these requests. One
-/// that completes on a server of the same version is none any more; one that has never completed
+/// that completes on a server of the same kind is none any more; one that has never completed
 /// there, and was there when several runs of servers ended, is what ended them. Crashes are counted
 /// by runs of servers, as a set that daemons unite: what is told twice counts once.
+///
+/// Runs under which a request was not yet a suspect count as one together: when several servers end
+/// at once, of whatever, a request in demand is under way at all of them.
 class ISuspectTable
 {
 public:
--- a/src/coordination/quarantine/suspect.h
+++ b/src/coordination/quarantine/suspect.h
@@ -32,6 +32,8 @@
     UpstreamId run;
     ServerKind kind;
     TimePoint at;
+    /// The request was a suspect when it was sent, and ran alone among suspects.
+    bool isAlone = false;
     /// The request was in quarantine and was let through to see whether that is still needed.
     bool isTrial = false;
 };
--- a/src/protocol/internal/announcementreader.cpp
+++ b/src/protocol/internal/announcementreader.cpp
@@ -9,6 +9,7 @@
 using Json = nlohmann::json;
 
 constexpr std::uint64_t MAX_SLOTS = 1000000;
+constexpr std::size_t MAX_VERSION = 64;
 
 tl::unexpected<Error> wrong(const std::string &text)
 {
@@ -36,6 +37,11 @@
     return !text.empty();
 }
 
+bool readVersion(const Json &document, std::string &version)
+{
+    return readText(document, "version", version) && version.size() <= MAX_VERSION;
+}
+
 } // namespace
 
 RetVal<UpstreamReport> readAnnouncement(const std::string &json)
@@ -65,6 +71,11 @@
     if (!readCount(document, "connections", announcement.connections)) {
         return wrong("\"connections\" must be a whole number from 1 to 1000000");
     }
+    std::string version;
+    if (document.contains("version") && !readVersion(document, version)) {
+        return wrong("\"version\" must be a string of 1 to 64 characters");
+    }
+    announcement.version = UpstreamVersion(version);
     const auto draining = document.find("draining");
     if (draining != document.end() && !draining->is_boolean()) {
         return wrong("\"draining\" must be true or false");
--- a/standins/history/faultschedule.h
+++ b/standins/history/faultschedule.h
@@ -20,6 +20,8 @@
     Failing, ///< A server answers 500 to a share of its requests.
     Slow, ///< A server slows down.
     Partition, ///< A failure domain is cut off from the others.
+    Crash, ///< A server crashes, and is back at the end.
+    CrashingRequest, ///< A request that crashes its servers comes again and again.
 };
 
 struct Fault
--- a/standins/history/historychecks.cpp
+++ b/standins/history/historychecks.cpp
@@ -136,6 +136,20 @@
     return violations;
 }
 
+Violations checkAccused(const History &history, const std::string &crasher)
+{
+    Violations violations;
+    for (const CallerAction &action : history.actions) {
+        const bool isAccused =
+            std::any_of(action.attempts.begin(), action.attempts.end(),
+                        [](const CallerAttempt &each) { return each.reason == "quarantined"; });
+        if (isAccused && action.token != crasher) {
+            violations.push_back(action.token + " was quarantined and crashed nothing");
+        }
+    }
+    return violations;
+}
+
 Violations checkAll(const History &history, const CallGraph &graph)
 {
     Violations all;
--- a/standins/history/historychecks.h
+++ b/standins/history/historychecks.h
@@ -20,7 +20,9 @@
 Violations checkAnswers(const History &history, const CallGraph &graph);
 /// No daemon went back to an older configuration.
 Violations checkVersions(const History &history);
-/// All of the above.
+/// No action but that of the token was kept from servers because servers crashed under it.
+Violations checkAccused(const History &history, const std::string &crasher);
+/// All of the above but `checkAccused`.
 Violations checkAll(const History &history, const CallGraph &graph);
 
 /// Work of the whole tree that was started for a token.
