--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -194,7 +194,11 @@
 
 void GateService::enterGate(CallId id)
 {
-    const Call &call = m_calls.at(id);
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const Call &call = found->second;
     const ServiceName service = call.message.service;
     Upstream *upstream = findUpstream(service);
     if (!upstream) {
--- a/src/app/internal/quarantine/quarantineservice.cpp
+++ b/src/app/internal/quarantine/quarantineservice.cpp
@@ -210,7 +210,8 @@
 
 void QuarantineService::armCompare()
 {
-    if (!m_spread.wantsToCompare(m_loop.now()) || std::exchange(m_isCompareArmed, true)) {
+    const bool isWanted = m_options.isOn && m_spread.wantsToCompare(m_loop.now());
+    if (!isWanted || std::exchange(m_isCompareArmed, true)) {
         return;
     }
     m_compareTimer = m_loop.callLater(m_options.compareInterval, [this] { compare(); });
--- a/src/state/internal/fingerprint.cpp
+++ b/src/state/internal/fingerprint.cpp
@@ -41,6 +41,9 @@
 
 Fingerprint fingerprintOf(const HttpRequest &request)
 {
+    // Chooses the fastest code for this processor.
+    static const int IS_READY = sodium_init();
+    (void)IS_READY;
     const std::string *host = findHeader(request.headers, "Host");
     crypto_generichash_state state;
     crypto_generichash_init(&state, nullptr, 0, HASH_BYTES);
