Record what servers state about their rate and shutdown in their responses

Change: the dialects read a notice from each response (rate limit, leaving); the gate keeps the one of the current run, logs each change with the request whose response it was, and shows it in the status document and the metrics. The limit is not enforced yet. A malformed limit changes nothing and is logged once for each run.

--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -1,6 +1,7 @@
 #include "app/internal/control/controlnode.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <limits>
 #include <utility>
@@ -30,6 +31,9 @@
 constexpr std::uint16_t UNAVAILABLE = 503;
 /// Path prefix that is followed by the fingerprint.
 constexpr char LIFT_PREFIX[] = "/quarantine/lift/";
+constexpr double THOUSANDTHS = 1000;
+/// Value of the metric while no server of this host states a limit; 0 is a limit.
+constexpr std::int64_t NO_RATE_LIMIT = -1;
 
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
@@ -315,16 +319,26 @@
     metrics.set(Gauge::SuspectRequests, static_cast<std::int64_t>(traffic.suspects.size()));
     metrics.set(Gauge::QuarantinedRequests, quarantined);
     LoadReport sum;
-    for (const auto &[service, load] : traffic.gates) {
-        sum.inFlight += load.inFlight;
-        sum.queued += load.queued;
-        sum.limit += load.limit;
-        sum.floor = std::max(sum.floor, load.floor);
+    std::optional<RequestRate> rateLimit;
+    double sends = 0;
+    for (const GateStatus &gate : traffic.gates) {
+        sum.inFlight += gate.load.inFlight;
+        sum.queued += gate.load.queued;
+        sum.limit += gate.load.limit;
+        sum.floor = std::max(sum.floor, gate.load.floor);
+        sends += gate.sendsPerSecond;
+        if (gate.notice.rateLimit) {
+            rateLimit = RequestRate(rateLimit.value_or(RequestRate()).value()
+                                    + gate.notice.rateLimit->value());
+        }
     }
     metrics.set(Gauge::GateInFlight, sum.inFlight);
     metrics.set(Gauge::GateQueued, sum.queued);
     metrics.set(Gauge::GateLimit, sum.limit);
     metrics.set(Gauge::GateFloorPriority, priorityOf(sum.floor).value());
+    metrics.set(Gauge::GateRateLimit,
+                rateLimit ? static_cast<std::int64_t>(rateLimit->value()) : NO_RATE_LIMIT);
+    metrics.set(Gauge::GateSendRate, std::llround(sends * THOUSANDTHS));
     return makeAnswer(OK, "text/plain; version=0.0.4", metrics.text());
 }
 
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -46,11 +46,21 @@
     };
 }
 
-Json makeGate(const ServiceName &service, const LoadReport &load)
+Json makeGate(const GateStatus &gate)
 {
-    return Json{ { "service", service.value() },  { "in_flight", load.inFlight },
-                 { "queued", load.queued },       { "limit", load.limit },
-                 { "floor", load.floor.value() }, { "draining", load.draining } };
+    const LoadReport &load = gate.load;
+    Json document{ { "service", gate.service.value() },
+                   { "in_flight", load.inFlight },
+                   { "queued", load.queued },
+                   { "limit", load.limit },
+                   { "floor", load.floor.value() },
+                   { "draining", load.draining },
+                   { "run", gate.notice.run.value() },
+                   { "leaving", gate.notice.isLeaving },
+                   { "sends_per_s", gate.sendsPerSecond } };
+    document["rate_limit_per_s"] =
+        gate.notice.rateLimit ? Json(toPerSecond(*gate.notice.rateLimit)) : Json();
+    return document;
 }
 
 Json makeConfigurationStatus(const ConfigurationStatus &status)
@@ -137,8 +147,8 @@
         document["members"].push_back(makeMember(member));
     }
     document["gates"] = Json::array();
-    for (const auto &[service, load] : status.traffic.gates) {
-        document["gates"].push_back(makeGate(service, load));
+    for (const GateStatus &gate : status.traffic.gates) {
+        document["gates"].push_back(makeGate(gate));
     }
     document["suspects"] = makeSuspects(status.traffic.suspects);
     document["suspect_count"] = status.traffic.suspects.size();
--- a/src/app/internal/gate/announcement.h
+++ b/src/app/internal/gate/announcement.h
@@ -16,6 +16,12 @@
     UpstreamId instance;
 };
 
+/// Id of the server's run, or its address if servers do not report one.
+inline UpstreamId runIdOf(const Announcement &server)
+{
+    return server.instance.value().empty() ? UpstreamId(server.endpoint.text()) : server.instance;
+}
+
 inline ServerKind kindOf(const Announcement &server)
 {
     return ServerKind{ server.info.service, server.info.version };
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -20,6 +20,32 @@
     return decision;
 }
 
+Decision makeNoticeDecision(const Announcement &server, RootId root)
+{
+    Decision decision;
+    decision.kind = DecisionKind::Upstream;
+    decision.importance = Importance::Essential;
+    decision.root = root;
+    decision.service = server.info.service;
+    decision.choice = server.instance.value();
+    decision.reason = "response";
+    return decision;
+}
+
+const char *outcomeOf(const UpstreamNotice &before, const UpstreamNotice &notice)
+{
+    if (notice.isLeaving && !before.isLeaving) {
+        return "leaving";
+    }
+    return notice.rateLimit ? "rate-limited" : "rate-limit-lifted";
+}
+
+/// Negative without a limit, as 0 is a limit.
+double perSecondOf(const std::optional<RequestRate> &rate)
+{
+    return rate ? toPerSecond(*rate) : -1;
+}
+
 } // namespace
 
 void GateRecorder::recordAdmitted(const GatedCall &call)
@@ -72,6 +98,30 @@
     m_observers.decisions.write(std::move(decision));
 }
 
+void GateRecorder::recordNotice(const Announcement &server, RootId root,
+                                const UpstreamNotice &before, const UpstreamNotice &notice)
+{
+    m_observers.metrics.add(Counter::NoticeChanges);
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision = makeNoticeDecision(server, root);
+    decision.outcome = outcomeOf(before, notice);
+    decision.inputs = { { "rate_per_s", perSecondOf(notice.rateLimit) },
+                        { "rate_before_per_s", perSecondOf(before.rateLimit) } };
+    m_observers.decisions.write(std::move(decision));
+}
+
+void GateRecorder::recordMalformedNotice(const Announcement &server, RootId root)
+{
+    if (!m_observers.decisions.isEnabled()) {
+        return;
+    }
+    Decision decision = makeNoticeDecision(server, root);
+    decision.outcome = "malformed-rate-limit";
+    m_observers.decisions.write(std::move(decision));
+}
+
 void GateRecorder::recordCrash(const Announcement &server)
 {
     m_observers.metrics.add(Counter::ServerCrashes);
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -9,6 +9,7 @@
 #include "state/load.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "state/upstreamnotice.h"
 
 namespace ivyspar {
 
@@ -41,6 +42,11 @@
     /// server answered.
     void recordRun(const CallMessage &message, const UpstreamId &instance, const Verdict &verdict,
                    std::uint16_t status, Duration served);
+    /// Counts and logs that the server's notice changed, by the response to that request.
+    void recordNotice(const Announcement &server, RootId root, const UpstreamNotice &before,
+                      const UpstreamNotice &notice);
+    /// Logs that the response to that request stated a malformed rate limit.
+    void recordMalformedNotice(const Announcement &server, RootId root);
     /// Counts and logs a server that ended without announcing its shutdown.
     void recordCrash(const Announcement &server);
 
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -19,6 +19,9 @@
 /// are refused, fewer than 2 in 100 calls fail.
 constexpr int MAX_SENDS = 6;
 
+/// Time over which the rate of sends to a server is averaged for the metrics.
+constexpr Duration SEND_RATE_TIME = std::chrono::seconds(4);
+
 bool isUpstreamRefusal(const Verdict &verdict)
 {
     return verdict.outcome == Outcome::NotRun && verdict.reason == Reason::UpstreamRefused;
@@ -74,6 +77,7 @@
     const bool hasMoved = upstream.announcement.endpoint != announcement.endpoint;
     const bool isOtherRun = upstream.announcement.instance != announcement.instance;
     upstream.announcement = announcement;
+    upstream.notices.setRun(runIdOf(announcement));
     m_crashes.onAnnounced(announcement);
     upstream.announcedAt = now;
     if (isNew) {
@@ -125,13 +129,15 @@
     }
 }
 
-std::vector<std::pair<ServiceName, LoadReport>> GateService::loads() const
+std::vector<GateStatus> GateService::statuses() const
 {
-    std::vector<std::pair<ServiceName, LoadReport>> loads;
+    const TimePoint now = m_loop.now();
+    std::vector<GateStatus> statuses;
     for (const auto &[service, upstream] : m_upstreams) {
-        loads.emplace_back(service, upstream.gate->load(m_loop.now()));
+        statuses.push_back(GateStatus{ service, upstream.gate->load(now), upstream.notices.notice(),
+                                       upstream.sends.rate(now, SEND_RATE_TIME) });
     }
-    return loads;
+    return statuses;
 }
 
 CallId GateService::handle(CallMessage message, CallSource source, Reply reply)
@@ -532,9 +538,15 @@
     // The call may have been removed when the exchange ends.
     const HttpCancellationPtr cancellation = call.cancellation;
     const AccountName account = call.message.account;
+    const RootId root = call.message.root;
+    const TimePoint sentAt = m_loop.now();
+    findUpstream(server.info.service)->sends.add(sentAt, 1, SEND_RATE_TIME);
     m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
     m_parents->onEnd(m_loop.now(), id);
+    if (result) {
+        applyResponse(server, root, sentAt, *result);
+    }
     const bool isCrash = m_crashes.hasCrashed(server, result, isEndPlanned(server.info.service));
     RunResult run =
         result ? resultOfResponse(m_dialect, std::move(*result)) : resultOfFailure(result.error());
@@ -548,6 +560,29 @@
     return run;
 }
 
+void GateService::applyResponse(const Announcement &server, RootId root, TimePoint sentAt,
+                                const HttpResponse &response)
+{
+    Upstream *upstream = findUpstream(server.info.service);
+    const UpstreamResponseKind kind = m_dialect.classify(response);
+    const bool isFromRun =
+        kind == UpstreamResponseKind::Ran || kind == UpstreamResponseKind::Refused;
+    if (!upstream || !isFromRun || runIdOf(upstream->announcement) != runIdOf(server)) {
+        return;
+    }
+    const ResponseNotice stated = m_dialect.readNotice(response);
+    const UpstreamNotice before = upstream->notices.notice();
+    if (stated.isRateLimitMalformed) {
+        m_observers.metrics.add(Counter::NoticesMalformed);
+    }
+    if (upstream->notices.shouldReportMalformed(stated)) {
+        m_recorder.recordMalformedNotice(server, root);
+    }
+    if (upstream->notices.onResponse(sentAt, m_loop.now(), stated)) {
+        m_recorder.recordNotice(server, root, before, upstream->notices.notice());
+    }
+}
+
 bool GateService::isEndPlanned(const ServiceName &service)
 {
     const Upstream *upstream = findUpstream(service);
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -9,6 +9,7 @@
 #include "app/internal/gate/announcement.h"
 #include "app/internal/gate/crashreporter.h"
 #include "app/internal/gate/gaterecorder.h"
+#include "app/internal/gate/gatestatus.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/gate/ionceservice.h"
 #include "app/internal/gate/runresult.h"
@@ -17,11 +18,13 @@
 #include "app/internal/looplag.h"
 #include "app/internal/quarantine/iquarantine.h"
 #include "app/internal/waketimer.h"
+#include "coordination/admission/demandrate.h"
 #include "coordination/admission/igate.h"
 #include "coordination/admission/lossestimate.h"
 #include "coordination/admission/processorload.h"
 #include "coordination/calls/iparentfinder.h"
 #include "coordination/retries/ilocalretrybudget.h"
+#include "coordination/upstreams/noticetracker.h"
 #include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
 #include "state/result.h"
@@ -81,8 +84,8 @@
     void startDraining();
     /// Number of calls that wait or run here.
     std::size_t callCount() const { return m_calls.size(); }
-    /// Returns the load of each upstream's gate.
-    std::vector<std::pair<ServiceName, LoadReport>> loads() const;
+    /// Returns the state of each upstream's gate.
+    std::vector<GateStatus> statuses() const;
 
     CallId handle(CallMessage call, CallSource source, Reply reply) override;
     void cancel(CallId call) override;
@@ -111,6 +114,8 @@
         /// say that the service is draining, so that entries choose other daemons.
         bool reportsDraining = false;
         LossEstimate loss;
+        NoticeTracker notices;
+        DemandRate sends;
         std::unique_ptr<ILocalRetryBudget> retryBudget;
     };
     struct Call
@@ -137,6 +142,9 @@
     /// Sends the call, and again while the server refuses it and the retry budget allows it.
     RunResult sendToServer(const ServiceName &service, const Announcement &server, CallId id);
     RunResult exchange(const Announcement &server, CallId id, const Call &call);
+    /// Applies what the server states in its response to that request.
+    void applyResponse(const Announcement &server, RootId root, TimePoint sentAt,
+                       const HttpResponse &response);
     bool isEndPlanned(const ServiceName &service);
     void recordSend(const ServiceName &service, const RunResult &run);
     bool maySendAgain(const ServiceName &service, const Announcement &server, CallId id);
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -259,7 +259,7 @@
 TrafficStatus TrafficNode::status() const
 {
     TrafficStatus status;
-    status.gates = m_gates->loads();
+    status.gates = m_gates->statuses();
     status.requests = m_entry->requestCount();
     status.calls = m_gates->callCount();
     status.links = m_network->linkCount();
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -36,7 +36,7 @@
 /// Figures of the traffic thread for `/status`.
 struct TrafficStatus
 {
-    std::vector<std::pair<ServiceName, LoadReport>> gates;
+    std::vector<GateStatus> gates;
     std::size_t requests = 0;
     std::size_t calls = 0;
     std::size_t links = 0;
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -7,6 +7,7 @@
 #include "app/tests/mocks/noquarantine.h"
 #include "app/tests/mocks/silentobservers.h"
 #include "coordination/admission/gatefactory.h"
+#include "protocol/headers.h"
 #include "protocol/owndialects.h"
 #include "state/internal/seededrandom.h"
 #include "state/metricsfactory.h"
@@ -45,6 +46,19 @@
     std::size_t m_exchanges = 0;
 };
 
+/// A server that states the same notice in all its responses.
+class StatingServer : public LimitRecorder
+{
+public:
+    HttpResult exchange(const Endpoint & /*endpoint*/, const HttpRequest & /*request*/,
+                        Duration /*timeout*/, HttpCancellationPtr /*cancellation*/) override
+    {
+        return HttpResponse{ 200, headers, "done" };
+    }
+
+    std::vector<HttpHeader> headers;
+};
+
 class NoLog : public ILog
 {
 public:
@@ -114,6 +128,82 @@
     CHECK(verdicts.front().reason == Reason::Draining);
 }
 
+TEST_GROUP(GateServiceNotices)
+{
+    InlineEventLoop m_loop;
+    StatingServer m_server;
+    SeededRandom m_random{ 1 };
+    NoOnceService m_once;
+    NoQuarantine m_quarantine;
+    std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
+    NoLog m_log;
+    RecordingDecisionLog m_decisions;
+    std::unique_ptr<IMetrics> m_metrics = makeMetrics();
+    GateService m_gates{ m_loop,
+                         m_server,
+                         m_random,
+                         m_once,
+                         m_quarantine,
+                         *m_dialect,
+                         makeDefaultGate,
+                         Observers{ m_log, m_decisions, *m_metrics },
+                         GateServiceOptions{} };
+
+    void setup() override
+    {
+        m_gates.announce(
+            Announcement{ { ServiceName("cassa"), 300, 2000, false }, { "127.0.0.1", 9000 }, {} });
+    }
+    void send(RootId root)
+    {
+        CallMessage call;
+        call.root = root;
+        call.service = ServiceName("cassa");
+        call.remaining = std::chrono::seconds(5);
+        m_gates.handle(std::move(call), CallSource::Link, [](const ResponseMessage &) {});
+        m_loop.advance(std::chrono::milliseconds(10));
+    }
+    std::vector<Decision> upstreamDecisions() const
+    {
+        std::vector<Decision> found;
+        for (const Decision &decision : m_decisions.decisions()) {
+            if (decision.kind == DecisionKind::Upstream) {
+                found.push_back(decision);
+            }
+        }
+        return found;
+    }
+};
+
+// Guards against operators who cannot see that a server has stated a limit, and in which response.
+TEST(GateServiceNotices, ChangesAreLoggedWithTheRequest)
+{
+    m_server.headers = { { headers::UPSTREAM_RATE_LIMIT, "55" } };
+    send(RootId(1));
+    send(RootId(2));
+    m_server.headers.clear();
+    send(RootId(3));
+    const std::vector<Decision> lines = upstreamDecisions();
+    CHECK_EQUAL(2, lines.size());
+    CHECK(lines[0].root == RootId(1));
+    STRCMP_EQUAL("rate-limited", lines[0].outcome);
+    DOUBLES_EQUAL(55, lines[0].inputs[0].value, 0);
+    CHECK(lines[1].root == RootId(3));
+    STRCMP_EQUAL("rate-limit-lifted", lines[1].outcome);
+    CHECK(m_metrics->text().find("ivyspar_notice_changes_total 2") != std::string::npos);
+}
+
+// Guards against a log that a server fills by stating nonsense in every response.
+TEST(GateServiceNotices, MalformedLimitIsLoggedOnce)
+{
+    m_server.headers = { { headers::UPSTREAM_RATE_LIMIT, "many" } };
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+        send(RootId(i));
+    }
+    CHECK_EQUAL(1, upstreamDecisions().size());
+    CHECK(m_metrics->text().find("ivyspar_notices_malformed_total 50") != std::string::npos);
+}
+
 TEST_GROUP(GateServiceUnderLag)
 {
     LateEventLoop m_loop;
--- a/src/protocol/headers.h
+++ b/src/protocol/headers.h
@@ -25,5 +25,9 @@
 // From upstreams.
 /// `not-run` with status 503: the upstream refused the request before it started it.
 constexpr char UPSTREAM_OUTCOME[] = "Ivyspar-Upstream-Outcome";
+/// Requests per second, a decimal number, that the upstream accepts from all callers together.
+constexpr char UPSTREAM_RATE_LIMIT[] = "Ivyspar-Upstream-Rate-Limit";
+/// `1`: the upstream is shutting down.
+constexpr char UPSTREAM_LEAVING[] = "Ivyspar-Upstream-Leaving";
 
 } // namespace ivyspar::headers
--- a/src/protocol/internal/ownupstreamdialect.cpp
+++ b/src/protocol/internal/ownupstreamdialect.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "protocol/headers.h"
+#include "protocol/noticereader.h"
 
 namespace ivyspar {
 
@@ -38,7 +39,8 @@
 {
     for (const char *name :
          { headers::OUTCOME, headers::REASON, headers::ATTEMPTS, headers::RETRY_AFTER_MS,
-           headers::REQUEST_ID, headers::UPSTREAM_OUTCOME, headers::CONTEXT }) {
+           headers::REQUEST_ID, headers::UPSTREAM_OUTCOME, headers::UPSTREAM_RATE_LIMIT,
+           headers::UPSTREAM_LEAVING, headers::CONTEXT }) {
         removeHeader(response.headers, name);
     }
 }
@@ -48,6 +50,12 @@
     return std::nullopt;
 }
 
+ResponseNotice OwnUpstreamDialect::readNotice(const HttpResponse &response) const
+{
+    return ivyspar::readNotice(response.headers,
+                               { headers::UPSTREAM_RATE_LIMIT, headers::UPSTREAM_LEAVING });
+}
+
 UpstreamId OwnUpstreamDialect::readInstance(const HttpResponse & /*response*/) const
 {
     return {};
--- a/src/protocol/internal/ownupstreamdialect.h
+++ b/src/protocol/internal/ownupstreamdialect.h
@@ -12,6 +12,7 @@
     UpstreamResponseKind classify(const HttpResponse &response) const override;
     void removeInternalHeaders(HttpResponse &response) const override;
     std::optional<UpstreamLoad> readLoad(const HttpResponse &response) const override;
+    ResponseNotice readNotice(const HttpResponse &response) const override;
     std::string echoHeader() const override { return {}; }
     UpstreamId readInstance(const HttpResponse &response) const override;
 };
--- a/src/protocol/iupstreamdialect.h
+++ b/src/protocol/iupstreamdialect.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "coordination/upstreams/responsenotice.h"
 #include "state/http.h"
 #include "state/ids.h"
 #include "state/time.h"
@@ -52,6 +53,8 @@
     virtual void removeInternalHeaders(HttpResponse &response) const = 0;
     /// Nothing if the response reports no load.
     virtual std::optional<UpstreamLoad> readLoad(const HttpResponse &response) const = 0;
+    /// What the upstream states about itself in a final response.
+    virtual ResponseNotice readNotice(const HttpResponse &response) const = 0;
     /// Name of the header that an upstream copies from the request into its response; empty if
     /// there is none.
     virtual std::string echoHeader() const = 0;
