Gate: keep to the rate that the server states

What callers saw: nothing; a server in need that had stated 55 requests a second got 538 in 4 s, 335 allowed. Cause: the gate bounds how many calls run at once, never how many start in a second; no code read the server's statement. Change: a token bucket at the gate counts all that is written to the server: starts, repeats and health checks. It is empty at first and holds a quarter of a second, so neither idle time nor a restart gives a burst. A limit of 0 passes one request in 2 s, which learns whether it was lifted. The load that the gate reports is the demand over the limit, and the concurrency limit learns nothing while the rate is limited. Why it works: every request to a server passes the gate of its host, so one bucket there is exact.

--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -27,6 +27,12 @@
     return verdict.outcome == Outcome::NotRun && verdict.reason == Reason::UpstreamRefused;
 }
 
+/// Whether the response comes from the run that the request was meant for.
+bool isFromRun(UpstreamResponseKind kind)
+{
+    return kind == UpstreamResponseKind::Ran || kind == UpstreamResponseKind::Refused;
+}
+
 std::optional<CallId> fromToken(const std::string &token)
 {
     constexpr std::size_t TOKEN_SIZE = 16;
@@ -77,6 +83,7 @@
     const bool hasMoved = upstream.announcement.endpoint != announcement.endpoint;
     const bool isOtherRun = upstream.announcement.instance != announcement.instance;
     upstream.announcement = announcement;
+    const UpstreamNotice noticeBefore = upstream.notices.notice();
     upstream.notices.setRun(runIdOf(announcement));
     m_crashes.onAnnounced(announcement);
     upstream.announcedAt = now;
@@ -86,6 +93,9 @@
         upstream.tickTimer =
             std::make_unique<WakeTimer>(m_loop, [this, service] { tick(service); });
     }
+    if (!isNew && !(upstream.notices.notice() == noticeBefore)) {
+        applyNotice(service, upstream);
+    }
     const bool isChanged = isNew || isOtherRun || before.slots != announcement.info.slots
         || before.connections != announcement.info.connections
         || before.draining != announcement.info.draining;
@@ -525,7 +535,8 @@
     if (call.isCancelled || now >= call.deadline || !isSameRun) {
         return false;
     }
-    return upstream->retryBudget->tryTake(now, priorityOf(call.message.rank));
+    return upstream->retryBudget->tryTake(now, priorityOf(call.message.rank))
+        && upstream->gate->tryCountSend(now);
 }
 
 RunResult GateService::exchange(const Announcement &server, CallId id, const Call &call)
@@ -540,11 +551,13 @@
     const AccountName account = call.message.account;
     const RootId root = call.message.root;
     const TimePoint sentAt = m_loop.now();
-    findUpstream(server.info.service)->sends.add(sentAt, 1, SEND_RATE_TIME);
+    if (Upstream *upstream = findUpstream(server.info.service)) {
+        upstream->sends.add(sentAt, 1, SEND_RATE_TIME);
+    }
     m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
     m_parents->onEnd(m_loop.now(), id);
-    if (result) {
+    if (result && isFromRun(m_dialect.classify(*result))) {
         applyResponse(server, root, sentAt, *result);
     }
     const bool isCrash = m_crashes.hasCrashed(server, result, isEndPlanned(server.info.service));
@@ -564,10 +577,7 @@
                                 const HttpResponse &response)
 {
     Upstream *upstream = findUpstream(server.info.service);
-    const UpstreamResponseKind kind = m_dialect.classify(response);
-    const bool isFromRun =
-        kind == UpstreamResponseKind::Ran || kind == UpstreamResponseKind::Refused;
-    if (!upstream || !isFromRun || runIdOf(upstream->announcement) != runIdOf(server)) {
+    if (!upstream || runIdOf(upstream->announcement) != runIdOf(server)) {
         return;
     }
     const ResponseNotice stated = m_dialect.readNotice(response);
@@ -580,9 +590,37 @@
     }
     if (upstream->notices.onResponse(sentAt, m_loop.now(), stated)) {
         m_recorder.recordNotice(server, root, before, upstream->notices.notice());
+        applyNotice(server.info.service, *upstream);
     }
 }
 
+void GateService::onHealthCheckSent(const ServiceName &service, const UpstreamId &instance)
+{
+    Upstream *upstream = findUpstream(service);
+    if (!upstream || upstream->announcement.instance != instance) {
+        return;
+    }
+    const TimePoint now = m_loop.now();
+    upstream->gate->countSend(now);
+    upstream->sends.add(now, 1, SEND_RATE_TIME);
+}
+
+void GateService::onHealthResponse(const ServiceName &service, const UpstreamId &instance,
+                                   TimePoint sentAt, const HttpResponse &response)
+{
+    const Upstream *upstream = findUpstream(service);
+    if (upstream && upstream->announcement.instance == instance) {
+        const Announcement server = upstream->announcement;
+        applyResponse(server, RootId(), sentAt, response);
+    }
+}
+
+void GateService::applyNotice(const ServiceName &service, Upstream &upstream)
+{
+    const std::optional<RequestRate> limit = upstream.notices.notice().rateLimit;
+    perform(service, upstream.gate->setRateLimit(m_loop.now(), limit));
+}
+
 bool GateService::isEndPlanned(const ServiceName &service)
 {
     const Upstream *upstream = findUpstream(service);
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -78,6 +78,11 @@
     /// ones continue. Ignored if another run is announced. `isPlanned`: the server itself has
     /// announced its shutdown.
     void withdraw(const ServiceName &service, const UpstreamId &instance, bool isPlanned);
+    /// A health check is being sent to that run; it counts against the run's rate limit.
+    void onHealthCheckSent(const ServiceName &service, const UpstreamId &instance);
+    /// Applies what that run states in its response to a health check that was sent at `sentAt`.
+    void onHealthResponse(const ServiceName &service, const UpstreamId &instance, TimePoint sentAt,
+                          const HttpResponse &response);
     /// The daemon stops at `end`: calls with a later deadline are refused from now on.
     void startLeaving(TimePoint end) { m_endsAt = end; }
     /// Refuses new calls of all services from now on.
@@ -145,6 +150,8 @@
     /// Applies what the server states in its response to that request.
     void applyResponse(const Announcement &server, RootId root, TimePoint sentAt,
                        const HttpResponse &response);
+    /// Makes the gate heed the server's notice.
+    void applyNotice(const ServiceName &service, Upstream &upstream);
     bool isEndPlanned(const ServiceName &service);
     void recordSend(const ServiceName &service, const RunResult &run);
     bool maySendAgain(const ServiceName &service, const Announcement &server, CallId id);
--- a/src/app/internal/gate/upstreammonitor.cpp
+++ b/src/app/internal/gate/upstreammonitor.cpp
@@ -107,6 +107,8 @@
         return health;
     }
     const HttpRequest request{ "GET", service->healthPath, {}, {} };
+    const TimePoint sentAt = m_loop.now();
+    m_gates.onHealthCheckSent(report.service, report.instance);
     const HttpResult result = m_client.exchange(report.endpoint, request, HEALTH_TIMEOUT, {});
     if (!result) {
         return health;
@@ -114,6 +116,9 @@
     health.isSilent = false;
     health.isHealthy = result->status == OK;
     health.instance = m_dialect.readInstance(*result);
+    if (health.instance == report.instance) {
+        m_gates.onHealthResponse(report.service, report.instance, sentAt, *result);
+    }
     return health;
 }
 
--- a/src/coordination/admission/iconcurrencylimit.h
+++ b/src/coordination/admission/iconcurrencylimit.h
@@ -26,6 +26,9 @@
     virtual void onSample(TimePoint now, const LimitSample &sample) = 0;
     /// Sets the capacity that the upstream announced, the upper bound of the limit.
     virtual void setCeiling(std::uint32_t ceiling) = 0;
+    /// Ends a trial of another limit, if one is running: the rate of calls is about to change for
+    /// another reason than the trial.
+    virtual void endTrial() { }
     /// Maximum number of concurrent calls; at least 1 unless the ceiling is 0.
     virtual std::uint32_t limit() const = 0;
 };
--- a/src/coordination/admission/igate.h
+++ b/src/coordination/admission/igate.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "state/ids.h"
 #include "state/load.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "state/upstreamnotice.h"
 #include "state/usage.h"
 
 namespace ivyspar {
@@ -73,6 +75,13 @@
     /// Updates the capacity that the upstream announced. Capacity 0 refuses all queued calls.
     virtual GateActions setCapacity(TimePoint now, std::uint32_t slots,
                                     std::uint32_t connections) = 0;
+    /// Applies the rate limit that the upstream states; nothing if it states none. All that is sent
+    /// to it counts: started calls do so by themselves, the rest by the two functions below.
+    virtual GateActions setRateLimit(TimePoint now, std::optional<RequestRate> limit) = 0;
+    /// Whether a started call may be sent once more now; counts it if so.
+    virtual bool tryCountSend(TimePoint now) = 0;
+    /// Counts a request that is sent in any case, such as a health check.
+    virtual void countSend(TimePoint now) = 0;
     /// While true, refuses new calls with `Reason::Draining`; queued and running calls continue.
     virtual void setDraining(bool draining) = 0;
     virtual LoadReport load(TimePoint now) const = 0;
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -31,6 +31,16 @@
     return std::make_unique<FixedLimit>();
 }
 
+/// Time over which the demand is averaged against a rate limit; entry daemons use the same.
+constexpr Duration RATE_DEMAND_TIME = std::chrono::seconds(1);
+/// Upper bound of the reported load.
+constexpr double MAX_RATE_LOAD = 100;
+
+double ratioOf(DemandShare a, DemandShare b)
+{
+    return static_cast<double>(a.value()) / static_cast<double>(b.value());
+}
+
 std::uint32_t ceilingOf(std::uint32_t slots, std::uint32_t connections)
 {
     return std::min(slots, connections);
@@ -78,10 +88,11 @@
     m_floor.onArrival(request.rank);
     if (request.admittedShare != DemandShare()) {
         m_demand.onArrival(now, request.admittedShare, Duration(std::llround(m_serviceTime)));
+        m_callDemand.add(now, ratioOf(WHOLE_DEMAND, request.admittedShare), RATE_DEMAND_TIME);
     }
     m_queue.push(request);
-    startWaiting(actions);
-    dropExcess(actions);
+    startWaiting(now, actions);
+    dropExcess(now, actions);
     return actions;
 }
 
@@ -100,7 +111,7 @@
         holdSlot(now, m_options.cancelledHold);
     }
     advance(now, actions);
-    startWaiting(actions);
+    startWaiting(now, actions);
     return actions;
 }
 
@@ -119,7 +130,11 @@
 void Gate::recordResult(TimePoint now, CallResult result, Duration serviceTime,
                         std::uint32_t inFlight)
 {
-    m_limit->onSample(now, { result, serviceTime, inFlight });
+    // A rate limit keeps the server from its capacity, and refusals beyond it are not for want of
+    // slots: such samples would be learned as a lower capacity.
+    if (!m_rate.isLimited()) {
+        m_limit->onSample(now, { result, serviceTime, inFlight });
+    }
     // Errors and refusals can be fast, and cancelled calls are cut short, so neither is a sample of
     // the service time.
     if (result == CallResult::Success || result == CallResult::TimedOut) {
@@ -140,7 +155,7 @@
 {
     GateActions actions;
     advance(now, actions);
-    startWaiting(actions);
+    startWaiting(now, actions);
     return actions;
 }
 
@@ -166,21 +181,27 @@
     }
 }
 
-void Gate::dropExcess(GateActions &actions)
+void Gate::dropExcess(TimePoint now, GateActions &actions)
 {
     while (m_options.isQueueBounded && m_queue.size() > maxQueueLength()) {
-        refuse(m_queue.popLast().id, Reason::QueueFull, actions);
+        const CallId id = m_queue.popLast().id;
+        if (m_rate.isLimited() && hasFreeSlot()) {
+            refuseForRate(now, id, actions);
+        } else {
+            refuse(id, Reason::QueueFull, actions);
+        }
         m_floor.onCapacityRefusal();
     }
 }
 
-void Gate::startWaiting(GateActions &actions)
+void Gate::startWaiting(TimePoint now, GateActions &actions)
 {
-    while (!m_queue.isEmpty() && hasFreeSlot()) {
+    while (!m_queue.isEmpty() && hasFreeSlot() && m_rate.tryTake(now)) {
         start(m_queue.popFirst().id, actions);
     }
-    const double fill = static_cast<double>(m_queue.size()) / static_cast<double>(maxQueueLength());
-    m_floor.setQueue(fill, m_queue.isEmpty() && hasFreeSlot());
+    const auto longest = static_cast<double>(std::max<std::size_t>(maxQueueLength(), 1));
+    const double fill = static_cast<double>(m_queue.size()) / longest;
+    m_floor.setQueue(fill, m_queue.isEmpty() && hasFreeSlot() && m_rate.hasToken(now));
 }
 
 void Gate::start(CallId id, GateActions &actions)
@@ -197,6 +218,16 @@
     actions.push_back({ GateVerb::Refuse, id, { Outcome::NotRun, reason, retryAfter } });
 }
 
+/// A caller that returns before its turn would only be refused again.
+void Gate::refuseForRate(TimePoint now, CallId id, GateActions &actions)
+{
+    const Duration soonest = m_rate.timeUntil(now, m_queue.size() + 1);
+    const auto shortest = static_cast<double>(std::max(soonest, m_options.retryAfter).count());
+    const Duration retryAfter(std::llround(shortest * (1 + toUnitInterval(id.value()))));
+    actions.push_back(
+        { GateVerb::Refuse, id, { Outcome::NotRun, Reason::RateLimited, retryAfter } });
+}
+
 bool Gate::hasFreeSlot() const
 {
     return occupied() < m_limit->limit();
@@ -211,7 +242,8 @@
 std::size_t Gate::maxQueueLength() const
 {
     const double bound = m_options.queueWait * m_limit->limit();
-    return std::max<std::size_t>(m_options.minQueue, std::lround(bound));
+    const auto bySlots = std::max<std::size_t>(m_options.minQueue, std::lround(bound));
+    return m_rate.isLimited() ? std::min(bySlots, m_rate.maxWaiting()) : bySlots;
 }
 
 // The latest start that can still meet the deadline. With no call running there is no recent
@@ -234,6 +266,9 @@
     if (!m_held.empty()) {
         next = std::min(next, m_held.top());
     }
+    if (!m_queue.isEmpty() && m_rate.isLimited() && hasFreeSlot()) {
+        next = std::min(next, m_rate.nextTokenAt());
+    }
     return next;
 }
 
@@ -243,9 +278,9 @@
     m_ceiling = ceilingOf(slots, connections);
     m_limit->setCeiling(m_ceiling);
     advance(now, actions);
-    startWaiting(actions);
+    startWaiting(now, actions);
     if (m_ceiling > 0) {
-        dropExcess(actions);
+        dropExcess(now, actions);
         return actions;
     }
     while (!m_queue.isEmpty()) {
@@ -254,6 +289,39 @@
     return actions;
 }
 
+GateActions Gate::setRateLimit(TimePoint now, std::optional<RequestRate> limit)
+{
+    GateActions actions;
+    if (m_rate.isLimited() != limit.has_value()) {
+        m_limit->endTrial();
+    }
+    m_rate.setLimit(now, limit);
+    advance(now, actions);
+    startWaiting(now, actions);
+    dropExcess(now, actions);
+    return actions;
+}
+
+bool Gate::tryCountSend(TimePoint now)
+{
+    return m_rate.tryTake(now);
+}
+
+void Gate::countSend(TimePoint now)
+{
+    m_rate.charge(now);
+}
+
+DemandLoad Gate::rateLoad(TimePoint now) const
+{
+    if (!m_rate.isLimited()) {
+        return DemandLoad();
+    }
+    const double load = m_callDemand.rate(now, RATE_DEMAND_TIME) / m_rate.rate();
+    return DemandLoad(
+        static_cast<std::uint32_t>(std::lround(std::min(load, MAX_RATE_LOAD) * FULL_LOAD.value())));
+}
+
 void Gate::setDraining(bool draining)
 {
     m_isDraining = draining;
@@ -266,7 +334,7 @@
     report.queued = static_cast<std::uint32_t>(m_queue.size());
     report.limit = m_limit->limit();
     report.floor = m_options.hasFloor ? m_floor.floor() : Rank();
-    report.demand = m_demand.load(now, m_ceiling);
+    report.demand = std::max(m_demand.load(now, m_ceiling), rateLoad(now));
     report.draining = m_isDraining;
     return report;
 }
--- a/src/coordination/admission/internal/gate.h
+++ b/src/coordination/admission/internal/gate.h
@@ -7,12 +7,14 @@
 #include <unordered_set>
 #include <vector>
 
+#include "coordination/admission/demandrate.h"
 #include "coordination/admission/gatefactory.h"
 #include "coordination/admission/iconcurrencylimit.h"
 #include "coordination/admission/igate.h"
 #include "coordination/admission/internal/demandestimate.h"
 #include "coordination/admission/internal/floorcontrol.h"
 #include "coordination/admission/internal/rankqueue.h"
+#include "coordination/admission/internal/ratelimiter.h"
 
 namespace ivyspar {
 
@@ -27,6 +29,9 @@
     GateActions tick(TimePoint now) override;
     TimePoint nextTick() const override;
     GateActions setCapacity(TimePoint now, std::uint32_t slots, std::uint32_t connections) override;
+    GateActions setRateLimit(TimePoint now, std::optional<RequestRate> limit) override;
+    bool tryCountSend(TimePoint now) override;
+    void countSend(TimePoint now) override;
     void setDraining(bool draining) override;
     LoadReport load(TimePoint now) const override;
 
@@ -36,10 +41,12 @@
 
     void advance(TimePoint now, GateActions &actions);
     void dropDoomed(TimePoint now, GateActions &actions);
-    void dropExcess(GateActions &actions);
-    void startWaiting(GateActions &actions);
+    void dropExcess(TimePoint now, GateActions &actions);
+    void startWaiting(TimePoint now, GateActions &actions);
     void start(CallId id, GateActions &actions);
     void refuse(CallId id, Reason reason, GateActions &actions);
+    void refuseForRate(TimePoint now, CallId id, GateActions &actions);
+    DemandLoad rateLoad(TimePoint now) const;
     bool hasFreeSlot() const;
     std::uint32_t occupied() const;
     std::size_t maxQueueLength() const;
@@ -53,6 +60,9 @@
     RankQueue m_queue;
     FloorControl m_floor;
     DemandEstimate m_demand;
+    RateLimiter m_rate;
+    /// Demand for the upstream, in calls per second.
+    DemandRate m_callDemand;
     std::unordered_set<CallId> m_running;
     Releases m_held;
     std::uint32_t m_ceiling = 0;
--- a/src/coordination/admission/internal/probinglimit.cpp
+++ b/src/coordination/admission/internal/probinglimit.cpp
@@ -203,6 +203,13 @@
     startTrial(measured);
 }
 
+void ProbingLimit::endTrial()
+{
+    const bool isOnTrial = m_phase != Phase::Steady;
+    m_phase = Phase::Steady;
+    changeLimit(isOnTrial ? m_limitBefore : m_range.value());
+}
+
 void ProbingLimit::changeLimit(double limit)
 {
     m_callsToSettle = m_range.limit();
--- a/src/coordination/admission/internal/probinglimit.h
+++ b/src/coordination/admission/internal/probinglimit.h
@@ -19,6 +19,7 @@
 
     void onSample(TimePoint now, const LimitSample &sample) override;
     void setCeiling(std::uint32_t ceiling) override;
+    void endTrial() override;
     std::uint32_t limit() const override;
 
 private:
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -23,6 +23,7 @@
     case Reason::UpstreamRefused:
     case Reason::LinkLost:
     case Reason::ShuttingDown:
+    case Reason::RateLimited:
     case Reason::Suspected:
     case Reason::Quarantined: // A server of another version may accept it.
         return true;
--- a/src/state/internal/outcome.cpp
+++ b/src/state/internal/outcome.cpp
@@ -76,6 +76,8 @@
         return "uncertain-key";
     case Reason::OverLimit:
         return "over-limit";
+    case Reason::RateLimited:
+        return "rate-limited";
     }
     return "none";
 }
--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -45,7 +45,8 @@
     UnknownKey, ///< No client account holds the caller's key, or it sent none.
     UncertainKey, ///< The key is unknown here, but a newer configuration may contain it.
     OverLimit, ///< The client account has used up its limit.
-    Last = OverLimit,
+    RateLimited, ///< The server states a rate limit, and it is used up.
+    Last = RateLimited,
 };
 
 const char *toText(Outcome outcome);
