--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -149,13 +149,10 @@
                          Observers{ m_log, m_decisions, *m_metrics },
                          GateServiceOptions{} };
 
-    void setup() override
+    void send(RootId root)
     {
         m_gates.announce(
             Announcement{ { ServiceName("cassa"), 300, 2000, false }, { "127.0.0.1", 9000 }, {} });
-    }
-    void send(RootId root)
-    {
         CallMessage call;
         call.root = root;
         call.service = ServiceName("cassa");
