Gate: send nothing to a run that has said that it leaves

What callers saw: calls went on being sent to a server that had said in a response that it leaves, until the registry learned of it, if ever. Cause: only announcements told the gate of a shutdown. Change: the first such response makes the gate drain for that run: waiting calls are refused as not run, running ones finish, the member record says draining. The run is remembered by its id, so another announcement does not revive it. Health checks wait for their turn at a limited server instead of being charged afterwards: at a limit of 0 an unhealthy server was checked twice a second.

--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -19,6 +19,9 @@
 /// are refused, fewer than 2 in 100 calls fail.
 constexpr int MAX_SENDS = 6;
 
+/// Far more than the runs that a host can have within their lifetimes.
+constexpr std::size_t MAX_LEAVING_RUNS = 64;
+
 /// Time over which the rate of sends to a server is averaged for the metrics.
 constexpr Duration SEND_RATE_TIME = std::chrono::seconds(4);
 
@@ -85,6 +88,12 @@
     upstream.announcement = announcement;
     const UpstreamNotice noticeBefore = upstream.notices.notice();
     upstream.notices.setRun(runIdOf(announcement));
+    if (hasLeft(announcement.instance)) {
+        upstream.notices.setLeaving();
+    }
+    // What the server states in its responses goes before what it announces.
+    const bool isDraining = announcement.info.draining || upstream.notices.notice().isLeaving;
+    upstream.announcement.info.draining = isDraining;
     m_crashes.onAnnounced(announcement);
     upstream.announcedAt = now;
     if (isNew) {
@@ -97,8 +106,7 @@
         applyNotice(service, upstream);
     }
     const bool isChanged = isNew || isOtherRun || before.slots != announcement.info.slots
-        || before.connections != announcement.info.connections
-        || before.draining != announcement.info.draining;
+        || before.connections != announcement.info.connections || before.draining != isDraining;
     // A server that was restarted on another port may differ in nothing but its endpoint. Without
     // this call the new endpoint would have the default limit, and requests beyond it would be
     // refused while the server is idle.
@@ -109,8 +117,8 @@
         return;
     }
     upstream.isWithdrawn = false;
-    upstream.isEndPlanned = announcement.info.draining;
-    upstream.gate->setDraining(announcement.info.draining || m_isDraining);
+    upstream.isEndPlanned = isDraining;
+    upstream.gate->setDraining(isDraining || m_isDraining);
     perform(
         service,
         upstream.gate->setCapacity(now, announcement.info.slots, announcement.info.connections));
@@ -443,7 +451,7 @@
     const TimePoint startedAt = m_loop.now();
     const Announcement server = upstream->announcement;
     RunResult run;
-    if (upstream->isWithdrawn) {
+    if (!acceptsCalls(*upstream)) {
         // The server was withdrawn after the gate had started the call.
         run = notRun(Reason::Draining);
     } else if (startedAt >= found->second.deadline
@@ -526,7 +534,7 @@
 {
     const auto found = m_calls.find(id);
     Upstream *upstream = findUpstream(service);
-    if (found == m_calls.end() || !upstream || upstream->isWithdrawn) {
+    if (found == m_calls.end() || !upstream || !acceptsCalls(*upstream)) {
         return false;
     }
     const Call &call = found->second;
@@ -594,15 +602,15 @@
     }
 }
 
-void GateService::onHealthCheckSent(const ServiceName &service, const UpstreamId &instance)
+Duration GateService::reserveHealthCheck(const ServiceName &service, const UpstreamId &instance)
 {
     Upstream *upstream = findUpstream(service);
     if (!upstream || upstream->announcement.instance != instance) {
-        return;
+        return Duration::zero();
     }
     const TimePoint now = m_loop.now();
-    upstream->gate->countSend(now);
     upstream->sends.add(now, 1, SEND_RATE_TIME);
+    return upstream->gate->reserveSend(now);
 }
 
 void GateService::onHealthResponse(const ServiceName &service, const UpstreamId &instance,
@@ -619,6 +627,40 @@
 {
     const std::optional<RequestRate> limit = upstream.notices.notice().rateLimit;
     perform(service, upstream.gate->setRateLimit(m_loop.now(), limit));
+    if (upstream.notices.notice().isLeaving && !upstream.announcement.info.draining) {
+        stopSending(service, upstream);
+    }
+}
+
+void GateService::stopSending(const ServiceName &service, Upstream &upstream)
+{
+    rememberLeaving(upstream.announcement.instance);
+    upstream.announcement.info.draining = true;
+    upstream.isEndPlanned = true;
+    upstream.gate->setDraining(true);
+    perform(service, upstream.gate->setCapacity(m_loop.now(), 0, 0));
+    reportUpstreams();
+}
+
+bool GateService::acceptsCalls(const Upstream &upstream)
+{
+    return !upstream.isWithdrawn && !upstream.notices.notice().isLeaving;
+}
+
+void GateService::rememberLeaving(const UpstreamId &instance)
+{
+    if (instance.value().empty() || hasLeft(instance)) {
+        return;
+    }
+    m_leavingRuns.push_back(instance);
+    if (m_leavingRuns.size() > MAX_LEAVING_RUNS) {
+        m_leavingRuns.pop_front();
+    }
+}
+
+bool GateService::hasLeft(const UpstreamId &instance) const
+{
+    return std::find(m_leavingRuns.begin(), m_leavingRuns.end(), instance) != m_leavingRuns.end();
 }
 
 bool GateService::isEndPlanned(const ServiceName &service)
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -78,8 +79,9 @@
     /// ones continue. Ignored if another run is announced. `isPlanned`: the server itself has
     /// announced its shutdown.
     void withdraw(const ServiceName &service, const UpstreamId &instance, bool isPlanned);
-    /// A health check is being sent to that run; it counts against the run's rate limit.
-    void onHealthCheckSent(const ServiceName &service, const UpstreamId &instance);
+    /// Counts a health check of that run against its rate limit. Returns the time to wait before
+    /// sending it.
+    Duration reserveHealthCheck(const ServiceName &service, const UpstreamId &instance);
     /// Applies what that run states in its response to a health check that was sent at `sentAt`.
     void onHealthResponse(const ServiceName &service, const UpstreamId &instance, TimePoint sentAt,
                           const HttpResponse &response);
@@ -152,6 +154,12 @@
                        const HttpResponse &response);
     /// Makes the gate heed the server's notice.
     void applyNotice(const ServiceName &service, Upstream &upstream);
+    /// Sends no more calls to the run, which has stated that it leaves.
+    void stopSending(const ServiceName &service, Upstream &upstream);
+    /// Whether calls may be sent to the announced run.
+    static bool acceptsCalls(const Upstream &upstream);
+    void rememberLeaving(const UpstreamId &instance);
+    bool hasLeft(const UpstreamId &instance) const;
     bool isEndPlanned(const ServiceName &service);
     void recordSend(const ServiceName &service, const RunResult &run);
     bool maySendAgain(const ServiceName &service, const Announcement &server, CallId id);
@@ -192,6 +200,9 @@
     std::unordered_map<ServiceName, Upstream> m_upstreams;
     std::unordered_map<CallId, Call> m_calls;
     std::unique_ptr<IParentFinder> m_parents;
+    /// Runs that have stated that they leave, oldest first. Such a run may be announced again after
+    /// its upstream was removed.
+    std::deque<UpstreamId> m_leavingRuns;
     TimerId m_sweepTimer;
     bool m_isDraining = false;
     TimePoint m_endsAt = TimePoint::max();
--- a/src/app/internal/gate/upstreammonitor.cpp
+++ b/src/app/internal/gate/upstreammonitor.cpp
@@ -107,8 +107,11 @@
         return health;
     }
     const HttpRequest request{ "GET", service->healthPath, {}, {} };
+    const Duration delay = m_gates.reserveHealthCheck(report.service, report.instance);
+    if (delay > Duration::zero()) {
+        m_loop.sleepFor(delay);
+    }
     const TimePoint sentAt = m_loop.now();
-    m_gates.onHealthCheckSent(report.service, report.instance);
     const HttpResult result = m_client.exchange(report.endpoint, request, HEALTH_TIMEOUT, {});
     if (!result) {
         return health;
--- a/src/app/tests/ratelimitedservertest.cpp
+++ b/src/app/tests/ratelimitedservertest.cpp
@@ -105,14 +105,14 @@
 // Guards against health checks that are sent beside the limit.
 TEST(RateLimitedServer, HealthChecksCount)
 {
-    m_server.stateLimit("2");
-    sendFor(4s, 3ms);
+    m_server.stateLimit("0");
+    sendFor(3s, 3ms);
     const std::size_t before = m_server.arrivals();
-    for (int i = 0; i < 8; ++i) {
-        m_gates->onHealthCheckSent(SERVICE, UpstreamId("i-1"));
-        sendFor(500ms, 3ms);
-    }
-    CHECK(m_server.arrivals() - before <= 2);
+    CHECK(m_gates->reserveHealthCheck(SERVICE, UpstreamId("i-1")) > Duration::zero());
+    CHECK(m_gates->reserveHealthCheck(SERVICE, UpstreamId("i-1")) >= Duration(2s));
+    sendFor(4s, 3ms);
+    CHECK_EQUAL(before, m_server.arrivals());
+    CHECK(m_gates->reserveHealthCheck(SERVICE, UpstreamId("i-2")) == Duration::zero());
 }
 
 // Guards against tokens that accumulate while the process is stopped or nobody calls.
@@ -231,3 +231,43 @@
     CHECK_EQUAL(before, m_server.arrivals());
     CHECK(m_verdicts.back().outcome == Outcome::NotRun);
 }
+
+// Guards against a daemon that forgets a server's shutdown when the server is not announced for a
+// while.
+TEST(RateLimitedServer, StaysLeavingWhenItIsAnnouncedAgain)
+{
+    m_server.stateLeaving();
+    send();
+    m_server.stopLeaving();
+    m_loop.advance(10s);
+    const std::size_t before = m_server.arrivals();
+    sendFor(1s, 10ms);
+    CHECK_EQUAL(before, m_server.arrivals());
+    CHECK(m_gates->load(SERVICE).draining);
+}
+
+// Guards against calls that wait at a leaving server until they are too late for another one.
+TEST(RateLimitedServer, WaitingCallsAreRefusedWhenItLeaves)
+{
+    m_server.stateLimit("20");
+    send();
+    m_loop.advance(1s);
+    m_server.stateLeaving();
+    for (int i = 0; i < 20; ++i) {
+        send();
+    }
+    CHECK_EQUAL(0, m_gates->callCount());
+    CHECK(m_verdicts.back().outcome == Outcome::NotRun);
+}
+
+TEST(RateLimitedServer, NextRunIsNotLeaving)
+{
+    m_server.stateLeaving();
+    send();
+    m_server.stopLeaving();
+    announce("i-2");
+    const std::size_t before = m_server.arrivals();
+    send();
+    CHECK_EQUAL(before + 1, m_server.arrivals());
+    CHECK_FALSE(m_gates->load(SERVICE).draining);
+}
--- a/src/coordination/admission/igate.h
+++ b/src/coordination/admission/igate.h
@@ -80,8 +80,9 @@
     virtual GateActions setRateLimit(TimePoint now, std::optional<RequestRate> limit) = 0;
     /// Whether a started call may be sent once more now; counts it if so.
     virtual bool tryCountSend(TimePoint now) = 0;
-    /// Counts a request that is sent in any case, such as a health check.
-    virtual void countSend(TimePoint now) = 0;
+    /// Counts a request that is sent in any case, such as a health check. Returns the time to wait
+    /// before sending it.
+    virtual Duration reserveSend(TimePoint now) = 0;
     /// While true, refuses new calls with `Reason::Draining`; queued and running calls continue.
     virtual void setDraining(bool draining) = 0;
     virtual LoadReport load(TimePoint now) const = 0;
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -307,9 +307,10 @@
     return m_rate.tryTake(now);
 }
 
-void Gate::countSend(TimePoint now)
+Duration Gate::reserveSend(TimePoint now)
 {
     m_rate.charge(now);
+    return m_rate.timeUntil(now, 0);
 }
 
 DemandLoad Gate::rateLoad(TimePoint now) const
--- a/src/coordination/admission/internal/gate.h
+++ b/src/coordination/admission/internal/gate.h
@@ -31,7 +31,7 @@
     GateActions setCapacity(TimePoint now, std::uint32_t slots, std::uint32_t connections) override;
     GateActions setRateLimit(TimePoint now, std::optional<RequestRate> limit) override;
     bool tryCountSend(TimePoint now) override;
-    void countSend(TimePoint now) override;
+    Duration reserveSend(TimePoint now) override;
     void setDraining(bool draining) override;
     LoadReport load(TimePoint now) const override;
 
--- a/src/coordination/upstreams/noticetracker.h
+++ b/src/coordination/upstreams/noticetracker.h
@@ -24,6 +24,8 @@
     /// Applies what another daemon learned from responses of this run. This daemon's own responses
     /// take precedence, except that a shutdown is final. Returns whether the notice changed.
     bool onForwarded(const UpstreamNotice &notice);
+    /// The run is known to be shutting down.
+    void setLeaving() { m_notice.isLeaving = true; }
     /// Returns true for the first malformed limit of a run, so that it is logged once.
     bool shouldReportMalformed(const ResponseNotice &response);
 
