Calls carry what their entry daemon has learned of the server

What callers saw: nothing. A daemon that was killed and returned sent at full rate to a server whose limit all other daemons had passed on, until its first response; a server that had said that it leaves got calls again. Cause: the statement of a server was known only to the daemon beside it. Evidence: without the new step RateLimitedServer.LimitHoldsAfterARestartOfTheDaemon and ShutdownHoldsAfterARestartOfTheDaemon fail. Change: each response to an entry daemon carries the notice of the server's run; the entry keeps it by server and sends it with each later call. The daemon of the server applies it if the run is the one that is announced and it has had no response itself; a shutdown always. A daemon that knows nothing says nothing, so it does not erase what others know. Older daemons close a link at a reason that they do not know: rate-limited is queue-full for them, and the rest follows at the end of the frame.

--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -494,15 +494,19 @@
     call.request = incoming.request;
     call.fingerprint = incoming.fingerprint;
     call.account = incoming.account;
+    call.notice = m_notices.find(action.target, incoming.service);
 
     m_recorder.recordAttempt(factsOf(incoming), action, call.remaining);
     const std::size_t index = action.attempt.value();
     active->streams.resize(std::max(active->streams.size(), index + 1));
-    const AttemptIndex attempt = action.attempt;
-    active->streams[index] = m_sender.send(action.target, std::move(call),
-                                           [this, active, attempt](AttemptAnswer answer) {
-                                               onAnswer(active, attempt, std::move(answer));
-                                           });
+    active->streams[index] = m_sender.send(
+        action.target, std::move(call),
+        [this, active, attempt = action.attempt, target = action.target](AttemptAnswer answer) {
+            if (answer.message.notice) {
+                m_notices.store(target, active->incoming.service, *answer.message.notice);
+            }
+            onAnswer(active, attempt, std::move(answer));
+        });
 }
 
 void EntryService::onAnswer(const ActiveRequestPtr &active, AttemptIndex attempt,
@@ -517,6 +521,7 @@
     result.holder = answer.message.holder;
     result.hasReachedUpstream =
         result.verdict.outcome != Outcome::NotRun || answer.message.serviceTime > Duration::zero();
+    result.notice = answer.message.notice;
     recordUsage(*active, answer);
     const bool isWanted = !active->call.isFinished();
     const EntryActions actions = active->call.onEnd(m_loop.now(), attempt, result);
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -18,6 +18,7 @@
 #include "coordination/admission/processorguard.h"
 #include "coordination/calls/internal/entrycall.h"
 #include "coordination/routing/iweightedsplit.h"
+#include "coordination/upstreams/noticestore.h"
 #include "protocol/irequestdialect.h"
 #include "state/configuration.h"
 #include "transport/ieventloop.h"
@@ -160,6 +161,7 @@
     EntryOptions m_options;
     LoopLag m_lag;
     ProcessorGuard m_guard;
+    NoticeStore m_notices;
     ConfigurationPtr m_configuration;
     /// Highest priority of all rules.
     Priority m_highestPriority;
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -99,7 +99,8 @@
 }
 
 void GateRecorder::recordNotice(const Announcement &server, RootId root,
-                                const UpstreamNotice &before, const UpstreamNotice &notice)
+                                const UpstreamNotice &before, const UpstreamNotice &notice,
+                                const char *source)
 {
     m_observers.metrics.add(Counter::NoticeChanges);
     if (!m_observers.decisions.isEnabled()) {
@@ -107,6 +108,7 @@
     }
     Decision decision = makeNoticeDecision(server, root);
     decision.outcome = outcomeOf(before, notice);
+    decision.reason = source;
     decision.inputs = { { "rate_per_s", perSecondOf(notice.rateLimit) },
                         { "rate_before_per_s", perSecondOf(before.rateLimit) } };
     m_observers.decisions.write(std::move(decision));
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -42,9 +42,10 @@
     /// server answered.
     void recordRun(const CallMessage &message, const UpstreamId &instance, const Verdict &verdict,
                    std::uint16_t status, Duration served);
-    /// Counts and logs that the server's notice changed, by the response to that request.
+    /// Counts and logs that the server's notice changed with that request. `source` is a string
+    /// literal: `response`, or `forwarded` by the entry daemon.
     void recordNotice(const Announcement &server, RootId root, const UpstreamNotice &before,
-                      const UpstreamNotice &notice);
+                      const UpstreamNotice &notice, const char *source);
     /// Logs that the response to that request stated a malformed rate limit.
     void recordMalformedNotice(const Announcement &server, RootId root);
     /// Counts and logs a server that ended without announcing its shutdown.
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -186,6 +186,9 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() });
         return id;
     }
+    if (call.message.notice) {
+        applyForwarded(*upstream, call.message);
+    }
     if (call.deadline > m_endsAt) {
         // If the load reported with the refusal did not say that the service is draining, the entry
         // would use this daemon again, and each call would come here first.
@@ -597,11 +600,31 @@
         m_recorder.recordMalformedNotice(server, root);
     }
     if (upstream->notices.onResponse(sentAt, m_loop.now(), stated)) {
-        m_recorder.recordNotice(server, root, before, upstream->notices.notice());
+        m_recorder.recordNotice(server, root, before, upstream->notices.notice(), "response");
         applyNotice(server.info.service, *upstream);
     }
 }
 
+void GateService::applyForwarded(Upstream &upstream, const CallMessage &message)
+{
+    const UpstreamNotice before = upstream.notices.notice();
+    if (!upstream.notices.onForwarded(*message.notice)) {
+        return;
+    }
+    m_recorder.recordNotice(upstream.announcement, message.root, before, upstream.notices.notice(),
+                            "forwarded");
+    applyNotice(message.service, upstream);
+}
+
+std::optional<UpstreamNotice> GateService::noticeFor(const Upstream &upstream)
+{
+    if (!upstream.notices.isKnown()) {
+        return std::nullopt;
+    }
+    const UpstreamNotice &notice = upstream.notices.notice();
+    return notice.rateLimit || notice.isLeaving ? notice : UpstreamNotice();
+}
+
 Duration GateService::reserveHealthCheck(const ServiceName &service, const UpstreamId &instance)
 {
     Upstream *upstream = findUpstream(service);
@@ -712,6 +735,9 @@
     addUsage(answer.usage,
              { ServiceUsage{ call.message.service, answer.serviceTime, answer.load.demand,
                              upstream ? upstream->loss.share() : LossShare() } });
+    if (upstream) {
+        answer.notice = noticeFor(*upstream);
+    }
     const ServiceName service = call.message.service;
     call.reply(std::move(answer));
     admitNextSuspect(service, id);
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -152,6 +152,10 @@
     /// Applies what the server states in its response to that request.
     void applyResponse(const Announcement &server, RootId root, TimePoint sentAt,
                        const HttpResponse &response);
+    /// Applies what the entry daemon of that call has learned of the server.
+    void applyForwarded(Upstream &upstream, const CallMessage &message);
+    /// The notice for an entry daemon; nothing if it is not known here.
+    static std::optional<UpstreamNotice> noticeFor(const Upstream &upstream);
     /// Makes the gate heed the server's notice.
     void applyNotice(const ServiceName &service, Upstream &upstream);
     /// Sends no more calls to the run, which has stated that it leaves.
--- a/src/app/tests/mocks/ratelimitedserver.h
+++ b/src/app/tests/mocks/ratelimitedserver.h
@@ -41,6 +41,9 @@
     /// Refuses all requests without running them.
     void refuseAll() { m_isRefusing = true; }
 
+    /// All further requests time out.
+    void stopAnswering() { m_isSilent = true; }
+
     std::size_t arrivals() const { return m_arrivals.size(); }
     std::size_t arrivalsSince(TimePoint start) const
     {
@@ -68,6 +71,10 @@
                         Duration /*timeout*/, HttpCancellationPtr /*cancellation*/) override
     {
         m_arrivals.push_back(m_loop.now());
+        if (m_isSilent) {
+            return tl::unexpected<HttpFailure>(HttpFailure{
+                HttpFailureStage::MaybeSent, HttpFailureCause::Timeout, "no response" });
+        }
         HttpResponse response{ m_status, {}, "done" };
         if (m_isRefusing) {
             response.status = 503;
@@ -92,6 +99,7 @@
     std::uint16_t m_status = 200;
     bool m_isLeaving = false;
     bool m_isRefusing = false;
+    bool m_isSilent = false;
 };
 
 } // namespace ivyspar
--- a/src/app/tests/ratelimitedservertest.cpp
+++ b/src/app/tests/ratelimitedservertest.cpp
@@ -41,6 +41,7 @@
     std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
     std::unique_ptr<GateService> m_gates;
     std::vector<Verdict> m_verdicts;
+    std::optional<UpstreamNotice> m_lastNotice;
 
     void setup() override
     {
@@ -66,6 +67,7 @@
         call.admittedShare = WHOLE_DEMAND;
         m_gates->handle(std::move(call), CallSource::Link, [this](const ResponseMessage &answer) {
             m_verdicts.push_back(answer.verdict);
+            m_lastNotice = answer.notice;
         });
     }
     void sendFor(Duration length, Duration gap)
@@ -260,6 +262,57 @@
     CHECK(m_verdicts.back().outcome == Outcome::NotRun);
 }
 
+// Guards against a daemon that returns after a kill and sends at full rate to a server whose limit
+// the entry daemons have passed on.
+TEST(RateLimitedServer, LimitHoldsAfterARestartOfTheDaemon)
+{
+    m_server.stateLimit("5");
+    sendFor(4s, 3ms);
+    const std::optional<UpstreamNotice> known = m_lastNotice;
+    CHECK(known && known->rateLimit == RequestRate(5000));
+    m_server.stopAnswering();
+    for (int i = 0; i < 5; ++i) {
+        restart();
+        CallMessage call;
+        call.notice = known;
+        send(std::move(call));
+        sendFor(500ms, 3ms);
+    }
+    CHECK(m_server.maxArrivalsIn(4s) <= maxAllowedIn(4s, 5));
+}
+
+TEST(RateLimitedServer, ShutdownHoldsAfterARestartOfTheDaemon)
+{
+    m_server.stateLeaving();
+    send();
+    CallMessage call;
+    call.notice = m_lastNotice;
+    restart();
+    const std::size_t before = m_server.arrivals();
+    send(std::move(call));
+    CHECK_EQUAL(before, m_server.arrivals());
+    CHECK(m_gates->load(SERVICE).draining);
+}
+
+// Guards against the notice of an ended run that is applied to the run after it.
+TEST(RateLimitedServer, NoticeOfAnotherRunIsNotApplied)
+{
+    CallMessage call;
+    call.notice = UpstreamNotice{ UpstreamId("i-0"), RequestRate(0), true };
+    for (int i = 0; i < 10; ++i) {
+        send(call);
+    }
+    CHECK_EQUAL(10, m_server.arrivals());
+}
+
+// Guards against entry daemons that forget a limit because of a daemon that does not know it yet.
+TEST(RateLimitedServer, RestartedDaemonStatesNoNoticeBeforeItKnowsIt)
+{
+    m_gates->startDraining();
+    send();
+    CHECK_FALSE(m_lastNotice.has_value());
+}
+
 TEST(RateLimitedServer, NextRunIsNotLeaving)
 {
     m_server.stateLeaving();
--- a/src/coordination/calls/ientrycall.h
+++ b/src/coordination/calls/ientrycall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "coordination/routing/irouter.h"
@@ -8,6 +9,7 @@
 #include "state/load.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "state/upstreamnotice.h"
 
 namespace ivyspar {
 
@@ -47,6 +49,8 @@
     std::uint16_t status = 0;
     /// The call was sent to an upstream, or may have been.
     bool hasReachedUpstream = false;
+    /// What the server states about itself; nothing if its daemon did not tell.
+    std::optional<UpstreamNotice> notice;
     /// The daemon that keeps the key's result, if the upstream was not called for that reason.
     DaemonId holder;
 };
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -107,6 +107,45 @@
     }
 }
 
+void addNotice(FieldWriter &writer, const std::optional<UpstreamNotice> &notice)
+{
+    writer.add(notice.has_value());
+    if (!notice) {
+        return;
+    }
+    writer.add(notice->run);
+    if (notice->run.value().empty()) {
+        return;
+    }
+    writer.add(notice->rateLimit.has_value());
+    writer.add(notice->rateLimit.value_or(RequestRate())).add(notice->isLeaving);
+}
+
+/// Frames of older daemons end before this field.
+void readNotice(FieldReader &reader, std::optional<UpstreamNotice> &notice)
+{
+    bool isPresent = false;
+    if (!reader.isAtEnd()) {
+        reader.read(isPresent);
+    }
+    if (!isPresent) {
+        return;
+    }
+    notice.emplace();
+    reader.read(notice->run);
+    if (notice->run.value().empty()) {
+        return;
+    }
+    bool isLimited = false;
+    RequestRate rate;
+    reader.read(isLimited);
+    reader.read(rate);
+    reader.read(notice->isLeaving);
+    if (isLimited) {
+        notice->rateLimit = rate;
+    }
+}
+
 std::string encodeOne(const HelloMessage &message)
 {
     FieldWriter writer = startFrame(FrameKind::Hello);
@@ -141,14 +180,22 @@
     writer.add(message.request.body);
     addOnce(writer, message.once);
     writer.add(message.fingerprint).add(message.account);
+    addNotice(writer, message.notice);
     return endFrame(writer);
 }
 
+/// Daemons of older versions close the link at a reason that they do not know.
+Reason compatibleReason(Reason reason)
+{
+    return reason == Reason::RateLimited ? Reason::QueueFull : reason;
+}
+
 std::string encodeOne(const ResponseMessage &message)
 {
     FieldWriter writer = startFrame(FrameKind::Response);
     writer.add(message.stream);
-    writer.add(std::uint64_t(message.verdict.outcome)).add(std::uint64_t(message.verdict.reason));
+    writer.add(std::uint64_t(message.verdict.outcome));
+    writer.add(std::uint64_t(compatibleReason(message.verdict.reason)));
     addDuration(writer, message.verdict.retryAfter);
     writer.add(message.unspent);
     addDuration(writer, message.serviceTime);
@@ -157,6 +204,8 @@
     writer.add(message.holder).add(std::uint64_t(message.response.status));
     addHeaders(writer, message.response.headers);
     writer.add(message.response.body);
+    addNotice(writer, message.notice);
+    writer.add(message.verdict.reason == Reason::RateLimited);
     return endFrame(writer);
 }
 
@@ -236,6 +285,7 @@
     if (!reader.isAtEnd()) {
         reader.read(message.account);
     }
+    readNotice(reader, message.notice);
     return message;
 }
 
@@ -254,6 +304,14 @@
     reader.read(message.response.status);
     readHeaders(reader, message.response.headers);
     reader.read(message.response.body);
+    readNotice(reader, message.notice);
+    bool isRateLimited = false;
+    if (!reader.isAtEnd()) {
+        reader.read(isRateLimited);
+    }
+    if (isRateLimited) {
+        message.verdict.reason = Reason::RateLimited;
+    }
     return message;
 }
 
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -12,6 +12,7 @@
 #include "state/member.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "state/upstreamnotice.h"
 #include "state/usage.h"
 
 namespace ivyspar {
@@ -63,6 +64,9 @@
     Fingerprint fingerprint;
     /// The caller's client account; empty if it has none or it is not known.
     AccountName account;
+    /// What the entry daemon has learned of the server from its earlier responses. The daemon of
+    /// the server's host may have been restarted since and not know it.
+    std::optional<UpstreamNotice> notice;
 };
 
 /// End of one attempt. Each `CallMessage` gets exactly one, unless the link is lost.
@@ -81,6 +85,9 @@
     TreeUsage usage;
     /// For reason `KeyBusy`: the daemon that holds the result of the key; empty if none.
     DaemonId holder;
+    /// What the server states about itself; without a run if there is nothing to heed. Nothing if
+    /// the daemon has not learned it yet.
+    std::optional<UpstreamNotice> notice;
 };
 
 /// The caller no longer waits. The call still ends with its `ResponseMessage`.
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -1,4 +1,5 @@
 #include "protocol/internal/peercodec.h"
+#include "protocol/internal/fieldcodec.h"
 
 #include <random>
 
@@ -142,3 +143,39 @@
     CHECK_FALSE(codec.decode(std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9)).has_value());
     CHECK_FALSE(codec.decode(std::string("\x5b\x7f\xff\xff\xff\xff\xff\xff\xff", 9)).has_value());
 }
+
+TEST(PeerCodec, NoticesAndTheRateLimitedReasonAreKept)
+{
+    const UpstreamNotice notice{ UpstreamId("i-7"), RequestRate(44900), true };
+    CallMessage call = makeCall();
+    call.notice = notice;
+    const auto decodedCall = codec.decode(codec.encode(call));
+    CHECK(*std::get<CallMessage>(*decodedCall).notice == notice);
+    ResponseMessage response = makeResponse();
+    response.verdict.reason = Reason::RateLimited;
+    response.notice = UpstreamNotice();
+    const auto decoded = codec.decode(codec.encode(response));
+    const auto &kept = std::get<ResponseMessage>(*decoded);
+    CHECK(kept.verdict.reason == Reason::RateLimited);
+    CHECK(*kept.notice == UpstreamNotice());
+}
+
+// Guards against links that daemons of an older version close because a frame has an unknown
+// reason.
+TEST(PeerCodec, RateLimitedReasonIsReadableForOlderDaemons)
+{
+    ResponseMessage response = makeResponse();
+    response.verdict.reason = Reason::RateLimited;
+    const std::string frame = codec.encode(response);
+    auto fields = FieldReader::open(frame);
+    std::uint8_t kind = 0;
+    fields->read(kind);
+    StreamId stream;
+    fields->read(stream);
+    Outcome outcome = Outcome::Answered;
+    fields->read(outcome, Outcome::Unknown);
+    Reason reason = Reason::None;
+    fields->read(reason, Reason::OverLimit);
+    CHECK(fields->isGood());
+    CHECK(reason == Reason::QueueFull);
+}
