Router: spread calls to limited servers by shares of their limits

What callers saw: with all servers of one failure domain limited to 20 of 300 demanded requests a second, one request in ten was refused while the servers of the other domain were free; a single limited server used 12 of its 20. Cause: entry daemons learned a limit only as refusals and a floor, which swing. Change: each entry keeps a share of a limited server's rate, equal at first, growing while the gate accepts its calls and shrinking with refusals. A server with an unused share is chosen first, one without is skipped as long as another is usable; if all are limited the gate decides by rank. A refusal for the limit is no error of the server.

--- a/src/app/tests/mocks/ratelimitedserver.h
+++ b/src/app/tests/mocks/ratelimitedserver.h
@@ -22,6 +22,20 @@
     return static_cast<std::size_t>(std::floor(TOLERANCE * requestsPerSecond * seconds + SLACK));
 }
 
+/// Maximum number of arrivals in any span of that length.
+inline std::size_t maxArrivalsIn(const std::vector<TimePoint> &arrivals, Duration span)
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < arrivals.size(); ++last) {
+        while (arrivals[last] - arrivals[first] >= span) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 /// A server that states a rate limit or its shutdown in its responses and records its arrivals.
 class RateLimitedServer : public IHttpClient
 {
@@ -53,18 +67,9 @@
         }
         return count;
     }
-    /// Maximum number of arrivals in any span of that length.
     std::size_t maxArrivalsIn(Duration span) const
     {
-        std::size_t most = 0;
-        std::size_t first = 0;
-        for (std::size_t last = 0; last < m_arrivals.size(); ++last) {
-            while (m_arrivals[last] - m_arrivals[first] >= span) {
-                ++first;
-            }
-            most = std::max(most, last - first + 1);
-        }
-        return most;
+        return ivyspar::maxArrivalsIn(m_arrivals, span);
     }
 
     HttpResult exchange(const Endpoint & /*endpoint*/, const HttpRequest & /*request*/,
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -49,6 +49,8 @@
     case Reason::ShuttingDown:
     case Reason::NoServer:
         return RouteFeedback::Draining;
+    case Reason::RateLimited:
+        return RouteFeedback::RateLimited;
     case Reason::ConnectFailed:
         return result.hasLoad ? RouteFeedback::UpstreamError : RouteFeedback::Unreachable;
     case Reason::Cancelled:
@@ -386,6 +388,9 @@
     if (result.hasLoad) {
         m_policies.router.onLoad(now, service, attempt.target, result.load);
     }
+    if (result.notice) {
+        m_policies.router.onNotice(now, service, attempt.target, *result.notice);
+    }
 }
 
 void EntryCall::scheduleHedge(TimePoint now)
--- a/src/coordination/calls/tests/mocks/fakerouter.h
+++ b/src/coordination/calls/tests/mocks/fakerouter.h
@@ -55,6 +55,11 @@
     {
     }
 
+    void onNotice(TimePoint /*now*/, const ServiceName & /*service*/, const DaemonId & /*daemon*/,
+                  const UpstreamNotice & /*notice*/) override
+    {
+    }
+
     Rank floor(TimePoint /*now*/, const ServiceName & /*service*/) const override { return lowest; }
 };
 
--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -25,6 +25,10 @@
 
 void Router::setMembers(TimePoint now, const std::vector<Member> &members)
 {
+    m_daemonCount = members.size();
+    m_ownDomainDaemonCount = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(),
+                      [this](const Member &member) { return member.domain == m_options.domain; }));
     std::set<std::pair<ServiceName, DaemonId>> present;
     std::set<ServiceName> known;
     for (const auto &[name, service] : m_services) {
@@ -88,7 +92,10 @@
         return choice;
     }
     const Query query{ now, request, found->second, random };
-    pickServer(query, &Router::isUsable, choice);
+    pickLimited(query, choice);
+    if (choice.daemon.value().empty()) {
+        pickServer(query, &Router::isUsable, choice);
+    }
     if (choice.daemon.value().empty()) {
         // Ejected servers are better than none: otherwise a fault seen on all of them would stop
         // the service until an ejection ends.
@@ -102,6 +109,19 @@
     return choice.daemon.value().empty() ? refusal(query) : choice;
 }
 
+void Router::pickLimited(const Query &query, RouteChoice &choice) const
+{
+    if (!query.request.fingerprint.value().empty()) {
+        return;
+    }
+    const Server *server =
+        nextServer(query, query.service.ownDomain, &Router::hasUnusedShare, nullptr);
+    if (server != nullptr && !server->isSaturated(query.now, query.service.latencyUs, m_options)) {
+        choice.daemon = server->daemon();
+        choice.why = "limited";
+    }
+}
+
 void Router::pickSuspectServer(const Query &query, Filter filter, RouteChoice &choice) const
 {
     const std::string &fingerprint = query.request.fingerprint.value();
@@ -185,10 +205,17 @@
     return std::find(excluded.begin(), excluded.end(), server.daemon()) != excluded.end();
 }
 
+bool Router::hasUnusedShare(const Query &query, const Server &server) const
+{
+    return server.rateShare().isLimited() && server.rateShare().hasToken(query.now)
+        && isUsable(query, server);
+}
+
 bool Router::isUsable(const Query &query, const Server &server) const
 {
-    return isReachable(query, server) && !server.isEjected(query.now)
-        && server.hasProbationCapacity();
+    const RateShare &share = server.rateShare();
+    return (share.hasToken(query.now) || share.isStale(query.now)) && isReachable(query, server)
+        && !server.isEjected(query.now) && server.hasProbationCapacity();
 }
 
 bool Router::isReachable(const Query &query, const Server &server) const
@@ -221,10 +248,10 @@
     return choice;
 }
 
-void Router::onSent(TimePoint /*now*/, const ServiceName &service, const DaemonId &daemon)
+void Router::onSent(TimePoint now, const ServiceName &service, const DaemonId &daemon)
 {
     if (Server *server = find(service, daemon)) {
-        server->onSent();
+        server->onSent(now);
     }
 }
 
@@ -274,6 +301,16 @@
     }
 }
 
+void Router::onNotice(TimePoint now, const ServiceName &service, const DaemonId &daemon,
+                      const UpstreamNotice &notice)
+{
+    if (Server *server = find(service, daemon)) {
+        // A server is used by the entries of its failure domain first.
+        const bool isOwn = m_options.prefersOwnDomain && server->domain() == m_options.domain;
+        server->onNotice(now, notice, isOwn ? m_ownDomainDaemonCount : m_daemonCount);
+    }
+}
+
 Rank Router::floor(TimePoint now, const ServiceName &service) const
 {
     const auto found = m_services.find(service);
--- a/src/coordination/routing/internal/router.h
+++ b/src/coordination/routing/internal/router.h
@@ -22,6 +22,8 @@
                RouteFeedback feedback, Duration latency) override;
     void onLoad(TimePoint now, const ServiceName &service, const DaemonId &daemon,
                 const LoadReport &load) override;
+    void onNotice(TimePoint now, const ServiceName &service, const DaemonId &daemon,
+                  const UpstreamNotice &notice) override;
     Rank floor(TimePoint now, const ServiceName &service) const override;
 
 private:
@@ -52,7 +54,10 @@
     bool mayEject(TimePoint now, const Service &service, const Server &candidate) const;
 
     bool isExcluded(const Query &query, const Server &server) const;
-    /// Reachable, not ejected, and not busy with a call on probation.
+    /// Usable, limited, and with a token of this entry's share for it.
+    bool hasUnusedShare(const Query &query, const Server &server) const;
+    /// Within this entry's share of its rate limit, reachable, not ejected, and not busy with a
+    /// call on probation.
     bool isUsable(const Query &query, const Server &server) const;
     /// Eligible, and reached by the latest call or due for a probe.
     bool isReachable(const Query &query, const Server &server) const;
@@ -65,6 +70,9 @@
     /// Returns the better of two random servers that pass the filter; nullptr if none does.
     const Server *pickBetter(const Query &query, const std::vector<Server *> &servers,
                              Filter filter, RouteChoice &choice) const;
+    /// Picks a limited server of the own failure domain whose limit is not used up, as the demand
+    /// beyond the limits can go to the others, but not the other way round.
+    void pickLimited(const Query &query, RouteChoice &choice) const;
     /// Picks the server by the request's fingerprint.
     void pickSuspectServer(const Query &query, Filter filter, RouteChoice &choice) const;
     void pickServer(const Query &query, Filter filter, RouteChoice &choice) const;
@@ -72,6 +80,8 @@
 
     RouterOptions m_options;
     std::unordered_map<ServiceName, Service> m_services;
+    std::size_t m_daemonCount = 1;
+    std::size_t m_ownDomainDaemonCount = 1;
 };
 
 } // namespace ivyspar
--- a/src/coordination/routing/internal/server.cpp
+++ b/src/coordination/routing/internal/server.cpp
@@ -95,6 +95,17 @@
     return m_errorPoints >= (isOnProbation() ? 1 : options.ejectErrorPoints);
 }
 
+void Server::onSent(TimePoint now)
+{
+    ++m_outstanding;
+    m_rateShare.onSent(now);
+}
+
+void Server::onNotice(TimePoint now, const UpstreamNotice &notice, std::size_t entries)
+{
+    m_rateShare.setLimit(now, notice.rateLimit, entries);
+}
+
 void Server::onEnd(TimePoint now, RouteFeedback feedback, Duration latency,
                    const RouterOptions &options)
 {
@@ -105,6 +116,13 @@
         return;
     }
     updateReachability(now, feedback, options);
+    if (feedback == RouteFeedback::RateLimited) {
+        m_rateShare.onRefused();
+        return;
+    }
+    if (feedback == RouteFeedback::Answered) {
+        m_rateShare.onAccepted();
+    }
     if (feedback == RouteFeedback::Draining) {
         m_isDraining = true;
         return;
--- a/src/coordination/routing/internal/server.h
+++ b/src/coordination/routing/internal/server.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "coordination/routing/internal/rateshare.h"
 #include "coordination/routing/irouter.h"
 #include "coordination/routing/routerfactory.h"
 
@@ -33,10 +34,13 @@
     /// Whether its consecutive errors justify an ejection.
     bool hasTooManyErrors(const RouterOptions &options) const;
 
-    void onSent() { ++m_outstanding; }
+    const RateShare &rateShare() const { return m_rateShare; }
+
+    void onSent(TimePoint now);
     void onEnd(TimePoint now, RouteFeedback feedback, Duration latency,
                const RouterOptions &options);
     void onLoad(TimePoint now, const LoadReport &load);
+    void onNotice(TimePoint now, const UpstreamNotice &notice, std::size_t entries);
     void eject(TimePoint now, const RouterOptions &options);
 
     /// Calls at the server divided by its capacity; 1 is full.
@@ -72,6 +76,7 @@
     Duration m_warmupTime;
     bool m_reportsCold = false;
 
+    RateShare m_rateShare;
     std::uint32_t m_outstanding = 0;
     bool m_hasReport = false;
     LoadReport m_report;
--- a/src/coordination/routing/irouter.h
+++ b/src/coordination/routing/irouter.h
@@ -9,6 +9,7 @@
 #include "state/member.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "state/upstreamnotice.h"
 
 namespace ivyspar {
 
@@ -46,6 +47,7 @@
     Answered,
     UpstreamError, ///< The upstream answered 5xx; must not look like low load.
     Refused,
+    RateLimited, ///< Refused because the server's rate limit is used up; not the server's fault.
     Draining,
     Unreachable,
     TimedOut,
@@ -70,6 +72,9 @@
     /// Records a load report of the daemon, which came with an answer or a probe.
     virtual void onLoad(TimePoint now, const ServiceName &service, const DaemonId &daemon,
                         const LoadReport &load) = 0;
+    /// Records what the server states about itself, which came with an answer.
+    virtual void onNotice(TimePoint now, const ServiceName &service, const DaemonId &daemon,
+                          const UpstreamNotice &notice) = 0;
     /// The lowest rank that the service's gates admit according to recent reports; decays with
     /// time. A call below it is refused at the entry before any attempt is spent.
     virtual Rank floor(TimePoint now, const ServiceName &service) const = 0;
