DocumentFollower test: no repeat of the request within the check

Cause: the test runs on the real clock, and its follower repeats a request after 1 ms, then reads the log and offers what it found. A pause of more than 1 ms before the check lets these four messages be sent as well. Evidence: with a pause of 30 ms in the test, 5 messages: two requests, three offers. The periodic offers that were suspected are not among them. Change: the time until the repeat is an hour in this test; what it checks is the same, and the repeat has tests of its own. Result: 1 message with the pause; 288 of 288 runs pass, 48 at a time.

--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -265,6 +265,8 @@
 TEST(DocumentFollower, NonReaderLearnsOfVersionsFromPeers)
 {
     makeNonReader();
+    // The clock is real: no repeat may be due before the check.
+    m_settings.offeredVersionTimeout = std::chrono::hours(1);
     m_log.write(STREAM, "newest", "7");
     start();
     CHECK(m_runner.reaches([this] { return !m_versions.empty(); }));
