WholeAnswers test: the raw upstream serves its connections independently

Cause: RawUpstream served one connection at a time, in the order of their opening, and waited for a request on one that the daemon keeps idle for 30 s. A request behind it was too late. Change: a thread for each connection; the end of the upstream ends them.

--- a/tests/process/wholeanswerstest.cpp
+++ b/tests/process/wholeanswerstest.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <thread>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -15,7 +16,7 @@
 namespace {
 
 /// An upstream that sends fixed bytes in answer to the first request of each connection and closes
-/// the connection.
+/// the connection. Connections are served independently, as the daemon keeps idle ones.
 class RawUpstream
 {
 public:
@@ -38,25 +39,42 @@
         shutdown(m_listener, SHUT_RDWR);
         m_thread.join();
         close(m_listener);
+        for (Connection &connection : m_connections) {
+            shutdown(connection.socket, SHUT_RDWR);
+            connection.thread.join();
+            close(connection.socket);
+        }
     }
 
     const Endpoint &endpoint() const { return m_endpoint; }
 
 private:
-    void run() const
+    struct Connection
+    {
+        int socket;
+        std::thread thread;
+    };
+
+    void run()
     {
         for (int client = accept(m_listener, nullptr, nullptr); client >= 0;
              client = accept(m_listener, nullptr, nullptr)) {
-            char request[4096];
-            (void)!recv(client, request, sizeof(request), 0);
-            (void)!send(client, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
-            close(client);
+            m_connections.push_back({ client, std::thread([this, client] { serve(client); }) });
         }
     }
 
+    void serve(int client) const
+    {
+        char request[4096];
+        (void)!recv(client, request, sizeof(request), 0);
+        (void)!send(client, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+        shutdown(client, SHUT_RDWR);
+    }
+
     std::string m_answer;
     int m_listener;
     Endpoint m_endpoint;
+    std::vector<Connection> m_connections;
     std::thread m_thread;
 };
 
