Rate limits: no work for them where no server states one

Cause: each response looked up the store of notices, each choice of a server drew a random number for the limited ones, and the gate averaged the calls of all servers; demand from before a limit counted against it for a second. Change: the store and the router return at once while nothing is limited; the gate counts calls only while its server is limited, from the beginning of that.

--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -88,7 +88,7 @@
     m_floor.onArrival(request.rank);
     if (request.admittedShare != DemandShare()) {
         m_demand.onArrival(now, request.admittedShare, Duration(std::llround(m_serviceTime)));
-        m_callDemand.add(now, ratioOf(WHOLE_DEMAND, request.admittedShare), RATE_DEMAND_TIME);
+        recordCallDemand(now, request.admittedShare);
     }
     m_queue.push(request);
     startWaiting(now, actions);
@@ -294,6 +294,9 @@
     GateActions actions;
     if (m_rate.isLimited() != limit.has_value()) {
         m_limit->endTrial();
+        // Earlier calls came for the whole capacity; counted as demand, they would make entry
+        // daemons refuse requests that other servers have room for.
+        m_callDemand = DemandRate();
     }
     m_rate.setLimit(now, limit);
     advance(now, actions);
@@ -313,6 +316,13 @@
     return m_rate.timeUntil(now, 0);
 }
 
+void Gate::recordCallDemand(TimePoint now, DemandShare admittedShare)
+{
+    if (m_rate.isLimited()) {
+        m_callDemand.add(now, ratioOf(WHOLE_DEMAND, admittedShare), RATE_DEMAND_TIME);
+    }
+}
+
 DemandLoad Gate::rateLoad(TimePoint now) const
 {
     if (!m_rate.isLimited()) {
--- a/src/coordination/admission/internal/gate.h
+++ b/src/coordination/admission/internal/gate.h
@@ -46,6 +46,7 @@
     void start(CallId id, GateActions &actions);
     void refuse(CallId id, Reason reason, GateActions &actions);
     void refuseForRate(TimePoint now, CallId id, GateActions &actions);
+    void recordCallDemand(TimePoint now, DemandShare admittedShare);
     DemandLoad rateLoad(TimePoint now) const;
     bool hasFreeSlot() const;
     std::uint32_t occupied() const;
@@ -61,7 +62,7 @@
     FloorControl m_floor;
     DemandEstimate m_demand;
     RateLimiter m_rate;
-    /// Demand for the upstream, in calls per second.
+    /// Demand for the upstream, in calls per second, while it states a rate limit.
     DemandRate m_callDemand;
     std::unordered_set<CallId> m_running;
     Releases m_held;
--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -111,11 +111,14 @@
 
 void Router::pickLimited(const Query &query, RouteChoice &choice) const
 {
-    if (!query.request.fingerprint.value().empty()) {
+    const auto &servers = query.service.ownDomain;
+    const bool isAnyLimited = std::any_of(servers.begin(), servers.end(), [](const Server *each) {
+        return each->rateShare().isLimited();
+    });
+    if (!isAnyLimited || !query.request.fingerprint.value().empty()) {
         return;
     }
-    const Server *server =
-        nextServer(query, query.service.ownDomain, &Router::hasUnusedShare, nullptr);
+    const Server *server = nextServer(query, servers, &Router::hasUnusedShare, nullptr);
     if (server != nullptr && !server->isSaturated(query.now, query.service.latencyUs, m_options)) {
         choice.daemon = server->daemon();
         choice.why = "limited";
--- a/src/coordination/upstreams/internal/noticestore.cpp
+++ b/src/coordination/upstreams/internal/noticestore.cpp
@@ -12,8 +12,12 @@
 void NoticeStore::store(const DaemonId &daemon, const ServiceName &service,
                         const UpstreamNotice &notice)
 {
+    const bool isTrivial = notice.run.value().empty();
+    if (isTrivial && m_notices.empty()) {
+        return;
+    }
     const auto key = std::make_pair(daemon, service);
-    if (notice.run.value().empty()) {
+    if (isTrivial) {
         m_notices.erase(key);
         return;
     }
@@ -26,6 +30,9 @@
 std::optional<UpstreamNotice> NoticeStore::find(const DaemonId &daemon,
                                                 const ServiceName &service) const
 {
+    if (m_notices.empty()) {
+        return std::nullopt;
+    }
     const auto found = m_notices.find(std::make_pair(daemon, service));
     return found == m_notices.end() ? std::nullopt : std::make_optional(found->second);
 }
