--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -15,9 +15,10 @@
     const char *sentence;
 };
 
-constexpr std::array<Explanation, 17> EXPLANATIONS{ {
+constexpr std::array<Explanation, 18> EXPLANATIONS{ {
     { "below-floor", "a call of its tree would have been lost at a service without free capacity" },
     { "queue-full", "the queue of the server's gate was full of calls that take precedence" },
+    { "rate-limited", "the server states that it takes only so many requests a second" },
     { "doomed", "the time left was shorter than the server usually takes" },
     { "deadline-exceeded", "its deadline had passed" },
     { "timeout", "no response came within the time-out of the route" },
@@ -107,6 +108,10 @@
         return " (the call tree of the rule was not known yet: " + numberOf(event, "under_way")
             + " in progress, window " + numberOf(event, "window") + ")";
     }
+    if (event.text("reason") == "rate-limited") {
+        return " (" + numberOf(event, "rate_per_s") + " a second; queued "
+            + numberOf(event, "queued") + ")";
+    }
     if (event.has("queued")) {
         return " (in flight " + numberOf(event, "in_flight") + " of " + numberOf(event, "limit")
             + ", queued " + numberOf(event, "queued") + ", left " + numberOf(event, "left_ms")
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -71,6 +71,9 @@
                         { "in_flight", static_cast<double>(call.load.inFlight) },
                         { "queued", static_cast<double>(call.load.queued) },
                         { "limit", static_cast<double>(call.load.limit) } };
+    if (call.rateLimit) {
+        decision.inputs.push_back({ "rate_per_s", toPerSecond(*call.rateLimit) });
+    }
     m_observers.decisions.write(std::move(decision));
 }
 
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "app/internal/gate/announcement.h"
 #include "app/internal/logs/observers.h"
@@ -20,6 +21,8 @@
     Duration waited{ 0 };
     Duration left{ 0 };
     LoadReport load;
+    /// The rate limit that the server states, if any.
+    std::optional<RequestRate> rateLimit;
 };
 
 /// Writes the decisions of a gate to the decision log. Traffic thread only.
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -745,10 +745,16 @@
 
 GatedCall GateService::stateOf(const Call &call) const
 {
-    return GatedCall{ call.message,
-                      std::chrono::duration_cast<Duration>(m_loop.now() - call.arrivedAt),
-                      std::chrono::duration_cast<Duration>(call.deadline - m_loop.now()),
-                      load(call.message.service) };
+    GatedCall state{ call.message,
+                     std::chrono::duration_cast<Duration>(m_loop.now() - call.arrivedAt),
+                     std::chrono::duration_cast<Duration>(call.deadline - m_loop.now()),
+                     load(call.message.service),
+                     {} };
+    const auto upstream = m_upstreams.find(call.message.service);
+    if (upstream != m_upstreams.end()) {
+        state.rateLimit = upstream->second.notices.notice().rateLimit;
+    }
+    return state;
 }
 
 void GateService::armTick(const ServiceName &service)
--- a/src/app/tests/explaintest.cpp
+++ b/src/app/tests/explaintest.cpp
@@ -43,6 +43,18 @@
 }
 ;
 
+// Guards against refusals whose cause operators find only in the server's own logs.
+TEST(Explain, RefusalForARateLimitNamesTheLimit)
+{
+    const std::string text = explain(
+        "00000000000000aa",
+        { refusal(R"("reason":"rate-limited","waited_ms":0.0,"queued":2,"rate_per_s":20.0)"),
+          refusal(R"("reason":"rate-limited")") });
+    STRCMP_CONTAINS("rate-limited: the server states that it takes only so many requests a second "
+                    "(20.0 a second; queued 2)",
+                    text.c_str());
+}
+
 // A request failed with 500. The entry's log shows only the server's error; the cause is in the log
 // of another host, where a call was refused by a full gate.
 TEST(Explain, FailureIsTracedToTheLostCall)
