Stand-ins: servers that state a rate limit, nonsense, or that they leave

Cause: nothing of ours named either, so no soak or process test could show that they are heeded. An announcement may name the server's run, so that a server that is replaced at its address is not taken for the one that left.

--- a/src/app/internal/gate/upstreammonitor.cpp
+++ b/src/app/internal/gate/upstreammonitor.cpp
@@ -87,7 +87,7 @@
     announcement.info.coldLeft = report.coldLeft;
     announcement.info.version = report.version;
     announcement.endpoint = report.endpoint;
-    announcement.instance = report.instance;
+    announcement.instance = report.instance.value().empty() ? report.run : report.instance;
     m_gates.announce(announcement);
 }
 
--- a/src/coordination/upstreams/upstreamreport.h
+++ b/src/coordination/upstreams/upstreamreport.h
@@ -20,6 +20,8 @@
 {
     /// Instance id; empty where servers of the deployment do not have one.
     UpstreamId instance;
+    /// Id of the server's run where it has no instance id; may be empty.
+    UpstreamId run;
     /// Distinguishes consecutive runs with the same instance id.
     UpstreamStart start;
     ServiceName service;
--- a/src/protocol/internal/announcementreader.cpp
+++ b/src/protocol/internal/announcementreader.cpp
@@ -9,7 +9,7 @@
 using Json = nlohmann::json;
 
 constexpr std::uint64_t MAX_SLOTS = 1000000;
-constexpr std::size_t MAX_VERSION_BYTES = 64;
+constexpr std::size_t MAX_NAME_BYTES = 64;
 
 tl::unexpected<Error> invalidReport(const std::string &text)
 {
@@ -37,9 +37,9 @@
     return !text.empty();
 }
 
-bool readVersion(const Json &document, std::string &version)
+bool readName(const Json &document, const char *key, std::string &name)
 {
-    return readText(document, "version", version) && version.size() <= MAX_VERSION_BYTES;
+    return readText(document, key, name) && name.size() <= MAX_NAME_BYTES;
 }
 
 } // namespace
@@ -72,10 +72,15 @@
         return invalidReport("\"connections\" must be a whole number from 1 to 1000000");
     }
     std::string version;
-    if (document.contains("version") && !readVersion(document, version)) {
+    if (document.contains("version") && !readName(document, "version", version)) {
         return invalidReport("\"version\" must be a string of 1 to 64 characters");
     }
     report.version = UpstreamVersion(version);
+    std::string run;
+    if (document.contains("run") && !readName(document, "run", run)) {
+        return invalidReport("\"run\" must be a string of 1 to 64 characters");
+    }
+    report.run = UpstreamId(run);
     const auto draining = document.find("draining");
     if (draining != document.end() && !draining->is_boolean()) {
         return invalidReport("\"draining\" must be true or false");
--- a/standins/history/faultschedule.cpp
+++ b/standins/history/faultschedule.cpp
@@ -10,15 +10,30 @@
 
 constexpr std::size_t FEWEST_FAULTS = 3;
 constexpr std::size_t MORE_FAULTS = 4;
-constexpr std::uint64_t KINDS = 13;
+constexpr std::uint64_t KINDS = 16;
+/// The schedule has a single fault of the kinds from here on, beside the others.
+constexpr std::uint64_t FIRST_NOTICE_KIND = 13;
+constexpr std::uint64_t NOTICE_SEED_OFFSET = 1000003;
 constexpr std::uint64_t LATEST_BEGIN_MS = 1200;
 constexpr std::uint64_t SHORTEST_MS = 100;
 constexpr std::uint64_t LONGER_MS = 1200;
 
-constexpr const char *NAMES[KINDS] = {
-    "kill",  "freeze",  "log-down", "log-silent", "log-slow", "answers-lost",    "stale-reads",
-    "drain", "failing", "slow",     "partition",  "crash",    "crashing-request"
-};
+constexpr const char *NAMES[KINDS] = { "kill",
+                                       "freeze",
+                                       "log-down",
+                                       "log-silent",
+                                       "log-slow",
+                                       "answers-lost",
+                                       "stale-reads",
+                                       "drain",
+                                       "failing",
+                                       "slow",
+                                       "partition",
+                                       "crash",
+                                       "crashing-request",
+                                       "rate-limit",
+                                       "odd-rate-limit",
+                                       "leaving" };
 
 /// Two signals for the life of one process would undo each other, and so would two partitions.
 bool isExclusive(const Fault &a, const Fault &b)
@@ -29,6 +44,18 @@
     return a.kind == b.kind || (isProcess(a) && isProcess(b) && a.host == b.host);
 }
 
+Fault makeNoticeFault(std::uint64_t seed, std::size_t hosts)
+{
+    SeededRandom random(seed + NOTICE_SEED_OFFSET);
+    Fault fault;
+    fault.kind =
+        static_cast<FaultKind>(FIRST_NOTICE_KIND + random.next() % (KINDS - FIRST_NOTICE_KIND));
+    fault.host = random.next() % hosts;
+    fault.begin = std::chrono::milliseconds(random.next() % LATEST_BEGIN_MS);
+    fault.end = fault.begin + std::chrono::milliseconds(SHORTEST_MS + random.next() % LONGER_MS);
+    return fault;
+}
+
 } // namespace
 
 const char *toText(FaultKind kind)
@@ -43,7 +70,7 @@
     std::vector<Fault> faults;
     while (faults.size() < count) {
         Fault fault;
-        fault.kind = static_cast<FaultKind>(random.next() % KINDS);
+        fault.kind = static_cast<FaultKind>(random.next() % FIRST_NOTICE_KIND);
         fault.host = random.next() % hosts;
         fault.begin = std::chrono::milliseconds(random.next() % LATEST_BEGIN_MS);
         fault.end =
@@ -55,6 +82,7 @@
             faults.push_back(fault);
         }
     }
+    faults.push_back(makeNoticeFault(seed, hosts));
     std::sort(faults.begin(), faults.end(),
               [](const Fault &a, const Fault &b) { return a.begin < b.begin; });
     return faults;
--- a/standins/history/faultschedule.h
+++ b/standins/history/faultschedule.h
@@ -22,6 +22,9 @@
     Partition, ///< A failure domain is cut off from the others.
     Crash, ///< A server crashes, and is back at the end.
     CrashingRequest, ///< A request that crashes its servers comes again and again.
+    RateLimit, ///< A server states a low rate limit.
+    OddRateLimit, ///< A server states text that is not a rate limit.
+    Leaving, ///< A server states that it leaves; another run follows at the end.
 };
 
 struct Fault
--- a/standins/history/historyrun.cpp
+++ b/standins/history/historyrun.cpp
@@ -164,6 +164,19 @@
             (void)m_trial.setBehaviour(
                 "", isOn ? R"({"crashToken":"crasher"})" : R"({"crashToken":""})");
             break;
+        case FaultKind::RateLimit:
+            behaviour(R"({"rateLimits":["0"]})", R"({"rateLimits":[]})");
+            break;
+        case FaultKind::OddRateLimit:
+            behaviour(R"({"rateLimits":["1e9","nan"]})", R"({"rateLimits":[]})");
+            break;
+        case FaultKind::Leaving:
+            behaviour(R"({"statesLeaving":true})", R"({"statesLeaving":false,"downTimeMs":200})");
+            if (!isOn) {
+                (void)m_trial.crash(host.name);
+                behaviour(R"({"downTimeMs":2000})", R"({"downTimeMs":2000})");
+            }
+            break;
         case FaultKind::Partition:
             m_trial.deployment().separate(isOn ? std::set<std::string>{ host.domain }
                                                : std::set<std::string>{});
@@ -189,6 +202,8 @@
         Violations found = checkAll(history, m_trial.graph());
         const Violations accused = checkAccused(history, CRASHER);
         found.insert(found.end(), accused.begin(), accused.end());
+        const Violations exceeded = m_trial.noticeViolations();
+        found.insert(found.end(), exceeded.begin(), exceeded.end());
         m_result.violations.insert(m_result.violations.end(), found.begin(), found.end());
     }
 
--- a/standins/history/trial.cpp
+++ b/standins/history/trial.cpp
@@ -132,6 +132,35 @@
     return answer ? static_cast<std::uint32_t>(std::strtoul(answer->body.c_str(), nullptr, 10)) : 0;
 }
 
+std::vector<std::string> Trial::noticeViolations()
+{
+    const auto answer = exchangeBlocking(m_deployment->upstreamControl(),
+                                         { "GET", "/notice-violations", {}, {} }, CONTROL_TIMEOUT);
+    if (!answer) {
+        return { "the servers' control does not answer" };
+    }
+    std::vector<std::string> violations;
+    std::istringstream lines(answer->body);
+    for (std::string line; std::getline(lines, line);) {
+        violations.push_back(line);
+    }
+    return violations;
+}
+
+std::uint64_t Trial::arrivalCount(const std::string &server)
+{
+    const auto answer = exchangeBlocking(m_deployment->upstreamControl(),
+                                         { "GET", "/arrivals", {}, {} }, CONTROL_TIMEOUT);
+    std::istringstream lines(answer ? answer->body : std::string());
+    std::string name;
+    for (std::uint64_t count = 0; lines >> name >> count;) {
+        if (name == server) {
+            return count;
+        }
+    }
+    return 0;
+}
+
 std::vector<StartedWork> Trial::starts()
 {
     const auto answer = exchangeBlocking(m_deployment->upstreamControl(),
--- a/standins/history/trial.h
+++ b/standins/history/trial.h
@@ -55,6 +55,10 @@
     bool crash(const std::string &server);
     /// Crashes of all servers so far.
     std::uint32_t crashCount();
+    /// A line for each time that a server got more than it had stated.
+    std::vector<std::string> noticeViolations();
+    /// Requests that arrived at the server so far.
+    std::uint64_t arrivalCount(const std::string &server);
     /// Work started so far.
     std::vector<StartedWork> starts();
     std::uint32_t startCount(const std::string &token);
--- a/standins/upstream/upstreamcommand.cpp
+++ b/standins/upstream/upstreamcommand.cpp
@@ -68,6 +68,8 @@
     behaviour.crashToken = document.value("crashToken", behaviour.crashToken);
     behaviour.crashDelay = readMillis(document, "crashDelayMs", behaviour.crashDelay);
     behaviour.downTime = readMillis(document, "downTimeMs", behaviour.downTime);
+    behaviour.rateLimits = document.value("rateLimits", behaviour.rateLimits);
+    behaviour.statesLeaving = document.value("statesLeaving", behaviour.statesLeaving);
     behaviour.failPath = document.value("failPath", behaviour.failPath);
     return behaviour;
 }
@@ -126,6 +128,29 @@
     return response;
 }
 
+/// A line for each time that a server got more than it had stated.
+HttpResponse listNoticeViolations(const Servers &servers)
+{
+    HttpResponse response;
+    for (const auto &server : servers) {
+        for (const std::string &violation : server->notices().violations()) {
+            response.body += server->spec().name + ": " + violation + '\n';
+        }
+    }
+    return response;
+}
+
+/// A line `server arrivals` for each server.
+HttpResponse listArrivals(const Servers &servers)
+{
+    HttpResponse response;
+    for (const auto &server : servers) {
+        response.body +=
+            server->spec().name + ' ' + std::to_string(server->notices().arrivals()) + '\n';
+    }
+    return response;
+}
+
 HttpResponse listExecutions(const Servers &servers)
 {
     HttpResponse response;
@@ -157,6 +182,12 @@
     if (request.method == "GET" && request.target == "/crashes") {
         return countCrashes(servers);
     }
+    if (request.method == "GET" && request.target == "/notice-violations") {
+        return listNoticeViolations(servers);
+    }
+    if (request.method == "GET" && request.target == "/arrivals") {
+        return listArrivals(servers);
+    }
     if (request.method == "POST" && request.target.rfind("/daemon", 0) == 0) {
         return moveDaemon(request, servers);
     }
--- a/standins/upstream/upstreamserver.cpp
+++ b/standins/upstream/upstreamserver.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/headers.h"
+#include "protocol/noticereader.h"
 #include "transport/transportfactory.h"
 
 namespace ivyspar::lab {
@@ -114,7 +115,38 @@
     m_client->setConnectionLimit(daemon, m_spec.slots * 4 + 16);
 }
 
+void UpstreamServer::crash()
+{
+    m_listener.crash(m_behaviour.downTime);
+    m_notices.startRun();
+}
+
 HttpResponse UpstreamServer::handle(IHttpExchange &exchange)
+{
+    m_notices.onArrival(m_loop.now());
+    HttpResponse response = answer(exchange);
+    stateNotice(response);
+    return response;
+}
+
+void UpstreamServer::stateNotice(HttpResponse &response)
+{
+    for (const std::string &limit : m_behaviour.rateLimits) {
+        response.headers.push_back({ headers::UPSTREAM_RATE_LIMIT, limit });
+    }
+    if (m_behaviour.statesLeaving) {
+        response.headers.push_back({ headers::UPSTREAM_LEAVING, "1" });
+    }
+    const ResponseNotice stated =
+        readNotice(response.headers, { headers::UPSTREAM_RATE_LIMIT, headers::UPSTREAM_LEAVING });
+    if (!stated.isRateLimitMalformed) {
+        const auto rate =
+            stated.rateLimit ? std::make_optional(toPerSecond(*stated.rateLimit)) : std::nullopt;
+        m_notices.onResponse(m_loop.now(), rate, stated.isLeaving);
+    }
+}
+
+HttpResponse UpstreamServer::answer(IHttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
     const auto [path, token] = splitToken(request.target);
@@ -243,6 +275,7 @@
         { "slots", m_behaviour.announcedSlots > 0 ? m_behaviour.announcedSlots : m_spec.slots },
         { "connections", m_spec.connections },
         { "draining", m_behaviour.isDraining },
+        { "run", m_spec.name + '-' + std::to_string(m_listener.crashCount()) },
     };
     HttpRequest request{
         "PUT", "/announce", { { "Content-Type", "application/json" } }, document.dump()
--- a/standins/upstream/upstreamserver.h
+++ b/standins/upstream/upstreamserver.h
@@ -8,6 +8,7 @@
 
 #include "standins/graph/callgraph.h"
 #include "standins/upstream/crashinglistener.h"
+#include "standins/upstream/noticejudge.h"
 #include "state/irandom.h"
 #include "transport/ieventloop.h"
 #include "transport/ihttpclient.h"
@@ -51,6 +52,10 @@
     /// for none.
     std::string crashToken;
     Duration crashDelay = std::chrono::milliseconds(60);
+    /// Rate limits that every response states, as texts of the header; usually one or none.
+    std::vector<std::string> rateLimits;
+    /// States in every response that it leaves.
+    bool statesLeaving = false;
     /// For how long the server is away after a crash.
     Duration downTime = std::chrono::seconds(2);
 };
@@ -77,7 +82,8 @@
     void setDaemon(const Endpoint &daemon);
     const UpstreamSpec &spec() const { return m_spec; }
     /// Ends as a process that crashes, and comes back after the time down of its behaviour.
-    void crash() { m_listener.crash(m_behaviour.downTime); }
+    void crash();
+    const NoticeJudge &notices() const { return m_notices; }
     std::uint32_t crashCount() const { return m_listener.crashCount(); }
     void setBehaviour(const UpstreamBehaviour &behaviour) { m_behaviour = behaviour; }
     const UpstreamBehaviour &behaviour() const { return m_behaviour; }
@@ -88,6 +94,8 @@
     struct Work;
 
     HttpResponse handle(IHttpExchange &exchange);
+    HttpResponse answer(IHttpExchange &exchange);
+    void stateNotice(HttpResponse &response);
     bool takeSlot(Work &work);
     void freeSlot();
     HttpResponse work(const GraphNode &node, const std::string &token, Work &work);
@@ -108,6 +116,7 @@
     std::uint32_t m_busy = 0;
     std::deque<OneShot<bool> *> m_waiting;
     std::vector<Execution> m_executions;
+    NoticeJudge m_notices;
     bool m_isStopped = false;
 };
 
