--- a/src/app/tests/ratelimitedfleettest.cpp
+++ b/src/app/tests/ratelimitedfleettest.cpp
@@ -54,6 +54,16 @@
     checkTwoLimited(0, 2);
 }
 
+// Guards against tokens of a small limit that are lost because the calls for it come in clusters.
+TEST(RateLimitedFleet, SmallLimitIsUsed)
+{
+    m_fleet.setLimit(3, 5);
+    m_fleet.run(WARM_UP, 300);
+    m_fleet.run(LENGTH, 300);
+    checkWindow(3, 5);
+    CHECK(used(3, 5) >= 0.95);
+}
+
 // Guards against requests that fail because all servers of their failure domain are limited.
 TEST(RateLimitedFleet, DemandOfALimitedFailureDomainGoesToOthers)
 {
--- a/src/coordination/admission/internal/ratelimiter.cpp
+++ b/src/coordination/admission/internal/ratelimiter.cpp
@@ -10,9 +10,9 @@
 /// Lowest rate, in requests per second. A server that accepts none is still asked now and then, as
 /// it could not lift its limit otherwise.
 constexpr double MIN_RATE = 0.5;
-/// Size of the bucket in time at the limit, beside one token: calls arrive in clusters, and timers
-/// fire late.
-constexpr double BURST_SECONDS = 0.25;
+/// Size of the bucket in time at the limit, beside one token: calls of several entry daemons arrive
+/// in clusters, and timers fire late.
+constexpr double BURST_SECONDS = 0.5;
 /// Time that a call may wait for a token; after that it is better off at another server.
 constexpr double MAX_WAIT_SECONDS = 0.1;
 /// A token that is complete but for rounding.
