ServerNotices tests: the statement is known before the load begins

A daemon that is short of processor time may read the first statement late and send calls that its server counts; the rule begins when the statement was passed on. The tests now wait for it by the status document; bounds are unchanged.

--- a/tests/process/servernoticestest.cpp
+++ b/tests/process/servernoticestest.cpp
@@ -3,6 +3,9 @@
 #include <string>
 #include <thread>
 
+#include <nlohmann/json.hpp>
+
+#include "standins/deployment/blockinghttp.h"
 #include "tests/process/failuretest.h"
 
 using namespace ivyspar;
@@ -28,7 +31,28 @@
             std::this_thread::sleep_until(start + gap * (i + 1));
         }
     }
-    std::uint32_t served() { return countServed(m_trial->history()); }
+    /// Makes the server state something and waits until its daemon has learned it from a response.
+    void makeState(std::size_t host, const char *behaviour)
+    {
+        CHECK(m_trial->setBehaviour(m_trial->host(host).name, behaviour));
+        CHECK(waitUntil([this, host] {
+            m_trial->callers().send(
+                m_trial->plan({ "desk", "GET", "/wait/2" }, 'n' + std::to_string(m_sent++), host));
+            m_trial->callers().waitForAll();
+            return hasNotice(host);
+        }));
+    }
+    bool hasNotice(std::size_t host)
+    {
+        const auto answer = exchangeBlocking(m_trial->host(host).operators,
+                                             { "GET", "/status", {}, {} }, std::chrono::seconds(5));
+        const auto status = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+        if (!status.is_object() || status["gates"].empty()) {
+            return false;
+        }
+        const auto &gate = status["gates"][0];
+        return gate["rate_limit_per_s"].is_number() || gate["leaving"] == true;
+    }
     void checkNotices() { checkNoViolations(m_trial->noticeViolations()); }
 
     std::uint32_t m_sent = 0;
@@ -40,11 +64,11 @@
 TEST(ServerNotices, LimitedServersGetNoMoreThanTheyState)
 {
     startTrial(makeTrialGraph(HOSTS), {}, false);
-    CHECK(m_trial->setBehaviour(m_trial->host(0).name, R"({"rateLimits":["20"]})"));
-    CHECK(m_trial->setBehaviour(m_trial->host(1).name, R"({"rateLimits":["0"]})"));
+    makeState(0, R"({"rateLimits":["20"]})");
+    makeState(1, R"({"rateLimits":["0"]})");
     sendFor(std::chrono::seconds(7), 200);
     checkNotices();
-    CHECK(served() > 0);
+    CHECK(countServed(m_trial->history()) > 0);
     CHECK(m_trial->arrivalCount(m_trial->host(0).name) > 0);
 }
 
@@ -53,7 +77,9 @@
 TEST(ServerNotices, LimitHoldsWhileTheServersDaemonIsKilledAgainAndAgain)
 {
     startTrial(makeTrialGraph(HOSTS), {}, false);
-    CHECK(m_trial->setBehaviour("", R"({"rateLimits":["5"]})"));
+    for (std::size_t host = 0; host < HOSTS; ++host) {
+        makeState(host, R"({"rateLimits":["5"]})");
+    }
     sendFor(std::chrono::seconds(2), 200);
     for (int i = 0; i < 3; ++i) {
         DeployedHost &host = m_trial->host(2);
@@ -72,8 +98,7 @@
 {
     startTrial(makeTrialGraph(HOSTS), {}, false);
     const std::string &name = m_trial->host(3).name;
-    CHECK(m_trial->setBehaviour(name, R"({"statesLeaving":true})"));
-    sendFor(std::chrono::seconds(2), 200);
+    makeState(3, R"({"statesLeaving":true})");
     const std::uint64_t before = m_trial->arrivalCount(name);
     CHECK(before > 0);
     sendFor(std::chrono::seconds(2), 200);
