Gate: what a run has stated does not bind the next run with its id

What callers saw: nothing yet. A server that is started again under its id after it had said that it leaves would get no calls any more. Cause: notices were kept by the id alone; the registry tells such runs apart by their start. Evidence: RateLimitedServer.NextRunWithTheSameIdIsNotLeaving fails with the id alone. Change: the run's id for notices includes the start that was reported. A run that left is remembered even if its announcements had said so before. Result: the test passes; an announcement of the earlier run is still refused.

--- a/src/app/internal/gate/announcement.h
+++ b/src/app/internal/gate/announcement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 #include "coordination/quarantine/suspect.h"
 #include "state/endpoint.h"
 #include "state/ids.h"
@@ -14,12 +16,20 @@
     Endpoint endpoint;
     /// Id of the server's run; empty if servers do not report one.
     UpstreamId instance;
+    /// Distinguishes consecutive runs with the same id.
+    UpstreamStart start = {};
 };
 
-/// Id of the server's run, or its address if servers do not report one.
+/// Identifies the server's run by its id and start, or by its address if servers report no id.
 inline UpstreamId runIdOf(const Announcement &server)
 {
-    return server.instance.value().empty() ? UpstreamId(server.endpoint.text()) : server.instance;
+    if (server.instance.value().empty()) {
+        return UpstreamId(server.endpoint.text());
+    }
+    if (server.start == UpstreamStart()) {
+        return server.instance;
+    }
+    return UpstreamId(server.instance.value() + '@' + std::to_string(server.start.value()));
 }
 
 inline ServerKind kindOf(const Announcement &server)
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -84,11 +84,12 @@
     Upstream &upstream = m_upstreams[service];
     const UpstreamInfo before = upstream.announcement.info;
     const bool hasMoved = upstream.announcement.endpoint != announcement.endpoint;
-    const bool isOtherRun = upstream.announcement.instance != announcement.instance;
+    const bool isOtherRun = upstream.announcement.instance != announcement.instance
+        || upstream.announcement.start != announcement.start;
     upstream.announcement = announcement;
     const UpstreamNotice noticeBefore = upstream.notices.notice();
     upstream.notices.setRun(runIdOf(announcement));
-    if (hasLeft(announcement.instance)) {
+    if (hasLeft(announcement)) {
         upstream.notices.setLeaving();
     }
     // What the server states in its responses goes before what it announces.
@@ -650,14 +651,17 @@
 {
     const std::optional<RequestRate> limit = upstream.notices.notice().rateLimit;
     perform(service, upstream.gate->setRateLimit(m_loop.now(), limit));
-    if (upstream.notices.notice().isLeaving && !upstream.announcement.info.draining) {
+    if (!upstream.notices.notice().isLeaving) {
+        return;
+    }
+    rememberLeaving(upstream.announcement);
+    if (!upstream.announcement.info.draining) {
         stopSending(service, upstream);
     }
 }
 
 void GateService::stopSending(const ServiceName &service, Upstream &upstream)
 {
-    rememberLeaving(upstream.announcement.instance);
     upstream.announcement.info.draining = true;
     upstream.isEndPlanned = true;
     upstream.gate->setDraining(true);
@@ -670,20 +674,22 @@
     return !upstream.isWithdrawn && !upstream.notices.notice().isLeaving;
 }
 
-void GateService::rememberLeaving(const UpstreamId &instance)
+/// An address alone may belong to the next run.
+void GateService::rememberLeaving(const Announcement &server)
 {
-    if (instance.value().empty() || hasLeft(instance)) {
+    if (server.instance.value().empty() || hasLeft(server)) {
         return;
     }
-    m_leavingRuns.push_back(instance);
+    m_leavingRuns.push_back(runIdOf(server));
     if (m_leavingRuns.size() > MAX_LEAVING_RUNS) {
         m_leavingRuns.pop_front();
     }
 }
 
-bool GateService::hasLeft(const UpstreamId &instance) const
+bool GateService::hasLeft(const Announcement &server) const
 {
-    return std::find(m_leavingRuns.begin(), m_leavingRuns.end(), instance) != m_leavingRuns.end();
+    return std::find(m_leavingRuns.begin(), m_leavingRuns.end(), runIdOf(server))
+        != m_leavingRuns.end();
 }
 
 bool GateService::isEndPlanned(const ServiceName &service)
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -162,8 +162,8 @@
     void stopSending(const ServiceName &service, Upstream &upstream);
     /// Whether calls may be sent to the announced run.
     static bool acceptsCalls(const Upstream &upstream);
-    void rememberLeaving(const UpstreamId &instance);
-    bool hasLeft(const UpstreamId &instance) const;
+    void rememberLeaving(const Announcement &server);
+    bool hasLeft(const Announcement &server) const;
     bool isEndPlanned(const ServiceName &service);
     void recordSend(const ServiceName &service, const RunResult &run);
     bool maySendAgain(const ServiceName &service, const Announcement &server, CallId id);
--- a/src/app/internal/gate/upstreammonitor.cpp
+++ b/src/app/internal/gate/upstreammonitor.cpp
@@ -88,6 +88,7 @@
     announcement.info.version = report.version;
     announcement.endpoint = report.endpoint;
     announcement.instance = report.instance.value().empty() ? report.run : report.instance;
+    announcement.start = report.start;
     m_gates.announce(announcement);
 }
 
--- a/src/app/tests/ratelimitedservertest.cpp
+++ b/src/app/tests/ratelimitedservertest.cpp
@@ -55,10 +55,11 @@
                                                 GateServiceOptions{});
         announce("i-1");
     }
-    void announce(const std::string &run)
+    void announce(const std::string &run, std::uint64_t start = 0)
     {
         const Endpoint endpoint{ "127.0.0.1", 9000 };
-        m_gates->announce(Announcement{ { SERVICE, 237, 1500, false }, endpoint, UpstreamId(run) });
+        m_gates->announce(Announcement{
+            { SERVICE, 237, 1500, false }, endpoint, UpstreamId(run), UpstreamStart(start) });
     }
     void send(CallMessage call = {})
     {
@@ -248,6 +249,22 @@
     CHECK(m_gates->load(SERVICE).draining);
 }
 
+// Guards against a server that gets no calls any more because a run with its id has left.
+TEST(RateLimitedServer, NextRunWithTheSameIdIsNotLeaving)
+{
+    announce("i-1", 7);
+    m_server.stateLeaving();
+    send();
+    m_server.stopLeaving();
+    announce("i-1", 8);
+    const std::size_t before = m_server.arrivals();
+    send();
+    CHECK_EQUAL(before + 1, m_server.arrivals());
+    announce("i-1", 7);
+    send();
+    CHECK_EQUAL(before + 1, m_server.arrivals());
+}
+
 // Guards against calls that wait at a leaving server until they are too late for another one.
 TEST(RateLimitedServer, WaitingCallsAreRefusedWhenItLeaves)
 {
