Retries: important calls outrank others at a limited gate too

What callers saw: with all servers limited to 20 a second and 360 demanded, 5 of 100 important requests were refused, although they were a fifth of the demand and the limits had room for a third. Cause: a call that a full gate refused may be retried without a token if less important ones were refused lately; a refusal for the rate limit did not count as one by a full gate, and the less important calls had used up the tokens. Change: both refusals count as being outranked.

--- a/src/app/tests/mocks/ratelimitedfleet.h
+++ b/src/app/tests/mocks/ratelimitedfleet.h
@@ -28,6 +28,8 @@
     {
         std::uint32_t requests = 0;
         std::uint32_t served = 0;
+        std::uint32_t importantRequests = 0;
+        std::uint32_t importantServed = 0;
         /// Attempts that a gate refused.
         std::uint32_t refusedAttempts = 0;
         /// Requests that ended as not run without a time to come back.
@@ -51,8 +53,9 @@
         m_hosts[host].limit = perSecond;
     }
     /// Plays that demand and returns what became of it; arrivals of earlier runs are forgotten.
-    Totals run(Duration length, double requestsPerSecond)
+    Totals run(Duration length, double requestsPerSecond, double importantShare = 0)
     {
+        m_importantShare = importantShare;
         m_totals = Totals();
         for (Host &host : m_hosts) {
             host.arrivals.clear();
@@ -91,7 +94,8 @@
 
         AttemptBudget budget;
         EntryCall call;
-        std::size_t entry = 0;
+        Rank rank;
+        bool isImportant = false;
     };
     using RequestPtr = std::shared_ptr<Request>;
     /// An attempt while it is at a gate.
@@ -149,12 +153,18 @@
         options.rule.service = service();
         options.rule.attempts = AttemptCount(3);
         options.rule.repetition = Repetition::Idempotent;
-        options.rank = makeRank(Priority(50), Depth(0), RootId(m_random.next()));
+        const bool isImportant = m_importantShare > 0 && m_random.unit() < m_importantShare;
+        const Priority priority(isImportant ? 90 : 50);
+        options.rank = makeRank(priority, Depth(0), RootId(m_random.next()));
+        options.rule.priority = priority;
+        const Rank rank = options.rank;
         options.deadline = m_loop.now() + std::chrono::seconds(1);
         auto request = std::make_shared<Request>(
             EntryPolicies{ *host.router, *host.retries, m_random }, std::move(options));
-        request->entry = entry;
+        request->rank = rank;
+        request->isImportant = isImportant;
         ++m_totals.requests;
+        m_totals.importantRequests += isImportant ? 1 : 0;
         perform(request, request->call.start(m_loop.now()));
     }
 
@@ -167,14 +177,16 @@
                 m_loop.callLater(LINK_DELAY, [this, target, attempt] { arrive(target, attempt); });
             }
             if (action.type == EntryActionType::Finish) {
-                end(action.verdict);
+                end(*request, action.verdict);
             }
         }
     }
 
-    void end(const Verdict &verdict)
+    void end(const Request &request, const Verdict &verdict)
     {
-        m_totals.served += verdict.outcome == Outcome::Answered ? 1 : 0;
+        const bool isServed = verdict.outcome == Outcome::Answered;
+        m_totals.served += isServed ? 1 : 0;
+        m_totals.importantServed += isServed && request.isImportant ? 1 : 0;
         const bool isNotRun = verdict.outcome == Outcome::NotRun;
         m_totals.endsWithoutRetryAfter +=
             isNotRun && verdict.retryAfter <= Duration::zero() ? 1 : 0;
@@ -184,7 +196,7 @@
     {
         const CallId id(++m_lastCall);
         m_attempts.emplace(id, attempt);
-        const GateRequest request{ id, makeRank(Priority(50), Depth(0), RootId(id.value())),
+        const GateRequest request{ id, attempt.request->rank,
                                    m_loop.now() + std::chrono::seconds(1), WHOLE_DEMAND };
         carryOut(target, m_hosts[target].gate->offer(m_loop.now(), request));
     }
@@ -259,6 +271,7 @@
     std::vector<Host> m_hosts;
     std::map<CallId, Attempt> m_attempts;
     std::uint64_t m_lastCall = 0;
+    double m_importantShare = 0;
     Totals m_totals;
 };
 
--- a/src/app/tests/ratelimitedfleettest.cpp
+++ b/src/app/tests/ratelimitedfleettest.cpp
@@ -94,6 +94,17 @@
     CHECK_EQUAL(0, totals.endsWithoutRetryAfter);
 }
 
+// Guards against important requests that are refused for others while all servers are limited.
+TEST(RateLimitedFleet, ImportantRequestsAreServedFirstWhenAllServersAreLimited)
+{
+    for (std::size_t host = 0; host < HOSTS; ++host) {
+        m_fleet.setLimit(host, 20);
+    }
+    m_fleet.run(WARM_UP, 360, 0.2);
+    const auto totals = m_fleet.run(LENGTH, 360, 0.2);
+    CHECK(totals.importantServed >= 0.95 * totals.importantRequests);
+}
+
 // Guards against a server that gets too little, or learns a lower capacity, after its limit is
 // lifted.
 TEST(RateLimitedFleet, ServersAreFullyUsedOneSecondAfterTheLimitIsLifted)
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -34,6 +34,12 @@
     }
 }
 
+/// Whether a gate refused the call because others took its server's slots or rate limit.
+bool isOutranked(Reason reason)
+{
+    return reason == Reason::QueueFull || reason == Reason::RateLimited;
+}
+
 bool isSafeToRepeat(const RetryQuery &query)
 {
     switch (query.verdict.outcome) {
@@ -108,7 +114,7 @@
 bool RetryPolicy::outranksOthers(TimePoint now, const Service &service,
                                  const RetryQuery &query) const
 {
-    if (query.verdict.reason != Reason::QueueFull) {
+    if (!isOutranked(query.verdict.reason)) {
         return false;
     }
     const auto end = service.refusedAt.lower_bound(query.priority);
@@ -143,7 +149,7 @@
 bool RetryPolicy::shouldRetry(TimePoint now, const RetryQuery &query)
 {
     Service &service = serviceOf(query.service);
-    if (query.verdict.reason == Reason::QueueFull) {
+    if (isOutranked(query.verdict.reason)) {
         service.refusedAt[query.priority] = now;
     }
     if (!isRetryable(query)) {
