--- a/src/coordination/routing/internal/rateshare.cpp
+++ b/src/coordination/routing/internal/rateshare.cpp
@@ -59,7 +59,7 @@
         return;
     }
     if (!hasToken(now)) {
-        ++m_beyondShare;
+        ++m_callsBeyondShare;
         m_confirmedAt = now;
         return;
     }
@@ -67,25 +67,25 @@
     m_updatedAt = now;
 }
 
-bool RateShare::wasBeyondShare()
+bool RateShare::takeCallBeyondShare()
 {
-    if (m_beyondShare == 0) {
+    if (m_callsBeyondShare == 0) {
         return false;
     }
-    --m_beyondShare;
+    --m_callsBeyondShare;
     return true;
 }
 
 void RateShare::onAccepted()
 {
-    if (isLimited() && !wasBeyondShare()) {
+    if (isLimited() && !takeCallBeyondShare()) {
         m_share = std::min(m_share * GROWTH, limit());
     }
 }
 
 void RateShare::onRefused()
 {
-    if (isLimited() && !wasBeyondShare()) {
+    if (isLimited() && !takeCallBeyondShare()) {
         m_share = std::max(m_share * DECREASE, m_minShare);
     }
 }
--- a/src/coordination/routing/internal/rateshare.h
+++ b/src/coordination/routing/internal/rateshare.h
@@ -17,21 +17,26 @@
 class RateShare
 {
 public:
-    /// The server states this limit now, or none. `entries`: number of entry daemons.
+    /// Applies the limit that the server states; nothing if it states none. `entries`: number of
+    /// entry daemons that share it.
     void setLimit(TimePoint now, std::optional<RequestRate> limit, std::size_t entries);
     bool isLimited() const { return m_limit.has_value(); }
     bool hasToken(TimePoint now) const;
     /// Whether the limit was not confirmed for so long that a call may find out whether it holds.
     bool isStale(TimePoint now) const;
+    /// A call was sent; takes a token if there is one.
     void onSent(TimePoint now);
+    /// The server's gate let a call start.
     void onAccepted();
+    /// The server's gate refused a call as its limit is used up.
     void onRefused();
 
 private:
     double limit() const { return toPerSecond(*m_limit); }
     double tokens(TimePoint now) const;
-    /// Whether the call that ended was sent without a token and so says nothing about the share.
-    bool wasBeyondShare();
+    /// Counts off a call that was sent without a token, as it says nothing about the share. Returns
+    /// false if there is none.
+    bool takeCallBeyondShare();
 
     std::optional<RequestRate> m_limit;
     /// Calls per second.
@@ -40,7 +45,8 @@
     double m_tokens = 0;
     TimePoint m_updatedAt;
     TimePoint m_confirmedAt;
-    std::uint32_t m_beyondShare = 0;
+    /// Calls in flight that were sent without a token.
+    std::uint32_t m_callsBeyondShare = 0;
 };
 
 } // namespace ivyspar
--- a/src/coordination/routing/internal/server.h
+++ b/src/coordination/routing/internal/server.h
@@ -40,6 +40,7 @@
     void onEnd(TimePoint now, RouteFeedback feedback, Duration latency,
                const RouterOptions &options);
     void onLoad(TimePoint now, const LoadReport &load);
+    /// Applies what the server states. `entries`: number of entry daemons that share its limit.
     void onNotice(TimePoint now, const UpstreamNotice &notice, std::size_t entries);
     void eject(TimePoint now, const RouterOptions &options);
 
