Notices: no strings built for each response

Cause: each response compared its headers with names that were built anew, and the run's id was joined to compare it. Change: the dialects hold the names; runs are compared by their fields.

--- a/src/app/internal/gate/announcement.h
+++ b/src/app/internal/gate/announcement.h
@@ -32,6 +32,14 @@
     return UpstreamId(server.instance.value() + '@' + std::to_string(server.start.value()));
 }
 
+inline bool isSameRun(const Announcement &a, const Announcement &b)
+{
+    if (a.instance != b.instance || a.start != b.start) {
+        return false;
+    }
+    return !a.instance.value().empty() || a.endpoint == b.endpoint;
+}
+
 inline ServerKind kindOf(const Announcement &server)
 {
     return ServerKind{ server.info.service, server.info.version };
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -589,7 +589,7 @@
                                 const HttpResponse &response)
 {
     Upstream *upstream = findUpstream(server.info.service);
-    if (!upstream || runIdOf(upstream->announcement) != runIdOf(server)) {
+    if (!upstream || !isSameRun(upstream->announcement, server)) {
         return;
     }
     const ResponseNotice stated = m_dialect.readNotice(response);
--- a/src/protocol/internal/ownupstreamdialect.cpp
+++ b/src/protocol/internal/ownupstreamdialect.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
 constexpr char NOT_RUN[] = "not-run";
+const NoticeHeaders NOTICE_HEADERS{ headers::UPSTREAM_RATE_LIMIT, headers::UPSTREAM_LEAVING };
 
 } // namespace
 
@@ -52,8 +53,7 @@
 
 ResponseNotice OwnUpstreamDialect::readNotice(const HttpResponse &response) const
 {
-    return ivyspar::readNotice(response.headers,
-                               { headers::UPSTREAM_RATE_LIMIT, headers::UPSTREAM_LEAVING });
+    return ivyspar::readNotice(response.headers, NOTICE_HEADERS);
 }
 
 UpstreamId OwnUpstreamDialect::readInstance(const HttpResponse & /*response*/) const
--- a/src/protocol/noticereader.h
+++ b/src/protocol/noticereader.h
@@ -12,8 +12,8 @@
 /// Names of the headers in which servers state a notice.
 struct NoticeHeaders
 {
-    const char *rateLimit;
-    const char *leaving;
+    std::string rateLimit;
+    std::string leaving;
 };
 
 /// Reads digits with an optional fraction after a point. Nothing for all other text, such as signs,
