--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -146,6 +146,35 @@
     }
 }
 
+void addObjective(FieldWriter &writer, const std::optional<Duration> &objectiveLeft)
+{
+    writer.add(objectiveLeft.has_value());
+    addDuration(writer, objectiveLeft.value_or(Duration::zero()));
+}
+
+/// Frames of older daemons end before these fields.
+void readObjective(FieldReader &reader, std::optional<Duration> &objectiveLeft)
+{
+    if (reader.isAtEnd()) {
+        return;
+    }
+    bool isPresent = false;
+    Duration left{ 0 };
+    reader.read(isPresent);
+    readDuration(reader, left);
+    if (isPresent) {
+        objectiveLeft = left;
+    }
+}
+
+/// Not with the other fields of the load: older daemons read these up to their last one.
+void readSpeed(FieldReader &reader, LoadReport &load)
+{
+    if (!reader.isAtEnd()) {
+        reader.read(load.speed);
+    }
+}
+
 std::string encodeOne(const HelloMessage &message)
 {
     FieldWriter writer = startFrame(FrameKind::Hello);
@@ -181,6 +210,7 @@
     addOnce(writer, message.once);
     writer.add(message.fingerprint).add(message.account);
     addNotice(writer, message.notice);
+    addObjective(writer, message.objectiveLeft);
     return endFrame(writer);
 }
 
@@ -206,6 +236,7 @@
     writer.add(message.response.body);
     addNotice(writer, message.notice);
     writer.add(message.verdict.reason == Reason::RateLimited);
+    writer.add(message.load.speed);
     return endFrame(writer);
 }
 
@@ -228,6 +259,7 @@
     FieldWriter writer = startFrame(FrameKind::Load);
     writer.add(message.stream).add(message.service);
     addLoad(writer, message.load);
+    writer.add(message.load.speed);
     return endFrame(writer);
 }
 
@@ -286,6 +318,7 @@
         reader.read(message.account);
     }
     readNotice(reader, message.notice);
+    readObjective(reader, message.objectiveLeft);
     return message;
 }
 
@@ -312,6 +345,7 @@
     if (isRateLimited) {
         message.verdict.reason = Reason::RateLimited;
     }
+    readSpeed(reader, message.load);
     return message;
 }
 
@@ -329,6 +363,7 @@
     reader.read(message.stream);
     reader.read(message.service);
     readLoad(reader, message.load);
+    readSpeed(reader, message.load);
     return message;
 }
 
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -67,6 +67,9 @@
     /// What the entry daemon has learned of the server from its earlier responses. The daemon of
     /// the server's host may have been restarted since and not know it.
     std::optional<UpstreamNotice> notice;
+    /// Time left, when this frame was sent, until the latency objective of the root request; zero
+    /// if it has passed, nothing if the root's rule sets none or the sender does not know it.
+    std::optional<Duration> objectiveLeft = {};
 };
 
 /// End of one attempt. Each `CallMessage` gets exactly one, unless the link is lost.
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -160,6 +160,23 @@
     CHECK(*kept.notice == UpstreamNotice());
 }
 
+TEST(PeerCodec, ObjectiveAndSpeedAreKept)
+{
+    CallMessage call = makeCall();
+    call.objectiveLeft = std::chrono::milliseconds(120);
+    const auto decodedCall = codec.decode(codec.encode(call));
+    CHECK(std::get<CallMessage>(*decodedCall).objectiveLeft == std::chrono::milliseconds(120));
+    const auto without = codec.decode(codec.encode(makeCall()));
+    CHECK_FALSE(std::get<CallMessage>(*without).objectiveLeft.has_value());
+    ResponseMessage response = makeResponse();
+    response.load.speed = SpeedShare(400);
+    const auto decoded = codec.decode(codec.encode(response));
+    CHECK(std::get<ResponseMessage>(*decoded).load.speed == SpeedShare(400));
+    LoadMessage load{ StreamId(3), ServiceName("cassa"), response.load };
+    const auto decodedLoad = codec.decode(codec.encode(load));
+    CHECK(std::get<LoadMessage>(*decodedLoad).load.speed == SpeedShare(400));
+}
+
 // Guards against links that daemons of an older version close because a frame has an unknown
 // reason.
 TEST(PeerCodec, RateLimitedReasonIsReadableForOlderDaemons)
--- a/src/state/load.h
+++ b/src/state/load.h
@@ -7,6 +7,10 @@
 
 namespace ivyspar {
 
+/// Speed at which a server works compared to its usual one, in thousandths; 0 if it is not known.
+using SpeedShare = StrongType<std::uint32_t, struct SpeedShareTag>;
+constexpr SpeedShare USUAL_SPEED{ 1000 };
+
 /// Load of a gate; sent with every response of its daemon.
 struct LoadReport
 {
@@ -21,6 +25,8 @@
     DemandLoad demand;
     /// The server accepts no new calls.
     bool draining = false;
+    /// Speed of the server, by its own statement as far as the gate trusts it.
+    SpeedShare speed = {};
 };
 
 } // namespace ivyspar
