Rate limits: one token bucket for gates and entries

RateLimiter (gate) and RateShare (entry) each counted tokens of their own, with the same refill and the same bounds. Both now use TokenBucket; what differs (lowest rate, length of a burst, the limit and its share) stays with them. A token that is complete but for rounding now counts at entries too, as it did at gates.

--- a/src/coordination/admission/internal/ratelimiter.cpp
+++ b/src/coordination/admission/internal/ratelimiter.cpp
@@ -1,7 +1,6 @@
 #include "coordination/admission/internal/ratelimiter.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace ivyspar {
 
@@ -15,37 +14,25 @@
 constexpr double BURST_SECONDS = 0.5;
 /// Time that a call may wait for a token; after that it is better off at another server.
 constexpr double MAX_WAIT_SECONDS = 0.1;
-/// A token that is complete but for rounding.
-constexpr double ALMOST_ONE = 1 - 1e-6;
 
 } // namespace
 
 void RateLimiter::setLimit(TimePoint now, std::optional<RequestRate> limit)
 {
     if (!limit) {
-        m_rate.reset();
+        m_bucket.reset();
         return;
     }
-    m_tokens = m_rate ? tokens(now) : 0;
-    m_updatedAt = now;
-    m_rate = std::max(toPerSecond(*limit), MIN_RATE);
-    m_tokens = std::min(m_tokens, capacity());
-}
-
-double RateLimiter::capacity() const
-{
-    return 1 + BURST_SECONDS * rate();
-}
-
-double RateLimiter::tokens(TimePoint now) const
-{
-    const double passed = std::max(toSeconds(now - m_updatedAt), 0.0);
-    return std::min(m_tokens + rate() * passed, capacity());
+    if (!m_bucket) {
+        m_bucket.emplace(BURST_SECONDS);
+    }
+    m_bucket->advance(now);
+    m_bucket->setRate(std::max(toPerSecond(*limit), MIN_RATE));
 }
 
 bool RateLimiter::hasToken(TimePoint now) const
 {
-    return !isLimited() || tokens(now) >= ALMOST_ONE;
+    return !m_bucket || m_bucket->hasToken(now);
 }
 
 bool RateLimiter::tryTake(TimePoint now)
@@ -59,26 +46,19 @@
 
 void RateLimiter::charge(TimePoint now)
 {
-    if (!isLimited()) {
-        return;
+    if (m_bucket) {
+        m_bucket->take(now);
     }
-    m_tokens = tokens(now) - 1;
-    m_updatedAt = now;
 }
 
 Duration RateLimiter::timeUntil(TimePoint now, std::size_t requests) const
 {
-    if (!isLimited()) {
-        return Duration::zero();
-    }
-    constexpr double MICROS_PER_SECOND = 1e6;
-    const double missing = std::max(static_cast<double>(requests) - tokens(now), 0.0);
-    return Duration(std::llround(std::ceil(missing / rate() * MICROS_PER_SECOND)));
+    return m_bucket ? m_bucket->timeUntil(now, requests) : Duration::zero();
 }
 
 TimePoint RateLimiter::nextTokenAt() const
 {
-    return m_updatedAt + timeUntil(m_updatedAt, 1);
+    return m_bucket ? m_bucket->nextTokenAt() : TimePoint();
 }
 
 std::size_t RateLimiter::maxWaiting() const
--- a/src/coordination/admission/internal/ratelimiter.h
+++ b/src/coordination/admission/internal/ratelimiter.h
@@ -4,22 +4,23 @@
 #include <optional>
 
 #include "state/time.h"
+#include "state/tokenbucket.h"
 #include "state/upstreamnotice.h"
 
 namespace ivyspar {
 
 /// Paces the requests to a server that states a rate limit. Plain object.
 ///
-/// A token bucket that is empty at first and holds little: a full one would be spent at once after
-/// an idle time, and another one after a restart of this daemon.
+/// The bucket is empty at first: a full one would be spent at once after each restart of this
+/// daemon.
 class RateLimiter
 {
 public:
     /// Nothing: no limit.
     void setLimit(TimePoint now, std::optional<RequestRate> limit);
-    bool isLimited() const { return m_rate.has_value(); }
+    bool isLimited() const { return m_bucket.has_value(); }
     /// Requests per second; a rate close to 0 is raised, as only a response can lift the limit.
-    double rate() const { return m_rate.value_or(0); }
+    double rate() const { return m_bucket ? m_bucket->rate() : 0; }
 
     /// Takes a token for a request. Returns false if there is none.
     bool tryTake(TimePoint now);
@@ -34,12 +35,7 @@
     std::size_t maxWaiting() const;
 
 private:
-    double tokens(TimePoint now) const;
-    double capacity() const;
-
-    std::optional<double> m_rate;
-    double m_tokens = 0;
-    TimePoint m_updatedAt;
+    std::optional<TokenBucket> m_bucket;
 };
 
 } // namespace ivyspar
--- a/src/coordination/routing/internal/rateshare.cpp
+++ b/src/coordination/routing/internal/rateshare.cpp
@@ -11,8 +11,6 @@
 constexpr double DECREASE = 0.7;
 /// Lower bound of the share, relative to an equal one.
 constexpr double MIN_SHARE = 0.125;
-/// Size of the bucket beside one token, in time at the share.
-constexpr double BURST_SECONDS = 0.25;
 /// A lifted limit is noticed within this time, however small the share is.
 constexpr Duration CONFIRMATION_TIME = std::chrono::seconds(2);
 
@@ -28,24 +26,17 @@
         *this = RateShare();
         return;
     }
-    const double before = m_limit ? m_share / std::max(this->limit(), 1e-3) : 0;
-    m_tokens = m_limit ? tokens(now) : 0;
-    m_updatedAt = now;
+    const double before = m_limit ? m_bucket.rate() / std::max(this->limit(), 1e-3) : 0;
+    m_bucket.advance(now);
     const double equal = 1 / static_cast<double>(std::max<std::size_t>(entries, 1));
     m_limit = limit;
     m_minShare = MIN_SHARE * equal * this->limit();
-    m_share = (before > 0 ? before : equal) * this->limit();
-}
-
-double RateShare::tokens(TimePoint now) const
-{
-    const double passed = std::max(toSeconds(now - m_updatedAt), 0.0);
-    return std::min(m_tokens + m_share * passed, 1 + BURST_SECONDS * m_share);
+    m_bucket.setRate((before > 0 ? before : equal) * this->limit());
 }
 
 bool RateShare::hasToken(TimePoint now) const
 {
-    return !isLimited() || tokens(now) >= 1;
+    return !isLimited() || m_bucket.hasToken(now);
 }
 
 bool RateShare::isStale(TimePoint now) const
@@ -63,8 +54,7 @@
         m_confirmedAt = now;
         return;
     }
-    m_tokens = tokens(now) - 1;
-    m_updatedAt = now;
+    m_bucket.take(now);
 }
 
 bool RateShare::takeCallBeyondShare()
@@ -79,14 +69,14 @@
 void RateShare::onAccepted()
 {
     if (isLimited() && !takeCallBeyondShare()) {
-        m_share = std::min(m_share * GROWTH, limit());
+        m_bucket.setRate(std::min(m_bucket.rate() * GROWTH, limit()));
     }
 }
 
 void RateShare::onRefused()
 {
     if (isLimited() && !takeCallBeyondShare()) {
-        m_share = std::max(m_share * DECREASE, m_minShare);
+        m_bucket.setRate(std::max(m_bucket.rate() * DECREASE, m_minShare));
     }
 }
 
--- a/src/coordination/routing/internal/rateshare.h
+++ b/src/coordination/routing/internal/rateshare.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "state/time.h"
+#include "state/tokenbucket.h"
 #include "state/upstreamnotice.h"
 
 namespace ivyspar {
@@ -32,18 +33,18 @@
     void onRefused();
 
 private:
+    /// Size of the bucket beside one token, in time at the share.
+    static constexpr double BURST_SECONDS = 0.25;
+
     double limit() const { return toPerSecond(*m_limit); }
-    double tokens(TimePoint now) const;
     /// Counts off a call that was sent without a token, as it says nothing about the share. Returns
     /// false if there is none.
     bool takeCallBeyondShare();
 
     std::optional<RequestRate> m_limit;
-    /// Calls per second.
-    double m_share = 0;
+    /// Its rate is the share, in calls per second.
+    TokenBucket m_bucket{ BURST_SECONDS };
     double m_minShare = 0;
-    double m_tokens = 0;
-    TimePoint m_updatedAt;
     TimePoint m_confirmedAt;
     /// Calls in flight that were sent without a token.
     std::uint32_t m_callsBeyondShare = 0;
