GateService: what servers state is a class of its own

GateService read, kept and logged servers' notices beside running calls, and remembered runs that leave. UpstreamStatements does so now, one for each upstream; LeavingRuns holds the runs that leave; NoticeTracker makes the notice for entries. The fake fleet in the tests uses the latter in place of its own copy. No change of behaviour.

--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -19,9 +19,6 @@
 /// are refused, fewer than 2 in 100 calls fail.
 constexpr int MAX_SENDS = 6;
 
-/// Far more than the runs that a host can have within their lifetimes.
-constexpr std::size_t MAX_LEAVING_RUNS = 64;
-
 /// Time over which the rate of sends to a server is averaged for the metrics.
 constexpr Duration SEND_RATE_TIME = std::chrono::seconds(4);
 
@@ -87,13 +84,13 @@
     const bool isOtherRun = upstream.announcement.instance != announcement.instance
         || upstream.announcement.start != announcement.start;
     upstream.announcement = announcement;
-    const UpstreamNotice noticeBefore = upstream.notices.notice();
-    upstream.notices.setRun(runIdOf(announcement));
-    if (hasLeft(announcement)) {
-        upstream.notices.setLeaving();
+    if (isNew) {
+        upstream.statements = std::make_unique<UpstreamStatements>(
+            m_dialect, m_recorder, m_observers.metrics, m_leavingRuns);
     }
+    const bool isNoticeChanged = upstream.statements->onAnnounced(announcement);
     // What the server states in its responses goes before what it announces.
-    const bool isDraining = announcement.info.draining || upstream.notices.notice().isLeaving;
+    const bool isDraining = announcement.info.draining || upstream.statements->notice().isLeaving;
     upstream.announcement.info.draining = isDraining;
     m_crashes.onAnnounced(announcement);
     upstream.announcedAt = now;
@@ -103,7 +100,7 @@
         upstream.tickTimer =
             std::make_unique<WakeTimer>(m_loop, [this, service] { tick(service); });
     }
-    if (!isNew && !(upstream.notices.notice() == noticeBefore)) {
+    if (!isNew && isNoticeChanged) {
         applyNotice(service, upstream);
     }
     const bool isChanged = isNew || isOtherRun || before.slots != announcement.info.slots
@@ -153,7 +150,8 @@
     const TimePoint now = m_loop.now();
     std::vector<GateStatus> statuses;
     for (const auto &[service, upstream] : m_upstreams) {
-        statuses.push_back(GateStatus{ service, upstream.gate->load(now), upstream.notices.notice(),
+        statuses.push_back(GateStatus{ service, upstream.gate->load(now),
+                                       upstream.statements->notice(),
                                        upstream.sends.rate(now, SEND_RATE_TIME) });
     }
     return statuses;
@@ -187,8 +185,8 @@
         refuseCall(id, Verdict{ Outcome::NotRun, Reason::NoServer, Duration::zero() });
         return id;
     }
-    if (call.message.notice) {
-        applyForwarded(*upstream, call.message);
+    if (upstream->statements->onForwarded(upstream->announcement, call.message)) {
+        applyNotice(service, *upstream);
     }
     if (call.deadline > m_endsAt) {
         // If the load reported with the refusal did not say that the service is draining, the entry
@@ -570,7 +568,7 @@
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
     m_parents->onEnd(m_loop.now(), id);
     if (result && isFromRun(m_dialect.classify(*result))) {
-        applyResponse(server, root, sentAt, *result);
+        applyResponse(server, { *result, root, sentAt });
     }
     const bool isCrash = m_crashes.hasCrashed(server, result, isEndPlanned(server.info.service));
     RunResult run =
@@ -585,47 +583,17 @@
     return run;
 }
 
-void GateService::applyResponse(const Announcement &server, RootId root, TimePoint sentAt,
-                                const HttpResponse &response)
+void GateService::applyResponse(const Announcement &server, const StatedResponse &response)
 {
     Upstream *upstream = findUpstream(server.info.service);
     if (!upstream || !isSameRun(upstream->announcement, server)) {
         return;
     }
-    const ResponseNotice stated = m_dialect.readNotice(response);
-    const UpstreamNotice before = upstream->notices.notice();
-    if (stated.isRateLimitMalformed) {
-        m_observers.metrics.add(Counter::NoticesMalformed);
-    }
-    if (upstream->notices.shouldReportMalformed(stated)) {
-        m_recorder.recordMalformedNotice(server, root);
-    }
-    if (upstream->notices.onResponse(sentAt, m_loop.now(), stated)) {
-        m_recorder.recordNotice(server, root, before, upstream->notices.notice(), "response");
+    if (upstream->statements->onResponse(server, m_loop.now(), response)) {
         applyNotice(server.info.service, *upstream);
     }
 }
 
-void GateService::applyForwarded(Upstream &upstream, const CallMessage &message)
-{
-    const UpstreamNotice before = upstream.notices.notice();
-    if (!upstream.notices.onForwarded(*message.notice)) {
-        return;
-    }
-    m_recorder.recordNotice(upstream.announcement, message.root, before, upstream.notices.notice(),
-                            "forwarded");
-    applyNotice(message.service, upstream);
-}
-
-std::optional<UpstreamNotice> GateService::noticeFor(const Upstream &upstream)
-{
-    if (!upstream.notices.isKnown()) {
-        return std::nullopt;
-    }
-    const UpstreamNotice &notice = upstream.notices.notice();
-    return notice.rateLimit || notice.isLeaving ? notice : UpstreamNotice();
-}
-
 Duration GateService::reserveHealthCheck(const ServiceName &service, const UpstreamId &instance)
 {
     Upstream *upstream = findUpstream(service);
@@ -643,19 +611,15 @@
     const Upstream *upstream = findUpstream(service);
     if (upstream && upstream->announcement.instance == instance) {
         const Announcement server = upstream->announcement;
-        applyResponse(server, RootId(), sentAt, response);
+        applyResponse(server, { response, RootId(), sentAt });
     }
 }
 
 void GateService::applyNotice(const ServiceName &service, Upstream &upstream)
 {
-    const std::optional<RequestRate> limit = upstream.notices.notice().rateLimit;
+    const std::optional<RequestRate> limit = upstream.statements->notice().rateLimit;
     perform(service, upstream.gate->setRateLimit(m_loop.now(), limit));
-    if (!upstream.notices.notice().isLeaving) {
-        return;
-    }
-    rememberLeaving(upstream.announcement);
-    if (!upstream.announcement.info.draining) {
+    if (upstream.statements->notice().isLeaving && !upstream.announcement.info.draining) {
         stopSending(service, upstream);
     }
 }
@@ -671,25 +635,7 @@
 
 bool GateService::acceptsCalls(const Upstream &upstream)
 {
-    return !upstream.isWithdrawn && !upstream.notices.notice().isLeaving;
-}
-
-/// An address alone may belong to the next run.
-void GateService::rememberLeaving(const Announcement &server)
-{
-    if (server.instance.value().empty() || hasLeft(server)) {
-        return;
-    }
-    m_leavingRuns.push_back(runIdOf(server));
-    if (m_leavingRuns.size() > MAX_LEAVING_RUNS) {
-        m_leavingRuns.pop_front();
-    }
-}
-
-bool GateService::hasLeft(const Announcement &server) const
-{
-    return std::find(m_leavingRuns.begin(), m_leavingRuns.end(), runIdOf(server))
-        != m_leavingRuns.end();
+    return !upstream.isWithdrawn && !upstream.statements->notice().isLeaving;
 }
 
 bool GateService::isEndPlanned(const ServiceName &service)
@@ -742,7 +688,7 @@
              { ServiceUsage{ call.message.service, answer.serviceTime, answer.load.demand,
                              upstream ? upstream->loss.share() : LossShare() } });
     if (upstream) {
-        answer.notice = noticeFor(*upstream);
+        answer.notice = upstream->statements->forwardedNotice();
     }
     const ServiceName service = call.message.service;
     call.reply(std::move(answer));
@@ -758,7 +704,7 @@
                      {} };
     const auto upstream = m_upstreams.find(call.message.service);
     if (upstream != m_upstreams.end()) {
-        state.rateLimit = upstream->second.notices.notice().rateLimit;
+        state.rateLimit = upstream->second.statements->notice().rateLimit;
     }
     return state;
 }
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,6 +14,7 @@
 #include "app/internal/gate/ionceservice.h"
 #include "app/internal/gate/runresult.h"
 #include "app/internal/gate/suspectgate.h"
+#include "app/internal/gate/upstreamstatements.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/looplag.h"
 #include "app/internal/quarantine/iquarantine.h"
@@ -25,7 +25,7 @@
 #include "coordination/admission/processorload.h"
 #include "coordination/calls/iparentfinder.h"
 #include "coordination/retries/ilocalretrybudget.h"
-#include "coordination/upstreams/noticetracker.h"
+#include "coordination/upstreams/leavingruns.h"
 #include "protocol/iupstreamdialect.h"
 #include "state/irandom.h"
 #include "state/result.h"
@@ -121,7 +121,7 @@
         /// say that the service is draining, so that entries choose other daemons.
         bool reportsDraining = false;
         LossEstimate loss;
-        NoticeTracker notices;
+        std::unique_ptr<UpstreamStatements> statements;
         DemandRate sends;
         std::unique_ptr<ILocalRetryBudget> retryBudget;
     };
@@ -149,21 +149,14 @@
     /// Sends the call, and again while the server refuses it and the retry budget allows it.
     RunResult sendToServer(const ServiceName &service, const Announcement &server, CallId id);
     RunResult exchange(const Announcement &server, CallId id, const Call &call);
-    /// Applies what the server states in its response to that request.
-    void applyResponse(const Announcement &server, RootId root, TimePoint sentAt,
-                       const HttpResponse &response);
-    /// Applies what the entry daemon of that call has learned of the server.
-    void applyForwarded(Upstream &upstream, const CallMessage &message);
-    /// The notice for an entry daemon; nothing if it is not known here.
-    static std::optional<UpstreamNotice> noticeFor(const Upstream &upstream);
+    /// Applies what the server states in its response.
+    void applyResponse(const Announcement &server, const StatedResponse &response);
     /// Makes the gate heed the server's notice.
     void applyNotice(const ServiceName &service, Upstream &upstream);
     /// Sends no more calls to the run, which has stated that it leaves.
     void stopSending(const ServiceName &service, Upstream &upstream);
     /// Whether calls may be sent to the announced run.
     static bool acceptsCalls(const Upstream &upstream);
-    void rememberLeaving(const Announcement &server);
-    bool hasLeft(const Announcement &server) const;
     bool isEndPlanned(const ServiceName &service);
     void recordSend(const ServiceName &service, const RunResult &run);
     bool maySendAgain(const ServiceName &service, const Announcement &server, CallId id);
@@ -204,9 +197,7 @@
     std::unordered_map<ServiceName, Upstream> m_upstreams;
     std::unordered_map<CallId, Call> m_calls;
     std::unique_ptr<IParentFinder> m_parents;
-    /// Runs that have stated that they leave, oldest first. Such a run may be announced again after
-    /// its upstream was removed.
-    std::deque<UpstreamId> m_leavingRuns;
+    LeavingRuns m_leavingRuns;
     TimerId m_sweepTimer;
     bool m_isDraining = false;
     TimePoint m_endsAt = TimePoint::max();
--- a/src/app/tests/mocks/ratelimitedfleet.h
+++ b/src/app/tests/mocks/ratelimitedfleet.h
@@ -257,9 +257,7 @@
         result.hasLoad = true;
         result.status = verdict.outcome == Outcome::Answered ? 200 : 0;
         result.hasReachedUpstream = verdict.outcome == Outcome::Answered;
-        if (m_hosts[target].notices.isKnown()) {
-            result.notice = m_hosts[target].notices.notice();
-        }
+        result.notice = m_hosts[target].notices.forwardedNotice();
         m_loop.callLater(LINK_DELAY, [this, attempt, result] {
             perform(attempt.request,
                     attempt.request->call.onEnd(m_loop.now(), attempt.index, result));
--- a/src/coordination/upstreams/internal/noticetracker.cpp
+++ b/src/coordination/upstreams/internal/noticetracker.cpp
@@ -49,6 +49,14 @@
     return !(m_notice == before);
 }
 
+std::optional<UpstreamNotice> NoticeTracker::forwardedNotice() const
+{
+    if (!m_hasResponse && !m_isForwarded) {
+        return std::nullopt;
+    }
+    return m_notice.rateLimit || m_notice.isLeaving ? m_notice : UpstreamNotice();
+}
+
 bool NoticeTracker::shouldReportMalformed(const ResponseNotice &response)
 {
     return response.isRateLimitMalformed && !std::exchange(m_hasReportedMalformed, true);
--- a/src/coordination/upstreams/noticetracker.h
+++ b/src/coordination/upstreams/noticetracker.h
@@ -30,8 +30,9 @@
     bool shouldReportMalformed(const ResponseNotice &response);
 
     const UpstreamNotice &notice() const { return m_notice; }
-    /// Whether a response of this run, or another daemon, has told the notice.
-    bool isKnown() const { return m_hasResponse || m_isForwarded; }
+    /// The notice for an entry daemon; empty if there is nothing to heed, nothing if neither a
+    /// response of this run nor another daemon has told it.
+    std::optional<UpstreamNotice> forwardedNotice() const;
 
 private:
     bool mayApply(TimePoint sentAt, const ResponseNotice &response) const;
--- a/src/coordination/upstreams/tests/noticetrackertest.cpp
+++ b/src/coordination/upstreams/tests/noticetrackertest.cpp
@@ -107,7 +107,7 @@
     CHECK(limit() == SLOW);
     m_tracker.setRun(UpstreamId("i-2"));
     CHECK(!limit());
-    CHECK_FALSE(m_tracker.isKnown());
+    CHECK(!m_tracker.forwardedNotice());
 }
 
 // Guards against a restarted daemon that sends at full rate to a server whose limit all others
