--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -86,6 +86,15 @@
     return isNumber ? event.fields[field].get<double>() : fallback;
 }
 
+std::string statedLoadText(const HistoryEvent &event)
+{
+    if (!event.has("server_speed")) {
+        return "";
+    }
+    return "; by its statements the server works at " + numberOf(event, "server_speed")
+        + " of its usual speed and has " + numberOf(event, "other_calls") + " other calls";
+}
+
 std::string decisionInputsText(const HistoryEvent &event)
 {
     if (event.has("crashes")) {
@@ -115,7 +124,7 @@
     if (event.has("queued")) {
         return " (in flight " + numberOf(event, "in_flight") + " of " + numberOf(event, "limit")
             + ", queued " + numberOf(event, "queued") + ", left " + numberOf(event, "left_ms")
-            + " ms)";
+            + " ms" + statedLoadText(event) + ")";
     }
     return "";
 }
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -34,6 +34,7 @@
 constexpr double THOUSANDTHS = 1000;
 /// Value of the metric while no server of this host states a limit; 0 is a limit.
 constexpr std::int64_t NO_RATE_LIMIT = -1;
+constexpr std::int64_t NO_SPEED = -1;
 
 HttpResponse makeAnswer(std::uint16_t status, const char *type, std::string body)
 {
@@ -321,12 +322,17 @@
     LoadReport sum;
     std::optional<RequestRate> rateLimit;
     double sends = 0;
+    SpeedShare lowestSpeed;
     for (const GateStatus &gate : traffic.gates) {
         sum.inFlight += gate.load.inFlight;
         sum.queued += gate.load.queued;
         sum.limit += gate.load.limit;
         sum.floor = std::max(sum.floor, gate.load.floor);
         sends += gate.sendsPerSecond;
+        const bool isLowest = lowestSpeed == SpeedShare() || gate.load.speed < lowestSpeed;
+        if (gate.load.speed != SpeedShare() && isLowest) {
+            lowestSpeed = gate.load.speed;
+        }
         if (gate.notice.rateLimit) {
             rateLimit = RequestRate(rateLimit.value_or(RequestRate()).value()
                                     + gate.notice.rateLimit->value());
@@ -338,6 +344,8 @@
     metrics.set(Gauge::GateFloorPriority, priorityOf(sum.floor).value());
     metrics.set(Gauge::GateRateLimit,
                 rateLimit ? static_cast<std::int64_t>(rateLimit->value()) : NO_RATE_LIMIT);
+    metrics.set(Gauge::GateServerSpeed,
+                lowestSpeed == SpeedShare() ? NO_SPEED : std::int64_t(lowestSpeed.value()));
     metrics.set(Gauge::GateSendRate, std::llround(sends * THOUSANDTHS));
     return makeAnswer(OK, "text/plain; version=0.0.4", metrics.text());
 }
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -46,6 +46,23 @@
     };
 }
 
+Json makeStatedLoad(const StatedLoadStatus &status)
+{
+    Json document{ { "running", status.load.running },
+                   { "waiting", status.load.waiting },
+                   { "slots", status.load.slots },
+                   { "age_ms", toMillis(status.age) } };
+    if (status.load.workTime) {
+        document["work_time_percent"] = status.load.workTime->value();
+        document["unchanged_s"] = toSeconds(status.unchangedFor);
+    }
+    if (status.heededSpeed != SpeedShare()) {
+        document["heeded_speed"] = toRatio(status.heededSpeed);
+        document["heeded_other_calls"] = status.otherCalls;
+    }
+    return document;
+}
+
 Json makeGate(const GateStatus &gate)
 {
     const LoadReport &load = gate.load;
@@ -60,6 +77,7 @@
                    { "sends_per_s", gate.sendsPerSecond } };
     document["rate_limit_per_s"] =
         gate.notice.rateLimit ? Json(toPerSecond(*gate.notice.rateLimit)) : Json();
+    document["stated_load"] = gate.stated ? makeStatedLoad(*gate.stated) : Json();
     return document;
 }
 
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -490,6 +490,7 @@
     call.admittedShare = isFirst ? incoming.admittedShare : DemandShare();
     call.isRepeat = incoming.isRepeat || !isFirst;
     call.granted = action.granted;
+    call.mayGoElsewhere = action.mayGoElsewhere;
     call.once = incoming.once;
     call.request = incoming.request;
     call.fingerprint = incoming.fingerprint;
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -74,6 +74,10 @@
     if (call.rateLimit) {
         decision.inputs.push_back({ "rate_per_s", toPerSecond(*call.rateLimit) });
     }
+    if (call.serverLoad.isKnown(call.now)) {
+        decision.inputs.push_back({ "server_speed", call.serverLoad.relativeSpeed(call.now) });
+        decision.inputs.push_back({ "other_calls", call.serverLoad.otherCallsAt(call.now) });
+    }
     m_observers.decisions.write(std::move(decision));
 }
 
@@ -117,13 +121,13 @@
     m_observers.decisions.write(std::move(decision));
 }
 
-void GateRecorder::recordMalformedNotice(const Announcement &server, RootId root)
+void GateRecorder::recordBadStatement(const Announcement &server, RootId root, const char *outcome)
 {
     if (!m_observers.decisions.isEnabled()) {
         return;
     }
     Decision decision = makeNoticeDecision(server, root);
-    decision.outcome = "malformed-rate-limit";
+    decision.outcome = outcome;
     m_observers.decisions.write(std::move(decision));
 }
 
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -9,6 +9,7 @@
 #include "state/ids.h"
 #include "state/load.h"
 #include "state/outcome.h"
+#include "state/serverload.h"
 #include "state/time.h"
 #include "state/upstreamnotice.h"
 
@@ -23,6 +24,9 @@
     LoadReport load;
     /// The rate limit that the server states, if any.
     std::optional<RequestRate> rateLimit;
+    /// What the gate goes by of the server's load statements.
+    ServerLoad serverLoad = {};
+    TimePoint now = {};
 };
 
 /// Writes the decisions of a gate to the decision log. Traffic thread only.
@@ -49,8 +53,9 @@
     /// literal: `response`, or `forwarded` by the entry daemon.
     void recordNotice(const Announcement &server, RootId root, const UpstreamNotice &before,
                       const UpstreamNotice &notice, const char *source);
-    /// Logs that the response to that request stated a malformed rate limit.
-    void recordMalformedNotice(const Announcement &server, RootId root);
+    /// Logs that a part of what the response to that request stated is not heeded. `outcome` is a
+    /// string literal.
+    void recordBadStatement(const Announcement &server, RootId root, const char *outcome);
     /// Counts and logs a server that ended without announcing its shutdown.
     void recordCrash(const Announcement &server);
 
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -88,6 +88,7 @@
         upstream.statements = std::make_unique<UpstreamStatements>(
             m_dialect, m_recorder, m_observers.metrics, m_leavingRuns);
     }
+    const bool hadSpeed = upstream.statements->hasStatedSpeed();
     const bool isNoticeChanged = upstream.statements->onAnnounced(announcement);
     // What the server states in its responses goes before what it announces.
     const bool isDraining = announcement.info.draining || upstream.statements->notice().isLeaving;
@@ -103,6 +104,9 @@
     if (!isNew && isNoticeChanged) {
         applyNotice(service, upstream);
     }
+    if (hadSpeed && !upstream.statements->hasStatedSpeed()) {
+        perform(service, upstream.gate->setServerLoad(now, ServerLoad()));
+    }
     const bool isChanged = isNew || isOtherRun || before.slots != announcement.info.slots
         || before.connections != announcement.info.connections || before.draining != isDraining;
     // A server that was restarted on another port may differ in nothing but its endpoint. Without
@@ -150,9 +154,9 @@
     const TimePoint now = m_loop.now();
     std::vector<GateStatus> statuses;
     for (const auto &[service, upstream] : m_upstreams) {
-        statuses.push_back(GateStatus{ service, upstream.gate->load(now),
-                                       upstream.statements->notice(),
-                                       upstream.sends.rate(now, SEND_RATE_TIME) });
+        statuses.push_back(GateStatus{
+            service, upstream.gate->load(now), upstream.statements->notice(),
+            upstream.sends.rate(now, SEND_RATE_TIME), upstream.statements->stated(now) });
     }
     return statuses;
 }
@@ -237,9 +241,10 @@
         return;
     }
     perform(service,
-            upstream->gate->offer(
-                m_loop.now(),
-                GateRequest{ id, call.message.rank, call.deadline, call.message.admittedShare }));
+            upstream->gate->offer(m_loop.now(),
+                                  GateRequest{ id, call.message.rank, call.deadline,
+                                               call.message.admittedShare,
+                                               call.message.mayGoElsewhere }));
 }
 
 bool GateService::passesSuspectGate(CallId id, const Upstream &upstream)
@@ -561,14 +566,16 @@
     const AccountName account = call.message.account;
     const RootId root = call.message.root;
     const TimePoint sentAt = m_loop.now();
+    TrackedCall tracked;
     if (Upstream *upstream = findUpstream(server.info.service)) {
         upstream->sends.add(sentAt, 1, SEND_RATE_TIME);
+        tracked = upstream->statements->startCall(sentAt, upstream->gate->load(sentAt).inFlight);
     }
     m_parents->onStart(id, call.message.rule, m_loop.now() + remaining);
     HttpResult result = m_client.exchange(server.endpoint, request, remaining, cancellation);
     m_parents->onEnd(m_loop.now(), id);
     if (result && isFromRun(m_dialect.classify(*result))) {
-        applyResponse(server, { *result, root, sentAt });
+        applyResponse(server, { *result, root, sentAt, &tracked });
     }
     const bool isCrash = m_crashes.hasCrashed(server, result, isEndPlanned(server.info.service));
     RunResult run =
@@ -589,9 +596,14 @@
     if (!upstream || !isSameRun(upstream->announcement, server)) {
         return;
     }
-    if (upstream->statements->onResponse(server, m_loop.now(), response)) {
+    const TimePoint now = m_loop.now();
+    if (upstream->statements->readNotice(server, now, response)) {
         applyNotice(server.info.service, *upstream);
     }
+    if (upstream->statements->readLoad(server, now, response, upstream->gate->load(now).inFlight)) {
+        perform(server.info.service,
+                upstream->gate->setServerLoad(now, upstream->statements->serverLoad()));
+    }
 }
 
 Duration GateService::reserveHealthCheck(const ServiceName &service, const UpstreamId &instance)
@@ -611,7 +623,7 @@
     const Upstream *upstream = findUpstream(service);
     if (upstream && upstream->announcement.instance == instance) {
         const Announcement server = upstream->announcement;
-        applyResponse(server, { response, RootId(), sentAt });
+        applyResponse(server, { response, RootId(), sentAt, nullptr });
     }
 }
 
@@ -701,10 +713,13 @@
                      std::chrono::duration_cast<Duration>(m_loop.now() - call.arrivedAt),
                      std::chrono::duration_cast<Duration>(call.deadline - m_loop.now()),
                      load(call.message.service),
-                     {} };
+                     {},
+                     {},
+                     m_loop.now() };
     const auto upstream = m_upstreams.find(call.message.service);
     if (upstream != m_upstreams.end()) {
         state.rateLimit = upstream->second.statements->notice().rateLimit;
+        state.serverLoad = upstream->second.statements->serverLoad();
     }
     return state;
 }
--- a/src/app/internal/gate/gatestatus.h
+++ b/src/app/internal/gate/gatestatus.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <optional>
+
+#include "app/internal/gate/statedloadstatus.h"
 #include "state/ids.h"
 #include "state/load.h"
 #include "state/upstreamnotice.h"
@@ -14,6 +17,8 @@
     UpstreamNotice notice;
     /// Requests sent to the upstream, health checks included.
     double sendsPerSecond = 0;
+    /// Nothing if the server states no load.
+    std::optional<StatedLoadStatus> stated;
 };
 
 } // namespace ivyspar
--- a/src/app/tests/explaintest.cpp
+++ b/src/app/tests/explaintest.cpp
@@ -55,6 +55,19 @@
                     text.c_str());
 }
 
+TEST(Explain, RefusalNamesTheSpeedThatTheServerStates)
+{
+    const std::string text = explain(
+        "00000000000000aa",
+        { refusal(R"("reason":"queue-full","waited_ms":0.0,"in_flight":4,"limit":4,"queued":1,)"
+                  R"("left_ms":90.5,"server_speed":0.4,"other_calls":3.0)"),
+          refusal(R"("reason":"queue-full")") });
+    STRCMP_CONTAINS(
+        "left 90.5 ms; by its statements the server works at 0.4 of its usual speed and "
+        "has 3.0 other calls)",
+        text.c_str());
+}
+
 // A request failed with 500. The entry's log shows only the server's error; the cause is in the log
 // of another host, where a call was refused by a full gate.
 TEST(Explain, FailureIsTracedToTheLostCall)
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -201,6 +201,43 @@
     CHECK(m_metrics->text().find("ivyspar_notices_malformed_total 50") != std::string::npos);
 }
 
+// Guards against operators who cannot see what a server says of itself, and what of it is heeded.
+TEST(GateServiceNotices, StatedLoadIsShown)
+{
+    m_server.headers = { { headers::UPSTREAM_LOAD, "7,2,300,250" } };
+    send(RootId(1));
+    m_loop.advance(std::chrono::milliseconds(100));
+    const GateStatus status = m_gates.statuses().at(0);
+    CHECK_EQUAL(7, status.stated->load.running);
+    CHECK(status.stated->load.workTime == WorkTimePercent(250));
+    CHECK(status.stated->age >= std::chrono::milliseconds(100));
+    CHECK(status.load.speed > SpeedShare(400));
+    CHECK(status.load.speed < SpeedShare(700));
+    const HttpResponse health{ 200, { { headers::UPSTREAM_LOAD, "0,0,300,100" } }, {} };
+    m_gates.onHealthResponse(ServiceName("cassa"), UpstreamId(), m_loop.now(), health);
+    CHECK(m_gates.load(ServiceName("cassa")).speed == USUAL_SPEED);
+    CHECK(m_metrics->text().find("ivyspar_load_statements_total{result=\"read\"} 2")
+          != std::string::npos);
+}
+
+// Guards against a log that a server fills by stating nonsense in every response.
+TEST(GateServiceNotices, BadLoadIsLoggedOnce)
+{
+    for (const char *text : { "7,2", "9,2,8,100" }) {
+        m_server.headers = { { headers::UPSTREAM_LOAD, text } };
+        send(RootId(1));
+        send(RootId(2));
+    }
+    const std::vector<Decision> lines = upstreamDecisions();
+    CHECK_EQUAL(2, lines.size());
+    STRCMP_EQUAL("malformed-load", lines[0].outcome);
+    STRCMP_EQUAL("implausible-load", lines[1].outcome);
+    const std::string text = m_metrics->text();
+    CHECK(text.find("ivyspar_load_statements_total{result=\"malformed\"} 2") != std::string::npos);
+    CHECK(text.find("ivyspar_load_statements_total{result=\"ignored\"} 2") != std::string::npos);
+    CHECK(m_gates.load(ServiceName("cassa")).speed == SpeedShare());
+}
+
 TEST_GROUP(GateServiceUnderLag)
 {
     LateEventLoop m_loop;
--- a/src/coordination/admission/igate.h
+++ b/src/coordination/admission/igate.h
@@ -7,6 +7,7 @@
 #include "state/ids.h"
 #include "state/load.h"
 #include "state/outcome.h"
+#include "state/serverload.h"
 #include "state/time.h"
 #include "state/upstreamnotice.h"
 #include "state/usage.h"
@@ -21,6 +22,8 @@
     TimePoint deadline;
     /// Share of the root requests of the same kind that their entry daemon admits; 0 in a retry.
     DemandShare admittedShare;
+    /// If refused for lack of capacity, the call is sent to another server at once.
+    bool mayGoElsewhere = false;
 };
 
 enum class GateVerb {
@@ -78,6 +81,9 @@
     /// Applies the rate limit that the upstream states; nothing if it states none. All that is sent
     /// to it counts: started calls do so by themselves, the rest by the two functions below.
     virtual GateActions setRateLimit(TimePoint now, std::optional<RequestRate> limit) = 0;
+    /// Applies what is known of the server's load from its own statements. Until this is called,
+    /// the server counts as working at its usual speed, for this gate alone.
+    virtual GateActions setServerLoad(TimePoint now, const ServerLoad &load) = 0;
     /// Whether a started call may be sent once more now; counts it if so.
     virtual bool tryCountSend(TimePoint now) = 0;
     /// Counts a request that is sent in any case, such as a health check. Returns the time to wait
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -33,6 +33,9 @@
 
 /// Time over which the demand is averaged against a rate limit; entry daemons use the same.
 constexpr Duration RATE_DEMAND_TIME = std::chrono::seconds(1);
+/// Share of the queue in which calls may wait that can go to another server, if the server states
+/// its speed.
+constexpr double PASSED_ON_QUEUE_SHARE = 0.25;
 /// Upper bound of the reported load.
 constexpr double MAX_RATE_LOAD = 100;
 
@@ -100,10 +103,19 @@
 {
     GateActions actions;
     const std::uint32_t inFlight = occupied();
-    if (m_running.erase(id) == 0) {
+    const auto call = m_running.find(id);
+    if (call == m_running.end()) {
         return actions;
     }
-    recordResult(now, result, serviceTime, inFlight);
+    const Duration usualTime = m_server.timeAtUsualSpeed(now, call->second, serviceTime);
+    m_running.erase(call);
+    // A rate limit keeps the server from its capacity, and refusals beyond it are not for want of
+    // slots: such samples would be learned as a lower capacity. The time is as it was seen: the
+    // limit remembers the fastest calls for longer than a speed that turns out to be false.
+    if (!m_rate.isLimited()) {
+        m_limit->onSample(now, { result, serviceTime, inFlight });
+    }
+    recordResult(result, usualTime);
     if (result == CallResult::TimedOut) {
         holdSlot(now, m_options.timedOutHold);
     }
@@ -121,20 +133,14 @@
 // from blocking all slots for good.
 void Gate::holdSlot(TimePoint now, double share)
 {
-    const Duration wanted(std::llround(share * m_serviceTime));
+    const Duration wanted(std::llround(share * presentServiceTime()));
     if (wanted.count() > 0) {
         m_held.push(now + std::min(wanted, m_options.maxHold));
     }
 }
 
-void Gate::recordResult(TimePoint now, CallResult result, Duration serviceTime,
-                        std::uint32_t inFlight)
+void Gate::recordResult(CallResult result, Duration serviceTime)
 {
-    // A rate limit keeps the server from its capacity, and refusals beyond it are not for want of
-    // slots: such samples would be learned as a lower capacity.
-    if (!m_rate.isLimited()) {
-        m_limit->onSample(now, { result, serviceTime, inFlight });
-    }
     // Errors and refusals can be fast, and cancelled calls are cut short, so neither is a sample of
     // the service time.
     if (result == CallResult::Success || result == CallResult::TimedOut) {
@@ -164,10 +170,11 @@
     while (!m_held.empty() && m_held.top() <= now) {
         m_held.pop();
     }
+    m_server.advance(now);
     m_demand.advance(now, static_cast<double>(occupied() + m_queue.size()), m_ceiling);
     dropDoomed(now, actions);
     if (m_options.hasFloor) {
-        m_floor.advance(now, Duration(std::llround(m_serviceTime)));
+        m_floor.advance(now, Duration(std::llround(presentServiceTime())));
     }
 }
 
@@ -183,6 +190,7 @@
 
 void Gate::dropExcess(TimePoint now, GateActions &actions)
 {
+    passOn(actions);
     while (m_options.isQueueBounded && m_queue.size() > maxQueueLength()) {
         const CallId id = m_queue.popLast().id;
         if (m_rate.isLimited() && hasFreeSlot()) {
@@ -194,19 +202,38 @@
     }
 }
 
+// Servers that state their speed differ in it from moment to moment, and entry daemons learn late
+// which ones are slow. Without this, calls would wait here while other servers have free slots. A
+// call that another gate has refused waits, as all servers are probably full.
+void Gate::passOn(GateActions &actions)
+{
+    if (!m_server.isKnown()) {
+        return;
+    }
+    const auto longest = static_cast<std::size_t>(std::lround(
+        PASSED_ON_QUEUE_SHARE * m_server.speed() * static_cast<double>(maxQueueLength())));
+    while (m_queue.size() > longest) {
+        const auto call = m_queue.popLastThatMayGoElsewhere();
+        if (!call) {
+            return;
+        }
+        refuse(call->id, Reason::QueueFull, actions);
+    }
+}
+
 void Gate::startWaiting(TimePoint now, GateActions &actions)
 {
     while (!m_queue.isEmpty() && hasFreeSlot() && m_rate.tryTake(now)) {
-        start(m_queue.popFirst().id, actions);
+        start(now, m_queue.popFirst().id, actions);
     }
     const auto longest = static_cast<double>(std::max<std::size_t>(maxQueueLength(), 1));
     const double fill = static_cast<double>(m_queue.size()) / longest;
     m_floor.setQueue(fill, m_queue.isEmpty() && hasFreeSlot() && m_rate.hasToken(now));
 }
 
-void Gate::start(CallId id, GateActions &actions)
+void Gate::start(TimePoint now, CallId id, GateActions &actions)
 {
-    m_running.insert(id);
+    m_running.emplace(id, m_server.startWork(now));
     m_floor.onStart();
     actions.push_back({ GateVerb::Start, id, {} });
 }
@@ -230,7 +257,17 @@
 
 bool Gate::hasFreeSlot() const
 {
-    return occupied() < m_limit->limit();
+    return occupied() < limit();
+}
+
+std::uint32_t Gate::limit() const
+{
+    return std::min(m_limit->limit(), m_server.freeSlots(m_ceiling));
+}
+
+double Gate::presentServiceTime() const
+{
+    return m_serviceTime / m_server.speed();
 }
 
 std::uint32_t Gate::occupied() const
@@ -238,10 +275,10 @@
     return static_cast<std::uint32_t>(m_running.size() + m_held.size());
 }
 
-// A queue of `queueWait × limit` calls drains in `queueWait` service times.
+// A queue of `queueWait × limit` calls drains in `queueWait` service times at the usual speed.
 std::size_t Gate::maxQueueLength() const
 {
-    const double bound = m_options.queueWait * m_limit->limit();
+    const double bound = m_options.queueWait * limit();
     const auto bySlots = std::max<std::size_t>(m_options.minQueue, std::lround(bound));
     return m_rate.isLimited() ? std::min(bySlots, m_rate.maxWaiting()) : bySlots;
 }
@@ -254,7 +291,7 @@
     if (!m_options.isDoomedDropped || m_running.empty()) {
         return deadline;
     }
-    return deadline - Duration(std::llround(m_options.doomedShare * m_serviceTime));
+    return deadline - Duration(std::llround(m_options.doomedShare * presentServiceTime()));
 }
 
 TimePoint Gate::nextTick() const
@@ -262,6 +299,7 @@
     TimePoint next = m_options.hasFloor ? m_floor.nextChange() : TimePoint::max();
     if (!m_queue.isEmpty()) {
         next = std::min(next, latestStart(m_queue.earliestDeadline()) + Duration(1));
+        next = std::min(next, m_server.expiresAt());
     }
     if (!m_held.empty()) {
         next = std::min(next, m_held.top());
@@ -305,6 +343,15 @@
     return actions;
 }
 
+GateActions Gate::setServerLoad(TimePoint now, const ServerLoad &load)
+{
+    GateActions actions;
+    m_server.setLoad(now, load);
+    advance(now, actions);
+    startWaiting(now, actions);
+    return actions;
+}
+
 bool Gate::tryCountSend(TimePoint now)
 {
     return m_rate.tryTake(now);
@@ -343,10 +390,12 @@
     LoadReport report;
     report.inFlight = occupied();
     report.queued = static_cast<std::uint32_t>(m_queue.size());
-    report.limit = m_limit->limit();
+    report.limit = limit();
     report.floor = m_options.hasFloor ? m_floor.floor() : Rank();
-    report.demand = std::max(m_demand.load(now, m_ceiling), rateLoad(now));
+    const double capacity = m_ceiling * m_server.meanSpeed(now);
+    report.demand = std::max(m_demand.load(now, capacity), rateLoad(now));
     report.draining = m_isDraining;
+    report.speed = m_server.reportedSpeed(now);
     return report;
 }
 
--- a/src/coordination/admission/internal/gate.h
+++ b/src/coordination/admission/internal/gate.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <memory>
 #include <queue>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 #include "coordination/admission/demandrate.h"
@@ -15,6 +15,7 @@
 #include "coordination/admission/internal/floorcontrol.h"
 #include "coordination/admission/internal/rankqueue.h"
 #include "coordination/admission/internal/ratelimiter.h"
+#include "coordination/admission/internal/serverspeed.h"
 
 namespace ivyspar {
 
@@ -30,6 +31,7 @@
     TimePoint nextTick() const override;
     GateActions setCapacity(TimePoint now, std::uint32_t slots, std::uint32_t connections) override;
     GateActions setRateLimit(TimePoint now, std::optional<RequestRate> limit) override;
+    GateActions setServerLoad(TimePoint now, const ServerLoad &load) override;
     bool tryCountSend(TimePoint now) override;
     Duration reserveSend(TimePoint now) override;
     void setDraining(bool draining) override;
@@ -42,19 +44,24 @@
     void advance(TimePoint now, GateActions &actions);
     void dropDoomed(TimePoint now, GateActions &actions);
     void dropExcess(TimePoint now, GateActions &actions);
+    /// Refuses calls that would wait here while another server probably has a free slot.
+    void passOn(GateActions &actions);
     void startWaiting(TimePoint now, GateActions &actions);
-    void start(CallId id, GateActions &actions);
+    void start(TimePoint now, CallId id, GateActions &actions);
     void refuse(CallId id, Reason reason, GateActions &actions);
     void refuseForRate(TimePoint now, CallId id, GateActions &actions);
     void recordCallDemand(TimePoint now, DemandShare admittedShare);
     DemandLoad rateLoad(TimePoint now) const;
     bool hasFreeSlot() const;
+    /// Maximum number of calls of this gate that run at a time.
+    std::uint32_t limit() const;
+    /// Mean time that a call takes at the present speed, in µs.
+    double presentServiceTime() const;
     std::uint32_t occupied() const;
     std::size_t maxQueueLength() const;
     TimePoint latestStart(TimePoint deadline) const;
     void holdSlot(TimePoint now, double share);
-    void recordResult(TimePoint now, CallResult result, Duration serviceTime,
-                      std::uint32_t inFlight);
+    void recordResult(CallResult result, Duration serviceTime);
 
     GateOptions m_options;
     std::unique_ptr<IConcurrencyLimit> m_limit;
@@ -64,11 +71,13 @@
     RateLimiter m_rate;
     /// Demand for the upstream, in calls per second, while it states a rate limit.
     DemandRate m_callDemand;
-    std::unordered_set<CallId> m_running;
+    /// With the reading of the server's work clock at their start.
+    std::unordered_map<CallId, WorkStart> m_running;
+    ServerSpeed m_server;
     Releases m_held;
     std::uint32_t m_ceiling = 0;
     bool m_isDraining = false;
-    /// Mean service time, in µs.
+    /// Mean service time at the usual speed, in µs.
     double m_serviceTime = 0;
 };
 
--- a/src/coordination/admission/internal/rankqueue.cpp
+++ b/src/coordination/admission/internal/rankqueue.cpp
@@ -53,6 +53,16 @@
     return extract(*m_byOrder.begin());
 }
 
+std::optional<GateRequest> RankQueue::popLastThatMayGoElsewhere()
+{
+    for (const Waiting &call : m_byOrder) {
+        if (call.request.mayGoElsewhere) {
+            return extract(call);
+        }
+    }
+    return std::nullopt;
+}
+
 GateRequest RankQueue::popEarliest()
 {
     return extract(*m_byDeadline.begin());
--- a/src/coordination/admission/internal/rankqueue.h
+++ b/src/coordination/admission/internal/rankqueue.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <tuple>
 #include <unordered_map>
 
@@ -26,6 +27,8 @@
     GateRequest popFirst();
     /// Removes the call to refuse when the queue is too long. The queue must not be empty.
     GateRequest popLast();
+    /// As `popLast`, among the calls that may go to another server; nothing if there is none.
+    std::optional<GateRequest> popLastThatMayGoElsewhere();
     /// Removes the call with the earliest deadline. The queue must not be empty.
     GateRequest popEarliest();
     /// `TimePoint::max()` when the queue is empty.
--- a/src/coordination/admission/tests/gatetest.cpp
+++ b/src/coordination/admission/tests/gatetest.cpp
@@ -31,6 +31,11 @@
     return makeRank(Priority(static_cast<std::uint8_t>(priority)), Depth(0), RootId(root));
 }
 
+double toUnit(DemandLoad load)
+{
+    return static_cast<double>(load.value()) / static_cast<double>(FULL_LOAD.value());
+}
+
 /// Drives a gate with random events and checks its actions against a model.
 class RandomRun
 {
@@ -391,3 +396,94 @@
     }
     CHECK(delays.size() >= 20);
 }
+
+// Guards against calls that wait inside a server that is full of others' work, where they are
+// neither ordered nor dropped.
+TEST(Gate, CallsOfOthersLeaveFewerSlots)
+{
+    const auto gate = makeGate(optionsFor(20));
+    gate->setServerLoad(now, { now, USUAL_SPEED, 12 });
+    for (int i = 0; i < 8; ++i) {
+        CHECK(isStarted(*gate, 50));
+    }
+    CHECK_FALSE(isStarted(*gate, 50));
+    LONGS_EQUAL(8, gate->load(now).limit);
+    // Without a new statement the slots are free again after a while.
+    CHECK(gate->nextTick() <= now + ServerLoad::LIFETIME);
+    now += ServerLoad::LIFETIME;
+    CHECK(has(gate->tick(now), GateVerb::Start, CallId(lastId)));
+}
+
+TEST(Gate, FullServerGetsAFewCalls)
+{
+    const auto gate = makeGate(optionsFor(20));
+    gate->setServerLoad(now, { now, USUAL_SPEED, 40 });
+    CHECK(isStarted(*gate, 50));
+}
+
+// Guards against calls that wait at a full server while others have free slots.
+TEST(Gate, CallsThatCanGoElsewhereWaitInAShortQueueIfTheSpeedIsKnown)
+{
+    for (const bool isKnown : { false, true }) {
+        const auto gate = makeGate(optionsFor(20));
+        if (isKnown) {
+            gate->setServerLoad(now, { now, USUAL_SPEED, 0 });
+        }
+        std::uint32_t queued = 0;
+        for (int i = 0; i < 60; ++i) {
+            ++lastId;
+            GateRequest request{ CallId(lastId), rankOf(50, lastId), now + 10s };
+            request.mayGoElsewhere = true;
+            gate->offer(now, request);
+            queued = gate->load(now).queued;
+        }
+        LONGS_EQUAL(isKnown ? 5 : 20, queued);
+        for (int i = 0; i < 60; ++i) {
+            offer(*gate, 50);
+        }
+        LONGS_EQUAL(20, gate->load(now).queued);
+    }
+}
+
+TEST(Gate, SlowServerIsReckonedWithAtOnce)
+{
+    const auto gate = makeGate(optionsFor(4));
+    gate->setServerLoad(now, { now, USUAL_SPEED, 0 });
+    for (int i = 0; i < 200; ++i) {
+        CHECK(isStarted(*gate, 50));
+        now += SERVICE_TIME;
+        gate->setServerLoad(now, { now, USUAL_SPEED, 0 });
+        gate->finish(now, CallId(lastId), CallResult::Success, SERVICE_TIME);
+    }
+    CHECK(isStarted(*gate, 50));
+    CHECK_FALSE(isRefused(*gate, 50, SERVICE_TIME * 3 / 2));
+    gate->setServerLoad(now, { now, SpeedShare(400), 0 });
+    CHECK(isRefused(*gate, 50, SERVICE_TIME * 3 / 2));
+    CHECK(gate->load(now).speed == SpeedShare(400));
+}
+
+// Guards against demand that root admission takes for a lack of capacity, or does not see, because
+// servers turn slow: the capacity is the work that they do, not their slots.
+TEST(Gate, DemandIsRelativeToTheWorkThatTheServerDoes)
+{
+    const auto load = [this](SpeedShare speed, Duration time) {
+        const auto gate = makeGate(optionsFor(20));
+        std::map<TimePoint, CallId> ends;
+        for (const TimePoint end = now + 5s; now < end; now += 4ms) {
+            gate->setServerLoad(now, { now, speed, 0 });
+            while (!ends.empty() && ends.begin()->first <= now) {
+                gate->finish(now, ends.begin()->second, CallResult::Success, time);
+                ends.erase(ends.begin());
+            }
+            ++lastId;
+            gate->offer(now, { CallId(lastId), rankOf(50, lastId), now + 10s, WHOLE_DEMAND });
+            ends[now + time] = CallId(lastId);
+        }
+        return toUnit(gate->load(now).demand);
+    };
+    const double usual = load(USUAL_SPEED, 20ms);
+    DOUBLES_EQUAL(0.26, usual, 0.03);
+    DOUBLES_EQUAL(2.5 * usual, load(SpeedShare(400), 50ms), 0.05);
+    // Work that takes longer although the server is usual is the same demand.
+    DOUBLES_EQUAL(load(USUAL_SPEED, 50ms), load(SpeedShare(400), 50ms), 0.05);
+}
--- a/src/coordination/calls/ientrycall.h
+++ b/src/coordination/calls/ientrycall.h
@@ -34,6 +34,9 @@
     /// The candidates compared, for the decision log.
     std::vector<RouteCandidate> candidates;
     bool isHedge = false;
+    /// If the gate of the target refuses the attempt for lack of capacity, it is sent to another
+    /// server at once.
+    bool mayGoElsewhere = false;
 };
 using EntryActions = std::vector<EntryAction>;
 
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -325,6 +325,8 @@
     auto action = sendTo(now, choice.daemon, choice.why);
     if (action) {
         action->candidates = choice.candidates;
+        action->mayGoElsewhere = mayGoElsewhere(choice.candidates);
+        m_attempts.back().mayGoElsewhere = action->mayGoElsewhere;
     }
     return action;
 }
@@ -372,6 +374,8 @@
     query.attempts = attempts();
     query.upstreamAttempts = m_upstreamAttempts;
     query.isUpstreamError = isUpstreamError;
+    query.isPassedOn = m_attempts.size() == 1 && m_attempts.front().mayGoElsewhere
+        && result.verdict.reason == Reason::QueueFull && result.load.speed != SpeedShare();
     query.remaining = std::chrono::duration_cast<Duration>(m_options.deadline - now);
     return m_policies.retries.shouldRetry(now, query);
 }
@@ -384,7 +388,8 @@
     const auto latency = std::chrono::duration_cast<Duration>(now - attempt.sentAt);
     const bool isOwnCancel = m_isFinished && result.verdict.outcome != Outcome::Answered;
     m_policies.router.onEnd(now, service, attempt.target,
-                            isOwnCancel ? RouteFeedback::Cancelled : feedbackOf(result), latency);
+                            isOwnCancel ? RouteFeedback::Cancelled : feedbackOf(result), latency,
+                            result.hasLoad ? result.load.speed : SpeedShare());
     if (result.hasLoad) {
         m_policies.router.onLoad(now, service, attempt.target, result.load);
     }
@@ -413,6 +418,14 @@
         || m_upstreamAttempts + static_cast<std::uint32_t>(open) < m_options.rule.servers;
 }
 
+bool EntryCall::mayGoElsewhere(const std::vector<RouteCandidate> &candidates) const
+{
+    const bool isFirst = m_attempts.size() == 1;
+    const AttemptCount needed(1 + neededForInnerCalls().value());
+    return isFirst && !m_options.isSingleAttempt && candidates.size() > 1
+        && m_budget.left() >= needed;
+}
+
 bool EntryCall::hasOpenAttempt() const
 {
     return std::any_of(m_attempts.begin(), m_attempts.end(),
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -58,6 +58,7 @@
         TimePoint sentAt;
         bool isOpen = true;
         bool isHedge = false;
+        bool mayGoElsewhere = false;
     };
 
     EntryActions refuse(TimePoint now, Reason reason, Duration retryAfter);
@@ -80,6 +81,9 @@
     void scheduleHedge(TimePoint now);
     /// Whether the rule allows one more server to be reached.
     bool mayReachAnother() const;
+    /// Whether the first attempt, for which the router chose among these candidates, may be refused
+    /// by its gate in favour of another server.
+    bool mayGoElsewhere(const std::vector<RouteCandidate> &candidates) const;
     bool hasOpenAttempt() const;
 
     EntryPolicies m_policies;
--- a/src/coordination/calls/tests/entrycalltest.cpp
+++ b/src/coordination/calls/tests/entrycalltest.cpp
@@ -85,6 +85,27 @@
     CHECK(findAction(next, EntryActionType::Send)->target == SECOND);
 }
 
+// Guards against calls that a gate refuses in favour of another server although there is none.
+TEST(EntryCall, OnlyAFirstAttemptWithOtherServersMayGoElsewhere)
+{
+    for (const bool hasOthers : { false, true }) {
+        router.hasCandidates = hasOthers;
+        AttemptBudget ownBudget{ AttemptCount(9) };
+        EntryCall call(EntryPolicies{ router, retries, random }, ownBudget, options);
+        const EntryActions sent = call.start(now);
+        CHECK_EQUAL(hasOthers, findAction(sent, EntryActionType::Send)->mayGoElsewhere);
+        AttemptResult refused = makeResult(Outcome::NotRun, Reason::QueueFull, 7);
+        refused.load.speed = SpeedShare(400);
+        const EntryActions next = call.onEnd(now, AttemptIndex(0), refused);
+        CHECK_EQUAL(hasOthers, retries.lastQuery.isPassedOn);
+        CHECK_FALSE(findAction(next, EntryActionType::Send)->mayGoElsewhere);
+    }
+    router.hasCandidates = true;
+    options.isSingleAttempt = true;
+    EntryCall call = makeCall();
+    CHECK_FALSE(findAction(call.start(now), EntryActionType::Send)->mayGoElsewhere);
+}
+
 // The link is lost after a call that must not be repeated was sent. The caller is told "unknown": a
 // second attempt could run it twice, and "not run" could be wrong.
 TEST(EntryCall, AttemptThatMayHaveRunIsNotRepeated)
--- a/src/coordination/calls/tests/mocks/fakeretrypolicy.h
+++ b/src/coordination/calls/tests/mocks/fakeretrypolicy.h
@@ -12,9 +12,11 @@
     Duration hedgeAfter{ 0 };
     Duration retryDelay = std::chrono::milliseconds(40);
     int successes = 0;
+    RetryQuery lastQuery;
 
     bool shouldRetry(TimePoint /*now*/, const RetryQuery &query) override
     {
+        lastQuery = query;
         const bool isSafe =
             query.verdict.outcome == Outcome::NotRun || query.repetition == Repetition::Idempotent;
         return mayRetry && isSafe;
--- a/src/coordination/calls/tests/mocks/fakerouter.h
+++ b/src/coordination/calls/tests/mocks/fakerouter.h
@@ -17,6 +17,8 @@
     Rank lowest;
     std::vector<std::pair<DaemonId, RouteFeedback>> ends;
     int sent = 0;
+    /// Whether choices name two candidates.
+    bool hasCandidates = false;
     /// Fingerprints of the requests passed to `choose`.
     std::vector<Fingerprint> fingerprints;
 
@@ -28,6 +30,9 @@
         fingerprints.push_back(request.fingerprint);
         RouteChoice choice;
         choice.reason = Reason::NoServer;
+        if (hasCandidates) {
+            choice.candidates = { { daemons.front(), 1 }, { daemons.back(), 2 } };
+        }
         for (const DaemonId &daemon : daemons) {
             if (std::count(request.excluded.begin(), request.excluded.end(), daemon) == 0) {
                 choice.daemon = daemon;
@@ -45,7 +50,7 @@
     }
 
     void onEnd(TimePoint /*now*/, const ServiceName & /*service*/, const DaemonId &daemon,
-               RouteFeedback feedback, Duration /*latency*/) override
+               RouteFeedback feedback, Duration /*latency*/, SpeedShare /*speed*/) override
     {
         ends.emplace_back(daemon, feedback);
     }
--- a/src/coordination/retries/internal/retrypolicy.cpp
+++ b/src/coordination/retries/internal/retrypolicy.cpp
@@ -101,7 +101,8 @@
     if (query.hasReachedUpstream) {
         return false;
     }
-    return m_options.countsUpstreamAttemptsOnly || outranksOthers(now, service, query);
+    return query.isPassedOn || m_options.countsUpstreamAttemptsOnly
+        || outranksOthers(now, service, query);
 }
 
 /// Whether a full gate recently refused a call of lower priority. The retry then needs no token:
--- a/src/coordination/retries/iretrypolicy.h
+++ b/src/coordination/retries/iretrypolicy.h
@@ -25,6 +25,8 @@
     Duration remaining{ 0 };
     /// The failed attempt reached an upstream, or may have: the next one is a repeat there.
     bool hasReachedUpstream = true;
+    /// A gate refused the first attempt because another server probably has a free slot.
+    bool isPassedOn = false;
     /// The upstream answered with an error of its own or of an inner call. Only the hop next to
     /// the failure retries.
     bool isUpstreamError = false;
--- a/src/coordination/retries/tests/retrypolicytest.cpp
+++ b/src/coordination/retries/tests/retrypolicytest.cpp
@@ -355,3 +355,16 @@
     lost.attempts = options.maxTotalAttempts;
     CHECK_FALSE(isRetried(lost, options));
 }
+
+// Guards against calls that are refused for a lack of tokens, although a gate passed them on to
+// another server.
+TEST(RetryPolicy, CallThatWasPassedOnNeedsNoToken)
+{
+    RetryOptions options;
+    options.initialRetryTokens = 0;
+    RetryQuery query = makeQuery(Outcome::NotRun, Reason::QueueFull, Repetition::Never);
+    query.hasReachedUpstream = false;
+    CHECK_FALSE(isRetried(query, options));
+    query.isPassedOn = true;
+    CHECK(isRetried(query, options));
+}
--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -259,16 +259,17 @@
 }
 
 void Router::onEnd(TimePoint now, const ServiceName &service, const DaemonId &daemon,
-                   RouteFeedback feedback, Duration latency)
+                   RouteFeedback feedback, Duration latency, SpeedShare speed)
 {
     Server *server = find(service, daemon);
     if (server == nullptr) {
         return;
     }
-    server->onEnd(now, feedback, latency, m_options);
+    const auto usualLatency = std::chrono::duration_cast<Duration>(latency * toRatio(speed));
+    server->onEnd(now, feedback, usualLatency, m_options);
     Service &serviceState = m_services.at(service);
     if (feedback == RouteFeedback::Answered) {
-        const auto timeUs = static_cast<double>(latency.count());
+        const auto timeUs = static_cast<double>(usualLatency.count());
         const double meanUs = serviceState.latencyUs;
         serviceState.latencyUs = meanUs <= 0 ? timeUs : meanUs + LATENCY_WEIGHT * (timeUs - meanUs);
     }
--- a/src/coordination/routing/internal/router.h
+++ b/src/coordination/routing/internal/router.h
@@ -19,7 +19,7 @@
     RouteChoice choose(TimePoint now, const RouteRequest &request, IRandom &random) override;
     void onSent(TimePoint now, const ServiceName &service, const DaemonId &daemon) override;
     void onEnd(TimePoint now, const ServiceName &service, const DaemonId &daemon,
-               RouteFeedback feedback, Duration latency) override;
+               RouteFeedback feedback, Duration latency, SpeedShare speed) override;
     void onLoad(TimePoint now, const ServiceName &service, const DaemonId &daemon,
                 const LoadReport &load) override;
     void onNotice(TimePoint now, const ServiceName &service, const DaemonId &daemon,
@@ -33,7 +33,7 @@
         /// Pointers into `servers`, by failure domain.
         std::vector<Server *> ownDomain;
         std::vector<Server *> otherDomains;
-        /// Mean latency of all answers, in µs.
+        /// Mean latency of all answers at the usual speed of their servers, in µs.
         double latencyUs = 0;
     };
     /// Arguments of one choice.
--- a/src/coordination/routing/internal/server.cpp
+++ b/src/coordination/routing/internal/server.cpp
@@ -106,7 +106,7 @@
     m_rateShare.setLimit(now, notice.rateLimit, entries);
 }
 
-void Server::onEnd(TimePoint now, RouteFeedback feedback, Duration latency,
+void Server::onEnd(TimePoint now, RouteFeedback feedback, Duration usualLatency,
                    const RouterOptions &options)
 {
     if (m_outstanding > 0) {
@@ -140,7 +140,7 @@
     }
     // Errors and refusals may be fast: only answers and time-outs show how slow the server is.
     if (feedback == RouteFeedback::Answered || feedback == RouteFeedback::TimedOut) {
-        const auto timeUs = static_cast<double>(latency.count());
+        const auto timeUs = static_cast<double>(usualLatency.count());
         m_latencyUs =
             m_latencyUs <= 0 ? timeUs : m_latencyUs + latencyWeight * (timeUs - m_latencyUs);
     }
@@ -190,12 +190,18 @@
     return linearDecay(now - m_lastEndAt, options.observationLifetime);
 }
 
+double Server::speed(TimePoint now, const RouterOptions &options) const
+{
+    return 1 - reportWeight(now, options) * (1 - toRatio(m_report.speed));
+}
+
 double Server::capacity(TimePoint now, const RouterOptions &options) const
 {
     double limit = m_slots;
     if (m_hasReport && m_report.limit > 0) {
         limit = std::min<double>(m_slots, m_report.limit);
     }
+    limit *= speed(now, options);
     if (!options.hasSlowStart || m_warmupTime <= Duration::zero()) {
         return limit;
     }
@@ -223,8 +229,8 @@
     if (!options.usesLocalObservations || m_latencyUs <= 0 || serviceLatencyUs <= 0) {
         return 1;
     }
-    const double ratio = 1 + (m_latencyUs / serviceLatencyUs - 1) * freshness(now, options);
-    return std::clamp(ratio, MIN_LATENCY_RATIO, MAX_LATENCY_RATIO);
+    const double usual = 1 + (m_latencyUs / serviceLatencyUs - 1) * freshness(now, options);
+    return std::clamp(usual / speed(now, options), MIN_LATENCY_RATIO, MAX_LATENCY_RATIO);
 }
 
 double Server::errorShare(TimePoint now, const RouterOptions &options) const
--- a/src/coordination/routing/internal/server.h
+++ b/src/coordination/routing/internal/server.h
@@ -37,7 +37,8 @@
     const RateShare &rateShare() const { return m_rateShare; }
 
     void onSent(TimePoint now);
-    void onEnd(TimePoint now, RouteFeedback feedback, Duration latency,
+    /// `usualLatency`: the latency that the call would have had at the usual speed of the server.
+    void onEnd(TimePoint now, RouteFeedback feedback, Duration usualLatency,
                const RouterOptions &options);
     void onLoad(TimePoint now, const LoadReport &load);
     /// Applies what the server states. `entries`: number of entry daemons that share its limit.
@@ -46,7 +47,7 @@
 
     /// Calls at the server divided by its capacity; 1 is full.
     double utilization(TimePoint now, const RouterOptions &options) const;
-    /// Latency divided by that of the whole service; 1 if unknown.
+    /// Expected latency divided by that of the whole service; 1 if unknown.
     double latencyRatio(TimePoint now, double serviceLatencyUs, const RouterOptions &options) const;
     /// Recent share of errors, 0 to 1.
     double errorShare(TimePoint now, const RouterOptions &options) const;
@@ -59,7 +60,10 @@
 
 private:
     void updateReachability(TimePoint now, RouteFeedback feedback, const RouterOptions &options);
+    /// Calls that it works on at a time, in terms of its usual speed.
     double capacity(TimePoint now, const RouterOptions &options) const;
+    /// Present speed relative to the usual one, by its latest report.
+    double speed(TimePoint now, const RouterOptions &options) const;
     double reportWeight(TimePoint now, const RouterOptions &options) const;
     double freshness(TimePoint now, const RouterOptions &options) const;
 
@@ -85,7 +89,7 @@
     /// Calls of this entry that the report includes.
     std::uint32_t m_outstandingAtReport = 0;
 
-    /// Mean latency of answers and time-outs; 0 while unknown.
+    /// Mean latency of answers and time-outs at the usual speed; 0 while unknown.
     double m_latencyUs = 0;
     double m_errorShare = 0;
     TimePoint m_lastEndAt;
--- a/src/coordination/routing/irouter.h
+++ b/src/coordination/routing/irouter.h
@@ -66,9 +66,10 @@
     virtual RouteChoice choose(TimePoint now, const RouteRequest &request, IRandom &random) = 0;
     /// Records that an attempt was sent to the daemon.
     virtual void onSent(TimePoint now, const ServiceName &service, const DaemonId &daemon) = 0;
-    /// Records that the attempt ended. `latency` is the time from sending it to its end.
+    /// Records that the attempt ended. `latency` is the time from sending it to its end, `speed`
+    /// that of the server at its end; 0 if it is not known.
     virtual void onEnd(TimePoint now, const ServiceName &service, const DaemonId &daemon,
-                       RouteFeedback feedback, Duration latency) = 0;
+                       RouteFeedback feedback, Duration latency, SpeedShare speed) = 0;
     /// Records a load report of the daemon, which came with an answer or a probe.
     virtual void onLoad(TimePoint now, const ServiceName &service, const DaemonId &daemon,
                         const LoadReport &load) = 0;
--- a/src/coordination/routing/tests/routertest.cpp
+++ b/src/coordination/routing/tests/routertest.cpp
@@ -39,6 +39,8 @@
     std::uint64_t counter = 1;
     std::uint64_t incarnation = 1;
     std::optional<Duration> coldLeft;
+    /// That its gate reports; 0 if the server states none.
+    SpeedShare speed;
     std::uint32_t inFlight = 0;
     std::uint32_t chosen = 0;
 };
@@ -111,6 +113,7 @@
         const FakeServer &server = m_servers[name];
         LoadReport load;
         load.limit = SLOTS;
+        load.speed = server.speed;
         load.inFlight = server.isReportEmpty ? 0 : server.inFlight;
         load.floor = server.floor;
         load.draining = server.isDraining;
@@ -147,7 +150,7 @@
             FakeServer &server = m_servers[call.server];
             --server.inFlight;
             m_router->onEnd(m_now, SERVICE, DaemonId(call.server), server.feedback,
-                            std::chrono::duration_cast<Duration>(m_now - call.sent));
+                            std::chrono::duration_cast<Duration>(m_now - call.sent), server.speed);
             report(call.server);
         }
     }
@@ -394,7 +397,8 @@
     entry.server("far").domain = OTHER;
     entry.updateMembers();
     entry.router().onSent(entry.now(), SERVICE, DaemonId("far"));
-    entry.router().onEnd(entry.now(), SERVICE, DaemonId("far"), RouteFeedback::Unreachable, 250ms);
+    entry.router().onEnd(entry.now(), SERVICE, DaemonId("far"), RouteFeedback::Unreachable, 250ms,
+                         SpeedShare());
     const Rank rank = lowestRankOf(Priority(50));
     CHECK(entry.choose(rank, { DaemonId("near") }).daemon.value().empty());
     entry.advance(RouterOptions().unreachableTime);
@@ -531,3 +535,28 @@
     }
     LONGS_EQUAL(4, chosen.size());
 }
+
+// Two servers state that they are slow; the one with the higher usual speed is faster all the same.
+// Guards against a base speed that is learned from latencies while a server is slow.
+TEST(Router, UsualLatencyIsLearnedApartFromThePresentSpeed)
+{
+    Entry entry(ownOptions());
+    for (const char *name : { "slow", "usual" }) {
+        entry.server(name) = FakeServer();
+        entry.server(name).speed = USUAL_SPEED;
+    }
+    entry.updateMembers();
+    entry.run(5s, 5ms);
+    DOUBLES_EQUAL(0.5, entry.shareOf("slow"), 0.1);
+    entry.server("slow").speed = SpeedShare(200);
+    entry.server("slow").latency = 100ms;
+    entry.run(1s, 2ms);
+    entry.run(5s, 2ms);
+    CHECK(entry.shareOf("slow") < 0.2);
+    // The first report of its usual speed is enough.
+    entry.server("slow").speed = USUAL_SPEED;
+    entry.server("slow").latency = 20ms;
+    entry.report("slow");
+    entry.run(200ms, 2ms);
+    CHECK(entry.shareOf("slow") > 0.35);
+}
--- a/src/protocol/headers.h
+++ b/src/protocol/headers.h
@@ -29,5 +29,8 @@
 constexpr char UPSTREAM_RATE_LIMIT[] = "Ivyspar-Upstream-Rate-Limit";
 /// `1`: the upstream is shutting down.
 constexpr char UPSTREAM_LEAVING[] = "Ivyspar-Upstream-Leaving";
+/// Running requests, waiting requests, slots and, optionally, the present work time in percent of
+/// the usual one, separated by commas.
+constexpr char UPSTREAM_LOAD[] = "Ivyspar-Upstream-Load";
 
 } // namespace ivyspar::headers
--- a/src/protocol/internal/ownupstreamdialect.cpp
+++ b/src/protocol/internal/ownupstreamdialect.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "protocol/headers.h"
+#include "protocol/loadreader.h"
 #include "protocol/noticereader.h"
 
 namespace ivyspar {
@@ -41,14 +42,14 @@
     for (const char *name :
          { headers::OUTCOME, headers::REASON, headers::ATTEMPTS, headers::RETRY_AFTER_MS,
            headers::REQUEST_ID, headers::UPSTREAM_OUTCOME, headers::UPSTREAM_RATE_LIMIT,
-           headers::UPSTREAM_LEAVING, headers::CONTEXT }) {
+           headers::UPSTREAM_LEAVING, headers::UPSTREAM_LOAD, headers::CONTEXT }) {
         removeHeader(response.headers, name);
     }
 }
 
-std::optional<UpstreamLoad> OwnUpstreamDialect::readLoad(const HttpResponse & /*response*/) const
+LoadStatement OwnUpstreamDialect::readLoad(const HttpResponse &response) const
 {
-    return std::nullopt;
+    return ivyspar::readLoad(response.headers, headers::UPSTREAM_LOAD);
 }
 
 ResponseNotice OwnUpstreamDialect::readNotice(const HttpResponse &response) const
--- a/src/protocol/internal/ownupstreamdialect.h
+++ b/src/protocol/internal/ownupstreamdialect.h
@@ -11,7 +11,7 @@
     void prepareRequest(const UpstreamSend &send, HttpRequest &request) const override;
     UpstreamResponseKind classify(const HttpResponse &response) const override;
     void removeInternalHeaders(HttpResponse &response) const override;
-    std::optional<UpstreamLoad> readLoad(const HttpResponse &response) const override;
+    LoadStatement readLoad(const HttpResponse &response) const override;
     ResponseNotice readNotice(const HttpResponse &response) const override;
     std::string echoHeader() const override { return {}; }
     UpstreamId readInstance(const HttpResponse &response) const override;
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -211,6 +211,9 @@
     writer.add(message.fingerprint).add(message.account);
     addNotice(writer, message.notice);
     addObjective(writer, message.objectiveLeft);
+    if (message.mayGoElsewhere) {
+        writer.add(message.mayGoElsewhere);
+    }
     return endFrame(writer);
 }
 
@@ -319,6 +322,9 @@
     }
     readNotice(reader, message.notice);
     readObjective(reader, message.objectiveLeft);
+    if (!reader.isAtEnd()) {
+        reader.read(message.mayGoElsewhere);
+    }
     return message;
 }
 
--- a/src/protocol/iupstreamdialect.h
+++ b/src/protocol/iupstreamdialect.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <optional>
 #include <string>
 
 #include "coordination/upstreams/responsenotice.h"
+#include "coordination/upstreams/statedload.h"
 #include "state/http.h"
 #include "state/ids.h"
 #include "state/time.h"
@@ -31,14 +31,6 @@
     OtherInstance, ///< Another run of an upstream has this address; the call was not started.
 };
 
-/// Load that an upstream reports with a response.
-struct UpstreamLoad
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-};
-
 /// Encodes calls for upstreams and decodes their responses. Makes no decisions.
 class IUpstreamDialect
 {
@@ -51,8 +43,8 @@
     virtual UpstreamResponseKind classify(const HttpResponse &response) const = 0;
     /// Removes headers that must not reach the caller.
     virtual void removeInternalHeaders(HttpResponse &response) const = 0;
-    /// Nothing if the response reports no load.
-    virtual std::optional<UpstreamLoad> readLoad(const HttpResponse &response) const = 0;
+    /// The load that the upstream states in a final response.
+    virtual LoadStatement readLoad(const HttpResponse &response) const = 0;
     /// What the upstream states about itself in a final response.
     virtual ResponseNotice readNotice(const HttpResponse &response) const = 0;
     /// Name of the header that an upstream copies from the request into its response; empty if
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -70,6 +70,9 @@
     /// Time left, when this frame was sent, until the latency objective of the root request; zero
     /// if it has passed, nothing if the root's rule sets none or the sender does not know it.
     std::optional<Duration> objectiveLeft = {};
+    /// If the gate refuses the call for lack of capacity, the entry daemon sends it to another
+    /// server at once.
+    bool mayGoElsewhere = false;
 };
 
 /// End of one attempt. Each `CallMessage` gets exactly one, unless the link is lost.
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -168,6 +168,10 @@
     CHECK(std::get<CallMessage>(*decodedCall).objectiveLeft == std::chrono::milliseconds(120));
     const auto without = codec.decode(codec.encode(makeCall()));
     CHECK_FALSE(std::get<CallMessage>(*without).objectiveLeft.has_value());
+    CHECK_FALSE(std::get<CallMessage>(*without).mayGoElsewhere);
+    call.mayGoElsewhere = true;
+    const auto passedOn = codec.decode(codec.encode(call));
+    CHECK(std::get<CallMessage>(*passedOn).mayGoElsewhere);
     ResponseMessage response = makeResponse();
     response.load.speed = SpeedShare(400);
     const auto decoded = codec.decode(codec.encode(response));
--- a/src/state/load.h
+++ b/src/state/load.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 #include "state/ids.h"
@@ -11,6 +13,21 @@
 using SpeedShare = StrongType<std::uint32_t, struct SpeedShareTag>;
 constexpr SpeedShare USUAL_SPEED{ 1000 };
 
+/// Relative to the usual speed; 1 if it is not known.
+inline double toRatio(SpeedShare speed)
+{
+    return speed == SpeedShare()
+        ? 1
+        : static_cast<double>(speed.value()) / static_cast<double>(USUAL_SPEED.value());
+}
+
+/// Never 0, which means that the speed is not known.
+inline SpeedShare toSpeedShare(double ratio)
+{
+    const auto thousandths = std::lround(ratio * static_cast<double>(USUAL_SPEED.value()));
+    return SpeedShare(static_cast<std::uint32_t>(std::max(thousandths, 1L)));
+}
+
 /// Load of a gate; sent with every response of its daemon.
 struct LoadReport
 {
