Rules: a latency objective

Cause: the product's own rules had no key for the latency up to which an answer has its full value; only the platform's documents set it. Change: key `objective` of a rule: a duration of 1 ms up to the rule's wait, with errors that name line and bound. Rules without the key are read as before.

--- a/src/protocol/internal/rulesreader.cpp
+++ b/src/protocol/internal/rulesreader.cpp
@@ -163,6 +163,7 @@
     readMatch(table, rule);
     readClassReference(table, classes, rule);
     rule.wait = table.duration("wait", WAIT).value_or(Duration::zero());
+    readObjective(table, rule);
     readBudget(table, rule);
     readRepetition(table, rule);
     readKeyLifetime(table, rule);
@@ -226,6 +227,17 @@
     }
 }
 
+void RulesReader::readObjective(TomlTable &table, RuleSpec &rule)
+{
+    const auto objective = table.optionalDuration("objective", WAIT);
+    rule.targetLatency = objective.value_or(Duration::zero());
+    const bool hasWait = rule.wait > Duration::zero();
+    if (objective && hasWait && *objective > rule.wait) {
+        table.fail("objective", "is longer than the wait of " + toText(rule.wait),
+                   "at most the wait");
+    }
+}
+
 void RulesReader::readBudget(TomlTable &table, RuleSpec &rule)
 {
     const auto calls = table.optionalNumber("calls", CALLS);
--- a/src/protocol/internal/rulesreader.h
+++ b/src/protocol/internal/rulesreader.h
@@ -22,6 +22,7 @@
     void readMatch(TomlTable &table, RuleSpec &rule);
     void readClassReference(TomlTable &table, const std::vector<ClassSpec> &classes,
                             RuleSpec &rule);
+    void readObjective(TomlTable &table, RuleSpec &rule);
     void readBudget(TomlTable &table, RuleSpec &rule);
     void readRepetition(TomlTable &table, RuleSpec &rule);
     void readKeyLifetime(TomlTable &table, RuleSpec &rule);
--- a/src/protocol/tests/configurationreadertest.cpp
+++ b/src/protocol/tests/configurationreadertest.cpp
@@ -2,6 +2,7 @@
 #include <sstream>
 
 #include "protocol/configurationreaderfactory.h"
+#include "state/durationtext.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -111,6 +112,7 @@
     STRCMP_EQUAL("hall", configuration.inventory.servers[0].domain.value().c_str());
     const RuleSpec &put = configuration.rules.rules[0];
     CHECK(put.priority == Priority(90));
+    CHECK(put.targetLatency == Duration::zero());
     CHECK(put.repetition == Repetition::Once);
     CHECK(put.keyLifetime == std::chrono::minutes(10));
     CHECK(put.attempts == AttemptCount(3));
@@ -183,6 +185,12 @@
     checkRules("wait = \"2s\"\nrepeat = \"once\"\nkey_lifetime = \"10min\"",
                "wait = \"2min\"\nrepeat = \"once\"\nkey_lifetime = \"1min\"",
                "15: rule[1].key_lifetime: is shorter than the wait of 2min");
+    checkRules("wait = \"2s\"", "wait = \"2s\"\nobjective = \"2001ms\"",
+               "14: rule[1].objective: is longer than the wait of 2s; expected at most the wait");
+    checkRules("wait = \"2s\"", "wait = \"2s\"\nobjective = \"0s\"",
+               "14: rule[1].objective: \"0s\" is out of range");
+    checkRules("wait = \"2s\"", "wait = \"2s\"\nobjective = 800",
+               "14: rule[1].objective: the unit is missing");
     checkRules("priority = 10", "priority = 90",
                "6: class[2].priority: 90 is also the priority in line 3");
     checkRules("priority = 10", "priority = 101", "6: class[2].priority: 101 is out of range");
@@ -197,6 +205,17 @@
     checkRules("[[class]]", "class_default = 1\n[[class]]", "1: class_default: unknown key");
 }
 
+TEST(ConfigurationReader, ObjectiveMayBeAsLongAsTheWait)
+{
+    for (const char *objective : { "1ms", "2s" }) {
+        const std::string line = std::string("objective = \"") + objective + '"';
+        const auto result =
+            read(INVENTORY, replaced(RULES, "wait = \"2s\"", "wait = \"2s\"\n" + line));
+        STRCMP_EQUAL("", allProblems(result).c_str());
+        CHECK(result.configuration->rules.rules[0].targetLatency == *parseDuration(objective));
+    }
+}
+
 TEST(ConfigurationReader, ReportsAllProblemsInOrder)
 {
     const std::string inventory =
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -99,7 +99,7 @@
     /// Time limit of a request whose caller sets no deadline, and the longest that a caller may
     /// set.
     Duration wait{ 0 };
-    /// Latency up to which a response has its full value; zero if the rule sets none.
+    /// Latency objective: up to it a response has its full value. Zero if the rule sets none.
     Duration targetLatency{ 0 };
     /// Most servers that one request of a caller may run on; 0 if only the attempts are bounded.
     std::uint32_t servers = 0;
