Gate: calls in the order of what can still meet their objective

Cause: a gate's queue was ordered by rank. Within a priority a hash decided, so a call that would be late anyway went before one that would be in time; and inner calls of admitted requests went before all new requests, so the most urgent kind waited behind the inner calls of less urgent ones. Change: calls that carry a latency objective are ordered by the priority of their root, inner before new, then by slack: those that can still meet the objective first, the late ones last. A full queue refuses the last of these; among calls that can all be met, one of the kind of which most was started. A kind that got less than half of the mean share goes first. Calls without an objective keep the order of their ranks (property test against the former order). Rank and floors are unchanged. Expected times are learned by rule. More in docs/design/call-order.md.

--- a/src/coordination/admission/gatefactory.h
+++ b/src/coordination/admission/gatefactory.h
@@ -18,6 +18,10 @@
     Fifo, ///< In order of arrival; a full queue refuses the newest call.
     Rank, ///< Highest rank first; newest first within a rank.
     Newest, ///< Highest priority first; newest first within a priority.
+    /// As `Rank` for calls without an objective. Others: highest priority first, then inner calls,
+    /// then those that can still meet their objective, least slack first. See
+    /// docs/design/call-order.md.
+    Objective,
 };
 
 /// Settings of a gate. Each policy can be disabled to measure its effect.
@@ -33,7 +37,7 @@
     /// Lower bound of the limit, as a share of the announced capacity.
     double minShare = 0.1;
 
-    QueueOrder order = QueueOrder::Rank;
+    QueueOrder order = QueueOrder::Objective;
     /// Maximum queue length, as a multiple of the limit: bounds the expected wait in service times.
     double queueWait = 1.0;
     /// Calls that may wait regardless of the limit.
--- a/src/coordination/admission/igate.h
+++ b/src/coordination/admission/igate.h
@@ -21,6 +21,36 @@
     TimePoint deadline;
     /// Share of the root requests of the same kind that their entry daemon admits; 0 in a retry.
     DemandShare admittedShare;
+    /// Time by which the answer is needed for the root request to meet its latency objective;
+    /// nothing if it has none.
+    std::optional<TimePoint> objective = {};
+    /// Rule of the call. Calls of one rule are of one kind.
+    RuleName rule = {};
+};
+
+/// A call in the queue of a gate, and the basis of its place there.
+struct QueuedCall
+{
+    GateRequest request;
+    /// Latest start with which it is expected to meet its objective; nothing if it has none or
+    /// objectives do not count here.
+    std::optional<TimePoint> latestStart = {};
+    /// It was started before more urgent calls, as its kind got much less than the others.
+    bool isOwed = false;
+};
+
+/// Why a call was started or refused when it was.
+struct GateOrderBasis
+{
+    /// Time until the latest start with which the call is expected to meet its objective; negative
+    /// if that has passed, nothing if the call has no objective.
+    std::optional<Duration> slack = {};
+    /// As in `QueuedCall`.
+    bool isOwed = false;
+    /// For a refusal for lack of capacity: the call that is kept instead. 0 if there is none.
+    CallId rival = {};
+    /// The rival is of a higher priority and was submitted later.
+    bool isDisplacedByPriority = false;
 };
 
 enum class GateVerb {
@@ -35,6 +65,7 @@
     CallId id;
     /// Set for `Refuse`.
     Verdict verdict;
+    GateOrderBasis basis = {};
 };
 using GateActions = std::vector<GateAction>;
 
@@ -53,8 +84,8 @@
 };
 
 /// Admission control for one upstream, on the host of the upstream: limits concurrency, orders
-/// queued calls by rank and refuses calls that cannot meet their deadline. Holds no clock, socket
-/// or thread.
+/// queued calls by urgency and refuses calls that cannot meet their deadline. Holds no clock,
+/// socket or thread.
 class IGate
 {
 public:
@@ -86,6 +117,10 @@
     /// While true, refuses new calls with `Reason::Draining`; queued and running calls continue.
     virtual void setDraining(bool draining) = 0;
     virtual LoadReport load(TimePoint now) const = 0;
+    /// Number of queued calls that can still meet their objective.
+    virtual std::uint32_t queuedOnTime() const = 0;
+    /// Expected time from the start to the end of a call of that rule.
+    virtual Duration expectedTime(const RuleName &rule) const = 0;
 };
 
 } // namespace ivyspar
--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -8,6 +8,7 @@
 #include "coordination/admission/internal/gradientlimit.h"
 #include "coordination/admission/internal/probinglimit.h"
 #include "state/idvalue.h"
+#include "state/rank.h"
 
 namespace ivyspar {
 
@@ -41,6 +42,14 @@
     return static_cast<double>(a.value()) / static_cast<double>(b.value());
 }
 
+std::optional<Duration> slackOf(TimePoint now, const QueuedCall &call)
+{
+    if (!call.latestStart) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(*call.latestStart - now);
+}
+
 std::uint32_t ceilingOf(std::uint32_t slots, std::uint32_t connections)
 {
     return std::min(slots, connections);
@@ -90,9 +99,10 @@
         m_demand.onArrival(now, request.admittedShare, Duration(std::llround(m_serviceTime)));
         recordCallDemand(now, request.admittedShare);
     }
-    m_queue.push(request);
+    m_queue.push(request, expectedTime(request.rule));
+    m_queue.advance(now);
     startWaiting(now, actions);
-    dropExcess(now, actions);
+    dropExcess(now, &request, actions);
     return actions;
 }
 
@@ -100,9 +110,14 @@
 {
     GateActions actions;
     const std::uint32_t inFlight = occupied();
-    if (m_running.erase(id) == 0) {
+    const auto running = m_running.find(id);
+    if (running == m_running.end()) {
         return actions;
     }
+    if (result == CallResult::Success) {
+        m_times.add(running->second, serviceTime);
+    }
+    m_running.erase(running);
     recordResult(now, result, serviceTime, inFlight);
     if (result == CallResult::TimedOut) {
         holdSlot(now, m_options.timedOutHold);
@@ -165,6 +180,7 @@
         m_held.pop();
     }
     m_demand.advance(now, static_cast<double>(occupied() + m_queue.size()), m_ceiling);
+    m_queue.advance(now);
     dropDoomed(now, actions);
     if (m_options.hasFloor) {
         m_floor.advance(now, Duration(std::llround(m_serviceTime)));
@@ -174,41 +190,62 @@
 void Gate::dropDoomed(TimePoint now, GateActions &actions)
 {
     while (!m_queue.isEmpty() && now > latestStart(m_queue.earliestDeadline())) {
-        const GateRequest doomed = m_queue.popEarliest();
-        const bool isOver = doomed.deadline <= now;
-        refuse(doomed.id, isOver ? Reason::DeadlineExceeded : Reason::Doomed, actions);
+        const QueuedCall doomed = m_queue.popEarliest(now);
+        const bool isOver = doomed.request.deadline <= now;
+        refuse(doomed.request.id, isOver ? Reason::DeadlineExceeded : Reason::Doomed, actions);
+        actions.back().basis.slack = slackOf(now, doomed);
         m_floor.onCapacityRefusal();
     }
 }
 
-void Gate::dropExcess(TimePoint now, GateActions &actions)
+void Gate::dropExcess(TimePoint now, const GateRequest *newcomer, GateActions &actions)
 {
     while (m_options.isQueueBounded && m_queue.size() > maxQueueLength()) {
-        const CallId id = m_queue.popLast().id;
+        const QueuedCall refused = m_queue.popLast(now);
+        const CallId id = refused.request.id;
         if (m_rate.isLimited() && hasFreeSlot()) {
             refuseForRate(now, id, actions);
         } else {
             refuse(id, Reason::QueueFull, actions);
         }
+        actions.back().basis = refusalBasis(now, refused, newcomer);
         m_floor.onCapacityRefusal();
     }
 }
 
+GateOrderBasis Gate::refusalBasis(TimePoint now, const QueuedCall &refused,
+                                  const GateRequest *newcomer) const
+{
+    GateOrderBasis basis;
+    basis.slack = slackOf(now, refused);
+    const bool isOther = newcomer && newcomer->id != refused.request.id;
+    if (isOther) {
+        basis.rival = newcomer->id;
+        basis.isDisplacedByPriority = priorityOf(newcomer->rank) > priorityOf(refused.request.rank);
+    } else if (!m_queue.isEmpty()) {
+        basis.rival = m_queue.last().id;
+    }
+    return basis;
+}
+
 void Gate::startWaiting(TimePoint now, GateActions &actions)
 {
     while (!m_queue.isEmpty() && hasFreeSlot() && m_rate.tryTake(now)) {
-        start(m_queue.popFirst().id, actions);
+        start(now, m_queue.popFirst(now), actions);
     }
     const auto longest = static_cast<double>(std::max<std::size_t>(maxQueueLength(), 1));
     const double fill = static_cast<double>(m_queue.size()) / longest;
     m_floor.setQueue(fill, m_queue.isEmpty() && hasFreeSlot() && m_rate.hasToken(now));
 }
 
-void Gate::start(CallId id, GateActions &actions)
+void Gate::start(TimePoint now, const QueuedCall &call, GateActions &actions)
 {
-    m_running.insert(id);
+    m_running.emplace(call.request.id, call.request.rule);
     m_floor.onStart();
-    actions.push_back({ GateVerb::Start, id, {} });
+    GateOrderBasis basis;
+    basis.slack = slackOf(now, call);
+    basis.isOwed = call.isOwed;
+    actions.push_back({ GateVerb::Start, call.request.id, {}, basis });
 }
 
 void Gate::refuse(CallId id, Reason reason, GateActions &actions)
@@ -280,11 +317,11 @@
     advance(now, actions);
     startWaiting(now, actions);
     if (m_ceiling > 0) {
-        dropExcess(now, actions);
+        dropExcess(now, nullptr, actions);
         return actions;
     }
     while (!m_queue.isEmpty()) {
-        refuse(m_queue.popLast().id, Reason::NoServer, actions);
+        refuse(m_queue.popLast(now).request.id, Reason::NoServer, actions);
     }
     return actions;
 }
@@ -301,7 +338,7 @@
     m_rate.setLimit(now, limit);
     advance(now, actions);
     startWaiting(now, actions);
-    dropExcess(now, actions);
+    dropExcess(now, nullptr, actions);
     return actions;
 }
 
@@ -350,4 +387,14 @@
     return report;
 }
 
+std::uint32_t Gate::queuedOnTime() const
+{
+    return static_cast<std::uint32_t>(m_queue.onTimeCount());
+}
+
+Duration Gate::expectedTime(const RuleName &rule) const
+{
+    return m_times.of(rule).value_or(Duration(std::llround(m_serviceTime)));
+}
+
 } // namespace ivyspar
--- a/src/coordination/admission/internal/gate.h
+++ b/src/coordination/admission/internal/gate.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <memory>
 #include <queue>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 #include "coordination/admission/demandrate.h"
@@ -15,6 +15,7 @@
 #include "coordination/admission/internal/floorcontrol.h"
 #include "coordination/admission/internal/rankqueue.h"
 #include "coordination/admission/internal/ratelimiter.h"
+#include "coordination/admission/servicetimes.h"
 
 namespace ivyspar {
 
@@ -34,6 +35,8 @@
     Duration reserveSend(TimePoint now) override;
     void setDraining(bool draining) override;
     LoadReport load(TimePoint now) const override;
+    std::uint32_t queuedOnTime() const override;
+    Duration expectedTime(const RuleName &rule) const override;
 
 private:
     /// Times at which the slots of abandoned calls become free, earliest first.
@@ -41,11 +44,14 @@
 
     void advance(TimePoint now, GateActions &actions);
     void dropDoomed(TimePoint now, GateActions &actions);
-    void dropExcess(TimePoint now, GateActions &actions);
+    /// `newcomer`: the call that was just submitted, if one was.
+    void dropExcess(TimePoint now, const GateRequest *newcomer, GateActions &actions);
     void startWaiting(TimePoint now, GateActions &actions);
-    void start(CallId id, GateActions &actions);
+    void start(TimePoint now, const QueuedCall &call, GateActions &actions);
     void refuse(CallId id, Reason reason, GateActions &actions);
     void refuseForRate(TimePoint now, CallId id, GateActions &actions);
+    GateOrderBasis refusalBasis(TimePoint now, const QueuedCall &refused,
+                                const GateRequest *newcomer) const;
     void recordCallDemand(TimePoint now, DemandShare admittedShare);
     DemandLoad rateLoad(TimePoint now) const;
     bool hasFreeSlot() const;
@@ -64,10 +70,12 @@
     RateLimiter m_rate;
     /// Demand for the upstream, in calls per second, while it states a rate limit.
     DemandRate m_callDemand;
-    std::unordered_set<CallId> m_running;
+    /// Running calls with their rules.
+    std::unordered_map<CallId, RuleName> m_running;
     Releases m_held;
     std::uint32_t m_ceiling = 0;
     bool m_isDraining = false;
+    ServiceTimes m_times;
     /// Mean service time, in µs.
     double m_serviceTime = 0;
 };
--- a/src/coordination/admission/tests/gatetest.cpp
+++ b/src/coordination/admission/tests/gatetest.cpp
@@ -61,6 +61,8 @@
     bool hasDuplicateAction = false;
     std::size_t queued() const { return m_queued.size(); }
     std::uint32_t started = 0;
+    /// Verb and call of each action.
+    std::vector<std::pair<GateVerb, CallId>> actions;
 
 private:
     void step()
@@ -106,9 +108,10 @@
             hasDuplicateAction || (effect == CancelEffect::Started) != (m_running.count(id) > 0);
     }
 
-    void apply(const GateActions &actions)
+    void apply(const GateActions &taken)
     {
-        for (const GateAction &action : actions) {
+        for (const GateAction &action : taken) {
+            actions.emplace_back(action.verb, action.id);
             const std::uint64_t id = action.id.value();
             const Rank rank = m_queued[id];
             hasDuplicateAction = hasDuplicateAction || m_queued.erase(id) == 0;
@@ -241,6 +244,20 @@
     CHECK(run.hasPriorityInversion);
 }
 
+TEST(Gate, CallsWithoutObjectivesAreOrderedByRank)
+{
+    const bool holds = rc::check([](std::uint64_t seed) {
+        GateOptions byRank = optionsFor(8);
+        byRank.order = QueueOrder::Rank;
+        RandomRun expected(byRank, seed);
+        expected.run(400);
+        RandomRun run(optionsFor(8), seed);
+        run.run(400);
+        RC_ASSERT(run.actions == expected.actions);
+    });
+    CHECK(holds);
+}
+
 TEST(Gate, CallOfHigherRankDisplacesTheLowestQueuedCall)
 {
     GateOptions options = optionsFor(1);
--- a/src/state/internal/rank.cpp
+++ b/src/state/internal/rank.cpp
@@ -13,6 +13,7 @@
 /// Above the bits of the priority: the highest of the 100 priorities fits below this bit.
 constexpr std::uint32_t COMMITTED_BIT = 0x80000000;
 constexpr std::uint32_t PRIORITY_MASK = 0x7F;
+constexpr std::uint32_t DEPTH_MASK = 0xFF;
 } // namespace
 
 Rank makeRank(Priority priority, Depth depth, RootId root)
@@ -38,4 +39,14 @@
     return Priority(static_cast<std::uint8_t>((rank.value() >> PRIORITY_SHIFT) & PRIORITY_MASK));
 }
 
+Depth depthOf(Rank rank)
+{
+    return Depth(static_cast<std::uint8_t>((rank.value() >> DEPTH_SHIFT) & DEPTH_MASK));
+}
+
+bool isCommitted(Rank rank)
+{
+    return (rank.value() & COMMITTED_BIT) != 0;
+}
+
 } // namespace ivyspar
--- a/src/state/rank.h
+++ b/src/state/rank.h
@@ -17,5 +17,7 @@
 Rank makeCommittedRank(Priority priority, Depth depth, RootId root);
 
 Priority priorityOf(Rank rank);
+Depth depthOf(Rank rank);
+bool isCommitted(Rank rank);
 
 } // namespace ivyspar
--- a/src/state/tests/ranktest.cpp
+++ b/src/state/tests/ranktest.cpp
@@ -36,4 +36,10 @@
     const Rank rank = makeRank(Priority(42), Depth(3), RootId(99));
     CHECK(priorityOf(rank) == Priority(42));
     CHECK(lowestRankOf(Priority(42)) <= rank);
+    CHECK(depthOf(rank) == Depth(3));
+    CHECK_FALSE(isCommitted(rank));
+    const Rank committed = makeCommittedRank(Priority(42), Depth(3), RootId(99));
+    CHECK(priorityOf(committed) == Priority(42));
+    CHECK(depthOf(committed) == Depth(3));
+    CHECK(isCommitted(committed));
 }
