Calls carry their latency objective down the tree

Cause: nothing told a gate how much time a call's root request had left to its objective, nor what was still to come above the call. Change: the entry daemon of the root sets the time left, less its loop's lag; an inner call gets its parent's, less what the parent is expected to do after it (its expected end, less the usual time of such inner calls). Gates turn it into a point in time, less their lag. Lines of a gate have the slack, why a call was started, and for a refusal the request that was kept instead; `explain` says it in words. Counters for objectives met and missed, late starts and displacements; status and metrics have the queued calls that are still on time.

--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -86,6 +86,21 @@
     return isNumber ? event.fields[field].get<double>() : fallback;
 }
 
+/// Why the call was refused and not another one.
+std::string orderText(const HistoryEvent &event)
+{
+    std::string text;
+    if (event.has("slack_ms")) {
+        const bool isLate = valueOf(event, "slack_ms", 0) < 0;
+        text += ", slack " + numberOf(event, "slack_ms") + " ms: its objective could "
+            + (isLate ? "no longer" : "still") + " be met";
+    }
+    if (event.has("choice") && event.has("detail")) {
+        text += "; refused " + event.text("detail") + ", request " + event.text("choice");
+    }
+    return text;
+}
+
 std::string decisionInputsText(const HistoryEvent &event)
 {
     if (event.has("crashes")) {
@@ -115,7 +130,7 @@
     if (event.has("queued")) {
         return " (in flight " + numberOf(event, "in_flight") + " of " + numberOf(event, "limit")
             + ", queued " + numberOf(event, "queued") + ", left " + numberOf(event, "left_ms")
-            + " ms)";
+            + " ms" + orderText(event) + ")";
     }
     return "";
 }
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -321,12 +321,14 @@
     LoadReport sum;
     std::optional<RequestRate> rateLimit;
     double sends = 0;
+    std::int64_t onTime = 0;
     for (const GateStatus &gate : traffic.gates) {
         sum.inFlight += gate.load.inFlight;
         sum.queued += gate.load.queued;
         sum.limit += gate.load.limit;
         sum.floor = std::max(sum.floor, gate.load.floor);
         sends += gate.sendsPerSecond;
+        onTime += gate.queuedOnTime;
         if (gate.notice.rateLimit) {
             rateLimit = RequestRate(rateLimit.value_or(RequestRate()).value()
                                     + gate.notice.rateLimit->value());
@@ -334,6 +336,7 @@
     }
     metrics.set(Gauge::GateInFlight, sum.inFlight);
     metrics.set(Gauge::GateQueued, sum.queued);
+    metrics.set(Gauge::GateQueuedOnTime, onTime);
     metrics.set(Gauge::GateLimit, sum.limit);
     metrics.set(Gauge::GateFloorPriority, priorityOf(sum.floor).value());
     metrics.set(Gauge::GateRateLimit,
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -52,6 +52,7 @@
     Json document{ { "service", gate.service.value() },
                    { "in_flight", load.inFlight },
                    { "queued", load.queued },
+                   { "queued_on_time", gate.queuedOnTime },
                    { "limit", load.limit },
                    { "floor", load.floor.value() },
                    { "draining", load.draining },
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -124,6 +124,9 @@
     m_observers.metrics.observe(Timing::ReadLag, lag);
     Incoming incoming = makeIncoming(std::move(*read));
     incoming.deadline -= lag;
+    if (incoming.objective) {
+        *incoming.objective -= lag;
+    }
     if (isFromUpstream) {
         applyContext(context, incoming);
     } else if (m_options.infersParents && !key) {
@@ -186,6 +189,9 @@
     incoming.service = incoming.rule.service;
     incoming.priority = m_configuration->priorities.of(std::nullopt, incoming.rule.priority);
     incoming.deadline = m_loop.now() + request.wait;
+    if (incoming.rule.targetLatency > Duration::zero()) {
+        incoming.objective = m_loop.now() + std::min(incoming.rule.targetLatency, request.wait);
+    }
     incoming.callerDeadline = m_loop.now() + request.callerWait;
     incoming.callerAttempt = request.callerAttempt;
     incoming.once = std::move(request.once);
@@ -238,6 +244,7 @@
     incoming.priority = context.priority;
     incoming.depth = Depth(static_cast<std::uint8_t>(std::min(context.depth.value() + 1, 255)));
     incoming.deadline = std::min(incoming.deadline, context.deadline);
+    incoming.objective = innerObjective(context, incoming.rule.name);
     incoming.tree = context.tree;
     incoming.admittedShare =
         context.admittedShare == DemandShare() ? WHOLE_DEMAND : context.admittedShare;
@@ -245,6 +252,18 @@
     incoming.account = context.account;
 }
 
+std::optional<TimePoint> EntryService::innerObjective(const CallContext &parent,
+                                                      const RuleName &rule) const
+{
+    if (!parent.objective) {
+        return std::nullopt;
+    }
+    const Duration own = m_innerTimes.of(rule).value_or(Duration::zero());
+    const auto above =
+        std::chrono::duration_cast<Duration>(parent.expectedEnd - (m_loop.now() + own));
+    return *parent.objective - std::max(above, Duration::zero());
+}
+
 std::optional<Verdict> EntryService::identify(const std::optional<AccountKey> &key,
                                               Incoming &incoming)
 {
@@ -453,6 +472,10 @@
         refundAccountToken(active->incoming);
     }
     reportEnd(*active);
+    if (active->incoming.depth > Depth(0) && isSuccess(active->verdict, active->response)) {
+        m_innerTimes.add(active->incoming.rule.name,
+                         std::chrono::duration_cast<Duration>(m_loop.now() - active->startedAt));
+    }
     m_recorder.recordEnd(factsOf(active->incoming), resultOf(*active));
     return compose(*active);
 }
@@ -491,6 +514,10 @@
     call.isRepeat = incoming.isRepeat || !isFirst;
     call.granted = action.granted;
     call.once = incoming.once;
+    if (incoming.objective) {
+        const auto left = std::chrono::duration_cast<Duration>(*incoming.objective - m_loop.now());
+        call.objectiveLeft = std::max(left, Duration::zero());
+    }
     call.request = incoming.request;
     call.fingerprint = incoming.fingerprint;
     call.account = incoming.account;
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -16,6 +16,7 @@
 #include "app/internal/quarantine/iquarantine.h"
 #include "coordination/admission/irootadmission.h"
 #include "coordination/admission/processorguard.h"
+#include "coordination/admission/servicetimes.h"
 #include "coordination/calls/internal/entrycall.h"
 #include "coordination/routing/iweightedsplit.h"
 #include "coordination/upstreams/noticestore.h"
@@ -84,6 +85,9 @@
         Priority priority;
         Depth depth;
         TimePoint deadline;
+        /// Time by which the answer is needed for the root request to meet its latency objective;
+        /// nothing if it has none.
+        std::optional<TimePoint> objective;
         /// The deadline that the caller named, not limited by the rule.
         TimePoint callerDeadline;
         CallBudgetPtr budget;
@@ -120,6 +124,9 @@
     std::optional<Verdict> takeAccountToken(IHttpExchange &exchange, Incoming &incoming);
     void refundAccountToken(Incoming &incoming);
     void inherit(const CallContext &context, Incoming &incoming);
+    /// Returns the objective of an inner call: the parent's, less what the parent is expected to do
+    /// after it.
+    std::optional<TimePoint> innerObjective(const CallContext &parent, const RuleName &rule) const;
     bool admit(Incoming &incoming);
     /// Returns how long a refused caller should wait before it retries.
     Duration retryAfterOf(const Incoming &incoming);
@@ -162,6 +169,8 @@
     LoopLag m_lag;
     ProcessorGuard m_guard;
     NoticeStore m_notices;
+    /// Times from an inner call to its answer.
+    ServiceTimes m_innerTimes;
     ConfigurationPtr m_configuration;
     /// Highest priority of all rules.
     Priority m_highestPriority;
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -4,6 +4,7 @@
 
 #include "state/fingerprint.h"
 #include "state/http.h"
+#include "state/idvalue.h"
 
 namespace ivyspar {
 
@@ -40,6 +41,22 @@
     return notice.rateLimit ? "rate-limited" : "rate-limit-lifted";
 }
 
+bool isLate(const GateOrderBasis &basis)
+{
+    return basis.slack && *basis.slack < Duration::zero();
+}
+
+const char *reasonOf(const GateOrderBasis &basis)
+{
+    if (basis.isOwed) {
+        return "owed-share";
+    }
+    if (isLate(basis)) {
+        return "late";
+    }
+    return basis.slack ? "on-time" : "admitted";
+}
+
 /// Negative without a limit, as 0 is a limit.
 double perSecondOf(const std::optional<RequestRate> &rate)
 {
@@ -48,29 +65,56 @@
 
 } // namespace
 
-void GateRecorder::recordAdmitted(const GatedCall &call)
+void GateRecorder::recordAdmitted(const GatedCall &call, const GatedOrder &order)
 {
     Decision decision = makeDecision(DecisionKind::Admit, call.message);
-    decision.reason = "admitted";
-    recordState(std::move(decision), call);
+    decision.reason = reasonOf(order.basis);
+    recordState(std::move(decision), call, order);
 }
 
-void GateRecorder::recordRefused(const GatedCall &call, Reason reason)
+void GateRecorder::recordRefused(const GatedCall &call, Reason reason, const GatedOrder &order)
 {
     Decision decision = makeDecision(DecisionKind::Refuse, call.message);
     decision.importance = Importance::Essential;
     decision.reason = toText(reason);
     decision.fingerprint = call.message.fingerprint;
-    recordState(std::move(decision), call);
+    if (order.rival != RootId()) {
+        decision.choice = toHex(order.rival.value());
+        decision.detail = "in favour of rule " + order.rivalRule.value() + ", priority "
+            + std::to_string(order.rivalPriority.value());
+    }
+    recordState(std::move(decision), call, order);
 }
 
-void GateRecorder::recordState(Decision decision, const GatedCall &call)
+void GateRecorder::countStart(const GateOrderBasis &basis)
+{
+    if (isLate(basis)) {
+        m_observers.metrics.add(Counter::GateLateStarts);
+    }
+}
+
+void GateRecorder::countRefusal(const GateOrderBasis &basis)
+{
+    if (basis.isDisplacedByPriority) {
+        m_observers.metrics.add(Counter::GateDisplacements);
+    }
+}
+
+void GateRecorder::countAnswer(bool isObjectiveMet)
+{
+    m_observers.metrics.add(isObjectiveMet ? Counter::ObjectivesMet : Counter::ObjectivesMissed);
+}
+
+void GateRecorder::recordState(Decision decision, const GatedCall &call, const GatedOrder &order)
 {
     decision.inputs = { { "waited_ms", toMillis(call.waited) },
                         { "left_ms", toMillis(call.left) },
                         { "in_flight", static_cast<double>(call.load.inFlight) },
                         { "queued", static_cast<double>(call.load.queued) },
                         { "limit", static_cast<double>(call.load.limit) } };
+    if (order.basis.slack) {
+        decision.inputs.push_back({ "slack_ms", toMillis(*order.basis.slack) });
+    }
     if (call.rateLimit) {
         decision.inputs.push_back({ "rate_per_s", toPerSecond(*call.rateLimit) });
     }
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -5,6 +5,7 @@
 
 #include "app/internal/gate/announcement.h"
 #include "app/internal/logs/observers.h"
+#include "coordination/admission/igate.h"
 #include "protocol/messages.h"
 #include "state/ids.h"
 #include "state/load.h"
@@ -25,6 +26,16 @@
     std::optional<RequestRate> rateLimit;
 };
 
+/// Why a call was started or refused when it was, as it is written to the decision log.
+struct GatedOrder
+{
+    GateOrderBasis basis;
+    /// The call that is kept instead of a refused one; 0 if there is none.
+    RootId rival;
+    RuleName rivalRule;
+    Priority rivalPriority;
+};
+
 /// Writes the decisions of a gate to the decision log. Traffic thread only.
 class GateRecorder
 {
@@ -39,8 +50,12 @@
     {
         return m_observers.decisions.wouldDrop(kind, importance, root);
     }
-    void recordAdmitted(const GatedCall &call);
-    void recordRefused(const GatedCall &call, Reason reason);
+    void recordAdmitted(const GatedCall &call, const GatedOrder &order);
+    void recordRefused(const GatedCall &call, Reason reason, const GatedOrder &order);
+    void countStart(const GateOrderBasis &basis);
+    void countRefusal(const GateOrderBasis &basis);
+    /// Counts the answer of a call that has a latency objective.
+    void countAnswer(bool isObjectiveMet);
     /// Records the end of a run at that server; `status` is the HTTP status, used only if the
     /// server answered.
     void recordRun(const CallMessage &message, const UpstreamId &instance, const Verdict &verdict,
@@ -55,7 +70,7 @@
     void recordCrash(const Announcement &server);
 
 private:
-    void recordState(Decision decision, const GatedCall &call);
+    void recordState(Decision decision, const GatedCall &call, const GatedOrder &order);
 
     Observers m_observers;
 };
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -154,7 +154,8 @@
     std::vector<GateStatus> statuses;
     for (const auto &[service, upstream] : m_upstreams) {
         statuses.push_back(GateStatus{ service, upstream.gate->load(now), upstream.notices.notice(),
-                                       upstream.sends.rate(now, SEND_RATE_TIME) });
+                                       upstream.sends.rate(now, SEND_RATE_TIME),
+                                       upstream.gate->queuedOnTime() });
     }
     return statuses;
 }
@@ -171,6 +172,9 @@
     call.tree->rule = message.rule;
     call.arrivedAt = now;
     call.deadline = now + message.remaining - readLag;
+    if (message.objectiveLeft) {
+        call.objective = now + *message.objectiveLeft - readLag;
+    }
     call.message = std::move(message);
 
     const ServiceName service = call.message.service;
@@ -238,10 +242,13 @@
     if (!passesSuspectGate(id, *upstream)) {
         return;
     }
-    perform(service,
-            upstream->gate->offer(
-                m_loop.now(),
-                GateRequest{ id, call.message.rank, call.deadline, call.message.admittedShare }));
+    const GateRequest request{ id,
+                               call.message.rank,
+                               call.deadline,
+                               call.message.admittedShare,
+                               call.objective,
+                               call.message.rule };
+    perform(service, upstream->gate->offer(m_loop.now(), request));
 }
 
 bool GateService::passesSuspectGate(CallId id, const Upstream &upstream)
@@ -344,6 +351,11 @@
     context.admittedShare = call.message.admittedShare;
     context.isRepeat = call.message.isRepeat;
     context.account = call.message.account;
+    context.objective = call.objective;
+    const auto upstream = m_upstreams.find(call.message.service);
+    context.expectedEnd = upstream == m_upstreams.end()
+        ? m_loop.now()
+        : call.startedAt + upstream->second.gate->expectedTime(call.message.rule);
     return context;
 }
 
@@ -419,20 +431,22 @@
 {
     for (const GateAction &action : actions) {
         if (action.verb == GateVerb::Start) {
-            startCall(service, action.id);
+            startCall(service, action);
         } else {
-            refuseCall(action.id, action.verdict);
+            refuseCall(action.id, action.verdict, action.basis);
         }
     }
     armTick(service);
 }
 
-void GateService::startCall(const ServiceName &service, CallId id)
+void GateService::startCall(const ServiceName &service, const GateAction &action)
 {
+    const CallId id = action.id;
     const auto found = m_calls.find(id);
     if (found == m_calls.end()) {
         return;
     }
+    found->second.startedAt = m_loop.now();
     found->second.cancellation = new HttpCancellation;
     m_observers.metrics.add(Counter::GateStarts);
     m_observers.metrics.observe(
@@ -440,8 +454,9 @@
         std::chrono::duration_cast<Duration>(m_loop.now() - found->second.arrivedAt));
     if (!m_recorder.wouldDrop(DecisionKind::Admit, Importance::Routine,
                               found->second.message.root)) {
-        m_recorder.recordAdmitted(stateOf(found->second));
+        m_recorder.recordAdmitted(stateOf(found->second), orderOf(action.basis));
     }
+    m_recorder.countStart(action.basis);
     m_loop.spawn([this, service, id] { runCall(service, id); });
 }
 
@@ -493,6 +508,10 @@
         found->second.holdsClaim = false;
         m_once.finished(id, run.verdict, run.response);
     }
+    if (found != m_calls.end() && found->second.objective
+        && run.verdict.outcome == Outcome::Answered) {
+        m_recorder.countAnswer(m_loop.now() <= *found->second.objective);
+    }
     ResponseMessage answer;
     answer.verdict = run.verdict;
     answer.response = std::move(run.response);
@@ -705,14 +724,27 @@
     }
 }
 
-void GateService::refuseCall(CallId id, const Verdict &verdict)
+GatedOrder GateService::orderOf(const GateOrderBasis &basis) const
+{
+    GatedOrder order{ basis, RootId(), RuleName(), Priority() };
+    const auto rival = m_calls.find(basis.rival);
+    if (rival != m_calls.end()) {
+        order.rival = rival->second.message.root;
+        order.rivalRule = rival->second.message.rule;
+        order.rivalPriority = priorityOf(rival->second.message.rank);
+    }
+    return order;
+}
+
+void GateService::refuseCall(CallId id, const Verdict &verdict, const GateOrderBasis &basis)
 {
     m_observers.metrics.add(Counter::GateRefusals);
+    m_recorder.countRefusal(basis);
     const auto found = m_calls.find(id);
     if (found != m_calls.end()
         && !m_recorder.wouldDrop(DecisionKind::Refuse, Importance::Essential,
                                  found->second.message.root)) {
-        m_recorder.recordRefused(stateOf(found->second), verdict.reason);
+        m_recorder.recordRefused(stateOf(found->second), verdict.reason, orderOf(basis));
     }
     ResponseMessage answer;
     answer.verdict = verdict;
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -133,6 +133,8 @@
         CallTreePtr tree;
         TimePoint arrivedAt;
         TimePoint deadline;
+        std::optional<TimePoint> objective;
+        TimePoint startedAt;
         HttpCancellationPtr cancellation;
         bool isCancelled = false;
         /// Waits for the claim of its key or ticket, before it enters the gate.
@@ -144,7 +146,7 @@
     CallContext makeContext(const Call &call) const;
     CallId newCallId();
     void perform(const ServiceName &service, const GateActions &actions);
-    void startCall(const ServiceName &service, CallId id);
+    void startCall(const ServiceName &service, const GateAction &action);
     void runCall(const ServiceName &service, CallId id);
     /// Sends the call, and again while the server refuses it and the retry budget allows it.
     RunResult sendToServer(const ServiceName &service, const Announcement &server, CallId id);
@@ -169,7 +171,9 @@
     bool maySendAgain(const ServiceName &service, const Announcement &server, CallId id);
     void reportContactFailure(const UpstreamId &instance);
     void endCall(CallId id, ResponseMessage answer);
-    void refuseCall(CallId id, const Verdict &verdict);
+    void refuseCall(CallId id, const Verdict &verdict, const GateOrderBasis &basis = {});
+    /// Returns what the decision log shows of the basis.
+    GatedOrder orderOf(const GateOrderBasis &basis) const;
     GatedCall stateOf(const Call &call) const;
     Duration recordArrival(TimePoint now, const CallMessage &message, CallSource source);
     void enterGate(CallId id);
--- a/src/app/internal/gate/gatestatus.h
+++ b/src/app/internal/gate/gatestatus.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "state/ids.h"
 #include "state/load.h"
 #include "state/upstreamnotice.h"
@@ -14,6 +16,8 @@
     UpstreamNotice notice;
     /// Requests sent to the upstream, health checks included.
     double sendsPerSecond = 0;
+    /// Queued calls that can still meet their latency objective.
+    std::uint32_t queuedOnTime = 0;
 };
 
 } // namespace ivyspar
--- a/src/app/internal/gate/igateservice.h
+++ b/src/app/internal/gate/igateservice.h
@@ -25,6 +25,11 @@
     bool isRepeat = false;
     /// The account whose request the call serves; empty if there is none or it is not known.
     AccountName account;
+    /// Time by which the call's answer is needed for the root request to meet its latency
+    /// objective; nothing if it has none.
+    std::optional<TimePoint> objective = {};
+    /// Time at which the call is expected to end.
+    TimePoint expectedEnd = {};
 };
 
 /// What was inferred about a request that carries no context token.
--- a/src/app/tests/explaintest.cpp
+++ b/src/app/tests/explaintest.cpp
@@ -55,6 +55,19 @@
                     text.c_str());
 }
 
+// Guards against refusals of which operators cannot see in whose favour they were.
+TEST(Explain, RefusalForAnotherCallNamesThatCall)
+{
+    const std::string text = explain(
+        "00000000000000aa",
+        { refusal(
+              R"("reason":"queue-full","waited_ms":0.0,"in_flight":4,"queued":4,"limit":4,"left_ms":90.5,"slack_ms":-3.5,"choice":"00000000000000dd","detail":"in favour of rule notice, priority 90")"),
+          refusal(R"("reason":"queue-full")") });
+    STRCMP_CONTAINS("slack -3.5 ms: its objective could no longer be met; refused in favour of "
+                    "rule notice, priority 90, request 00000000000000dd)",
+                    text.c_str());
+}
+
 // A request failed with 500. The entry's log shows only the server's error; the cause is in the log
 // of another host, where a call was refused by a full gate.
 TEST(Explain, FailureIsTracedToTheLostCall)
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -11,6 +11,7 @@
 #include "protocol/owndialects.h"
 #include "state/internal/seededrandom.h"
 #include "state/metricsfactory.h"
+#include "state/rank.h"
 #include "state/tests/mocks/recordingdecisionlog.h"
 #include "transport/transportfactory.h"
 
@@ -128,6 +129,38 @@
     CHECK(verdicts.front().reason == Reason::Draining);
 }
 
+// Guards against refusals of which operators cannot see in whose favour they were.
+TEST(GateService, RefusalNamesTheCallThatIsKeptInstead)
+{
+    const ServiceName service("cassa");
+    m_gates->announce(Announcement{ { service, 1, 8, false }, { "127.0.0.1", 9000 }, {} });
+    const auto send = [&](int priority, std::uint64_t root, const char *rule) {
+        CallMessage call;
+        call.service = service;
+        call.root = RootId(root);
+        call.rule = RuleName(rule);
+        call.rank = makeRank(Priority(static_cast<std::uint8_t>(priority)), Depth(0), RootId(root));
+        call.remaining = std::chrono::seconds(5);
+        call.objectiveLeft = std::chrono::seconds(1);
+        m_gates->handle(std::move(call), CallSource::Link, [](const ResponseMessage &) {});
+    };
+    std::uint64_t last = 0;
+    while (m_decisions.decisions().empty()
+           || m_decisions.decisions().back().kind != DecisionKind::Refuse) {
+        send(50, ++last, "status");
+    }
+    send(90, 1000, "notice");
+    const Decision &refusal = m_decisions.decisions().back();
+    CHECK(refusal.kind == DecisionKind::Refuse);
+    STRCMP_EQUAL("queue-full", refusal.reason);
+    STRCMP_EQUAL("00000000000003e8", refusal.choice.c_str());
+    STRCMP_EQUAL("in favour of rule notice, priority 90", refusal.detail.c_str());
+    STRCMP_EQUAL("slack_ms", refusal.inputs.back().name);
+    CHECK(refusal.inputs.back().value > 0);
+    CHECK(m_metrics->text().find("ivyspar_gate_displacements_total 1") != std::string::npos);
+    CHECK_EQUAL(m_gates->load(service).queued, m_gates->statuses().front().queuedOnTime);
+}
+
 TEST_GROUP(GateServiceNotices)
 {
     InlineEventLoop m_loop;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -67,8 +67,9 @@
     /// What the entry daemon has learned of the server from its earlier responses. The daemon of
     /// the server's host may have been restarted since and not know it.
     std::optional<UpstreamNotice> notice;
-    /// Time left, when this frame was sent, until the latency objective of the root request; zero
-    /// if it has passed, nothing if the root's rule sets none or the sender does not know it.
+    /// Time left, when this frame was sent, until the response is needed for the root request to
+    /// meet its latency objective; zero if that has passed, nothing if the root's rule sets none or
+    /// the sender does not know it.
     std::optional<Duration> objectiveLeft = {};
 };
 
