--- a/src/coordination/admission/internal/rankqueue.cpp
+++ b/src/coordination/admission/internal/rankqueue.cpp
@@ -1,13 +1,15 @@
 #include "coordination/admission/internal/rankqueue.h"
 
+#include <algorithm>
+
 #include "state/rank.h"
 
 namespace ivyspar {
 
 namespace {
 
-/// A kind of which a smaller part of the mean share was started goes first in its group. Above the
-/// quarter of the mean that each kind must get, as shares are averages of some seconds.
+/// A kind of which a smaller part of the mean share was started goes first in its group. Shares are
+/// averages of some seconds, so this is above the quarter of the mean that each kind must get.
 constexpr double OWED_PART = 0.5;
 /// Below this mean share nothing is owed: hardly any call is started.
 constexpr double MIN_MEAN_SHARE = 0.001;
@@ -78,7 +80,7 @@
         waiting.call.latestStart = latestStart;
         std::get<2>(waiting.order) = -latestStart.time_since_epoch().count();
         m_byLatestStart.insert(waiting);
-        ++m_objectives;
+        ++waiting.kind->objectives;
     }
     m_byOrder.insert(waiting);
     if (waiting.kind) {
@@ -138,8 +140,9 @@
     if (!first.kind) {
         return extract(first);
     }
-    const bool hasChoice = m_objectives > 0 && m_calls.size() > 1;
-    Kind *owed = hasChoice ? findOwed(now, std::get<Group>(first.order)) : nullptr;
+    const Group group = std::get<Group>(first.order);
+    const bool isBalanced = m_calls.size() > 1 && hasObjectives(group);
+    Kind *owed = isBalanced ? findOwed(now, group) : nullptr;
     Kind &firstKind = *first.kind;
     Kind &kind = owed ? *owed : firstKind;
     kind.share.onStart(now);
@@ -156,7 +159,7 @@
     }
     Kind *kind = last.kind;
     const Group group = std::get<Group>(last.order);
-    if (m_objectives > 0) {
+    if (hasObjectives(group)) {
         const bool isOnTime = std::get<Tier>(last.order) == Tier::OnTime;
         if (isOnTime || isOwed(*kind, meanShare(now, group))) {
             kind = &findBestServed(group, *kind);
@@ -181,6 +184,12 @@
              m_kinds.lower_bound({ group + 1, RuleName() }) };
 }
 
+bool RankQueue::hasObjectives(Group group)
+{
+    const auto [begin, end] = kindsOf(group);
+    return std::any_of(begin, end, [](const auto &each) { return each.second.objectives > 0; });
+}
+
 double RankQueue::meanShare(TimePoint now, Group group)
 {
     double starts = 0;
@@ -239,7 +248,10 @@
     if (found == m_calls.end()) {
         return false;
     }
-    m_objectives -= found->second.call.latestStart ? 1 : 0;
+    const Waiting &waiting = found->second;
+    if (waiting.call.latestStart) {
+        --waiting.kind->objectives;
+    }
     m_calls.erase(found);
     return true;
 }
--- a/src/coordination/admission/internal/rankqueue.h
+++ b/src/coordination/admission/internal/rankqueue.h
@@ -100,6 +100,8 @@
     struct Kind
     {
         SetOf<KindHook, OrderOf> calls;
+        /// Queued calls that have an objective.
+        std::size_t objectives = 0;
         KindShare share;
     };
     using Kinds = std::map<std::pair<Group, RuleName>, Kind>;
@@ -111,6 +113,8 @@
     void removeIdleKinds();
     void moveToLate(Waiting &waiting);
     std::pair<Kinds::iterator, Kinds::iterator> kindsOf(Group group);
+    /// Whether kinds are balanced: a group without objectives is ordered by rank alone.
+    bool hasObjectives(Group group);
     /// Mean share that the kinds of a group got.
     double meanShare(TimePoint now, Group group);
     static bool isOwed(const Kind &kind, double meanShare);
@@ -122,8 +126,6 @@
 
     QueueOrder m_order;
     std::int64_t m_arrivals = 0;
-    /// Queued calls that have an objective.
-    std::size_t m_objectives = 0;
     // The sets are destroyed after `m_calls`, whose elements unlink themselves.
     SetOf<OrderHook, OrderOf> m_byOrder;
     SetOf<DeadlineHook, DeadlineOf> m_byDeadline;
