--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -95,6 +95,21 @@
         + " of its usual speed and has " + numberOf(event, "other_calls") + " other calls";
 }
 
+/// Why the call was refused and not another one.
+std::string orderText(const HistoryEvent &event)
+{
+    std::string text;
+    if (event.has("slack_ms")) {
+        const bool isLate = valueOf(event, "slack_ms", 0) < 0;
+        text += ", slack " + numberOf(event, "slack_ms") + " ms: its objective could "
+            + (isLate ? "no longer" : "still") + " be met";
+    }
+    if (event.has("choice") && event.has("detail")) {
+        text += "; refused " + event.text("detail") + ", request " + event.text("choice");
+    }
+    return text;
+}
+
 std::string decisionInputsText(const HistoryEvent &event)
 {
     if (event.has("crashes")) {
@@ -124,7 +139,7 @@
     if (event.has("queued")) {
         return " (in flight " + numberOf(event, "in_flight") + " of " + numberOf(event, "limit")
             + ", queued " + numberOf(event, "queued") + ", left " + numberOf(event, "left_ms")
-            + " ms" + statedLoadText(event) + ")";
+            + " ms" + orderText(event) + statedLoadText(event) + ")";
     }
     return "";
 }
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -323,6 +323,7 @@
     std::optional<RequestRate> rateLimit;
     double sends = 0;
     SpeedShare lowestSpeed;
+    std::int64_t onTime = 0;
     for (const GateStatus &gate : traffic.gates) {
         sum.inFlight += gate.load.inFlight;
         sum.queued += gate.load.queued;
@@ -333,6 +334,7 @@
         if (gate.load.speed != SpeedShare() && isLowest) {
             lowestSpeed = gate.load.speed;
         }
+        onTime += gate.queuedOnTime;
         if (gate.notice.rateLimit) {
             rateLimit = RequestRate(rateLimit.value_or(RequestRate()).value()
                                     + gate.notice.rateLimit->value());
@@ -340,6 +342,7 @@
     }
     metrics.set(Gauge::GateInFlight, sum.inFlight);
     metrics.set(Gauge::GateQueued, sum.queued);
+    metrics.set(Gauge::GateQueuedOnTime, onTime);
     metrics.set(Gauge::GateLimit, sum.limit);
     metrics.set(Gauge::GateFloorPriority, priorityOf(sum.floor).value());
     metrics.set(Gauge::GateRateLimit,
--- a/src/app/internal/gate/gatestatus.h
+++ b/src/app/internal/gate/gatestatus.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "app/internal/gate/statedloadstatus.h"
@@ -17,6 +18,8 @@
     UpstreamNotice notice;
     /// Requests sent to the upstream, health checks included.
     double sendsPerSecond = 0;
+    /// Queued calls that can still meet their latency objective.
+    std::uint32_t queuedOnTime = 0;
     /// Nothing if the server states no load.
     std::optional<StatedLoadStatus> stated;
 };
--- a/src/coordination/admission/internal/gate.h
+++ b/src/coordination/admission/internal/gate.h
@@ -16,6 +16,7 @@
 #include "coordination/admission/internal/rankqueue.h"
 #include "coordination/admission/internal/ratelimiter.h"
 #include "coordination/admission/internal/serverspeed.h"
+#include "coordination/admission/servicetimes.h"
 
 namespace ivyspar {
 
@@ -36,20 +37,31 @@
     Duration reserveSend(TimePoint now) override;
     void setDraining(bool draining) override;
     LoadReport load(TimePoint now) const override;
+    std::uint32_t queuedOnTime() const override;
+    Duration expectedTime(const RuleName &rule) const override;
 
 private:
     /// Times at which the slots of abandoned calls become free, earliest first.
     using Releases = std::priority_queue<TimePoint, std::vector<TimePoint>, std::greater<>>;
 
+    struct Running
+    {
+        RuleName rule;
+        WorkStart start;
+    };
+
     void advance(TimePoint now, GateActions &actions);
     void dropDoomed(TimePoint now, GateActions &actions);
-    void dropExcess(TimePoint now, GateActions &actions);
+    /// `newcomer`: the call that was just submitted, if one was.
+    void dropExcess(TimePoint now, const GateRequest *newcomer, GateActions &actions);
     /// Refuses calls that would wait here while another server probably has a free slot.
-    void passOn(GateActions &actions);
+    void passOn(TimePoint now, GateActions &actions);
     void startWaiting(TimePoint now, GateActions &actions);
-    void start(TimePoint now, CallId id, GateActions &actions);
+    void start(TimePoint now, const QueuedCall &call, GateActions &actions);
     void refuse(CallId id, Reason reason, GateActions &actions);
     void refuseForRate(TimePoint now, CallId id, GateActions &actions);
+    GateOrderBasis refusalBasis(TimePoint now, const QueuedCall &refused,
+                                const GateRequest *newcomer) const;
     void recordCallDemand(TimePoint now, DemandShare admittedShare);
     DemandLoad rateLoad(TimePoint now) const;
     bool hasFreeSlot() const;
@@ -71,12 +83,13 @@
     RateLimiter m_rate;
     /// Demand for the upstream, in calls per second, while it states a rate limit.
     DemandRate m_callDemand;
-    /// With the reading of the server's work clock at their start.
-    std::unordered_map<CallId, WorkStart> m_running;
+    std::unordered_map<CallId, Running> m_running;
     ServerSpeed m_server;
     Releases m_held;
     std::uint32_t m_ceiling = 0;
     bool m_isDraining = false;
+    /// At the usual speed.
+    ServiceTimes m_times;
     /// Mean service time at the usual speed, in µs.
     double m_serviceTime = 0;
 };
