Root admission: the room of a priority is shared between client accounts

Cause: within a priority, the account that sends most got most.

Change: AccountShares divides the room for a priority at the narrow service among the accounts that ask, by slot time of whole call trees and weight. An account below the common level is admitted in full but for chance, the others are cut to the level, and what nobody is entitled to goes to whoever asks. The level is found at each entry by stochastic approximation, in constant time. The weight is the account's limit times its lease, i.e. the part of its demand that arrives at the entry; no message or field is added. Refusals name the account, its demand and its fair part in log line, explain and counter; status lists account_shares.

--- a/src/app/internal/accounts/accountservice.cpp
+++ b/src/app/internal/accounts/accountservice.cpp
@@ -7,6 +7,14 @@
 
 namespace ivyspar {
 
+namespace {
+
+/// Lower bound of the share of an account without a limit, relative to the share of all. Without
+/// limits nothing tells a large account from an excessive one, and equal claims would starve it.
+constexpr double UNLIMITED_MIN_RELATIVE_SHARE = 0.25;
+
+} // namespace
+
 AccountService::AccountService(IEventLoop &loop, IRandom &random,
                                const ConfirmationTime &confirmation, Observers observers, Send send,
                                const AccountServiceOptions &options)
@@ -23,9 +31,11 @@
 {
     m_configuration = std::move(configuration);
     AccountLimits limits;
+    m_limited.clear();
     for (const AccountSpec &account : m_configuration->rules.accounts) {
         if (account.limit.isSet()) {
             limits.emplace(account.name, account.limit);
+            m_limited.insert(account.name);
         }
     }
     m_limits->setLimits(m_loop.now(), std::move(limits));
@@ -69,6 +79,18 @@
     return Verdict{ Outcome::NotRun, Reason::UncertainKey, m_options.uncertainKeyRetryAfter };
 }
 
+std::optional<AccountClaim> AccountService::claimOf(const AccountName &account) const
+{
+    if (!m_configuration || m_configuration->rules.accounts.empty()) {
+        return std::nullopt;
+    }
+    if (account.value().empty()) {
+        return AccountClaim();
+    }
+    const double least = m_limited.count(account) > 0 ? 0 : UNLIMITED_MIN_RELATIVE_SHARE;
+    return AccountClaim{ account, m_limits->localRate(m_loop.now(), account), least };
+}
+
 std::optional<Verdict> AccountService::take(const AccountName &account)
 {
     const TimePoint since = m_loop.now();
--- a/src/app/internal/accounts/accountservice.h
+++ b/src/app/internal/accounts/accountservice.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "app/internal/accounts/iaccounts.h"
@@ -52,6 +53,7 @@
     bool needsKey(const RuleSpec &rule) const override;
     tl::expected<const AccountSpec *, Verdict>
     identify(const RuleSpec &rule, const std::optional<AccountKey> &key) const override;
+    std::optional<AccountClaim> claimOf(const AccountName &account) const override;
     std::optional<Verdict> take(const AccountName &account) override;
     void refund(const AccountName &account) override;
 
@@ -69,6 +71,7 @@
     AccountServiceOptions m_options;
     std::unique_ptr<IAccountLimits> m_limits;
     ConfigurationPtr m_configuration;
+    std::unordered_set<AccountName> m_limited;
     std::unordered_map<AccountName, Waiters> m_waiters;
 };
 
--- a/src/app/internal/accounts/iaccounts.h
+++ b/src/app/internal/accounts/iaccounts.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 
+#include "coordination/admission/iaccountshares.h"
 #include "state/configuration.h"
 #include "state/outcome.h"
 #include "state/time.h"
@@ -24,6 +25,9 @@
     /// Takes a token of the account's limit for one request. May suspend the calling fiber for some
     /// milliseconds. Returns the reason if the request is refused.
     virtual std::optional<Verdict> take(const AccountName &account) = 0;
+    /// The claim to capacity of a request of the account, which may be empty; unset if the rules
+    /// have no accounts.
+    virtual std::optional<AccountClaim> claimOf(const AccountName &account) const = 0;
     /// Returns the token of a request that was not run.
     virtual void refund(const AccountName &account) = 0;
 };
--- a/src/app/internal/commands/requestcause.cpp
+++ b/src/app/internal/commands/requestcause.cpp
@@ -99,6 +99,13 @@
         return " (too few of its call trees complete now; share admitted " + numberOf(event, "odds")
             + ")";
     }
+    if (event.has("account_fair_slots")) {
+        return " (account " + event.text("account") + " asks for "
+            + numberOf(event, "account_demand_slots") + " slots of service " + event.text("choice")
+            + " here, its fair part is " + numberOf(event, "account_fair_slots")
+            + "; share admitted of this account " + numberOf(event, "account_share") + ", of all "
+            + numberOf(event, "share") + "; load " + numberOf(event, "load") + ")";
+    }
     if (event.has("load")) {
         return " (service " + event.text("choice") + ": load " + numberOf(event, "load")
             + ", reported " + numberOf(event, "load_age_ms") + " ms before; share admitted "
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -316,6 +316,7 @@
         traffic.suspects.begin(), traffic.suspects.end(), [](const SuspectStatus &suspect) {
             return suspect.assessment.suspicion == Suspicion::Quarantined;
         });
+    metrics.set(Gauge::ActiveAccounts, static_cast<std::int64_t>(traffic.activeAccounts));
     metrics.set(Gauge::SuspectRequests, static_cast<std::int64_t>(traffic.suspects.size()));
     metrics.set(Gauge::QuarantinedRequests, quarantined);
     LoadReport sum;
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -129,6 +129,20 @@
     return list;
 }
 
+Json makeAccountShares(const std::vector<AccountShareStatus> &shares)
+{
+    Json list = Json::array();
+    for (const AccountShareStatus &each : shares) {
+        list.push_back({ { "account", each.account.value() },
+                         { "service", each.bottleneck.value() },
+                         { "priority", each.priority.value() },
+                         { "demand_slots", each.demandSlots },
+                         { "admitted_slots", each.admittedSlots },
+                         { "fair_slots", each.fairSlots } });
+    }
+    return list;
+}
+
 } // namespace
 
 std::string makeStatusDocument(const DaemonStatus &status)
@@ -153,6 +167,7 @@
     document["suspects"] = makeSuspects(status.traffic.suspects);
     document["suspect_count"] = status.traffic.suspects.size();
     document["accounts"] = makeAccounts(status.traffic.accounts);
+    document["account_shares"] = makeAccountShares(status.traffic.accountShares);
     document["account_count"] = status.traffic.accounts.size();
     document["requests_in_flight"] = status.traffic.requests;
     document["calls_in_flight"] = status.traffic.calls;
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -292,7 +292,7 @@
         return true;
     }
     const TimePoint now = m_loop.now();
-    const RootTarget target = targetOf(incoming);
+    const RootTarget target = claimingTargetOf(incoming);
     if (!m_admission->admit(now, target)) {
         return false;
     }
@@ -303,7 +303,24 @@
 
 RootTarget EntryService::targetOf(const Incoming &incoming)
 {
-    return RootTarget{ incoming.rule.name, incoming.rule.service, incoming.priority };
+    RootTarget target;
+    target.rule = incoming.rule.name;
+    target.service = incoming.rule.service;
+    target.priority = incoming.priority;
+    return target;
+}
+
+RootTarget EntryService::claimingTargetOf(const Incoming &incoming) const
+{
+    RootTarget target = targetOf(incoming);
+    target.claim = m_accounts.claimOf(incoming.account);
+    return target;
+}
+
+std::vector<AccountShareStatus> EntryService::accountShares() const
+{
+    constexpr std::size_t MAX_LISTED = 10;
+    return m_admission->accountShares(m_loop.now(), MAX_LISTED);
 }
 
 Rejection EntryService::reject(const EarlyRefusal &refusal)
@@ -328,7 +345,7 @@
     Rejection rejection = reject(EarlyRefusal{ incoming.root, verdict });
     rejection.service = service;
     rejection.rule = incoming.rule.name;
-    const AdmissionBasis basis = m_admission->basis(now, targetOf(incoming));
+    const AdmissionBasis basis = m_admission->basis(now, claimingTargetOf(incoming));
     rejection.choice = basis.bottleneck.value();
     if (basis.isKnown) {
         rejection.inputs = { { "share", basis.share },
@@ -339,6 +356,13 @@
         rejection.inputs = { { "window", basis.window },
                              { "under_way", static_cast<double>(basis.inFlight) } };
     }
+    if (basis.isRefusedForAccount && basis.account) {
+        m_observers.metrics.add(Counter::AccountShareRefusals);
+        rejection.account = incoming.account;
+        rejection.inputs.push_back({ "account_demand_slots", basis.account->demandSlots });
+        rejection.inputs.push_back({ "account_fair_slots", basis.account->fairSlots });
+        rejection.inputs.push_back({ "account_share", basis.account->admittedShare() });
+    }
     return rejection;
 }
 
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -54,6 +54,9 @@
                  ICallSender &sender, IGateService &gates, IQuarantine &quarantine,
                  IAccounts &accounts, Observers observers, EntryOptions options);
 
+    /// See `IRootAdmission::accountShares`.
+    std::vector<AccountShareStatus> accountShares() const;
+    std::size_t activeAccounts() const { return m_admission->activeAccounts(); }
     void setConfiguration(ConfigurationPtr configuration);
     void setMembers(const std::vector<Member> &members) { m_admission->setMembers(members); }
     /// Sets the service whose server runs on this host, i.e. the origin of the calls that it makes.
@@ -126,6 +129,8 @@
     static Rejection rejectAccount(const Incoming &incoming, const Verdict &verdict);
     Rejection rejectOverload(const Incoming &incoming, Duration lag);
     static RootTarget targetOf(const Incoming &incoming);
+    /// As `targetOf`, with the claim of the account.
+    RootTarget claimingTargetOf(const Incoming &incoming) const;
     static Rejection reject(const EarlyRefusal &refusal);
     Rejection rejectBelowFloor(const Incoming &incoming);
     /// Returns whether the request may have crashed servers.
--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -27,6 +27,7 @@
     { "cancel", &Ablations::cancel },
     { "odds", &Ablations::lossBasedAdmission },
     { "fair-shares", &Ablations::fairShares },
+    { "account-shares", &Ablations::accountShares },
     { "lag", &Ablations::lag },
     { "turned-away", &Ablations::localRetries },
     { "datagrams", &Ablations::datagrams },
--- a/src/app/internal/settings/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -42,6 +42,7 @@
 DEFINE_string(ablate, "",
               "Policies to disable for measurements, not for production: admission, rank, "
               "floor, doomed, budget, retry-tokens, routing, hedging, cancel, odds, fair-shares, "
+              "account-shares, "
               "lag, turned-away, datagrams, readers, quarantine, limit-homes.");
 DEFINE_string(base, "current", "Version number that the change is based on, or current.");
 DEFINE_string(timeout, "10s", "Maximum time to wait for a response (100ms to 10min).");
--- a/src/app/internal/settings/policies.cpp
+++ b/src/app/internal/settings/policies.cpp
@@ -91,6 +91,7 @@
 {
     RootAdmissionOptions options;
     options.hasFairShares = !settings.ablations.fairShares;
+    options.hasAccountShares = !settings.ablations.accountShares;
     options.hasLossBasedAdmission = !settings.ablations.lossBasedAdmission;
     if (settings.retryBudget && !settings.ablations.localRetries) {
         options.retryRatio = settings.retryBudget->ratio;
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -266,6 +266,8 @@
     status.callerConnections = m_callerServer->connectionCount();
     status.suspects = m_quarantine->status();
     status.accounts = m_accounts->statuses();
+    status.accountShares = m_entry->accountShares();
+    status.activeAccounts = m_entry->activeAccounts();
     return status;
 }
 
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -43,6 +43,8 @@
     std::size_t callerConnections = 0;
     std::vector<SuspectStatus> suspects;
     std::vector<AccountStatus> accounts;
+    std::vector<AccountShareStatus> accountShares;
+    std::size_t activeAccounts = 0;
 };
 
 /// Owns everything that runs on the traffic thread: listeners for callers, upstreams and peers, and
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -64,6 +64,8 @@
     bool lag = false;
     /// Rules of one priority get equal shares, regardless of the cost of their requests.
     bool fairShares = false;
+    /// Accounts of one priority compete by arrivals.
+    bool accountShares = false;
     /// Requests are admitted regardless of how few of their call trees can complete.
     bool lossBasedAdmission = false;
     /// A call that a server refused is not retried at that server by the daemon of its host.
--- a/src/app/tests/explaintest.cpp
+++ b/src/app/tests/explaintest.cpp
@@ -110,6 +110,18 @@
                     explain("00000000000000aa", { log + "\n" }).c_str());
 }
 
+TEST(Explain, RefusalForTheShareOfAnAccountNamesItsPart)
+{
+    STRCMP_CONTAINS(
+        "(account acme asks for 8.0 slots of service stock here, its fair part is 0.8; share "
+        "admitted of this account 0.1, of all 0.7; load 1.5)",
+        explain("00000000000000aa",
+                { refusal(R"("reason":"below-floor","choice":"stock","account":"acme",)"
+                          R"("share":0.7,"load":1.5,"account_demand_slots":8.0,)"
+                          R"("account_fair_slots":0.8,"account_share":0.1)") })
+            .c_str());
+}
+
 TEST(Explain, RefusalForLossOrLagShowsItsInputs)
 {
     STRCMP_CONTAINS(
--- a/src/coordination/accounts/iaccountlimits.h
+++ b/src/coordination/accounts/iaccountlimits.h
@@ -55,6 +55,9 @@
 
 using AccountLimits = std::unordered_map<AccountName, AccountLimit>;
 
+/// Mean of the rates, in requests per second; 1 without limits.
+double meanRateOf(const AccountLimits &limits);
+
 /// Enforces the rate limit of each client account across all daemons.
 ///
 /// One daemon, the account's home, owns its token bucket and grants tokens to entries ahead of
@@ -83,6 +86,10 @@
     virtual AccountDecision take(TimePoint now, const AccountName &account, TimePoint since) = 0;
     /// Returns the token of a request that was not run.
     virtual void refund(TimePoint now, const AccountName &account) = 0;
+    /// Part of the account's limit that corresponds to the part of its demand that arrives at this
+    /// daemon, in requests per second. An account without a limit counts with the mean limit of the
+    /// others, or with 1.
+    virtual double localRate(TimePoint now, const AccountName &account) const = 0;
     /// Appends to `granted` the accounts whose waiting requests should call `take` again.
     virtual void receive(TimePoint now, const DaemonId &from, const AccountMessage &message,
                          std::vector<AccountName> &granted) = 0;
--- a/src/coordination/accounts/internal/accountplacement.h
+++ b/src/coordination/accounts/internal/accountplacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +32,11 @@
     double reachableShare(TimePoint now) const;
     /// The share of the members that are in this daemon's failure domain.
     double domainShare() const { return m_domainShare; }
+    /// An equal part of an account's demand.
+    double equalPart() const
+    {
+        return 1 / static_cast<double>(std::max<std::size_t>(m_candidates.size(), 1));
+    }
     /// When the members last changed.
     TimePoint changedAt() const { return m_changedAt; }
 
--- a/src/coordination/accounts/internal/accounttokencache.h
+++ b/src/coordination/accounts/internal/accounttokencache.h
@@ -35,6 +35,8 @@
 
     /// Whether tokens should be requested ahead of demand.
     bool isLow(TimePoint now, const AccountLimit &limit) const;
+    /// Share of the account's demand that arrives here, as the home knows it; 0 without a lease.
+    double leaseShare(TimePoint now) const;
     /// The demand to send to the home; moves surplus tokens out of the cache into it. `waiting` is
     /// the number of requests that wait for a token.
     TokenDemand demand(TimePoint now, const AccountName &account, const AccountLimit &limit,
@@ -60,7 +62,6 @@
 
 private:
     double targetTokens(TimePoint now, const AccountLimit &limit) const;
-    double leaseShare(TimePoint now) const;
     void refillLease(TimePoint now, const AccountLimit &limit);
     void expire(TimePoint now);
 
--- a/src/coordination/accounts/internal/equalaccountlimits.cpp
+++ b/src/coordination/accounts/internal/equalaccountlimits.cpp
@@ -25,6 +25,7 @@
 void EqualAccountLimits::setLimits(TimePoint /*now*/, AccountLimits limits)
 {
     m_limits = std::move(limits);
+    m_meanRate = meanRateOf(m_limits);
 }
 
 AccountDecision EqualAccountLimits::take(TimePoint now, const AccountName &account,
@@ -55,6 +56,12 @@
     }
 }
 
+double EqualAccountLimits::localRate(TimePoint /*now*/, const AccountName &account) const
+{
+    const auto limit = m_limits.find(account);
+    return (limit == m_limits.end() ? m_meanRate : limit->second.rate) / m_daemons;
+}
+
 void EqualAccountLimits::receive(TimePoint /*now*/, const DaemonId & /*from*/,
                                  const AccountMessage & /*message*/,
                                  std::vector<AccountName> & /*granted*/)
--- a/src/coordination/accounts/internal/equalaccountlimits.h
+++ b/src/coordination/accounts/internal/equalaccountlimits.h
@@ -19,6 +19,7 @@
     void setLimits(TimePoint now, AccountLimits limits) override;
     AccountDecision take(TimePoint now, const AccountName &account, TimePoint since) override;
     void refund(TimePoint now, const AccountName &account) override;
+    double localRate(TimePoint now, const AccountName &account) const override;
     void receive(TimePoint now, const DaemonId &from, const AccountMessage &message,
                  std::vector<AccountName> &granted) override;
     OutgoingAccountMessages takeOutgoing() override { return {}; }
@@ -33,6 +34,7 @@
 
     AccountLimitOptions m_options;
     AccountLimits m_limits;
+    double m_meanRate = 1;
     std::unordered_map<AccountName, Bucket> m_buckets;
     double m_daemons = 0;
 };
--- a/src/coordination/accounts/internal/sharedaccountlimits.cpp
+++ b/src/coordination/accounts/internal/sharedaccountlimits.cpp
@@ -47,6 +47,7 @@
 void SharedAccountLimits::setLimits(TimePoint /*now*/, AccountLimits limits)
 {
     m_limits = std::move(limits);
+    m_meanRate = meanRateOf(m_limits);
 }
 
 AccountDecision SharedAccountLimits::take(TimePoint now, const AccountName &account,
@@ -246,6 +247,16 @@
     }
 }
 
+/// The lease is the part of the demand that arrives here, over some ten seconds. An entry without a
+/// lease, or with a small one that is still to grow, has an equal part.
+double SharedAccountLimits::localRate(TimePoint now, const AccountName &account) const
+{
+    const AccountLimit *limit = limitOf(account);
+    const auto cache = m_tokenCaches.find(account);
+    const double lease = limit && cache != m_tokenCaches.end() ? cache->second.leaseShare(now) : 0;
+    return (limit ? limit->rate : m_meanRate) * std::max(lease, m_placement.equalPart());
+}
+
 std::vector<AccountStatus> SharedAccountLimits::statuses(TimePoint now) const
 {
     std::vector<AccountStatus> all;
--- a/src/coordination/accounts/internal/sharedaccountlimits.h
+++ b/src/coordination/accounts/internal/sharedaccountlimits.h
@@ -21,6 +21,7 @@
     void setLimits(TimePoint now, AccountLimits limits) override;
     AccountDecision take(TimePoint now, const AccountName &account, TimePoint since) override;
     void refund(TimePoint now, const AccountName &account) override;
+    double localRate(TimePoint now, const AccountName &account) const override;
     void receive(TimePoint now, const DaemonId &from, const AccountMessage &message,
                  std::vector<AccountName> &granted) override;
     OutgoingAccountMessages takeOutgoing() override;
@@ -58,6 +59,7 @@
     AccountLimitOptions m_options;
     AccountPlacement m_placement;
     AccountLimits m_limits;
+    double m_meanRate = 1;
     std::unordered_map<AccountName, AccountTokenCache> m_tokenCaches;
     /// Accounts whose home is this daemon, and accounts for whose home it is the fallback.
     std::unordered_map<AccountName, AccountHome> m_homes;
--- a/src/coordination/accounts/tests/accountlimitstest.cpp
+++ b/src/coordination/accounts/tests/accountlimitstest.cpp
@@ -197,3 +197,29 @@
     CHECK(decision.retryAfter > Duration::zero());
     CHECK(limits->take(now, AccountName("unlimited"), now).action == AccountAction::Admit);
 }
+
+TEST_GROUP(AccountWeights)
+{
+    TimePoint m_now{ 100s };
+    SeededRandom m_random{ 1 };
+    std::unique_ptr<IAccountLimits> m_limits = makeAccountLimits(m_now, m_random);
+
+    void setup() override
+    {
+        m_limits->setLimits(
+            m_now, { { AccountName("small"), { 10, 10 } }, { AccountName("large"), { 30, 30 } } });
+    }
+};
+
+TEST(AccountWeights, AreEqualPartsOfTheLimitsWithoutLeases)
+{
+    std::vector<AccountMember> members(4);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        members[i] = { DaemonId("daemon-" + std::to_string(i)), DomainName("a") };
+    }
+    m_limits->setMembers(m_now, members[0].daemon, members);
+    DOUBLES_EQUAL(2.5, m_limits->localRate(m_now, AccountName("small")), 1e-6);
+    DOUBLES_EQUAL(7.5, m_limits->localRate(m_now, AccountName("large")), 1e-6);
+    // An account without a limit counts with the mean of the others.
+    DOUBLES_EQUAL(5, m_limits->localRate(m_now, AccountName("unlimited")), 1e-6);
+}
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -13,6 +13,8 @@
 constexpr double UNLIMITED_SHARE = 3;
 /// Lower bound of the reported share: a single admitted request must not represent thousands.
 constexpr long MIN_ADMITTED_SHARE_THOUSANDTHS = 20;
+/// The same bound as a number of requests.
+constexpr double MAX_REPRESENTED = 50;
 
 LossBasedAdmissionOptions lossOptions(const RootAdmissionOptions &options)
 {
@@ -33,6 +35,7 @@
     : m_options(options)
     , m_initialWindow(options.initialWindow)
     , m_lossAdmission(lossOptions(options))
+    , m_accountShares(makeAccountShares(options.accountShares))
 {
 }
 
@@ -78,10 +81,16 @@
     if (!passesLossAdmission(now, target, profile)) {
         return false;
     }
+    const double rateBefore = profile.arrivals.rate(now, m_options.demandAveragingTime);
+    // Each arrival makes its room available over the averaging time.
+    const double arrived =
+        std::max(profile.lastRate - rateBefore, 0.0) * toSeconds(m_options.demandAveragingTime);
     profile.arrivals.add(now, 1, m_options.demandAveragingTime);
+    profile.lastRate = profile.arrivals.rate(now, m_options.demandAveragingTime);
     profile.share = shareOf(now, target, profile);
+    profile.accountVerdict.reset();
     Tree &tree = *profile.tree;
-    const bool isAdmitted = isKnown(tree) ? takeToken(now, profile, profile.share)
+    const bool isAdmitted = isKnown(tree) ? isAdmittedByShare(now, target, profile, arrived)
                                           : tree.inFlight + 1 <= windowOf(tree);
     if (isAdmitted) {
         ++tree.inFlight;
@@ -90,6 +99,41 @@
     return isAdmitted;
 }
 
+/// `arrived` is the number of usual arrivals since the previous request.
+bool RootAdmission::isAdmittedByShare(TimePoint now, const RootTarget &target, Profile &profile,
+                                      double arrived)
+{
+    if (!m_options.hasAccountShares || !target.claim) {
+        return takeToken(now, profile, profile.share);
+    }
+    const AccountVerdict verdict = decideByAccount(now, target, profile, arrived);
+    profile.accountVerdict = verdict;
+    if (!verdict.isAdmitted) {
+        profile.refused = std::min(profile.refused + 1, MAX_REPRESENTED - 1);
+        return false;
+    }
+    profile.represented = 1 + profile.refused;
+    profile.refused = 0;
+    return true;
+}
+
+AccountVerdict RootAdmission::decideByAccount(TimePoint now, const RootTarget &target,
+                                              Profile &profile, double arrived)
+{
+    const auto cost = profile.tree->costs.find(profile.bottleneck);
+    if (cost == profile.tree->costs.end() || cost->second.busy <= 0) {
+        return AccountVerdict(); // No service is near its capacity.
+    }
+    AccountRequest request;
+    request.bottleneck = profile.bottleneck;
+    request.priority = target.priority;
+    request.cost = cost->second.busy;
+    request.share = profile.share;
+    request.relativeShare = profile.relativeShare;
+    request.room = profile.share * arrived * request.cost;
+    return m_accountShares->admit(now, *target.claim, request);
+}
+
 bool RootAdmission::passesLossAdmission(TimePoint now, const RootTarget &target, Profile &profile)
 {
     m_treeCalls.clear();
@@ -111,15 +155,17 @@
 {
     double share = UNLIMITED_SHARE;
     profile.bottleneck = ServiceName();
+    profile.relativeShare = 1;
     for (const auto &[name, cost] : profile.tree->costs) {
         if (cost.reachedShare < m_options.minReachedShare) {
             continue;
         }
         Service &service = m_services[name];
         recordDemand(now, service, target.priority, profile, cost.busy);
-        const double own = fittingShare(now, service, target.priority, profile);
-        if (own < share) {
-            share = own;
+        const FittingShare own = fittingShare(now, service, target.priority, profile);
+        if (own.share < share) {
+            share = own.share;
+            profile.relativeShare = own.relativeShare;
             profile.bottleneck = name;
         }
     }
@@ -163,6 +209,10 @@
     if (!profile) {
         return WHOLE_DEMAND;
     }
+    if (target.claim && profile->accountVerdict) {
+        const auto whole = static_cast<double>(WHOLE_DEMAND.value());
+        return DemandShare(static_cast<std::uint32_t>(std::lround(whole / profile->represented)));
+    }
     const double arrived = profile->arrivals.rate(now, m_options.demandAveragingTime);
     const double admitted = profile->admitted.rate(now, m_options.demandAveragingTime);
     const double share = arrived > 0 ? std::min(admitted / arrived, 1.0) : 1;
@@ -184,6 +234,12 @@
     basis.share = profile->share;
     basis.bottleneck = profile->bottleneck;
     basis.lossAdmittedShare = profile->lossAdmittedShare;
+    if (target.claim && profile->accountVerdict) {
+        basis.account = m_accountShares->status(now, target.claim->account, profile->bottleneck,
+                                                target.priority);
+        basis.isRefusedForAccount =
+            !profile->accountVerdict->isAdmitted && !profile->accountVerdict->isEntitled;
+    }
     const auto service = m_services.find(profile->bottleneck);
     if (service != m_services.end()) {
         basis.load = loadOf(now, service->second);
@@ -265,8 +321,9 @@
     return total;
 }
 
-double RootAdmission::fittingShare(TimePoint now, const Service &service, Priority priority,
-                                   const Profile &profile) const
+RootAdmission::FittingShare RootAdmission::fittingShare(TimePoint now, const Service &service,
+                                                        Priority priority,
+                                                        const Profile &profile) const
 {
     double above = 0;
     double all = 0;
@@ -279,15 +336,16 @@
     return shareWithin(now, service.ruleDemands.at(priority), profile, all / load - above);
 }
 
-double RootAdmission::shareWithin(TimePoint now, const std::vector<ServiceDemand> &ruleDemands,
-                                  const Profile &profile, double capacity) const
+RootAdmission::FittingShare
+RootAdmission::shareWithin(TimePoint now, const std::vector<ServiceDemand> &ruleDemands,
+                           const Profile &profile, double capacity) const
 {
     const double own = demandOf(now, ruleDemands);
     if (own <= 0) {
-        return UNLIMITED_SHARE;
+        return { UNLIMITED_SHARE };
     }
     if (!m_options.hasFairShares || capacity >= own || ruleDemands.size() == 1) {
-        return std::max(capacity / own, 0.0);
+        return { std::max(capacity / own, 0.0) };
     }
     std::vector<RuleDemand> demands;
     std::size_t index = 0;
@@ -295,7 +353,9 @@
         index = each.profile == &profile ? demands.size() : index;
         demands.push_back({ each.rate.rate(now, m_options.demandAveragingTime), each.cost });
     }
-    return allocateShares(demands, capacity).at(index);
+    const std::vector<double> shares = allocateShares(demands, capacity);
+    const double largest = *std::max_element(shares.begin(), shares.end());
+    return { shares.at(index), largest > 0 ? shares.at(index) / largest : 1 };
 }
 
 double RootAdmission::loadOf(TimePoint now, const Service &service) const
--- a/src/coordination/admission/internal/rootadmission.h
+++ b/src/coordination/admission/internal/rootadmission.h
@@ -24,6 +24,11 @@
     void onAttemptEnd(TimePoint now, const RootTarget &target, const TreeUsage &usage,
                       bool isComplete) override;
     void onRequestEnd(const RootTarget &target, RootResult result) override;
+    std::vector<AccountShareStatus> accountShares(TimePoint now, std::size_t count) const override
+    {
+        return m_accountShares->statuses(now, count);
+    }
+    std::size_t activeAccounts() const override { return m_accountShares->size(); }
 
 private:
     struct Profile;
@@ -80,6 +85,22 @@
         double tokens = 0;
         TimePoint refilledAt;
         DemandRate admitted;
+        /// `share` over the largest one of the rules of the same priority, at most 1.
+        double relativeShare = 1;
+        /// Rate of `arrivals` right after the last one.
+        double lastRate = 0;
+        /// Set if the last request was decided by the share of its account.
+        std::optional<AccountVerdict> accountVerdict;
+        /// Requests refused by the share of their account that no admitted request represents yet.
+        double refused = 0;
+        /// Requests that the last admitted one represents, itself included.
+        double represented = 1;
+    };
+    /// Share of the demand of a rule that fits a service.
+    struct FittingShare
+    {
+        double share = 0;
+        double relativeShare = 1;
     };
     using TreeKey = std::pair<RuleName, ServiceName>;
     using ProfileKey = std::tuple<RuleName, ServiceName, Priority>;
@@ -96,13 +117,17 @@
     void recordDemand(TimePoint now, Service &service, Priority priority, const Profile &profile,
                       double cost) const;
     /// Share of the usual demand of the rule that fits; above 1 with spare capacity.
-    double fittingShare(TimePoint now, const Service &service, Priority priority,
-                        const Profile &profile) const;
-    double shareWithin(TimePoint now, const std::vector<ServiceDemand> &ruleDemands,
-                       const Profile &profile, double capacity) const;
+    FittingShare fittingShare(TimePoint now, const Service &service, Priority priority,
+                              const Profile &profile) const;
+    FittingShare shareWithin(TimePoint now, const std::vector<ServiceDemand> &ruleDemands,
+                             const Profile &profile, double capacity) const;
     double demandOf(TimePoint now, const std::vector<ServiceDemand> &ruleDemands) const;
     /// Whether the request belongs to the share worth starting.
     bool passesLossAdmission(TimePoint now, const RootTarget &target, Profile &profile);
+    AccountVerdict decideByAccount(TimePoint now, const RootTarget &target, Profile &profile,
+                                   double arrived);
+    bool isAdmittedByShare(TimePoint now, const RootTarget &target, Profile &profile,
+                           double arrived);
     /// Takes one token; tokens refill at `share` of the rate of the usual arrivals.
     bool takeToken(TimePoint now, Profile &profile, double share) const;
     void updateCosts(Tree &tree, const TreeUsage &usage) const;
@@ -114,6 +139,7 @@
     std::map<ProfileKey, Profile> m_profiles;
     std::unordered_map<ServiceName, Service> m_services;
     LossBasedAdmission m_lossAdmission;
+    std::unique_ptr<IAccountShares> m_accountShares;
     /// Reused to avoid an allocation per request.
     std::vector<TreeCalls> m_treeCalls;
 };
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
+#include "coordination/admission/iaccountshares.h"
 #include "state/ids.h"
 #include "state/member.h"
 #include "state/outcome.h"
@@ -18,6 +20,8 @@
     RuleName rule;
     ServiceName service;
     Priority priority;
+    /// Used in decisions only; unset where the rules have no client accounts.
+    std::optional<AccountClaim> claim;
 };
 
 /// How an admitted request ended.
@@ -47,6 +51,10 @@
     /// Demand over capacity of the bottleneck, and the age of its last report.
     double load = 0;
     Duration loadAge{ 0 };
+    /// Set if the last such request was decided by the share of its account.
+    std::optional<AccountShareStatus> account;
+    /// It was refused because its account used more than its share.
+    bool isRefusedForAccount = false;
 };
 
 /// Decides at the entry daemon whether to admit a root request, from the cost of its call tree at
@@ -63,11 +71,12 @@
     virtual void setMembers(const std::vector<Member> &members) = 0;
     /// Returns false if an arriving request must be refused before any work is spent on it.
     virtual bool admit(TimePoint now, const RootTarget &target) = 0;
-    /// Share of such requests that this daemon currently admits. It is sent with the request, so
+    /// Share of such requests that this daemon currently admits. With a claim, call it right after
+    /// the request was admitted. It is sent with the request, so
     /// that the services of the call tree can compute the demand behind it.
     virtual DemandShare admittedShare(TimePoint now, const RootTarget &target) const = 0;
-    /// Inputs of the decisions about such requests; `share` and `lossAdmittedShare` as of the last
-    /// decision.
+    /// Inputs of the decisions about such requests; `share`, `lossAdmittedShare` and the account as
+    /// of the last decision.
     virtual AdmissionBasis basis(TimePoint now, const RootTarget &target) const = 0;
     /// An attempt of a request ended. `isComplete`: all calls of its tree were made, so `usage` is
     /// a sample of the cost.
@@ -75,6 +84,11 @@
                               bool isComplete) = 0;
     /// An admitted request ended. Call exactly once for each.
     virtual void onRequestEnd(const RootTarget &target, RootResult result) = 0;
+    /// Client accounts that compete for capacity; see `IAccountShares::statuses`.
+    virtual std::vector<AccountShareStatus> accountShares(TimePoint now,
+                                                          std::size_t count) const = 0;
+    /// Number of client accounts with state.
+    virtual std::size_t activeAccounts() const = 0;
 };
 
 struct RootAdmissionOptions
@@ -114,6 +128,9 @@
     Duration loadAveragingTime = std::chrono::milliseconds(250);
     /// False: rules of one priority get equal shares of a service, regardless of their cost.
     bool hasFairShares = true;
+    /// False: accounts of one priority compete by arrivals.
+    bool hasAccountShares = true;
+    AccountSharesOptions accountShares;
     /// False: call trees are started however few of them can complete.
     bool hasLossBasedAdmission = true;
     /// Retry budget of all daemons together, as retries per call to a service.
