HTTP server: requests of a connection are handled at the same time

Cause: a connection handled one request at a time. What a client sent behind it lay in the buffer, unknown to admission, while its time ran.

Change: up to HttpLimits::pipelinedRequests requests of a connection are in progress, each with its own exchange, and are answered in order. The owner of the listener says by HttpConcurrencyTest which requests may run beside others; any other one runs alone. Bytes held for requests before their turn are bounded for each connection and for the server; a client that does not read, a closing response, a drain or a lost client starts nothing further. The connection's fiber handles the first request and writes all responses, so a client that does not pipeline costs what it did; with the default of 1 nothing changes. The time that a request lay unread is taken off its deadline.

Ruled out: answering from a fiber that only yields between two responses.

--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -83,6 +83,12 @@
 {
 }
 
+bool EntryService::isIdempotent(const HttpRequest &request) const
+{
+    const auto read = m_dialect.read(request, m_origin, m_configuration.get());
+    return read && read->rule->repetition == Repetition::Idempotent;
+}
+
 HttpResponse EntryService::handleCaller(IHttpExchange &exchange)
 {
     return serve(exchange, false);
@@ -123,7 +129,8 @@
     const Duration lag = m_options.compensatesLoopLag ? m_lag.current() : Duration::zero();
     m_observers.metrics.observe(Timing::ReadLag, lag);
     Incoming incoming = makeIncoming(std::move(*read));
-    incoming.deadline -= lag;
+    incoming.deadline -= lag + exchange.waited();
+    incoming.callerDeadline -= exchange.waited();
     if (isFromUpstream) {
         applyContext(context, incoming);
     } else if (m_options.infersParents && !key) {
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -65,7 +65,10 @@
     /// Number of these that are requests of callers.
     std::size_t callerCount() const { return m_callerCount; }
 
-    /// Handles a request of a caller and returns its answer. Runs in the connection's fiber.
+    /// Returns whether a request may run together with others of its connection; false if no rule
+    /// matches it.
+    bool isIdempotent(const HttpRequest &request) const;
+    /// Handles a request of a caller and returns its answer. Runs in a fiber of the connection.
     HttpResponse handleCaller(IHttpExchange &exchange);
     /// Handles a call that an upstream on this host makes; otherwise as `handleCaller`.
     HttpResponse handleUpstream(IHttpExchange &exchange);
--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -4,7 +4,6 @@
 #include <exception>
 #include <utility>
 
-#include "transport/internal/httpparser.h"
 #include "transport/internal/httpserver.h"
 
 namespace ivyspar {
@@ -18,6 +17,8 @@
 constexpr std::uint16_t STATUS_INTERNAL_ERROR = 500;
 constexpr std::uint16_t STATUS_UNAVAILABLE = 503;
 
+constexpr ResponseFraming CLOSING{ false, false, false };
+
 constexpr Duration LINGER_TIME = std::chrono::seconds(1);
 constexpr std::size_t LINGER_BYTES = 4 * 1024 * 1024;
 
@@ -65,6 +66,7 @@
 HttpConnection::HttpConnection(boost::intrusive_ptr<HttpServerCore> server, TcpStreamPtr stream)
     : m_server(std::move(server))
     , m_stream(std::move(stream))
+    , m_exchanges(m_server->pipelines())
 {
 }
 
@@ -89,17 +91,22 @@
         finish();
         return;
     }
+    m_lastInputAt = m_server->loop().now();
     m_server->loop().spawn([self = HttpConnectionPtr(this)] { self->serve(); });
 }
 
 void HttpConnection::serve()
 {
     while (serveOne()) {
-        if (m_stream->input().empty()) {
+        if (m_exchanges.isEmpty() && !hasInput()) {
             waitForRequest();
             return;
         }
+        if (!m_exchanges.isEmpty()) {
+            letOthersRun();
+        }
     }
+    endExchanges();
     m_state = State::Done;
     m_server->onConnectionDone();
     lingeringClose();
@@ -115,48 +122,59 @@
 void HttpConnection::refuse()
 {
     m_state = State::Done;
-    m_framing.isKeepAlive = false;
-    respond(makeErrorResponse(STATUS_UNAVAILABLE));
+    respond(makeErrorResponse(STATUS_UNAVAILABLE), CLOSING);
     lingeringClose();
 }
 
-/// Returns whether the connection can serve another request.
+/// Suspends until the loop has processed the events that are ready. Otherwise a connection that
+/// always has a request ready would be served more often than others.
+void HttpConnection::letOthersRun()
+{
+    FiberWaiter waiter;
+    m_server->loop().post([&waiter] { waiter.wake(); });
+    waiter.wait();
+}
+
+/// Answers the first request. Returns whether the connection can serve another one.
 bool HttpConnection::serveOne()
 {
-    if (receive() != Received::Request) {
+    if (m_exchanges.isEmpty() && !startNext()) {
         return false;
     }
-    const HttpResponse response = handle();
-    m_framing.isKeepAlive = m_framing.isKeepAlive && !m_server->closesConnections();
-    return respond(response) && m_framing.isKeepAlive;
+    waitFor(m_exchanges.front());
+    return answerFront();
 }
 
-HttpConnection::Received HttpConnection::receive()
+/// Receives a request and handles it. Returns false if there is none.
+bool HttpConnection::startNext()
 {
-    m_state = State::Receiving;
-    m_framing = {};
-    HttpRequestParser parser({ m_server->limits().headerBytes, m_server->limits().bodyBytes });
-    const Received received = receiveRest(parser);
-    stopTimer();
-    if (received != Received::Request) {
-        return received;
+    if (receive() != Received::Request) {
+        return false;
     }
-    m_request = std::move(parser.request());
-    m_framing.isHead = m_request.method == "HEAD";
-    m_framing.isKeepAlive = parser.isKeepAlive();
-    m_framing.isVersion10 = parser.isVersion10();
-    return received;
+    m_state = State::Handling;
+    HttpExchange &exchange = m_exchanges.push(takeRequest(), m_tally);
+    // In an overloaded process, the client may have closed the connection already by the time its
+    // request is read.
+    m_stream->detectPeerClose();
+    if (isDisconnected()) {
+        exchange.notifyDisconnect();
+    }
+    startAhead();
+    watchInput();
+    run(exchange);
+    return true;
 }
 
-HttpConnection::Received HttpConnection::receiveRest(HttpRequestParser &parser)
+HttpConnection::Received HttpConnection::receive()
 {
+    m_state = State::Receiving;
+    m_exchanges.holdUnstarted(0);
     bool isContinueSent = false;
     bool isTimerStarted = false;
     while (true) {
-        std::size_t consumed = 0;
-        const HttpParseStatus status = parser.put(m_stream->input(), consumed);
-        m_stream->consume(consumed);
+        const HttpParseStatus status = readRequest();
         if (status == HttpParseStatus::Done) {
+            stopTimer();
             return Received::Request;
         }
         if (status != HttpParseStatus::NeedMore) {
@@ -165,25 +183,39 @@
         if (!std::exchange(isTimerStarted, true)) {
             startTimer(m_server->limits().receiveTimeout);
         }
-        if (parser.expectsContinue() && !std::exchange(isContinueSent, true)) {
+        if (m_reader.expectsContinue() && !std::exchange(isContinueSent, true)) {
             sendContinue();
         }
         if (m_isTimedOut || m_stream->read()) {
             return onInputEnd();
         }
+        m_lastInputAt = m_server->loop().now();
     }
 }
 
+HttpParseStatus HttpConnection::readRequest()
+{
+    const HttpLimits &limits = m_server->limits();
+    std::size_t consumed = 0;
+    const HttpParseStatus status =
+        m_reader.read(m_stream->input(), { limits.headerBytes, limits.bodyBytes }, consumed);
+    m_stream->consume(consumed);
+    return status;
+}
+
 HttpConnection::Received HttpConnection::onInputEnd()
 {
-    return m_isTimedOut ? refuseInput(STATUS_REQUEST_TIMEOUT) : Received::Ended;
+    if (m_isTimedOut) {
+        return refuseInput(STATUS_REQUEST_TIMEOUT);
+    }
+    stopTimer();
+    return Received::Ended;
 }
 
 HttpConnection::Received HttpConnection::refuseInput(std::uint16_t status)
 {
     stopTimer();
-    m_framing.isKeepAlive = false;
-    respond(makeErrorResponse(status));
+    respond(makeErrorResponse(status), CLOSING);
     return Received::Refused;
 }
 
@@ -192,65 +224,175 @@
     write("HTTP/1.1 100 Continue\r\n\r\n", {});
 }
 
-HttpResponse HttpConnection::handle()
+void HttpConnection::run(HttpExchange &exchange)
 {
-    m_state = State::Handling;
-    // In an overloaded process, the client may have closed the connection already by the time its
-    // request is read.
-    m_stream->detectPeerClose();
-    watchForDisconnect();
     HttpResponse response;
     try {
-        response = m_server->handler()(*this);
+        // After `abort`, the owner of the handler may no longer exist.
+        response = m_stream->isOpen() ? m_server->handler()(exchange) : HttpResponse();
     } catch (const std::exception &error) {
         std::fprintf(stderr, "ivyspar: uncaught exception in an HTTP handler: %s\n", error.what());
-        m_framing.isKeepAlive = false;
+        exchange.closeConnection();
         response = makeErrorResponse(STATUS_INTERNAL_ERROR);
     }
-    m_stream->setReadObserver({});
-    m_onDisconnect = {};
-    m_request = {};
-    return response;
+    exchange.finish(std::move(response));
+    m_exchanges.onFinished(exchange);
+    if (&exchange == &m_exchanges.front()) {
+        m_frontFinished.wake();
+    }
 }
 
-void HttpConnection::watchForDisconnect()
+void HttpConnection::waitFor(const HttpExchange &exchange)
 {
-    m_stream->setReadObserver([this] { onReadWhileHandling(); });
-    m_stream->startRead();
+    while (!exchange.isFinished()) {
+        m_frontFinished.wait();
+    }
 }
 
-/// Pipelined requests are buffered and reading continues until the buffer reaches the header limit.
-/// Without a bound a client could exhaust the memory while its first request is handled.
-void HttpConnection::onReadWhileHandling()
+/// Sends the first response. Returns whether the connection stays open.
+bool HttpConnection::answerFront()
 {
-    if (isDisconnected()) {
-        notifyDisconnect();
+    HttpExchange &exchange = m_exchanges.front();
+    const bool isLast = m_exchanges.size() == 1;
+    if (isLast) {
+        m_stream->setReadObserver({});
+    }
+    // Requests in progress behind this one still need the connection.
+    if (isLast && m_server->closesConnections()) {
+        exchange.closeConnection();
+    }
+    const bool isSent = respond(exchange.response(), exchange.framing());
+    const bool staysOpen = isSent && exchange.framing().isKeepAlive;
+    m_exchanges.popFront();
+    if (staysOpen && !m_exchanges.isEmpty()) {
+        startAhead();
+        if (!isInputFull()) {
+            watchInput();
+        }
+    }
+    return staysOpen;
+}
+
+/// Cancels the requests that will not be answered and waits for their handlers.
+void HttpConnection::endExchanges()
+{
+    m_stream->setReadObserver({});
+    m_exchanges.holdUnstarted(0);
+    if (m_exchanges.isEmpty()) {
         return;
     }
-    if (m_stream->input().size() < m_server->limits().headerBytes) {
-        watchForDisconnect();
+    m_stream->shutdownSend();
+    m_exchanges.notifyDisconnect();
+    while (!m_exchanges.isEmpty()) {
+        waitFor(m_exchanges.front());
+        m_exchanges.popFront();
     }
 }
 
-void HttpConnection::onDisconnect(std::function<void()> callback)
+/// Starts the requests that have arrived behind the first one, as far as the limits and the order
+/// allow. The others wait until requests before them are answered.
+void HttpConnection::startAhead()
 {
-    m_onDisconnect = std::move(callback);
-    if (isDisconnected()) {
-        notifyDisconnect();
+    while (mayStartAhead()) {
+        const HttpParseStatus status = readRequest();
+        m_exchanges.holdUnstarted(m_reader.bytes());
+        if (status != HttpParseStatus::Done) {
+            return;
+        }
+        if (!m_server->isConcurrent(m_reader.request())) {
+            m_delay = Delay::Order;
+            return;
+        }
+        m_exchanges.holdUnstarted(0);
+        HttpExchange &exchange = m_exchanges.push(takeRequest(), m_tally);
+        exchange.setConcurrent(true);
+        m_server->loop().spawn(
+            [self = HttpConnectionPtr(this), &exchange] { self->run(exchange); });
+    }
+}
+
+/// A client that does not read its responses gets no further requests started, nor does one whose
+/// connection is about to close.
+bool HttpConnection::mayStartAhead()
+{
+    const HttpLimits &limits = m_server->limits();
+    if (limits.pipelinedRequests <= 1 || m_exchanges.isEmpty() || m_isWriting) {
+        return false;
+    }
+    if (m_server->closesConnections() || isDisconnected() || !m_stream->isOpen()) {
+        return false;
+    }
+    if (m_reader.hasEnded() || m_stream->input().empty()) {
+        return false;
+    }
+    if (!m_exchanges.back().framing().isKeepAlive || !isConcurrent(m_exchanges.back())) {
+        m_delay = Delay::Order;
+        return false;
+    }
+    if (!m_exchanges.hasRoom(limits)) {
+        m_delay = Delay::Limit;
+        return false;
+    }
+    return true;
+}
+
+bool HttpConnection::isConcurrent(HttpExchange &exchange)
+{
+    if (!exchange.isConcurrent()) {
+        exchange.setConcurrent(m_server->isConcurrent(exchange.request()));
     }
+    return *exchange.isConcurrent();
+}
+
+ReceivedRequest HttpConnection::takeRequest()
+{
+    ReceivedRequest received = m_reader.take();
+    received.waited = endDelay();
+    return received;
+}
+
+/// Counts the delay of a request that starts now and returns its length.
+Duration HttpConnection::endDelay()
+{
+    const Delay delay = std::exchange(m_delay, Delay::None);
+    if (delay == Delay::None) {
+        return Duration::zero();
+    }
+    PipelineStats &stats = m_server->pipelines().stats();
+    ++(delay == Delay::Order ? stats.waitedForOrder : stats.waitedForLimit);
+    return std::chrono::duration_cast<Duration>(m_server->loop().now() - m_lastInputAt);
+}
+
+void HttpConnection::watchInput()
+{
+    m_stream->setReadObserver([this] { onReadWhileHandling(); });
+    m_stream->startRead();
 }
 
-void HttpConnection::notifyDisconnect()
+void HttpConnection::onReadWhileHandling()
 {
-    if (const auto callback = std::exchange(m_onDisconnect, {})) {
-        callback();
+    if (isDisconnected()) {
+        m_exchanges.notifyDisconnect();
+        return;
+    }
+    m_lastInputAt = m_server->loop().now();
+    startAhead();
+    if (!isInputFull()) {
+        watchInput();
     }
 }
 
-bool HttpConnection::respond(const HttpResponse &response)
+/// Input that cannot be parsed yet is buffered up to the header limit. Without a bound a client
+/// could exhaust the memory while its first request is handled.
+bool HttpConnection::isInputFull() const
+{
+    return m_stream->input().size() >= m_server->limits().headerBytes;
+}
+
+bool HttpConnection::respond(const HttpResponse &response, const ResponseFraming &framing)
 {
-    const std::string head = formatResponseHead(response, m_framing);
-    const bool hasBody = hasResponseBody(response, m_framing);
+    const std::string head = formatResponseHead(response, framing);
+    const bool hasBody = hasResponseBody(response, framing);
     return write(head, hasBody ? std::string_view(response.body) : std::string_view());
 }
 
@@ -259,7 +401,9 @@
     const TimerId receiveTimer = std::exchange(m_timer, TimerId());
     startTimer(m_server->limits().sendTimeout);
     std::size_t written = 0;
+    m_isWriting = true;
     const auto error = m_stream->write(head, body, written);
+    m_isWriting = false;
     stopTimer();
     m_timer = receiveTimer;
     return !error;
@@ -295,7 +439,7 @@
 
 void HttpConnection::abort()
 {
-    m_onDisconnect = {};
+    m_exchanges.dropCallbacks();
     m_stream->close();
 }
 
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -180,6 +180,11 @@
     m_core->setLimits(limits);
 }
 
+void HttpServer::setConcurrencyTest(HttpConcurrencyTest test)
+{
+    m_core->setConcurrencyTest(std::move(test));
+}
+
 void HttpServer::disableKeepAlive()
 {
     m_core->disableKeepAlive();
@@ -195,6 +200,11 @@
     return m_core->connectionCount();
 }
 
+PipelineStats HttpServer::pipelineStats() const
+{
+    return m_core->pipelines().stats();
+}
+
 std::unique_ptr<IHttpServer> makeHttpServer(IEventLoop &loop)
 {
     return std::make_unique<HttpServer>(static_cast<EventLoop &>(loop));
--- a/src/transport/internal/httpserver.h
+++ b/src/transport/internal/httpserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <utility>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -9,6 +11,7 @@
 #include "transport/internal/eventloop.h"
 #include "transport/internal/fiberwaiter.h"
 #include "transport/internal/httpconnection.h"
+#include "transport/internal/pipelineledger.h"
 
 namespace ivyspar {
 
@@ -23,6 +26,7 @@
     RetVal<Endpoint> listen(const Endpoint &endpoint, const HttpLimits &limits,
                             HttpHandler handler);
     void setLimits(const HttpLimits &limits) { m_limits = limits; }
+    void setConcurrencyTest(HttpConcurrencyTest test) { m_concurrencyTest = std::move(test); }
     void disableKeepAlive() { m_isKeepAliveDisabled = true; }
     void drain(Duration timeout);
     /// Stops accepting and closes all connections at once.
@@ -31,6 +35,11 @@
     EventLoop &loop() { return m_loop; }
     const HttpLimits &limits() const { return m_limits; }
     const HttpHandler &handler() const { return m_handler; }
+    bool isConcurrent(const HttpRequest &request) const
+    {
+        return m_concurrencyTest && m_concurrencyTest(request);
+    }
+    PipelineLedger &pipelines() { return m_pipelines; }
     bool closesConnections() const { return m_isKeepAliveDisabled || m_isDraining; }
     std::size_t connectionCount() const { return m_connectionCount; }
     /// Called when a connection has sent its last response or was closed.
@@ -53,6 +62,8 @@
     EventLoop &m_loop;
     HttpLimits m_limits;
     HttpHandler m_handler;
+    HttpConcurrencyTest m_concurrencyTest;
+    PipelineLedger m_pipelines;
     boost::asio::ip::tcp::acceptor m_acceptor;
     ConnectionList m_connections;
     /// Connections being served; the list also contains refused and lingering ones.
@@ -76,9 +87,11 @@
     RetVal<Endpoint> listen(const Endpoint &endpoint, const HttpLimits &limits,
                             HttpHandler handler) override;
     void setLimits(const HttpLimits &limits) override;
+    void setConcurrencyTest(HttpConcurrencyTest test) override;
     void disableKeepAlive() override;
     void drain(Duration timeout) override;
     std::size_t connectionCount() const override;
+    PipelineStats pipelineStats() const override;
 
 private:
     HttpServerCorePtr m_core;
--- a/standins/log/inprocesshttpclient.cpp
+++ b/standins/log/inprocesshttpclient.cpp
@@ -17,6 +17,7 @@
     }
 
     const HttpRequest &request() const override { return m_request; }
+    Duration waited() const override { return Duration::zero(); }
     ConnectionTally &tally() override { return m_tally; }
     void onDisconnect(std::function<void()> callback) override
     {
