Daemon: flag, metrics and status for requests that callers pipeline

Cause: callers that pipeline waited behind their own requests.

Requests whose rule is idempotent run beside others of their connection, all others, and those without a rule, run alone. Metrics and status say how many requests were started before their turn, what is held for them and why requests waited.

--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -306,6 +306,9 @@
     IMetrics &metrics = m_observers.metrics;
     metrics.set(Gauge::RequestsInFlight, static_cast<std::int64_t>(traffic.requests));
     metrics.set(Gauge::CallerConnections, static_cast<std::int64_t>(traffic.callerConnections));
+    metrics.set(Gauge::PipelinedRequests, static_cast<std::int64_t>(traffic.pipelines.inProgress));
+    metrics.set(Gauge::PipelinedBytes, static_cast<std::int64_t>(traffic.pipelines.bytes));
+    countPipelines(traffic.pipelines);
     metrics.set(Gauge::PeerLinks, static_cast<std::int64_t>(traffic.links));
     if (m_configuration) {
         const auto age =
@@ -342,6 +345,21 @@
     return makeAnswer(OK, "text/plain; version=0.0.4", metrics.text());
 }
 
+void ControlNode::countPipelines(const PipelineStats &stats)
+{
+    // The figures are zero if the traffic thread did not answer in time.
+    const auto count = [this](Counter counter, std::uint64_t &counted, std::uint64_t value) {
+        if (value > counted) {
+            m_observers.metrics.add(counter, value - counted);
+            counted = value;
+        }
+    };
+    count(Counter::PipelinedStarts, m_countedPipelines.started, stats.started);
+    count(Counter::PipelinedTurnWaits, m_countedPipelines.waitedForTurn, stats.waitedForTurn);
+    count(Counter::PipelinedOrderWaits, m_countedPipelines.waitedForOrder, stats.waitedForOrder);
+    count(Counter::PipelinedLimitWaits, m_countedPipelines.waitedForLimit, stats.waitedForLimit);
+}
+
 HttpResponse ControlNode::answerStatus()
 {
     DaemonStatus status;
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -90,6 +90,7 @@
     HttpResponse answerMetrics();
     HttpResponse answerLift(const HttpRequest &request);
     TrafficStatus fetchTraffic();
+    void countPipelines(const PipelineStats &stats);
     void onMembers(std::vector<Member> members);
 
     IEventLoop &m_loop;
@@ -116,6 +117,8 @@
     std::unique_ptr<IHttpServer> m_readinessServer;
     ConfigurationPtr m_configuration;
     TimePoint m_configuredAt;
+    /// The figures that the metrics already contain.
+    PipelineStats m_countedPipelines;
     bool m_isUnready = false;
 };
 
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -158,6 +158,8 @@
     document["calls_in_flight"] = status.traffic.calls;
     document["links"] = status.traffic.links;
     document["caller_connections"] = status.traffic.callerConnections;
+    document["pipelined_requests"] = status.traffic.pipelines.inProgress;
+    document["pipelined_bytes"] = status.traffic.pipelines.bytes;
     // Change ids come from the log: invalid UTF-8 in one must not fail the whole response.
     return document.dump(2, ' ', false, Json::error_handler_t::replace) + '\n';
 }
--- a/src/app/internal/settings/daemonsettings.cpp
+++ b/src/app/internal/settings/daemonsettings.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t MIN_HEADER_BYTES = 1024;
 constexpr std::uint64_t MAX_HEADER_BYTES = 1024 * 1024;
 constexpr std::uint64_t MAX_BODY_BYTES = 64 * 1024 * 1024;
+constexpr std::uint64_t MAX_PIPELINED_REQUESTS = 100;
 constexpr std::uint64_t MAX_IN_FLIGHT = 1'000'000;
 constexpr Duration MAX_LOG_RETENTION = hours(24 * 365);
 
@@ -103,6 +104,8 @@
                                             MIN_HEADER_BYTES, MAX_HEADER_BYTES);
         limits.bodyBytes =
             m_values.count("max_body_bytes", FLAGS_max_body_bytes, 1, MAX_BODY_BYTES);
+        limits.pipelinedRequests = m_values.count(
+            "max_pipelined_requests", FLAGS_max_pipelined_requests, 1, MAX_PIPELINED_REQUESTS);
         limits.inFlight = m_values.count("max_in_flight", FLAGS_max_in_flight, 1, MAX_IN_FLIGHT);
     }
 
@@ -265,6 +268,7 @@
         "max_connections",
         "max_header_bytes",
         "max_body_bytes",
+        "max_pipelined_requests",
         "max_in_flight",
         "log_level",
         "decision_log",
--- a/src/app/internal/settings/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -33,6 +33,8 @@
 DEFINE_uint64(max_header_bytes, 16384, "Maximum size of the headers of a request, in bytes.");
 DEFINE_uint64(max_body_bytes, 1048576,
               "Maximum size of the body of a request or response, in bytes.");
+DEFINE_uint64(max_pipelined_requests, 1,
+              "Maximum number of requests of one caller connection that are handled at a time.");
 DEFINE_uint64(max_in_flight, 10000, "Maximum number of requests of callers in flight.");
 DEFINE_string(log_level, "info", "trace, debug, info, warn, error or off.");
 DEFINE_string(decision_log, "",
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -177,6 +177,7 @@
 HttpLimits TrafficNode::makeCallerLimits(const CallerLimits &limits) const
 {
     HttpLimits bounds = makeLimits();
+    bounds.pipelinedRequests = m_settings.limits.pipelinedRequests;
     if (limits.headerBytes > 0) {
         bounds.headerBytes = limits.headerBytes;
     }
@@ -208,11 +209,14 @@
     }
     bound.upstream = *upstream;
     const auto caller =
-        m_callerServer->listen(m_settings.callerListen, makeLimits(),
+        m_callerServer->listen(m_settings.callerListen, makeCallerLimits({}),
                                [this](IHttpExchange &exchange) { return handleCaller(exchange); });
     if (!caller) {
         return tl::unexpected<Error>(caller.error());
     }
+    m_callerServer->setConcurrencyTest([this](const HttpRequest &request) {
+        return request.target != TICKETS_PATH && m_entry->isIdempotent(request);
+    });
     bound.caller = *caller;
     return bound;
 }
@@ -264,6 +268,7 @@
     status.calls = m_gates->callCount();
     status.links = m_network->linkCount();
     status.callerConnections = m_callerServer->connectionCount();
+    status.pipelines = m_callerServer->pipelineStats();
     status.suspects = m_quarantine->status();
     status.accounts = m_accounts->statuses();
     return status;
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -41,6 +41,7 @@
     std::size_t calls = 0;
     std::size_t links = 0;
     std::size_t callerConnections = 0;
+    PipelineStats pipelines;
     std::vector<SuspectStatus> suspects;
     std::vector<AccountStatus> accounts;
 };
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -23,6 +23,8 @@
     std::size_t connections = 0;
     std::size_t headerBytes = 0;
     std::size_t bodyBytes = 0;
+    /// Unanswered requests of one caller connection that are handled at a time.
+    std::size_t pipelinedRequests = 1;
     /// Requests of callers in flight at a time.
     std::size_t inFlight = 0;
 };
--- a/src/app/tests/daemonsettingstest.cpp
+++ b/src/app/tests/daemonsettingstest.cpp
@@ -115,6 +115,8 @@
     checkError({ "--caller_listen=0.0.0.0:7401" }, "also taken by --caller_listen");
     checkError({ "--max_connections=0" }, "0 is not between 1 and 100000");
     checkError({ "--max_in_flight=0" }, "0 is not between");
+    checkError({ "--max_pipelined_requests=0" }, "0 is not between 1 and 100");
+    checkError({ "--max_pipelined_requests=101" }, "101 is not between 1 and 100");
     checkError({ "--max_body_bytes=0" }, "0 is not between");
     checkError({ "--max_header_bytes=0" }, "0 is not between");
     checkError({ "--max_connections=-1" }, "\"-1\" is not a whole number");
