--- a/src/transport/tests/httppipelinetest.cpp
+++ b/src/transport/tests/httppipelinetest.cpp
@@ -301,7 +301,7 @@
     CHECK(answers.find("Connection: close") > answers.find("/wait1"));
     CHECK(contains(answers, "/wait2"));
     CHECK((started() == Names{ "/wait1", "/wait2" }));
-    LONGS_EQUAL(0, m_server->connectionCount());
+    CHECK(reachesConnections(0));
 }
 
 // Guards against a drain that ends while a request before its turn is still handled.
@@ -319,7 +319,7 @@
     client.reset();
     release("/1");
     m_runner.run([&] { m_server->drain(milliseconds(10)); });
-    LONGS_EQUAL(1, m_server->connectionCount());
+    CHECK(reachesConnections(1));
     release("/2");
     CHECK(reachesConnections(0));
 }
