--- a/src/app/tests/callobjectivetest.cpp
+++ b/src/app/tests/callobjectivetest.cpp
@@ -96,6 +96,7 @@
 
     HttpRequest &editedRequest() { return m_request; }
     const HttpRequest &request() const override { return m_request; }
+    Duration waited() const override { return Duration::zero(); }
     ConnectionTally &tally() override { return m_tally; }
     void onDisconnect(std::function<void()> /*callback*/) override { }
 
