--- a/src/app/tests/entryaccountsharestest.cpp
+++ b/src/app/tests/entryaccountsharestest.cpp
@@ -89,6 +89,7 @@
     }
 
     const HttpRequest &request() const override { return m_request; }
+    Duration waited() const override { return Duration::zero(); }
     ConnectionTally &tally() override { return m_tally; }
     void onDisconnect(std::function<void()> /*callback*/) override { }
 
