--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -148,6 +148,20 @@
     return list;
 }
 
+Json makeAccountShares(const std::vector<AccountShareStatus> &shares)
+{
+    Json list = Json::array();
+    for (const AccountShareStatus &each : shares) {
+        list.push_back({ { "account", each.account.value() },
+                         { "service", each.bottleneck.value() },
+                         { "priority", each.priority.value() },
+                         { "demand_slots", each.demandSlots },
+                         { "admitted_slots", each.admittedSlots },
+                         { "fair_slots", each.fairSlots } });
+    }
+    return list;
+}
+
 } // namespace
 
 std::string makeStatusDocument(const DaemonStatus &status)
@@ -172,11 +186,14 @@
     document["suspects"] = makeSuspects(status.traffic.suspects);
     document["suspect_count"] = status.traffic.suspects.size();
     document["accounts"] = makeAccounts(status.traffic.accounts);
+    document["account_shares"] = makeAccountShares(status.traffic.accountShares);
     document["account_count"] = status.traffic.accounts.size();
     document["requests_in_flight"] = status.traffic.requests;
     document["calls_in_flight"] = status.traffic.calls;
     document["links"] = status.traffic.links;
     document["caller_connections"] = status.traffic.callerConnections;
+    document["pipelined_requests"] = status.traffic.pipelines.inProgress;
+    document["pipelined_bytes"] = status.traffic.pipelines.bytes;
     // Change ids come from the log: invalid UTF-8 in one must not fail the whole response.
     return document.dump(2, ' ', false, Json::error_handler_t::replace) + '\n';
 }
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -55,6 +55,9 @@
                  ICallSender &sender, IGateService &gates, IQuarantine &quarantine,
                  IAccounts &accounts, Observers observers, EntryOptions options);
 
+    /// See `IRootAdmission::accountShares`.
+    std::vector<AccountShareStatus> accountShares() const;
+    std::size_t activeAccounts() const { return m_admission->activeAccounts(); }
     void setConfiguration(ConfigurationPtr configuration);
     void setMembers(const std::vector<Member> &members) { m_admission->setMembers(members); }
     /// Sets the service whose server runs on this host, i.e. the origin of the calls that it makes.
@@ -66,7 +69,10 @@
     /// Number of these that are requests of callers.
     std::size_t callerCount() const { return m_callerCount; }
 
-    /// Handles a request of a caller and returns its answer. Runs in the connection's fiber.
+    /// Returns whether a request may run together with others of its connection; false if no rule
+    /// matches it.
+    bool isIdempotent(const HttpRequest &request) const;
+    /// Handles a request of a caller and returns its answer. Runs in a fiber of the connection.
     HttpResponse handleCaller(IHttpExchange &exchange);
     /// Handles a call that an upstream on this host makes; otherwise as `handleCaller`.
     HttpResponse handleUpstream(IHttpExchange &exchange);
@@ -133,6 +139,8 @@
     static Rejection rejectAccount(const Incoming &incoming, const Verdict &verdict);
     Rejection rejectOverload(const Incoming &incoming, Duration lag);
     static RootTarget targetOf(const Incoming &incoming);
+    /// As `targetOf`, with the claim of the account.
+    RootTarget claimingTargetOf(const Incoming &incoming) const;
     static Rejection reject(const EarlyRefusal &refusal);
     Rejection rejectBelowFloor(const Incoming &incoming);
     /// Returns whether the request may have crashed servers.
