--- a/src/coordination/calls/ientrycall.h
+++ b/src/coordination/calls/ientrycall.h
@@ -33,6 +33,8 @@
     const char *why = "";
     /// The candidates compared, for the decision log.
     std::vector<RouteCandidate> candidates;
+    /// What a choice by share was based on, for the decision log.
+    std::vector<DecisionInput> inputs;
     bool isHedge = false;
 };
 using EntryActions = std::vector<EntryAction>;
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -325,6 +325,7 @@
     auto action = sendTo(now, choice.daemon, choice.why);
     if (action) {
         action->candidates = choice.candidates;
+        action->inputs = choice.inputs;
     }
     return action;
 }
--- a/src/coordination/calls/tests/mocks/fakerouter.h
+++ b/src/coordination/calls/tests/mocks/fakerouter.h
@@ -22,6 +22,8 @@
 
     void setMembers(TimePoint /*now*/, const std::vector<Member> & /*members*/) override { }
 
+    void setShares(const SharesByService & /*shares*/) override { }
+
     RouteChoice choose(TimePoint /*now*/, const RouteRequest &request,
                        IRandom & /*random*/) override
     {
--- a/src/coordination/routing/internal/router.cpp
+++ b/src/coordination/routing/internal/router.cpp
@@ -20,7 +20,9 @@
 
 Router::Router(const RouterOptions &options)
     : m_options(options)
+    , m_balancedOptions(options)
 {
+    m_balancedOptions.spillUtilization = options.balancedSpillUtilization;
 }
 
 void Router::setMembers(TimePoint now, const std::vector<Member> &members)
@@ -67,12 +69,31 @@
 {
     service.ownDomain.clear();
     service.otherDomains.clear();
+    service.byDomain.clear();
     for (auto &[daemon, server] : service.servers) {
         const bool isOwn = !m_options.prefersOwnDomain || server.domain() == m_options.domain;
         (isOwn ? service.ownDomain : service.otherDomains).push_back(&server);
+        service.byDomain[server.domain()].push_back(&server);
     }
 }
 
+void Router::setShares(const SharesByService &shares)
+{
+    for (auto &[name, service] : m_services) {
+        const auto found = shares.find(name);
+        if (found == shares.end() || !m_options.prefersOwnDomain) {
+            service.credits.clear();
+            continue;
+        }
+        service.credits.setShares(found->second);
+    }
+}
+
+const RouterOptions &Router::optionsOf(const Service &service) const
+{
+    return service.credits.isActive() ? m_balancedOptions : m_options;
+}
+
 Server *Router::find(const ServiceName &service, const DaemonId &daemon)
 {
     const auto found = m_services.find(service);
@@ -92,7 +113,13 @@
         return choice;
     }
     const Query query{ now, request, found->second, random };
-    pickLimited(query, choice);
+    if (request.excluded.empty() && request.fingerprint.value().empty()
+        && found->second.credits.isActive()) {
+        pickByShare(query, found->second.credits.next(random), choice);
+    }
+    if (choice.daemon.value().empty()) {
+        pickLimited(query, choice);
+    }
     if (choice.daemon.value().empty()) {
         pickServer(query, &Router::isUsable, choice);
     }
@@ -125,6 +152,23 @@
     }
 }
 
+void Router::pickByShare(const Query &query, const DomainName &domain, RouteChoice &choice) const
+{
+    const auto servers = query.service.byDomain.find(domain);
+    if (domain == m_options.domain || servers == query.service.byDomain.end()) {
+        return;
+    }
+    const Server *server = pickBetter(query, servers->second, &Router::isUsable, choice);
+    if (server == nullptr
+        || server->isSaturated(query.now, query.service.latencyUs, m_balancedOptions)) {
+        choice.candidates.clear();
+        return;
+    }
+    choice.daemon = server->daemon();
+    choice.why = "balance";
+    choice.inputs = query.service.credits.inputs(query.now, domain);
+}
+
 void Router::pickSuspectServer(const Query &query, Filter filter, RouteChoice &choice) const
 {
     const std::string &fingerprint = query.request.fingerprint.value();
@@ -148,11 +192,21 @@
     }
     const double serviceLatencyUs = query.service.latencyUs;
     const Server *ownServer = pickBetter(query, query.service.ownDomain, filter, choice);
-    if (ownServer != nullptr && !ownServer->isSaturated(query.now, serviceLatencyUs, m_options)) {
+    if (ownServer != nullptr
+        && !ownServer->isSaturated(query.now, serviceLatencyUs, optionsOf(query.service))) {
         choice.daemon = ownServer->daemon();
         choice.why = choice.candidates.size() > 1 ? "less-loaded" : "only-one";
         return;
     }
+    if (query.service.credits.isActive()) {
+        const Server *server =
+            nextServer(query, query.service.ownDomain, &Router::isUnsaturated, nullptr);
+        if (server != nullptr) {
+            choice.daemon = server->daemon();
+            choice.why = "not-full";
+            return;
+        }
+    }
     const Server *otherServer = pickBetter(query, query.service.otherDomains, filter, choice);
     if (ownServer == nullptr && otherServer == nullptr) {
         return;
@@ -221,6 +275,12 @@
         && !server.isEjected(query.now) && server.hasProbationCapacity();
 }
 
+bool Router::isUnsaturated(const Query &query, const Server &server) const
+{
+    return isUsable(query, server)
+        && !server.isSaturated(query.now, query.service.latencyUs, optionsOf(query.service));
+}
+
 bool Router::isReachable(const Query &query, const Server &server) const
 {
     return isEligible(query, server) && !server.isUnreachable(query.now)
--- a/src/coordination/routing/internal/router.h
+++ b/src/coordination/routing/internal/router.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "coordination/routing/internal/server.h"
+#include "coordination/routing/internal/sharecredits.h"
 #include "coordination/routing/irouter.h"
 #include "coordination/routing/routerfactory.h"
 
@@ -16,6 +17,7 @@
     explicit Router(const RouterOptions &options);
 
     void setMembers(TimePoint now, const std::vector<Member> &members) override;
+    void setShares(const SharesByService &shares) override;
     RouteChoice choose(TimePoint now, const RouteRequest &request, IRandom &random) override;
     void onSent(TimePoint now, const ServiceName &service, const DaemonId &daemon) override;
     void onEnd(TimePoint now, const ServiceName &service, const DaemonId &daemon,
@@ -33,6 +35,8 @@
         /// Pointers into `servers`, by failure domain.
         std::vector<Server *> ownDomain;
         std::vector<Server *> otherDomains;
+        std::unordered_map<DomainName, std::vector<Server *>> byDomain;
+        ShareCredits credits;
         /// Mean latency of all answers, in µs.
         double latencyUs = 0;
     };
@@ -59,6 +63,8 @@
     /// Within this entry's share of its rate limit, reachable, not ejected, and not busy with a
     /// call on probation.
     bool isUsable(const Query &query, const Server &server) const;
+    /// Usable, and no reason for calls to spill over.
+    bool isUnsaturated(const Query &query, const Server &server) const;
     /// Eligible, and reached by the latest call or due for a probe.
     bool isReachable(const Query &query, const Server &server) const;
     /// Not draining, not excluded, and its floor admits the request.
@@ -75,10 +81,17 @@
     void pickLimited(const Query &query, RouteChoice &choice) const;
     /// Picks the server by the request's fingerprint.
     void pickSuspectServer(const Query &query, Filter filter, RouteChoice &choice) const;
+    /// Picks a server of the failure domain to which the shares assign the call; none if that is
+    /// the own domain, or if its servers are saturated.
+    void pickByShare(const Query &query, const DomainName &domain, RouteChoice &choice) const;
     void pickServer(const Query &query, Filter filter, RouteChoice &choice) const;
     RouteChoice refusal(const Query &query) const;
 
+    /// The options for choices of the service, which depend on whether its calls are divided.
+    const RouterOptions &optionsOf(const Service &service) const;
+
     RouterOptions m_options;
+    RouterOptions m_balancedOptions;
     std::unordered_map<ServiceName, Service> m_services;
     std::size_t m_daemonCount = 1;
     std::size_t m_ownDomainDaemonCount = 1;
--- a/src/coordination/routing/irouter.h
+++ b/src/coordination/routing/irouter.h
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "coordination/balance/domainshares.h"
+#include "state/idecisionlog.h"
 #include "state/ids.h"
 #include "state/irandom.h"
 #include "state/load.h"
@@ -40,6 +42,8 @@
     std::vector<RouteCandidate> candidates;
     /// Why this daemon was chosen: `less-loaded`, `only-one`, `spill`, ….
     const char *why = "";
+    /// What a choice by share was based on, for the decision log.
+    std::vector<DecisionInput> inputs;
 };
 
 /// How an attempt at a daemon ended, as far as it matters for routing.
@@ -62,6 +66,9 @@
 
     /// Sets the members that are alive. A daemon that newly offers a known service starts cold.
     virtual void setMembers(TimePoint now, const std::vector<Member> &members) = 0;
+    /// Sets the shares by which this failure domain divides its calls; for services that are not
+    /// contained the own servers are used first.
+    virtual void setShares(const SharesByService &shares) = 0;
     /// Chooses a daemon for an attempt, or says why there is none.
     virtual RouteChoice choose(TimePoint now, const RouteRequest &request, IRandom &random) = 0;
     /// Records that an attempt was sent to the daemon.
--- a/src/coordination/routing/routerfactory.h
+++ b/src/coordination/routing/routerfactory.h
@@ -28,6 +28,9 @@
 
     /// Calls spill over from a server of the own failure domain at this utilization.
     double spillUtilization = 0.9;
+    /// As `spillUtilization`, while calls are divided by the shares of `IRouter::setShares`: calls
+    /// that a domain cannot take are then sent elsewhere already.
+    double balancedSpillUtilization = 1.25;
     /// As `spillUtilization`, for its latency as a multiple of the service's mean.
     double spillLatency = 2.5;
     /// As `spillUtilization`, for its share of errors.
--- a/src/coordination/routing/tests/routertest.cpp
+++ b/src/coordination/routing/tests/routertest.cpp
@@ -531,3 +531,58 @@
     }
     LONGS_EQUAL(4, chosen.size());
 }
+
+TEST(Router, CallsAreDividedByTheSharesOfDomains)
+{
+    Entry entry(ownOptions());
+    for (const char *name : { "s1", "s2", "s3", "s4" }) {
+        entry.server(name).domain = name < std::string("s3") ? OWN : OTHER;
+    }
+    entry.updateMembers();
+    entry.router().setShares({ { SERVICE, { { { OWN, 0.75 }, { OTHER, 0.25 } }, entry.now() } } });
+    entry.run(1s, 2ms);
+    DOUBLES_EQUAL(0.25, entry.shareOf("s3") + entry.shareOf("s4"), 0.005);
+    const RouteChoice choice = [&entry] {
+        RouteChoice each = entry.choose();
+        while (std::string(each.why) != "balance") {
+            each = entry.choose();
+        }
+        return each;
+    }();
+    STRCMP_EQUAL("domain_share", choice.inputs.at(0).name);
+    DOUBLES_EQUAL(0.25, choice.inputs.at(0).value, 1e-9);
+    entry.router().setShares({});
+    entry.run(1s, 2ms);
+    DOUBLES_EQUAL(0, entry.shareOf("s3") + entry.shareOf("s4"), 0);
+}
+
+// Guards against calls that are lost to a domain that is cut off but still has a share.
+TEST(Router, CallsOfAnUnreachableDomainStayInTheOwnOne)
+{
+    Entry entry(ownOptions());
+    entry.server("s1").domain = OWN;
+    entry.server("s2").domain = OTHER;
+    entry.server("s2").feedback = RouteFeedback::Unreachable;
+    entry.updateMembers();
+    entry.router().setShares({ { SERVICE, { { { OWN, 0.5 }, { OTHER, 0.5 } }, entry.now() } } });
+    entry.run(2s, 2ms);
+    CHECK_COMPARE(entry.shareOf("s2"), <, 0.02);
+}
+
+TEST(Router, CallGoesToAnotherServerOfItsDomainBeforeItSpills)
+{
+    Entry entry(ownOptions());
+    for (const char *name : { "s1", "s2", "s3", "s4", "s5" }) {
+        FakeServer &server = entry.server(name);
+        server.domain = name < std::string("s5") ? OWN : OTHER;
+        server.inFlight = name < std::string("s4") ? 2 * SLOTS : 0;
+    }
+    entry.updateMembers();
+    entry.router().setShares({ { SERVICE, { { { OWN, 1 }, { OTHER, 0 } }, entry.now() } } });
+    for (const char *name : { "s1", "s2", "s3", "s4", "s5" }) {
+        entry.report(name);
+    }
+    for (int i = 0; i < 20; ++i) {
+        STRCMP_EQUAL("s4", entry.choose().daemon.value().c_str());
+    }
+}
