Domain balance: messages, status, metrics and decision log of the daemon

The traffic thread measures and exchanges sums (BalanceService), as it does for client accounts. /status shows demand, capacity and share for each service and domain; a call that is sent by share has why=balance and its inputs in the decision log; metrics count calls that cross by share and by spill, and the age of the sums.

--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -12,6 +12,7 @@
 #include "app/internal/control/logaccess.h"
 #include "app/internal/control/statusdocument.h"
 #include "protocol/accountexchange.h"
+#include "protocol/balanceexchange.h"
 #include "protocol/configurationreaderfactory.h"
 #include "protocol/internal/peercodec.h"
 #include "protocol/suspectexchange.h"
@@ -197,6 +198,10 @@
         m_traffic.receiveAccounts(message.from, message.payload);
         return;
     }
+    if (isBalanceMessage(message.payload)) {
+        m_traffic.receiveBalance(message.from, message.payload);
+        return;
+    }
     if (!m_configurationDriver->receive(message.from, message.payload)) {
         m_membership.receive(message.from, message.payload);
     }
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -33,6 +33,7 @@
     std::function<void(std::function<void(TrafficStatus)>)> fetchStatus;
     std::function<void(DaemonId, std::string)> receiveSuspects;
     std::function<void(DaemonId, std::string)> receiveAccounts;
+    std::function<void(DaemonId, std::string)> receiveBalance;
     /// Number of daemons that the platform's member directory lists.
     std::function<void(std::size_t)> setDirectorySize;
     /// The configuration in force was confirmed as the newest one as of that time.
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -1,5 +1,7 @@
 #include "app/internal/control/statusdocument.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace ivyspar {
@@ -129,6 +131,22 @@
     return list;
 }
 
+Json makeBalance(const BalanceStatus &status)
+{
+    Json domains = Json::array();
+    for (const DomainWork &each : status.domains) {
+        const auto share =
+            std::find_if(status.shares.begin(), status.shares.end(),
+                         [&each](const DomainShare &one) { return one.domain == each.domain; });
+        domains.push_back(
+            { { "domain", each.domain.value() },
+              { "demand", each.demand },
+              { "capacity", each.capacity },
+              { "share", share == status.shares.end() ? Json() : Json(share->share) } });
+    }
+    return Json{ { "service", status.service.value() }, { "domains", std::move(domains) } };
+}
+
 } // namespace
 
 std::string makeStatusDocument(const DaemonStatus &status)
@@ -154,6 +172,12 @@
     document["suspect_count"] = status.traffic.suspects.size();
     document["accounts"] = makeAccounts(status.traffic.accounts);
     document["account_count"] = status.traffic.accounts.size();
+    document["balance"] = Json::array();
+    for (const BalanceStatus &service : status.traffic.balance.services) {
+        document["balance"].push_back(makeBalance(service));
+    }
+    const std::optional<Duration> newsAge = status.traffic.balance.newsAge;
+    document["balance_news_ms"] = newsAge ? Json(toMillis(*newsAge)) : Json();
     document["requests_in_flight"] = status.traffic.requests;
     document["calls_in_flight"] = status.traffic.calls;
     document["links"] = status.traffic.links;
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -239,6 +239,11 @@
             traffic.receiveAccounts(from, payload);
         });
     };
+    port.receiveBalance = [this](DaemonId from, std::string payload) {
+        postToTraffic([from = std::move(from), payload = std::move(payload)](TrafficNode &traffic) {
+            traffic.receiveBalance(from, payload);
+        });
+    };
     port.setDirectorySize = [this](std::size_t daemons) {
         postToTraffic([daemons](TrafficNode &traffic) { traffic.setDirectorySize(daemons); });
     };
--- a/src/app/internal/entry/entryrecorder.cpp
+++ b/src/app/internal/entry/entryrecorder.cpp
@@ -1,6 +1,7 @@
 #include "app/internal/entry/entryrecorder.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "state/http.h"
@@ -30,6 +31,7 @@
         : action.isHedge            ? Counter::HedgeAttempts
                                     : Counter::RetryAttempts;
     m_observers.metrics.add(counter);
+    countCrossing(action);
     const DecisionKind kind = isFirst ? DecisionKind::Route
         : action.isHedge              ? DecisionKind::Hedge
                                       : DecisionKind::Retry;
@@ -46,10 +48,21 @@
     }
     decision.choice = action.target.value();
     decision.reason = action.why;
-    decision.inputs = { { "left_ms", toMillis(left) } };
+    decision.inputs = action.inputs;
+    decision.inputs.push_back({ "left_ms", toMillis(left) });
     m_observers.decisions.write(std::move(decision));
 }
 
+void EntryRecorder::countCrossing(const EntryAction &action)
+{
+    const std::string_view why = action.why;
+    if (why == "balance") {
+        m_observers.metrics.add(Counter::CallsBalanced);
+    } else if (why == "spill") {
+        m_observers.metrics.add(Counter::CallsSpilled);
+    }
+}
+
 void EntryRecorder::recordCancel(const RequestFacts &facts, const EntryAction &action)
 {
     m_observers.metrics.add(Counter::Cancels);
--- a/src/app/internal/entry/entryrecorder.h
+++ b/src/app/internal/entry/entryrecorder.h
@@ -69,6 +69,8 @@
     void recordRejection(const Rejection &rejection);
 
 private:
+    /// Counts an attempt that goes to another failure domain.
+    void countCrossing(const EntryAction &action);
     void writeEnd(const RequestFacts &facts, const RequestResult &result);
 
     Observers m_observers;
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -423,6 +423,9 @@
 
 HttpResponse EntryService::runRequest(IHttpExchange &exchange, Incoming incoming)
 {
+    if (m_demand != nullptr) {
+        m_demand->onCall(incoming.service, incoming.admittedShare);
+    }
     EntryCallOptions options;
     options.rule = incoming.rule;
     options.rank = rankOf(incoming);
@@ -523,6 +526,9 @@
         result.verdict.outcome != Outcome::NotRun || answer.message.serviceTime > Duration::zero();
     result.notice = answer.message.notice;
     recordUsage(*active, answer);
+    if (m_demand != nullptr && result.verdict.outcome == Outcome::Answered) {
+        m_demand->onAnswer(active->incoming.service, answer.message.serviceTime, result.load.speed);
+    }
     const bool isWanted = !active->call.isFinished();
     const EntryActions actions = active->call.onEnd(m_loop.now(), attempt, result);
     if (isWanted && result.verdict.outcome == Outcome::Answered) {
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -8,6 +8,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
 #include "app/internal/accounts/iaccounts.h"
+#include "app/internal/balance/icalldemand.h"
 #include "app/internal/entry/entryrecorder.h"
 #include "app/internal/entry/icallsender.h"
 #include "app/internal/gate/igateservice.h"
@@ -58,6 +59,8 @@
     void setMembers(const std::vector<Member> &members) { m_admission->setMembers(members); }
     /// Sets the service whose server runs on this host, i.e. the origin of the calls that it makes.
     void setHostService(ServiceName service) { m_origin.hostService = std::move(service); }
+    /// Sets who learns of calls; null for nobody.
+    void setCallDemand(ICallDemand *demand) { m_demand = demand; }
     /// Refuses new requests of callers from now on; calls of upstreams are still accepted.
     void startDraining() { m_isDraining = true; }
     /// Number of requests that are being served, including calls of upstreams.
@@ -159,6 +162,7 @@
     Observers m_observers;
     EntryRecorder m_recorder;
     EntryOptions m_options;
+    ICallDemand *m_demand = nullptr;
     LoopLag m_lag;
     ProcessorGuard m_guard;
     NoticeStore m_notices;
--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -33,6 +33,7 @@
     { "readers", &Ablations::readers },
     { "quarantine", &Ablations::quarantine },
     { "limit-homes", &Ablations::limitHomes },
+    { "domain-balance", &Ablations::domainBalance },
 };
 
 } // namespace
--- a/src/app/internal/settings/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -42,7 +42,8 @@
 DEFINE_string(ablate, "",
               "Policies to disable for measurements, not for production: admission, rank, "
               "floor, doomed, budget, retry-tokens, routing, hedging, cancel, odds, fair-shares, "
-              "lag, turned-away, datagrams, readers, quarantine, limit-homes.");
+              "lag, turned-away, datagrams, readers, quarantine, limit-homes, "
+              "domain-balance.");
 DEFINE_string(base, "current", "Version number that the change is based on, or current.");
 DEFINE_string(timeout, "10s", "Maximum time to wait for a response (100ms to 10min).");
 DEFINE_string(change_id, "", "Identifier of this change, to find it again; random if not set.");
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -141,6 +141,11 @@
     m_gates = std::make_unique<GateService>(loop, *m_client, *m_random, *m_once, *m_quarantine,
                                             *m_upstreamDialect, makeLocalGate, observers,
                                             makeGateServiceOptions(settings));
+    BalanceServiceOptions balance;
+    balance.isEnabled = !settings.ablations.domainBalance;
+    m_balance = std::make_unique<BalanceService>(
+        loop, *m_random, *m_router, observers, m_events.onOutgoingPayload,
+        [this] { return m_gates->statuses(); }, balance);
     m_upstreamMonitor =
         std::make_unique<UpstreamMonitor>(loop, *m_client, *m_upstreamDialect, *m_gates, observers);
     m_once->setListener(m_gates.get());
@@ -160,6 +165,7 @@
         m_loop, *m_requestDialect, EntryPolicies{ *m_router, *m_retries, *m_random }, *m_peerCalls,
         *m_gates, *m_quarantine, *m_accounts, observers, makeEntryOptions(m_settings));
     m_entry->setHostService(m_settings.hostService);
+    m_entry->setCallDemand(m_balance.get());
 }
 
 TrafficNode::~TrafficNode() = default;
@@ -226,6 +232,7 @@
     m_once->setMembers(members);
     m_quarantine->setMembers(m_self, members);
     m_accounts->setMembers(m_self, members);
+    m_balance->setMembers(m_self, members);
 }
 
 void TrafficNode::setConfiguration(const ConfigurationPtr &configuration)
@@ -251,6 +258,11 @@
     m_accounts->receive(from, payload);
 }
 
+void TrafficNode::receiveBalance(const DaemonId &from, const std::string &payload)
+{
+    m_balance->receive(from, payload);
+}
+
 bool TrafficNode::liftQuarantine(const Fingerprint &fingerprint)
 {
     return m_quarantine->lift(fingerprint);
@@ -266,6 +278,7 @@
     status.callerConnections = m_callerServer->connectionCount();
     status.suspects = m_quarantine->status();
     status.accounts = m_accounts->statuses();
+    status.balance = m_balance->overview();
     return status;
 }
 
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "app/internal/accounts/accountservice.h"
+#include "app/internal/balance/balanceservice.h"
 #include "app/internal/entry/entryservice.h"
 #include "app/internal/entry/peercalls.h"
 #include "app/internal/gate/gateservice.h"
@@ -43,6 +44,7 @@
     std::size_t callerConnections = 0;
     std::vector<SuspectStatus> suspects;
     std::vector<AccountStatus> accounts;
+    BalanceOverview balance;
 };
 
 /// Owns everything that runs on the traffic thread: listeners for callers, upstreams and peers, and
@@ -67,6 +69,8 @@
     void setDirectorySize(std::size_t daemons) { m_accounts->setDirectorySize(daemons); }
     /// Handles a control payload of another daemon about limits of client accounts.
     void receiveAccounts(const DaemonId &from, const std::string &payload);
+    /// Handles a control payload of another daemon about the balance between failure domains.
+    void receiveBalance(const DaemonId &from, const std::string &payload);
     /// Returns false if the fingerprint is unknown.
     bool liftQuarantine(const Fingerprint &fingerprint);
     TrafficStatus status() const;
@@ -114,6 +118,7 @@
     std::unique_ptr<AccountService> m_accounts;
     std::unique_ptr<GateService> m_gates;
     std::unique_ptr<UpstreamMonitor> m_upstreamMonitor;
+    std::unique_ptr<BalanceService> m_balance;
     std::unique_ptr<PeerCalls> m_peerCalls;
     std::unique_ptr<EntryService> m_entry;
     std::unique_ptr<IHttpServer> m_callerServer;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -76,6 +76,8 @@
     bool quarantine = false;
     /// Each daemon enforces an equal part of each client account's limits.
     bool limitHomes = false;
+    /// Calls are not divided between failure domains by demand and capacity.
+    bool domainBalance = false;
 };
 
 /// Disables the policies of a comma-separated list. Returns the unknown names.
--- a/src/state/imetrics.h
+++ b/src/state/imetrics.h
@@ -24,6 +24,9 @@
     Quarantines,
     LimitRefusals,
     AccountMessages,
+    CallsBalanced,
+    CallsSpilled,
+    BalanceMessages,
     ClaimsWon,
     ClaimsLost,
     ClaimsUnsettled,
@@ -68,6 +71,7 @@
     Members,
     ConfigurationVersion,
     ConfigurationAgeSeconds,
+    BalanceNewsAgeMillis,
     Count, ///< Number of values above.
 };
 
--- a/src/state/internal/metricnames.cpp
+++ b/src/state/internal/metricnames.cpp
@@ -20,6 +20,11 @@
     { "ivyspar_quarantines_total", "", "Requests found to crash the servers that run them." },
     { "ivyspar_limit_refusals_total", "", "Requests beyond the limit of their client account." },
     { "ivyspar_account_messages_total", "", "Messages sent to count limits of client accounts." },
+    { "ivyspar_crossing_calls_total", "by=\"share\"",
+      "Attempts sent to another failure domain, by what decided it." },
+    { "ivyspar_crossing_calls_total", "by=\"spill\"", "" },
+    { "ivyspar_balance_messages_total", "",
+      "Messages sent to balance calls between failure domains." },
     { "ivyspar_claims_total", "result=\"won\"", "Claims of idempotency keys, by result." },
     { "ivyspar_claims_total", "result=\"lost\"", "" },
     { "ivyspar_claims_total", "result=\"unsettled\"", "" },
@@ -67,6 +72,8 @@
     { "ivyspar_members", "", "Daemons known to be alive, this one included." },
     { "ivyspar_configuration_version", "", "Version in force; 0 for none." },
     { "ivyspar_configuration_age_seconds", "", "Time since the version in force was learned." },
+    { "ivyspar_balance_news_age_ms", "",
+      "Age of the oldest sums of a failure domain in use, in ms; -1: none." },
 };
 
 constexpr MetricDescription TIMINGS[] = {
