--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -42,9 +42,12 @@
     std::size_t calls = 0;
     std::size_t links = 0;
     std::size_t callerConnections = 0;
+    PipelineStats pipelines;
     std::vector<SuspectStatus> suspects;
     std::vector<AccountStatus> accounts;
     BalanceOverview balance;
+    std::vector<AccountShareStatus> accountShares;
+    std::size_t activeAccounts = 0;
 };
 
 /// Owns everything that runs on the traffic thread: listeners for callers, upstreams and peers, and
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -23,6 +23,8 @@
     std::size_t connections = 0;
     std::size_t headerBytes = 0;
     std::size_t bodyBytes = 0;
+    /// Unanswered requests of one caller connection that are handled at a time.
+    std::size_t pipelinedRequests = 1;
     /// Requests of callers in flight at a time.
     std::size_t inFlight = 0;
 };
@@ -64,6 +66,8 @@
     bool lag = false;
     /// Rules of one priority get equal shares, regardless of the cost of their requests.
     bool fairShares = false;
+    /// Accounts of one priority compete by arrivals.
+    bool accountShares = false;
     /// Requests are admitted regardless of how few of their call trees can complete.
     bool lossBasedAdmission = false;
     /// A call that a server refused is not retried at that server by the daemon of its host.
