--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -1,5 +1,7 @@
 #include "app/internal/control/statusdocument.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace ivyspar {
@@ -148,6 +150,22 @@
     return list;
 }
 
+Json makeBalance(const BalanceStatus &status)
+{
+    Json domains = Json::array();
+    for (const DomainWork &each : status.domains) {
+        const auto share =
+            std::find_if(status.shares.begin(), status.shares.end(),
+                         [&each](const DomainShare &one) { return one.domain == each.domain; });
+        domains.push_back(
+            { { "domain", each.domain.value() },
+              { "demand", each.demand },
+              { "capacity", each.capacity },
+              { "share", share == status.shares.end() ? Json() : Json(share->share) } });
+    }
+    return Json{ { "service", status.service.value() }, { "domains", std::move(domains) } };
+}
+
 Json makeAccountShares(const std::vector<AccountShareStatus> &shares)
 {
     Json list = Json::array();
@@ -188,6 +206,12 @@
     document["accounts"] = makeAccounts(status.traffic.accounts);
     document["account_shares"] = makeAccountShares(status.traffic.accountShares);
     document["account_count"] = status.traffic.accounts.size();
+    document["balance"] = Json::array();
+    for (const BalanceStatus &service : status.traffic.balance.services) {
+        document["balance"].push_back(makeBalance(service));
+    }
+    const std::optional<Duration> newsAge = status.traffic.balance.newsAge;
+    document["balance_news_ms"] = newsAge ? Json(toMillis(*newsAge)) : Json();
     document["requests_in_flight"] = status.traffic.requests;
     document["calls_in_flight"] = status.traffic.calls;
     document["links"] = status.traffic.links;
--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -34,6 +34,7 @@
     { "readers", &Ablations::readers },
     { "quarantine", &Ablations::quarantine },
     { "limit-homes", &Ablations::limitHomes },
+    { "domain-balance", &Ablations::domainBalance },
 };
 
 } // namespace
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -327,6 +327,7 @@
         action->candidates = choice.candidates;
         action->mayGoElsewhere = mayGoElsewhere(choice.candidates);
         m_attempts.back().mayGoElsewhere = action->mayGoElsewhere;
+        action->inputs = choice.inputs;
     }
     return action;
 }
--- a/src/state/imetrics.h
+++ b/src/state/imetrics.h
@@ -32,6 +32,9 @@
     LimitRefusals,
     AccountShareRefusals,
     AccountMessages,
+    CallsBalanced,
+    CallsSpilled,
+    BalanceMessages,
     ClaimsWon,
     ClaimsLost,
     ClaimsUnsettled,
@@ -85,6 +88,7 @@
     Members,
     ConfigurationVersion,
     ConfigurationAgeSeconds,
+    BalanceNewsAgeMillis,
     Count, ///< Number of values above.
 };
 
