--- a/src/coordination/balance/tests/mocks/domainfleet.h
+++ b/src/coordination/balance/tests/mocks/domainfleet.h
@@ -373,7 +373,7 @@
             after(m_options.callDelay, [this, call = std::move(call), to = choice.daemon] {
                 m_hosts.at(call.entry)
                     .router->onEnd(m_time.now(), SERVICE, to, RouteFeedback::Unreachable,
-                                   m_options.callDelay);
+                                   m_options.callDelay, SpeedShare());
                 send(call);
             });
             return;
@@ -425,7 +425,7 @@
     {
         Host &entry = m_hosts.at(call.entry);
         const auto took = std::chrono::duration_cast<Duration>(m_time.now() - call.startedAt);
-        entry.router->onEnd(m_time.now(), SERVICE, to, RouteFeedback::Answered, took);
+        entry.router->onEnd(m_time.now(), SERVICE, to, RouteFeedback::Answered, took, SpeedShare());
         entry.router->onLoad(m_time.now(), SERVICE, to, load);
         const TreeUsage usage{ { SERVICE, slotTime, load.demand, LossShare(), 1 } };
         entry.admission->onAttemptEnd(m_time.now(), m_target, usage, true);
