--- a/src/app/internal/settings/ablations.cpp
+++ b/src/app/internal/settings/ablations.cpp
@@ -34,7 +34,6 @@
     { "readers", &Ablations::readers },
     { "quarantine", &Ablations::quarantine },
     { "limit-homes", &Ablations::limitHomes },
-    { "domain-balance", &Ablations::domainBalance },
 };
 
 } // namespace
--- a/src/app/internal/settings/daemonsettings.cpp
+++ b/src/app/internal/settings/daemonsettings.cpp
@@ -97,6 +97,7 @@
             "heartbeat_timeout", FLAGS_heartbeat_timeout, milliseconds(100), minutes(1));
         m_settings.drainTimeout =
             m_values.duration("drain_timeout", FLAGS_drain_timeout, Duration::zero(), hours(1));
+        m_settings.balancesDomains = FLAGS_balance_domains;
         DaemonLimits &limits = m_settings.limits;
         limits.connections =
             m_values.count("max_connections", FLAGS_max_connections, 1, MAX_CONNECTIONS);
@@ -270,6 +271,7 @@
         "max_body_bytes",
         "max_pipelined_requests",
         "max_in_flight",
+        "balance_domains",
         "log_level",
         "decision_log",
         "ready_file",
--- a/src/app/internal/settings/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -35,6 +35,8 @@
               "Maximum size of the body of a request or response, in bytes.");
 DEFINE_uint64(max_pipelined_requests, 1,
               "Maximum number of requests of one caller connection that are handled at a time.");
+DEFINE_bool(balance_domains, false,
+            "Divides calls between failure domains by their demand and capacity.");
 DEFINE_uint64(max_in_flight, 10000, "Maximum number of requests of callers in flight.");
 DEFINE_string(log_level, "info", "trace, debug, info, warn, error or off.");
 DEFINE_string(decision_log, "",
@@ -44,8 +46,7 @@
 DEFINE_string(ablate, "",
               "Policies to disable for measurements, not for production: admission, rank, "
               "floor, doomed, budget, retry-tokens, routing, hedging, cancel, odds, fair-shares, "
-              "account-shares, lag, turned-away, datagrams, readers, quarantine, limit-homes, "
-              "domain-balance.");
+              "account-shares, lag, turned-away, datagrams, readers, quarantine, limit-homes.");
 DEFINE_string(base, "current", "Version number that the change is based on, or current.");
 DEFINE_string(timeout, "10s", "Maximum time to wait for a response (100ms to 10min).");
 DEFINE_string(change_id, "", "Identifier of this change, to find it again; random if not set.");
--- a/src/app/internal/settings/flags.h
+++ b/src/app/internal/settings/flags.h
@@ -24,6 +24,7 @@
 DECLARE_uint64(max_header_bytes);
 DECLARE_uint64(max_body_bytes);
 DECLARE_uint64(max_pipelined_requests);
+DECLARE_bool(balance_domains);
 DECLARE_uint64(max_in_flight);
 DECLARE_string(log_level);
 DECLARE_string(decision_log);
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -142,7 +142,7 @@
                                             *m_upstreamDialect, makeLocalGate, observers,
                                             makeGateServiceOptions(settings));
     BalanceServiceOptions balance;
-    balance.isEnabled = !settings.ablations.domainBalance;
+    balance.isEnabled = settings.balancesDomains;
     balance.balance = makeDomainBalanceOptions(settings);
     m_balance = std::make_unique<BalanceService>(
         loop, *m_random, *m_router, observers, m_events.onOutgoingPayload,
@@ -166,7 +166,9 @@
         m_loop, *m_requestDialect, EntryPolicies{ *m_router, *m_retries, *m_random }, *m_peerCalls,
         *m_gates, *m_quarantine, *m_accounts, observers, makeEntryOptions(m_settings));
     m_entry->setHostService(m_settings.hostService);
-    m_entry->setCallDemand(m_balance.get());
+    if (m_settings.balancesDomains) {
+        m_entry->setCallDemand(m_balance.get());
+    }
 }
 
 TrafficNode::~TrafficNode() = default;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -80,8 +80,6 @@
     bool quarantine = false;
     /// Each daemon enforces an equal part of each client account's limits.
     bool limitHomes = false;
-    /// Calls are not divided between failure domains by demand and capacity.
-    bool domainBalance = false;
 };
 
 /// Disables the policies of a comma-separated list. Returns the unknown names.
@@ -117,6 +115,8 @@
     bool hasRootAdmission = false;
     /// The slots that upstreams report are exact: the limit is not adapted below them.
     bool hasExactSlots = false;
+    /// Calls are divided between failure domains by their demand and capacity.
+    bool balancesDomains = false;
 
     std::vector<Endpoint> seeds;
     SharedStreams streams;
--- a/tests/process/domainbalancetest.cpp
+++ b/tests/process/domainbalancetest.cpp
@@ -59,7 +59,7 @@
 // nothing.
 TEST(DomainBalanceProcess, DomainThatIsShortSendsAwayWhatItCannotDo)
 {
-    startTrial(makeTrialGraph(), {}, false);
+    startTrial(makeTrialGraph(), { "--balance_domains" }, false);
     sendThroughFirstDomain();
     const double kept = keptShare();
     CHECK_COMPARE(kept, <, 0.8);
@@ -70,10 +70,10 @@
     CHECK_COMPARE(countServed(m_trial->history()), >, 0.99 * CALLS_PER_SECOND * LENGTH.count());
 }
 
-// Guards against a switch that leaves calls divided.
-TEST(DomainBalanceProcess, NothingIsDividedWhenSwitchedOff)
+// Guards against calls that are divided although the settings do not ask for it.
+TEST(DomainBalanceProcess, NothingIsDividedByDefault)
 {
-    startTrial(makeTrialGraph(), { "--ablate=domain-balance" }, false);
+    startTrial(makeTrialGraph(), {}, false);
     sendThroughFirstDomain();
     DOUBLES_EQUAL(1, keptShare(), 0);
 }
