Pipelining: large responses and closing ones

A response larger than the limit of a connection kept all further requests of the server from starting before their turn: only responses to such requests lowered the expected size. Responses to others lower it now, down to the initial one. Behind a response that is to close the connection, further requests were started though their answers could not be sent. ExchangeQueue.ResponseAboveTheLimitIsForgottenByOtherResponses fails without the change.

--- a/src/transport/internal/exchangequeue.cpp
+++ b/src/transport/internal/exchangequeue.cpp
@@ -46,6 +46,8 @@
     const std::size_t bytes = bytesOf(exchange.response());
     if (entry->isAhead) {
         m_ledger.onResponse(bytes);
+    } else {
+        m_ledger.onOtherResponse();
     }
     if (entry != m_entries.begin()) {
         hold(entry->heldBytes, bytes);
@@ -54,6 +56,7 @@
     if (exchange.framing().isKeepAlive) {
         return;
     }
+    m_isClosing = true;
     while (++entry != m_entries.end()) {
         entry->exchange.notifyDisconnect();
     }
--- a/src/transport/internal/exchangequeue.h
+++ b/src/transport/internal/exchangequeue.h
@@ -24,6 +24,8 @@
     HttpExchange &front() { return m_entries.front().exchange; }
     HttpExchange &back() { return m_entries.back().exchange; }
 
+    /// Whether a response that is ready, or was sent, closes the connection.
+    bool isClosing() const { return m_isClosing; }
     /// Whether the limits allow another request to start before its turn.
     bool hasRoom(const HttpLimits &limits) const;
     HttpExchange &push(ReceivedRequest received, ConnectionTally &tally);
@@ -54,6 +56,7 @@
     PipelineLedger &m_ledger;
     std::list<Entry> m_entries;
     std::size_t m_unstartedBytes = 0;
+    bool m_isClosing = false;
     std::size_t m_bytes = 0;
 };
 
--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -319,7 +319,8 @@
     if (limits.pipelinedRequests <= 1 || m_exchanges.isEmpty() || m_isWriting) {
         return false;
     }
-    if (m_server->closesConnections() || isDisconnected() || !m_stream->isOpen()) {
+    if (m_server->closesConnections() || m_exchanges.isClosing() || isDisconnected()
+        || !m_stream->isOpen()) {
         return false;
     }
     if (m_reader.hasEnded() || m_stream->input().empty()) {
--- a/src/transport/internal/pipelineledger.cpp
+++ b/src/transport/internal/pipelineledger.cpp
@@ -13,8 +13,19 @@
 
 void PipelineLedger::onResponse(std::size_t bytes)
 {
-    const std::size_t decayed = m_expectedResponse - m_expectedResponse / DECAY_DIVISOR;
-    m_expectedResponse = std::max(bytes, decayed);
+    m_expectedResponse = std::max(bytes, decayedResponse());
+}
+
+void PipelineLedger::onOtherResponse()
+{
+    if (m_expectedResponse > INITIAL_RESPONSE_BYTES) {
+        m_expectedResponse = std::max(INITIAL_RESPONSE_BYTES, decayedResponse());
+    }
+}
+
+std::size_t PipelineLedger::decayedResponse() const
+{
+    return m_expectedResponse - m_expectedResponse / DECAY_DIVISOR;
 }
 
 } // namespace ivyspar
--- a/src/transport/tests/exchangequeuetest.cpp
+++ b/src/transport/tests/exchangequeuetest.cpp
@@ -79,6 +79,22 @@
     CHECK(m_ledger.expectedResponse() < 1000);
 }
 
+// Guards against a server that handles no request before its turn any more after one response
+// above the limit.
+TEST(ExchangeQueue, ResponseAboveTheLimitIsForgottenByOtherResponses)
+{
+    push();
+    finish(push(), 2 * m_limits.pipelinedConnectionBytes);
+    m_queue.popFront();
+    m_queue.popFront();
+    CHECK_FALSE(m_queue.hasRoom(m_limits));
+    for (int i = 0; i < 300; ++i) {
+        finish(push(), 100);
+        m_queue.popFront();
+    }
+    CHECK(m_queue.hasRoom(m_limits));
+}
+
 TEST(ExchangeQueue, LimitsBytesOfAllConnections)
 {
     m_limits.pipelinedServerBytes = m_ledger.expectedResponse() + 5000;
