--- a/src/coordination/upstreams/internal/loadstatementtracker.cpp
+++ b/src/coordination/upstreams/internal/loadstatementtracker.cpp
@@ -10,6 +10,9 @@
 /// Bounds of a plausible work time: ten times as fast as usual, and a hundred times as slow.
 constexpr WorkTimePercent MIN_WORK_TIME{ 10 };
 constexpr WorkTimePercent MAX_WORK_TIME{ 10'000 };
+/// Lower bound of the speed that is heeded: a single false statement must not make all queued calls
+/// look as if they could not end in time.
+constexpr double MIN_SPEED = 0.1;
 /// A slow server whose calls depend on its statements by less than this is not believed.
 constexpr double MIN_TRUST = 0.25;
 /// Stated speed, relative to the usual one, below which a server counts as slow.
@@ -22,7 +25,7 @@
 double speedOf(WorkTimePercent workTime)
 {
     const double speed = static_cast<double>(USUAL_WORK_TIME.value()) / workTime.value();
-    return std::min(speed, 1.0);
+    return std::clamp(speed, MIN_SPEED, 1.0);
 }
 
 bool isPlausible(const StatedLoad &load)
--- a/src/coordination/upstreams/tests/loadstatementtrackertest.cpp
+++ b/src/coordination/upstreams/tests/loadstatementtrackertest.cpp
@@ -75,6 +75,33 @@
     CHECK_FALSE(m_tracker.onStatement(m_now, stated(10, 0, SLOW), 10));
 }
 
+// Guards against a false statement that is believed again when the calls before it are forgotten.
+TEST(LoadStatementTracker, LastingSlownessThatDoesNotShowInCallsIsIgnored)
+{
+    play(1000, USUAL_WORK_TIME, 1);
+    play(40, SLOW, 1);
+    for (int i = 0; i < 30; ++i) {
+        play(100, SLOW, 1);
+        CHECK(speed() > 0.85);
+    }
+}
+
+// Guards against a server that gets little work for good because it states ever since its start
+// that it is slow.
+TEST(LoadStatementTracker, ConstantSlownessIsIgnored)
+{
+    play(3000, WorkTimePercent(1000), 1);
+    CHECK(speed() > 0.85);
+}
+
+// Guards against a true statement that is ignored after a long time at one speed.
+TEST(LoadStatementTracker, TrueStatementsAreHeededAfterALongTimeAtTheUsualSpeed)
+{
+    play(3000, USUAL_WORK_TIME, 1);
+    play(20, SLOW, 2.5);
+    DOUBLES_EQUAL(0.4, speed(), 0.1);
+}
+
 // Guards against a server that attracts work by stating to be fast.
 TEST(LoadStatementTracker, FasterThanUsualCountsAsUsual)
 {
