Gates: passing on spares rate-limited calls and full services

Calls that wait for a token of a stated rate were refused as if the queue were full, and a call that a really full gate refused got a repeat without a token. Only a call that was passed on gets one now; the queue is searched only if it has a call that may go elsewhere. EntryCall's test covers it.

--- a/src/coordination/admission/internal/gate.cpp
+++ b/src/coordination/admission/internal/gate.cpp
@@ -224,7 +224,8 @@
 // call that another gate has refused waits, as all servers are probably full.
 void Gate::passOn(TimePoint now, GateActions &actions)
 {
-    if (!m_server.isKnown()) {
+    const bool waitsForRate = m_rate.isLimited() && hasFreeSlot();
+    if (!m_server.isKnown() || waitsForRate) {
         return;
     }
     const auto longest = static_cast<std::size_t>(std::lround(
--- a/src/coordination/admission/internal/rankqueue.cpp
+++ b/src/coordination/admission/internal/rankqueue.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <algorithm>
+
 #include "state/rank.h"
 
 namespace ivyspar {
@@ -72,6 +74,7 @@
     waiting.call.request = request;
     waiting.order = orderOf(request);
     m_byDeadline.insert(waiting);
+    m_mayGoElsewhere += request.mayGoElsewhere ? 1 : 0;
     if (m_order == QueueOrder::Objective) {
         waiting.kind = &kindOf(std::get<Group>(waiting.order), request.rule);
     }
@@ -116,12 +119,13 @@
 
 std::optional<QueuedCall> RankQueue::popLastThatMayGoElsewhere()
 {
-    for (const Waiting &waiting : m_byOrder) {
-        if (waiting.call.request.mayGoElsewhere) {
-            return extract(waiting);
-        }
+    if (m_mayGoElsewhere == 0) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    const auto last = std::find_if(m_byOrder.begin(), m_byOrder.end(), [](const Waiting &waiting) {
+        return waiting.call.request.mayGoElsewhere;
+    });
+    return extract(*last);
 }
 
 /// Late answers still have value until their deadline. The newest late call goes first: started
@@ -262,6 +266,7 @@
     if (waiting.call.latestStart) {
         --waiting.kind->objectives;
     }
+    m_mayGoElsewhere -= waiting.call.request.mayGoElsewhere ? 1 : 0;
     m_calls.erase(found);
     return true;
 }
--- a/src/coordination/admission/internal/rankqueue.h
+++ b/src/coordination/admission/internal/rankqueue.h
@@ -36,7 +36,8 @@
     QueuedCall popFirst(TimePoint now);
     /// Removes the call to refuse when the queue is too long. The queue must not be empty.
     QueuedCall popLast(TimePoint now);
-    /// As `popLast`, among the calls that may go to another server; nothing if there is none.
+    /// As `popLast`, among the calls that may go to another server; nothing if there is none. Takes
+    /// O(n).
     std::optional<QueuedCall> popLastThatMayGoElsewhere();
     /// Removes the call with the earliest deadline. The queue must not be empty.
     QueuedCall popEarliest(TimePoint now);
@@ -128,6 +129,8 @@
 
     QueueOrder m_order;
     std::int64_t m_arrivals = 0;
+    /// Queued calls that may go to another server.
+    std::size_t m_mayGoElsewhere = 0;
     // The sets are destroyed after `m_calls`, whose elements unlink themselves.
     SetOf<OrderHook, OrderOf> m_byOrder;
     SetOf<DeadlineHook, DeadlineOf> m_byDeadline;
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -376,7 +376,8 @@
     query.upstreamAttempts = m_upstreamAttempts;
     query.isUpstreamError = isUpstreamError;
     query.isPassedOn = m_attempts.size() == 1 && m_attempts.front().mayGoElsewhere
-        && result.verdict.reason == Reason::QueueFull && result.load.speed != SpeedShare();
+        && result.verdict.reason == Reason::QueueFull && result.load.speed != SpeedShare()
+        && result.load.queued < result.load.limit;
     query.remaining = std::chrono::duration_cast<Duration>(m_options.deadline - now);
     return m_policies.retries.shouldRetry(now, query);
 }
--- a/src/coordination/calls/tests/entrycalltest.cpp
+++ b/src/coordination/calls/tests/entrycalltest.cpp
@@ -96,11 +96,24 @@
         CHECK_EQUAL(hasOthers, findAction(sent, EntryActionType::Send)->mayGoElsewhere);
         AttemptResult refused = makeResult(Outcome::NotRun, Reason::QueueFull, 7);
         refused.load.speed = SpeedShare(400);
+        refused.load.limit = 8;
+        refused.load.queued = 2;
         const EntryActions next = call.onEnd(now, AttemptIndex(0), refused);
         CHECK_EQUAL(hasOthers, retries.lastQuery.isPassedOn);
         CHECK_FALSE(findAction(next, EntryActionType::Send)->mayGoElsewhere);
     }
     router.hasCandidates = true;
+    {
+        AttemptBudget ownBudget{ AttemptCount(9) };
+        EntryCall call(EntryPolicies{ router, retries, random }, ownBudget, options);
+        call.start(now);
+        AttemptResult full = makeResult(Outcome::NotRun, Reason::QueueFull, 7);
+        full.load.speed = SpeedShare(400);
+        full.load.limit = 8;
+        full.load.queued = 8;
+        call.onEnd(now, AttemptIndex(0), full);
+        CHECK_FALSE(retries.lastQuery.isPassedOn);
+    }
     options.isSingleAttempt = true;
     EntryCall call = makeCall();
     CHECK_FALSE(findAction(call.start(now), EntryActionType::Send)->mayGoElsewhere);
