Service times: the first samples move the expected time faster

A first call that took many times as long as the others was unlearned only after more than a hundred calls, which all counted as late until then. CallOrder and CallObjective pass.

--- a/src/coordination/admission/servicetimes.h
+++ b/src/coordination/admission/servicetimes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
 
@@ -18,8 +19,16 @@
     std::optional<Duration> of(const RuleName &rule) const;
 
 private:
-    /// In µs.
-    std::unordered_map<RuleName, double> m_times;
+    struct Learned
+    {
+        /// In µs.
+        double time = 0;
+        std::uint32_t samples = 0;
+    };
+
+    static void learn(Learned &learned, double sample);
+
+    std::unordered_map<RuleName, Learned> m_times;
 };
 
 } // namespace ivyspar
