Root admission: no account verdict of an earlier request in the log

A request that loss-based admission refused was counted and logged as refused for its account if the request before it had been. Found by reading; only the metric and the log were wrong. Two comments reworded.

--- a/src/coordination/admission/internal/accountlevel.cpp
+++ b/src/coordination/admission/internal/accountlevel.cpp
@@ -14,8 +14,8 @@
 constexpr double COST_WEIGHT = 0.02;
 /// Lower bound of the level, relative to the largest relative demand.
 constexpr double MIN_LEVEL = 1e-6;
-/// The balance moves the level with this part of the square of the gain, the value at which the
-/// two together neither overshoot nor lag.
+/// The balance moves the level with this part of the square of the gain, which damps the changes of
+/// the level critically.
 constexpr double BALANCE_GAIN = 1.0 / 16;
 
 } // namespace
--- a/src/coordination/admission/internal/rootadmission.cpp
+++ b/src/coordination/admission/internal/rootadmission.cpp
@@ -76,6 +76,7 @@
 bool RootAdmission::admit(TimePoint now, const RootTarget &target)
 {
     Profile &profile = profileOf(target);
+    profile.accountVerdict.reset();
     // Checked before the request counts as demand: services must not limit other requests because
     // of requests that are not started.
     if (!passesLossAdmission(now, target, profile)) {
@@ -88,7 +89,6 @@
     profile.arrivals.add(now, 1, m_options.demandAveragingTime);
     profile.lastRate = profile.arrivals.rate(now, m_options.demandAveragingTime);
     profile.share = shareOf(now, target, profile);
-    profile.accountVerdict.reset();
     Tree &tree = *profile.tree;
     const bool isAdmitted = isKnown(tree) ? isAdmittedByShare(now, target, profile, arrived)
                                           : tree.inFlight + 1 <= windowOf(tree);
--- a/src/coordination/admission/irootadmission.h
+++ b/src/coordination/admission/irootadmission.h
@@ -72,8 +72,8 @@
     /// Returns false if an arriving request must be refused before any work is spent on it.
     virtual bool admit(TimePoint now, const RootTarget &target) = 0;
     /// Share of such requests that this daemon currently admits. With a claim, call it right after
-    /// the request was admitted. It is sent with the request, so
-    /// that the services of the call tree can compute the demand behind it.
+    /// the request was admitted. It is sent with the request, so that the services of the call tree
+    /// can compute the demand behind it.
     virtual DemandShare admittedShare(TimePoint now, const RootTarget &target) const = 0;
     /// Inputs of the decisions about such requests; `share`, `lossAdmittedShare` and the account as
     /// of the last decision.
