HTTP client: a request that is sent again gets another connection

Cause: a response was matched by the echoed id alone. The gate repeats a rejected request under the same id and takes the newest idle connection, the one that was just put back. A late copy of the rejection was then taken for the response to the repeat, which was running.

Change: a connection remembers the ids that it has carried while they may be sent again (CarriedRequests), and the pool passes it over for them. At the connection limit an idle connection is closed for a new one. A connection is reused only after a response that names its request, and a response that names none is taken only as the first on its connection: health checks bear no id, so their responses and those of requests could be taken for one another. This covers every path that sends an id again, as all of them end in one client: repeats of the gate, the entry's next attempt or hedge that comes back to the server, a caller that sends its attempt again.

Ruled out: the entry mixing up attempts (they have stream ids of their own); a copy that arrives on an idle connection (such a connection is closed).

The tests fail without the change, run one by one with the old client: LateCopyIsNotTakenForResponseToARepeat (got the copy), RepeatAtTheConnectionLimitReplacesAnIdleConnection (got the copy), OtherRequestsReuseConnectionsOfARepeatedOne (all on one connection), ResponseWithoutIdIsNotTakenOnAReusedConnection, ConnectionIsNotReusedAfterAResponseWithoutId, LateCopyIsNotTakenForResponseToARequestWithoutId.

--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -60,7 +60,10 @@
     std::size_t bodyBytes = 1024 * 1024;
     Duration connectTimeout = std::chrono::seconds(1);
     /// Name of a header that servers echo from the request. A response with a different value
-    /// belongs to another request and is discarded. Empty: responses are not checked.
+    /// belongs to another request and is discarded. A request that is sent again with the same
+    /// value gets another connection, as a late copy of an earlier response to it cannot be told
+    /// apart. A response without the header is accepted only where it can belong to no other
+    /// request; its connection is not reused. Empty: responses are not checked.
     std::string echoHeader;
     /// Accepts a response without a length that ends when its connection closes. Otherwise such a
     /// response is an error, as the server may have crashed before sending all of it.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -79,17 +79,17 @@
         pool->discard(stream);
         return false;
     }
-    putIdle(pool, stream);
+    putIdle(pool, { stream, {} });
     return true;
 }
 
-void HttpClientCore::putIdle(const HttpPoolPtr &pool, TcpStreamPtr stream)
+void HttpClientCore::putIdle(const HttpPoolPtr &pool, HttpPoolConnection connection)
 {
     if (m_isAborted) {
-        pool->discard(stream);
+        pool->discard(connection.stream);
         return;
     }
-    pool->putIdle(std::move(stream), m_loop.now());
+    pool->putIdle(std::move(connection), m_loop.now());
     startSweep();
 }
 
--- a/src/transport/internal/httpclient.h
+++ b/src/transport/internal/httpclient.h
@@ -35,7 +35,7 @@
     /// Connects `stream` within the connect timeout; suspends the calling fiber.
     Ret connect(const TcpStreamPtr &stream, const Endpoint &endpoint);
     TcpStreamPtr makeStream();
-    void putIdle(const HttpPoolPtr &pool, TcpStreamPtr stream);
+    void putIdle(const HttpPoolPtr &pool, HttpPoolConnection connection);
 
 private:
     HttpPoolPtr poolFor(const Endpoint &endpoint);
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -36,6 +36,10 @@
     , m_endpoint(endpoint)
     , m_request(request)
 {
+    const std::string &echoHeader = m_client.limits().echoHeader;
+    const std::string *echo =
+        echoHeader.empty() ? nullptr : findHeader(m_request.headers, echoHeader);
+    m_echo = echo ? *echo : std::string();
 }
 
 HttpResult HttpClientExchange::run(Duration timeout, const HttpCancellationPtr &cancellation)
@@ -59,6 +63,7 @@
 
 HttpResult HttpClientExchange::runWithTimeout(Duration timeout)
 {
+    m_end = m_client.loop().now() + timeout;
     const TimerId timer =
         m_client.loop().callLater(timeout, [this] { abort(HttpFailureCause::Timeout); });
     HttpResult result = runOnConnection();
@@ -72,14 +77,15 @@
         return;
     }
     m_abortCause = cause;
-    if (m_stream) {
-        m_stream->close();
+    if (m_connection.stream) {
+        m_connection.stream->close();
     }
 }
 
 HttpResult HttpClientExchange::runOnConnection()
 {
-    while ((m_stream = m_pool->takeIdle())) {
+    while (auto idle = m_pool->takeIdle(m_echo)) {
+        m_connection = std::move(*idle);
         HttpResult result = sendAndReceive();
         releaseConnection();
         if (!canRetryOnNewConnection(result)) {
@@ -97,12 +103,12 @@
 
 HttpResult HttpClientExchange::runOnNewConnection()
 {
-    if (!m_pool->reserve()) {
+    if (!m_pool->reserveInsteadOfIdle()) {
         return fail(HttpFailureCause::NoConnection,
                     "the connection limit of the endpoint is reached");
     }
-    m_stream = m_client.makeStream();
-    const Ret connected = m_client.connect(m_stream, m_endpoint);
+    m_connection = { m_client.makeStream(), {} };
+    const Ret connected = m_client.connect(m_connection.stream, m_endpoint);
     HttpResult result =
         connected ? sendAndReceive() : fail(HttpFailureCause::Connect, connected.error().text);
     releaseConnection();
@@ -111,50 +117,59 @@
 
 void HttpClientExchange::releaseConnection()
 {
-    const TcpStreamPtr stream = std::exchange(m_stream, {});
-    if (m_isReusable && stream->isOpen()) {
-        m_client.putIdle(m_pool, stream);
+    HttpPoolConnection connection = std::exchange(m_connection, {});
+    if (m_isReusable && connection.stream->isOpen() && !connection.carried.isFull()) {
+        m_client.putIdle(m_pool, std::move(connection));
     } else {
-        m_pool->discard(stream);
+        m_pool->discard(connection.stream);
     }
 }
 
 HttpResult HttpClientExchange::sendAndReceive()
 {
-    const auto error = m_stream->write(m_head, m_request.body, m_sentBytes);
+    const bool isFirst = m_connection.carried.isEmpty();
+    m_connection.carried.add(m_client.loop().now(), m_echo, m_end);
+    const auto error = m_connection.stream->write(m_head, m_request.body, m_sentBytes);
     if (m_abortCause || (error && m_sentBytes == 0)) {
         return fail(HttpFailureCause::Broken, "failed to send the request: " + error.message());
     }
     // A server that rejects a body may respond and close before all of it was sent; its response
     // may still be readable.
-    HttpResult result = receive();
+    HttpResult result = receive(isFirst);
     m_isReusable = m_isReusable && !error;
     return result;
 }
 
-HttpResult HttpClientExchange::receive()
+HttpResult HttpClientExchange::receive(bool isFirst)
 {
     HttpResult result = receiveFinal();
     // A server may send a late duplicate response to an earlier request. Taken as the response to
     // this one, it would reach the wrong caller. The right one may follow on the same connection.
     bool isClean = true;
-    while (result && !matchesEchoHeader(*result)) {
+    while (result && originOf(*result) == ResponseOrigin::OtherRequest) {
         isClean = false;
         result = receiveFinal();
     }
-    m_isReusable = m_isReusable && isClean;
+    const bool isIdentified = result && originOf(*result) == ResponseOrigin::ThisRequest;
+    m_isReusable = m_isReusable && isClean && isIdentified;
+    if (result && !isIdentified && !m_echo.empty() && !(isFirst && isClean)) {
+        return fail(HttpFailureCause::Broken,
+                    "the response on a reused connection does not identify its request");
+    }
     return result;
 }
 
-bool HttpClientExchange::matchesEchoHeader(const HttpResponse &response) const
+HttpClientExchange::ResponseOrigin HttpClientExchange::originOf(const HttpResponse &response) const
 {
     const std::string &name = m_client.limits().echoHeader;
     if (name.empty()) {
-        return true;
+        return ResponseOrigin::ThisRequest;
     }
-    const std::string *sent = findHeader(m_request.headers, name);
     const std::string *echoed = findHeader(response.headers, name);
-    return !sent || !echoed || *sent == *echoed;
+    if (!echoed) {
+        return ResponseOrigin::Unidentified;
+    }
+    return *echoed == m_echo ? ResponseOrigin::ThisRequest : ResponseOrigin::OtherRequest;
 }
 
 HttpResult HttpClientExchange::receiveFinal()
@@ -180,12 +195,12 @@
     HttpParseStatus status = HttpParseStatus::NeedMore;
     while (true) {
         std::size_t consumed = 0;
-        status = parser.put(m_stream->input(), consumed);
-        m_stream->consume(consumed);
+        status = parser.put(m_connection.stream->input(), consumed);
+        m_connection.stream->consume(consumed);
         if (status != HttpParseStatus::NeedMore) {
             break;
         }
-        const auto error = m_stream->read();
+        const auto error = m_connection.stream->read();
         if (error == boost::asio::error::eof && !m_abortCause
             && parser.finish() == HttpParseStatus::Done) {
             return std::move(parser.response());
@@ -198,7 +213,7 @@
     if (status != HttpParseStatus::Done) {
         return fail(HttpFailureCause::Broken, textFor(status));
     }
-    m_isReusable = parser.isKeepAlive() && m_stream->input().empty();
+    m_isReusable = parser.isKeepAlive() && m_connection.stream->input().empty();
     return std::move(parser.response());
 }
 
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -27,13 +27,20 @@
     void abort(HttpFailureCause cause);
 
 private:
+    enum class ResponseOrigin {
+        ThisRequest,
+        OtherRequest, ///< Echoes the value of another request.
+        Unidentified, ///< Echoes no value.
+    };
+
     HttpResult runWithTimeout(Duration timeout);
     HttpResult runOnConnection();
     HttpResult runOnNewConnection();
     HttpResult sendAndReceive();
-    HttpResult receive();
+    /// `isFirst`: the connection has carried no earlier request.
+    HttpResult receive(bool isFirst);
     HttpResult receiveFinal();
-    bool matchesEchoHeader(const HttpResponse &response) const;
+    ResponseOrigin originOf(const HttpResponse &response) const;
     /// One response, which may be an interim (1xx) one. Sets `m_isReusable`.
     HttpResult receiveOne();
     bool canRetryOnNewConnection(const HttpResult &result) const;
@@ -45,7 +52,11 @@
     const Endpoint &m_endpoint;
     const HttpRequest &m_request;
     std::string m_head;
-    TcpStreamPtr m_stream;
+    /// Value of the request's header that servers echo; empty if it has none.
+    std::string m_echo;
+    /// The request is not sent again after this time.
+    TimePoint m_end;
+    HttpPoolConnection m_connection;
     std::optional<HttpFailureCause> m_abortCause;
     /// Bytes of the request that the kernel accepted.
     std::size_t m_sentBytes = 0;
--- a/src/transport/internal/httppool.cpp
+++ b/src/transport/internal/httppool.cpp
@@ -13,6 +13,15 @@
     return true;
 }
 
+bool HttpPool::reserveInsteadOfIdle()
+{
+    if (m_connectionCount >= m_limit && !m_idle.empty()) {
+        discard(m_idle.front().connection.stream);
+        m_idle.erase(m_idle.begin());
+    }
+    return reserve();
+}
+
 void HttpPool::discard(const TcpStreamPtr &stream)
 {
     stream->close();
@@ -22,33 +31,36 @@
 /// A server may have closed a connection while it was idle; a request written to it would be lost
 /// with an unknown outcome. A close that has already arrived is detected here, before any byte is
 /// sent.
-TcpStreamPtr HttpPool::takeIdle()
+std::optional<HttpPoolConnection> HttpPool::takeIdle(const std::string &echo)
 {
-    while (!m_idle.empty()) {
-        TcpStreamPtr stream = std::move(m_idle.back().stream);
-        m_idle.pop_back();
-        if (stream->isIdle()) {
-            return stream;
+    for (std::size_t i = m_idle.size(); i > 0; --i) {
+        if (m_idle[i - 1].connection.carried.contains(echo)) {
+            continue;
+        }
+        HttpPoolConnection connection = std::move(m_idle[i - 1].connection);
+        m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
+        if (connection.stream->isIdle()) {
+            return connection;
         }
-        discard(stream);
+        discard(connection.stream);
     }
-    return {};
+    return std::nullopt;
 }
 
-void HttpPool::putIdle(TcpStreamPtr stream, TimePoint now)
+void HttpPool::putIdle(HttpPoolConnection connection, TimePoint now)
 {
     if (m_connectionCount > m_limit) {
-        discard(stream);
+        discard(connection.stream);
         return;
     }
-    m_idle.push_back({ std::move(stream), now });
+    m_idle.push_back({ std::move(connection), now });
 }
 
 void HttpPool::closeIdleSince(TimePoint time)
 {
     auto end = m_idle.begin();
     while (end != m_idle.end() && end->since <= time) {
-        discard(end->stream);
+        discard(end->connection.stream);
         ++end;
     }
     m_idle.erase(m_idle.begin(), end);
--- a/src/transport/internal/httppool.h
+++ b/src/transport/internal/httppool.h
@@ -2,16 +2,25 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "state/time.h"
+#include "transport/internal/carriedrequests.h"
 #include "transport/internal/tcpstream.h"
 
 namespace ivyspar {
 
+/// A connection to an endpoint and what it was used for.
+struct HttpPoolConnection
+{
+    TcpStreamPtr stream;
+    CarriedRequests carried;
+};
+
 /// The pool of the client's connections to one endpoint.
 class HttpPool : public boost::intrusive_ref_counter<HttpPool, boost::thread_unsafe_counter>
 {
@@ -23,11 +32,14 @@
 
     /// Reserves a connection that is about to be opened; false if the limit is reached.
     bool reserve();
+    /// Like `reserve`, but closes an idle connection if the limit is reached.
+    bool reserveInsteadOfIdle();
     /// Closes an open or reserved connection and releases its place in the pool.
     void discard(const TcpStreamPtr &stream);
-    /// The most recently used idle connection, or null.
-    TcpStreamPtr takeIdle();
-    void putIdle(TcpStreamPtr stream, TimePoint now);
+    /// The most recently used idle connection that has not carried the request with this echo
+    /// value, see `HttpClientLimits::echoHeader`; nothing if there is none.
+    std::optional<HttpPoolConnection> takeIdle(const std::string &echo);
+    void putIdle(HttpPoolConnection connection, TimePoint now);
     /// Closes the connections that have been idle since `time` or earlier.
     void closeIdleSince(TimePoint time);
 
@@ -40,7 +52,7 @@
 private:
     struct Idle
     {
-        TcpStreamPtr stream;
+        HttpPoolConnection connection;
         TimePoint since;
     };
 
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -64,6 +64,51 @@
     return request;
 }
 
+const std::string ECHO_HEADER = "X-Id";
+
+HttpRequest makeGetWithId(const std::string &id)
+{
+    HttpRequest request = makeGet("/");
+    request.headers = { { ECHO_HEADER, id } };
+    return request;
+}
+
+std::string makeResponseWithId(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + ECHO_HEADER + ": " + id
+        + "\r\nContent-Length: " + std::to_string(body.size()) + HEAD_END + body;
+}
+
+std::string idOf(const std::string &head)
+{
+    const auto begin = head.find(ECHO_HEADER);
+    return begin == std::string::npos
+        ? std::string()
+        : head.substr(begin + ECHO_HEADER.size() + 2, head.find('\r', begin) - begin - 6);
+}
+
+/// Responds with `body` to all requests. Returns when the client closes the connection.
+void serveOnConnection(RawSocket peer, const std::string &body)
+{
+    for (std::string head; !(head = peer.readUntil(HEAD_END)).empty();) {
+        peer.send(makeResponseWithId(idOf(head), body));
+    }
+}
+
+/// Responds with "first" to the first request on a connection and with "later" to all others, which
+/// are preceded by a late copy of the first response. Returns when the client closes the
+/// connection.
+void serveWithLateCopies(RawSocket peer)
+{
+    std::string copy;
+    for (std::string head; !(head = peer.readUntil(HEAD_END)).empty();) {
+        const std::string response =
+            makeResponseWithId(idOf(head), copy.empty() ? "first" : "later");
+        peer.send(copy + response);
+        copy = copy.empty() ? response : copy;
+    }
+}
+
 } // namespace
 
 TEST_GROUP(HttpClient)
@@ -471,3 +516,121 @@
     CHECK(result.has_value());
     CHECK_EQUAL(413, result->status);
 }
+
+// Guards against a late copy of a response that is taken for the response to the same request when
+// it is sent again.
+TEST(HttpClient, LateCopyIsNotTakenForResponseToARepeat)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_server.run([](RawSocket &listener) {
+        std::thread first(serveWithLateCopies, listener.accept());
+        RawSocket peer = listener.accept();
+        const std::string id = idOf(peer.readUntil(HEAD_END));
+        peer.send(makeResponseWithId(id, "repeat"));
+        peer.readToEnd();
+        first.join();
+    });
+    STRCMP_EQUAL("first", exchange(makeGetWithId("7"))->body.c_str());
+    const HttpResult repeat = exchange(makeGetWithId("7"), seconds(2));
+    RawSocket::connectTo(m_endpoint);
+    m_runner.run([&] { m_client.reset(); });
+    m_server.join();
+    CHECK(repeat.has_value());
+    STRCMP_EQUAL("repeat", repeat->body.c_str());
+}
+
+// Guards against a repeat that is refused because all connections of the limit carried the request.
+TEST(HttpClient, RepeatAtTheConnectionLimitReplacesAnIdleConnection)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_limits.connectionsPerEndpoint = 1;
+    m_server.run([](RawSocket &listener) {
+        serveWithLateCopies(listener.accept());
+        serveOnConnection(listener.accept(), "repeat");
+    });
+    STRCMP_EQUAL("first", exchange(makeGetWithId("7"))->body.c_str());
+    const HttpResult repeat = exchange(makeGetWithId("7"), seconds(2));
+    m_runner.run([&] { m_client.reset(); });
+    RawSocket::connectTo(m_endpoint);
+    m_server.join();
+    CHECK(repeat.has_value());
+    STRCMP_EQUAL("repeat", repeat->body.c_str());
+}
+
+// Guards against new connections for requests that an idle connection has not carried.
+TEST(HttpClient, OtherRequestsReuseConnectionsOfARepeatedOne)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_limits.connectionsPerEndpoint = 2;
+    m_server.run([](RawSocket &listener) {
+        std::thread first(serveOnConnection, listener.accept(), "a");
+        serveOnConnection(listener.accept(), "b");
+        first.join();
+    });
+    std::string connections;
+    for (const char *id : { "1", "1", "2", "2", "3", "3" }) {
+        const HttpResult result = exchange(makeGetWithId(id), seconds(2));
+        connections += result ? result->body : "-";
+    }
+    m_runner.run([&] { m_client.reset(); });
+    m_server.join();
+    STRCMP_EQUAL("abbaab", connections.c_str());
+}
+
+// Guards against a copy of a health check's response that is taken for the response to a request.
+TEST(HttpClient, ResponseWithoutIdIsNotTakenOnAReusedConnection)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_server.run([](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.send(makeResponseWithId(idOf(peer.readUntil(HEAD_END)), "first"));
+        peer.readUntil(HEAD_END);
+        peer.send(makeResponse("of no request"));
+    });
+    STRCMP_EQUAL("first", exchange(makeGetWithId("1"))->body.c_str());
+    checkFailure(exchange(makeGetWithId("2")), HttpFailureStage::MaybeSent,
+                 HttpFailureCause::Broken);
+    m_server.join();
+}
+
+// Guards against late copies that no id identifies: a server that echoes none gets a new connection
+// for each request.
+TEST(HttpClient, ConnectionIsNotReusedAfterAResponseWithoutId)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_server.run([](RawSocket &listener) {
+        std::vector<RawSocket> peers;
+        for (int i = 0; i < 3; ++i) {
+            peers.push_back(listener.accept());
+            peers.back().readUntil(HEAD_END);
+            peers.back().send(makeResponse(std::to_string(i)));
+        }
+    });
+    std::string bodies;
+    for (const HttpRequest &request :
+         { makeGetWithId("1"), makeGet("/health"), makeGetWithId("2") }) {
+        const HttpResult result = exchange(request, seconds(2));
+        bodies += result ? result->body : "-";
+    }
+    m_runner.run([&] { m_client.reset(); });
+    RawSocket::connectTo(m_endpoint);
+    RawSocket::connectTo(m_endpoint);
+    m_server.join();
+    STRCMP_EQUAL("012", bodies.c_str());
+}
+
+// Guards against a late copy of a response that is taken for the response to a health check.
+TEST(HttpClient, LateCopyIsNotTakenForResponseToARequestWithoutId)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_server.run([](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        const std::string copy = makeResponseWithId(idOf(peer.readUntil(HEAD_END)), "first");
+        peer.send(copy);
+        peer.readUntil(HEAD_END);
+        peer.send(copy + makeResponse("healthy"));
+    });
+    STRCMP_EQUAL("first", exchange(makeGetWithId("1"))->body.c_str());
+    STRCMP_EQUAL("healthy", exchange(makeGet("/health"))->body.c_str());
+    m_server.join();
+}
