Caller endpoint: tickets only where the platform has them, routes first

Cause: TrafficNode compared the target with the path of the product's own call before any route was looked up, also on a platform without tickets, where a stand-in for the once service issued empty ones.

Change: TicketEndpoint is made only beside the product's own log; issuing tickets is no longer part of IOnceService. Where there are tickets, a rule that covers /tickets has precedence. check and publish print a note for a service that shares its path with a call to the daemon (tickets, announce). IRequestDialect::findRule finds the rule alone, so the test for concurrent requests no longer copies the request.

Related paths: reports at the upstream endpoint stay before routes, as servers would be lost otherwise; the platform sends nothing else there, and the note names the one service of the own interface that is concerned. Operator and readiness endpoints serve no routes.

--- a/src/app/internal/commands/checkcommand.cpp
+++ b/src/app/internal/commands/checkcommand.cpp
@@ -1,8 +1,8 @@
-#include <algorithm>
 #include <cstdio>
 
 #include "app/internal/commands/commands.h"
 #include "app/internal/settings/configurationfiles.h"
+#include "app/internal/settings/configurationnotes.h"
 #include "app/internal/settings/flagset.h"
 
 namespace ivyspar {
@@ -28,24 +28,6 @@
                 inventory.servers.size(), rules.classes.size(), rules.rules.size());
 }
 
-/// Neither is an error, as the operator may be in the middle of a change, but both are worth a
-/// check.
-void printNotes(const Configuration &configuration)
-{
-    const auto &rules = configuration.rules.rules;
-    const auto &servers = configuration.inventory.servers;
-    for (const ServiceSpec &service : configuration.inventory.services) {
-        const auto isOfService = [&](const auto &entry) { return entry.service == service.name; };
-        if (std::none_of(rules.begin(), rules.end(), isOfService)) {
-            std::printf("note: no rule for service %s: all its requests are refused\n",
-                        service.name.value().c_str());
-        }
-        if (std::none_of(servers.begin(), servers.end(), isOfService)) {
-            std::printf("note: service %s has no server\n", service.name.value().c_str());
-        }
-    }
-}
-
 } // namespace
 
 int runCheckCommand(const Arguments &arguments)
@@ -67,7 +49,9 @@
         return reportUsageErrors("check", files.errors);
     }
     printSummary(*files.configuration);
-    printNotes(*files.configuration);
+    for (const std::string &note : notesOf(*files.configuration)) {
+        std::printf("note: %s\n", note.c_str());
+    }
     return 0;
 }
 
--- a/src/app/internal/commands/publishcommand.cpp
+++ b/src/app/internal/commands/publishcommand.cpp
@@ -37,6 +37,9 @@
     if (!result.errors.empty()) {
         return reportUsageErrors("publish", result.errors);
     }
+    for (const std::string &note : result.settings.notes) {
+        std::fprintf(stderr, "note: %s\n", note.c_str());
+    }
     return runPublish(result.settings);
 }
 
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -85,8 +85,18 @@
 
 bool EntryService::isIdempotent(const HttpRequest &request) const
 {
-    const auto read = m_dialect.read(request, m_origin, m_configuration.get());
-    return read && read->rule->repetition == Repetition::Idempotent;
+    const RuleSpec *rule = findRule(request);
+    return rule && rule->repetition == Repetition::Idempotent;
+}
+
+bool EntryService::hasRule(const HttpRequest &request) const
+{
+    return findRule(request) != nullptr;
+}
+
+const RuleSpec *EntryService::findRule(const HttpRequest &request) const
+{
+    return m_configuration ? m_dialect.findRule(request, *m_configuration) : nullptr;
 }
 
 HttpResponse EntryService::handleCaller(IHttpExchange &exchange)
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -75,12 +75,16 @@
     /// Returns whether a request may run together with others of its connection; false if no rule
     /// matches it.
     bool isIdempotent(const HttpRequest &request) const;
+    /// Returns whether a rule of the configuration covers the request.
+    bool hasRule(const HttpRequest &request) const;
     /// Handles a request of a caller and returns its answer. Runs in a fiber of the connection.
     HttpResponse handleCaller(IHttpExchange &exchange);
     /// Handles a call that an upstream on this host makes; otherwise as `handleCaller`.
     HttpResponse handleUpstream(IHttpExchange &exchange);
 
 private:
+    const RuleSpec *findRule(const HttpRequest &request) const;
+
     /// A request that was read and checked.
     struct Incoming
     {
--- a/src/app/internal/gate/ionceservice.h
+++ b/src/app/internal/gate/ionceservice.h
@@ -42,8 +42,6 @@
     virtual void notRun(CallId call) = 0;
     /// Cancels a call that still waits for its claim.
     virtual void cancel(CallId call) = 0;
-    /// Returns a new ticket; empty if this daemon issues none.
-    virtual std::string issueTicket() = 0;
     virtual void setMembers(const std::vector<Member> &members) = 0;
 };
 
--- a/src/app/internal/gate/noonceservice.h
+++ b/src/app/internal/gate/noonceservice.h
@@ -24,7 +24,6 @@
     }
     void notRun(CallId /*call*/) override { }
     void cancel(CallId /*call*/) override { }
-    std::string issueTicket() override { return {}; }
     void setMembers(const std::vector<Member> & /*members*/) override { }
 
 private:
--- a/src/app/internal/gate/onceservice.h
+++ b/src/app/internal/gate/onceservice.h
@@ -6,6 +6,7 @@
 #include <unordered_set>
 
 #include "app/internal/gate/ionceservice.h"
+#include "app/internal/gate/iticketissuer.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/waketimer.h"
 #include "coordination/once/ioncecoordinator.h"
@@ -20,7 +21,7 @@
 
 /// Appends claims to the platform's log, reads them back, and runs the timers of the coordinator
 /// and the ticket registry.
-class OnceService : public IOnceService
+class OnceService : public IOnceService, public ITicketIssuer
 {
 public:
     OnceService(IEventLoop &loop, ILogService &log, Observers observers,
--- a/src/app/internal/settings/publishsettings.cpp
+++ b/src/app/internal/settings/publishsettings.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "app/internal/settings/configurationfiles.h"
+#include "app/internal/settings/configurationnotes.h"
 #include "app/internal/settings/flags.h"
 #include "app/internal/settings/settingvalues.h"
 #include "app/publish.h"
@@ -53,6 +54,9 @@
     settings.rulesFile = operands[1];
     ConfigurationFiles files = loadConfiguration(settings.inventoryFile, settings.rulesFile);
     settings.text = std::move(files.text);
+    if (files.configuration) {
+        settings.notes = notesOf(*files.configuration);
+    }
     result.errors.insert(result.errors.end(), files.errors.begin(), files.errors.end());
 }
 
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-constexpr char TICKETS_PATH[] = "/tickets";
-constexpr std::uint16_t CREATED = 201;
-constexpr std::uint16_t METHOD_NOT_ALLOWED = 405;
-
 constexpr Duration DRAIN_POLL_INTERVAL = std::chrono::milliseconds(5);
 /// Part of the drain time that is reserved for closing connections.
 constexpr Duration CLOSING_TIME = std::chrono::milliseconds(200);
@@ -95,11 +91,6 @@
         makeTicketRegistry(now, self.id, self.incarnation, makeSecret(random)));
 }
 
-HttpResponse makeText(std::uint16_t status, const std::string &text)
-{
-    return HttpResponse{ status, { { "Content-Type", "text/plain" } }, text + '\n' };
-}
-
 } // namespace
 
 TrafficNode::TrafficNode(IEventLoop &loop, const DaemonSettings &settings,
@@ -129,7 +120,9 @@
     if (settings.streams.configuration.value().empty()) {
         m_logClient = makeLogClient(loop);
         m_log = makeLog(settings, *m_logClient);
-        m_once = makeOnceService(loop, *m_log, observers, self, *m_random);
+        auto once = makeOnceService(loop, *m_log, observers, self, *m_random);
+        m_tickets = std::make_unique<TicketEndpoint>(*once);
+        m_once = std::move(once);
     } else {
         m_once = std::make_unique<NoOnceService>();
     }
@@ -223,9 +216,8 @@
     if (!caller) {
         return tl::unexpected<Error>(caller.error());
     }
-    m_callerServer->setConcurrencyTest([this](const HttpRequest &request) {
-        return request.target != TICKETS_PATH && m_entry->isIdempotent(request);
-    });
+    m_callerServer->setConcurrencyTest(
+        [this](const HttpRequest &request) { return m_entry->isIdempotent(request); });
     bound.caller = *caller;
     return bound;
 }
@@ -338,20 +330,15 @@
 
 HttpResponse TrafficNode::handleCaller(IHttpExchange &exchange)
 {
-    if (exchange.request().target == TICKETS_PATH) {
-        return issueTicket(exchange.request());
+    if (isTicketRequest(exchange.request())) {
+        return m_tickets->handle(exchange.request());
     }
     return m_entry->handleCaller(exchange);
 }
 
-HttpResponse TrafficNode::issueTicket(const HttpRequest &request)
+bool TrafficNode::isTicketRequest(const HttpRequest &request) const
 {
-    if (request.method != "POST") {
-        return makeText(METHOD_NOT_ALLOWED, "tickets are handed out by POST");
-    }
-    return HttpResponse{ CREATED,
-                         { { "Content-Type", "text/plain" } },
-                         m_once->issueTicket() + '\n' };
+    return m_tickets && TicketEndpoint::isAtEndpoint(request) && !m_entry->hasRule(request);
 }
 
 HttpResponse TrafficNode::handleUpstream(IHttpExchange &exchange)
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -8,6 +8,7 @@
 #include "app/internal/balance/balanceservice.h"
 #include "app/internal/entry/entryservice.h"
 #include "app/internal/entry/peercalls.h"
+#include "app/internal/entry/ticketendpoint.h"
 #include "app/internal/gate/gateservice.h"
 #include "app/internal/gate/onceservice.h"
 #include "app/internal/gate/upstreammonitor.h"
@@ -98,7 +99,8 @@
     HttpLimits makeCallerLimits(const CallerLimits &limits) const;
     HttpResponse handleCaller(IHttpExchange &exchange);
     HttpResponse handleUpstream(IHttpExchange &exchange);
-    HttpResponse issueTicket(const HttpRequest &request);
+    /// A rule that covers the endpoint of the tickets has precedence over it.
+    bool isTicketRequest(const HttpRequest &request) const;
     HttpResponse handleReport(const HttpRequest &request);
 
     IEventLoop &m_loop;
@@ -117,6 +119,8 @@
     std::unique_ptr<IHttpClient> m_logClient;
     std::unique_ptr<ILogService> m_log;
     std::unique_ptr<IOnceService> m_once;
+    /// Null where the platform has no tickets.
+    std::unique_ptr<TicketEndpoint> m_tickets;
     std::unique_ptr<QuarantineService> m_quarantine;
     std::unique_ptr<AccountService> m_accounts;
     std::unique_ptr<GateService> m_gates;
--- a/src/app/publish.h
+++ b/src/app/publish.h
@@ -19,6 +19,8 @@
     std::string rulesFile;
     /// Content of the files, already validated.
     ConfigurationText text;
+    /// What the operator should know about the configuration, a line each.
+    std::vector<std::string> notes;
     /// The version that the change is based on; empty for the current one.
     std::optional<ConfigurationVersion> base;
     std::vector<Endpoint> logEndpoints;
--- a/src/protocol/internal/ownrequestdialect.cpp
+++ b/src/protocol/internal/ownrequestdialect.cpp
@@ -122,6 +122,13 @@
 
 } // namespace
 
+const RuleSpec *OwnRequestDialect::findRule(const HttpRequest &request,
+                                            const Configuration &configuration) const
+{
+    CallerRequest read;
+    return findTarget(request, configuration, read) ? read.rule : nullptr;
+}
+
 tl::expected<CallerRequest, EarlyRefusal>
 OwnRequestDialect::read(const HttpRequest &request, const RequestOrigin & /*origin*/,
                         const Configuration *configuration) const
--- a/src/protocol/irequestdialect.h
+++ b/src/protocol/irequestdialect.h
@@ -57,6 +57,9 @@
 public:
     virtual ~IRequestDialect() = default;
 
+    /// Returns the rule that covers the request; null if there is none.
+    virtual const RuleSpec *findRule(const HttpRequest &request,
+                                     const Configuration &configuration) const = 0;
     /// `configuration` may be null. The refusal's verdict has the reason.
     virtual tl::expected<CallerRequest, EarlyRefusal>
     read(const HttpRequest &request, const RequestOrigin &origin,
