--- a/src/app/internal/gate/announcement.h
+++ b/src/app/internal/gate/announcement.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <string>
-
 #include "coordination/quarantine/suspect.h"
 #include "state/endpoint.h"
 #include "state/ids.h"
 #include "state/member.h"
+#include "state/upstreamrun.h"
 
 namespace ivyspar {
 
@@ -14,30 +13,18 @@
 {
     UpstreamInfo info;
     Endpoint endpoint;
-    /// Id of the server's run; empty if servers do not report one.
-    UpstreamId instance;
-    /// Distinguishes consecutive runs with the same id.
-    UpstreamStart start = {};
+    UpstreamRun run;
 };
 
-/// Identifies the server's run by its id and start, or by its address if servers report no id.
-inline UpstreamId runIdOf(const Announcement &server)
+/// Returns the name of the announced run; that of its address if servers report no id.
+inline UpstreamRunName nameOf(const Announcement &server)
 {
-    if (server.instance.value().empty()) {
-        return UpstreamId(server.endpoint.text());
-    }
-    if (server.start == UpstreamStart()) {
-        return server.instance;
-    }
-    return UpstreamId(server.instance.value() + '@' + std::to_string(server.start.value()));
+    return server.run.isNamed() ? nameOf(server.run) : UpstreamRunName(server.endpoint.text());
 }
 
 inline bool isSameRun(const Announcement &a, const Announcement &b)
 {
-    if (a.instance != b.instance || a.start != b.start) {
-        return false;
-    }
-    return !a.instance.value().empty() || a.endpoint == b.endpoint;
+    return a.run == b.run && (a.run.isNamed() || a.endpoint == b.endpoint);
 }
 
 inline ServerKind kindOf(const Announcement &server)
--- a/src/app/internal/gate/crashdetector.cpp
+++ b/src/app/internal/gate/crashdetector.cpp
@@ -1,6 +1,6 @@
 #include "app/internal/gate/crashdetector.h"
 
-#include <utility>
+#include <algorithm>
 
 #include "state/idvalue.h"
 
@@ -11,6 +11,10 @@
 /// Time between the end of a connection and the check of the listener: a process that ends may
 /// close its connections before its listener.
 constexpr Duration LISTENER_CLOSE_DELAY = std::chrono::milliseconds(5);
+/// Time for which a process that has closed its listener may keep other connections open.
+constexpr Duration CONNECTION_CLOSE_TIME = std::chrono::milliseconds(5);
+/// Exchanges that end late may belong to an earlier run.
+constexpr std::size_t MAX_RUNS_PER_SERVICE = 8;
 
 } // namespace
 
@@ -21,58 +25,95 @@
 {
 }
 
-ServerState CrashDetector::check(const Announcement &server)
+ServerState CrashDetector::check(const ServerSend &send)
 {
-    const TimePoint endedAt = m_loop.now();
-    if (!isKnownEnded(server)) {
+    const TimePoint cutAt = m_loop.now();
+    if (!isKnownEnded(send)) {
         m_loop.sleepFor(LISTENER_CLOSE_DELAY);
     }
-    if (isKnownEnded(server)) {
+    if (isKnownEnded(send)) {
         return ServerState::Ended;
     }
-    if (knownRunOf(server).acceptedAt >= endedAt) {
+    if (knownRunOf(send).acceptedAt >= cutAt) {
         return ServerState::Running;
     }
     const TimePoint askedAt = m_loop.now();
-    const bool isListening = m_client.isListening(server.endpoint);
-    KnownRun &known = knownRunOf(server);
+    const bool isListening = m_client.isListening(send.server.endpoint);
+    KnownRun &known = knownRunOf(send);
     if (isListening) {
         known.acceptedAt = askedAt;
         return ServerState::Running;
     }
-    return std::exchange(known.hasEnded, true) ? ServerState::Ended : ServerState::EndDetected;
+    if (known.endDetectedAt) {
+        return ServerState::Ended;
+    }
+    known.endDetectedAt = m_loop.now();
+    known.nextRunFrom = *known.endDetectedAt + CONNECTION_CLOSE_TIME;
+    return ServerState::EndDetected;
 }
 
-bool CrashDetector::isKnownEnded(const Announcement &server) const
+bool CrashDetector::isKnownEnded(const ServerSend &send)
 {
-    const auto found = m_runs.find(server.info.service);
-    return found != m_runs.end() && found->second.instance == server.instance
-        && found->second.hasEnded;
+    return knownRunOf(send).endDetectedAt.has_value();
 }
 
-UpstreamId CrashDetector::runOf(const Announcement &server)
+UpstreamRunName CrashDetector::runOf(const ServerSend &send)
 {
-    return knownRunOf(server).run;
+    return knownRunOf(send).name;
 }
 
 void CrashDetector::onAnnounced(const Announcement &server)
 {
     const auto found = m_runs.find(server.info.service);
-    if (found != m_runs.end() && server.instance.value().empty() && found->second.hasEnded) {
-        m_runs.erase(found);
+    if (found == m_runs.end() || server.run.start != UpstreamStart()) {
+        return;
+    }
+    for (KnownRun &known : found->second) {
+        if (known.endDetectedAt && isSameRun(known.server, server)) {
+            known.nextRunFrom = std::min(known.nextRunFrom, m_loop.now());
+        }
+    }
+}
+
+CrashDetector::KnownRun &CrashDetector::knownRunOf(const ServerSend &send)
+{
+    KnownRuns &runs = m_runs[send.server.info.service];
+    bool isAnnounced = true;
+    for (KnownRun &known : runs) {
+        if (!isSameRun(known.server, send.server)) {
+            continue;
+        }
+        if (send.at < known.nextRunFrom) {
+            return known;
+        }
+        isAnnounced = false;
+    }
+    return addRun(runs, send.server, isAnnounced);
+}
+
+/// `isAnnounced` is false for a run that follows one with the same announcement.
+CrashDetector::KnownRun &CrashDetector::addRun(KnownRuns &runs, const Announcement &server,
+                                               bool isAnnounced)
+{
+    if (runs.size() >= MAX_RUNS_PER_SERVICE) {
+        runs.pop_front();
     }
+    KnownRun added;
+    added.server = server;
+    added.name = makeName(server.run, isAnnounced);
+    runs.push_back(std::move(added));
+    return runs.back();
 }
 
-CrashDetector::KnownRun &CrashDetector::knownRunOf(const Announcement &server)
+/// What the server reports is unique only together with its start time.
+UpstreamRunName CrashDetector::makeName(const UpstreamRun &run, bool isAnnounced)
 {
-    KnownRun &known = m_runs[server.info.service];
-    if (known.run.value().empty() || known.instance != server.instance) {
-        known = KnownRun{};
-        known.instance = server.instance;
-        const bool hasName = !server.instance.value().empty();
-        known.run = hasName ? server.instance : UpstreamId(toHex(m_random.next()));
+    if (!run.isNamed()) {
+        return UpstreamRunName(toHex(m_random.next()));
     }
-    return known;
+    const bool isUnique = isAnnounced && run.start != UpstreamStart();
+    const std::string suffix = isUnique ? std::string() : '+' + toHex(m_random.next());
+    return UpstreamRunName(nameOf(run).value() + suffix);
 }
 
 } // namespace ivyspar
--- a/src/app/internal/gate/crashdetector.h
+++ b/src/app/internal/gate/crashdetector.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <deque>
+#include <optional>
 #include <unordered_map>
 
 #include "app/internal/gate/announcement.h"
@@ -15,8 +17,20 @@
     EndDetected, ///< This check was the first to find that the run has ended.
 };
 
+/// A request that was sent to a server.
+struct ServerSend
+{
+    /// As it was announced when the request was sent.
+    const Announcement &server;
+    TimePoint at;
+};
+
 /// Distinguishes servers that have ended from those that cut off an answer and continue to run: a
 /// server that has ended accepts no connections. Traffic thread only.
+///
+/// A server may start again under the id, and even the start time, of an earlier run, and receive
+/// requests before it is announced. What was sent after the end of a run was detected belongs to
+/// the next run, whatever the announcement says.
 class CrashDetector
 {
 public:
@@ -25,32 +39,37 @@
 
     /// To be called as soon as the server has closed a connection during an exchange. Suspends the
     /// calling fiber until it is known whether the server has ended.
-    ServerState check(const Announcement &server);
-    /// Returns whether an earlier check found that this run of the server has ended.
-    bool isKnownEnded(const Announcement &server) const;
-    /// Returns an id of the server's run that is unique across all hosts: the one that the server
-    /// reported, or a random one.
-    UpstreamId runOf(const Announcement &server);
-    /// Called when the server has announced itself. If it reports no run id, the end of its earlier
-    /// run is forgotten, as this may be a new one.
+    ServerState check(const ServerSend &send);
+    /// Returns whether an earlier check found that the run that received the request has ended.
+    bool isKnownEnded(const ServerSend &send);
+    /// Returns the name of the run that received the request.
+    UpstreamRunName runOf(const ServerSend &send);
+    /// Called when the server has announced itself. If runs report no start time and an earlier one
+    /// has ended, this is a new one.
     void onAnnounced(const Announcement &server);
 
 private:
     struct KnownRun
     {
-        UpstreamId instance;
-        UpstreamId run;
-        bool hasEnded = false;
+        Announcement server;
+        UpstreamRunName name;
+        std::optional<TimePoint> endDetectedAt;
+        /// Requests that were sent at this time or later belong to the next run.
+        TimePoint nextRunFrom = TimePoint::max();
         /// Start of the last connection attempt that the server accepted.
         TimePoint acceptedAt;
     };
+    using KnownRuns = std::deque<KnownRun>;
 
-    KnownRun &knownRunOf(const Announcement &server);
+    KnownRun &knownRunOf(const ServerSend &send);
+    KnownRun &addRun(KnownRuns &runs, const Announcement &server, bool isAnnounced);
+    UpstreamRunName makeName(const UpstreamRun &run, bool isAnnounced);
 
     IEventLoop &m_loop;
     IHttpClient &m_client;
     IRandom &m_random;
-    std::unordered_map<ServiceName, KnownRun> m_runs;
+    /// The last runs of each service's server, the oldest first.
+    std::unordered_map<ServiceName, KnownRuns> m_runs;
 };
 
 } // namespace ivyspar
--- a/src/app/internal/gate/crashreporter.cpp
+++ b/src/app/internal/gate/crashreporter.cpp
@@ -34,59 +34,58 @@
     m_quarantine.recordServer(kindOf(server));
 }
 
-bool CrashReporter::hasCrashed(const Announcement &server, const HttpResult &result,
-                               bool isEndPlanned)
+bool CrashReporter::hasCrashed(const ServerSend &send, const HttpResult &result, bool isEndPlanned)
 {
     const bool isCut = !result && result.error().hasConnectionEnded
         && result.error().stage == HttpFailureStage::MaybeSent;
     if (!isCut || isEndPlanned) {
         return false;
     }
-    const ServerState state = m_detector.check(server);
+    const ServerState state = m_detector.check(send);
     if (state == ServerState::EndDetected) {
-        m_recorder.recordCrash(server);
-        reportAbandoned(server);
+        m_recorder.recordCrash(send.server, m_detector.runOf(send));
+        reportAbandoned(send);
     }
     return state != ServerState::Running;
 }
 
-void CrashReporter::onEnd(const Announcement &server, const AccountName &account,
+void CrashReporter::onEnd(const ServerSend &send, const AccountName &account,
                           const HttpRequest &request, const RunResult &result,
                           const SuspectRun &run)
 {
     if (result.verdict.reason == Reason::ServerCrashed) {
-        reportCrash(server, fingerprintOf(account, request), run);
+        reportCrash(send, fingerprintOf(account, request), run);
     } else if (isAbandoned(result.verdict)) {
-        rememberAbandoned(server, fingerprintOf(account, request));
+        rememberAbandoned(send, fingerprintOf(account, request));
     } else if (result.verdict.outcome == Outcome::Answered && m_quarantine.hasSuspects()) {
-        m_quarantine.recordCompletion(fingerprintOf(account, request), kindOf(server));
+        m_quarantine.recordCompletion(fingerprintOf(account, request), kindOf(send.server));
     }
 }
 
-void CrashReporter::rememberAbandoned(const Announcement &server, Fingerprint fingerprint)
+void CrashReporter::rememberAbandoned(const ServerSend &send, Fingerprint fingerprint)
 {
     if (m_abandoned.size() >= MAX_ABANDONED_RUNS) {
         m_abandoned.pop_front();
     }
-    m_abandoned.push_back({ m_detector.runOf(server), std::move(fingerprint), m_loop.now() });
+    m_abandoned.push_back({ m_detector.runOf(send), std::move(fingerprint), m_loop.now() });
 }
 
-void CrashReporter::reportAbandoned(const Announcement &server)
+void CrashReporter::reportAbandoned(const ServerSend &send)
 {
-    const UpstreamId run = m_detector.runOf(server);
+    const UpstreamRunName run = m_detector.runOf(send);
     for (const AbandonedRun &abandoned : m_abandoned) {
         if (abandoned.run == run && m_loop.now() - abandoned.at < ABANDONED_RUN_RETENTION) {
-            reportCrash(server, abandoned.fingerprint, {});
+            reportCrash(send, abandoned.fingerprint, {});
         }
     }
     m_abandoned.clear();
 }
 
-void CrashReporter::reportCrash(const Announcement &server, const Fingerprint &fingerprint,
+void CrashReporter::reportCrash(const ServerSend &send, const Fingerprint &fingerprint,
                                 const SuspectRun &run)
 {
     m_quarantine.recordCrash(fingerprint,
-                             Crash{ m_detector.runOf(server), kindOf(server), m_loop.now(),
+                             Crash{ m_detector.runOf(send), kindOf(send.server), m_loop.now(),
                                     run.wasIsolated, run.isTrial });
 }
 
--- a/src/app/internal/gate/crashreporter.h
+++ b/src/app/internal/gate/crashreporter.h
@@ -23,24 +23,23 @@
     void onAnnounced(const Announcement &server);
     /// Returns whether the exchange failed because its server crashed. Suspends the calling fiber
     /// until that is known. `isEndPlanned`: the server has announced its shutdown.
-    bool hasCrashed(const Announcement &server, const HttpResult &result, bool isEndPlanned);
+    bool hasCrashed(const ServerSend &send, const HttpResult &result, bool isEndPlanned);
     /// Called with the end of a run of the request that the account sent.
-    void onEnd(const Announcement &server, const AccountName &account, const HttpRequest &request,
+    void onEnd(const ServerSend &send, const AccountName &account, const HttpRequest &request,
                const RunResult &result, const SuspectRun &run);
 
 private:
     /// A run that was cancelled or timed out here and may continue at its server.
     struct AbandonedRun
     {
-        UpstreamId run;
+        UpstreamRunName run;
         Fingerprint fingerprint;
         TimePoint at;
     };
 
-    void rememberAbandoned(const Announcement &server, Fingerprint fingerprint);
-    void reportAbandoned(const Announcement &server);
-    void reportCrash(const Announcement &server, const Fingerprint &fingerprint,
-                     const SuspectRun &run);
+    void rememberAbandoned(const ServerSend &send, Fingerprint fingerprint);
+    void reportAbandoned(const ServerSend &send);
+    void reportCrash(const ServerSend &send, const Fingerprint &fingerprint, const SuspectRun &run);
 
     IEventLoop &m_loop;
     IQuarantine &m_quarantine;
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -28,7 +28,7 @@
     decision.importance = Importance::Essential;
     decision.root = root;
     decision.service = server.info.service;
-    decision.choice = server.instance.value();
+    decision.choice = server.run.instance.value();
     decision.reason = "response";
     return decision;
 }
@@ -175,7 +175,7 @@
     m_observers.decisions.write(std::move(decision));
 }
 
-void GateRecorder::recordCrash(const Announcement &server)
+void GateRecorder::recordCrash(const Announcement &server, const UpstreamRunName &run)
 {
     m_observers.metrics.add(Counter::ServerCrashes);
     if (!m_observers.decisions.isEnabled()) {
@@ -185,9 +185,10 @@
     decision.kind = DecisionKind::Upstream;
     decision.importance = Importance::Essential;
     decision.service = server.info.service;
-    decision.choice = server.instance.value();
+    decision.choice = server.run.instance.value();
     decision.outcome = "crashed";
     decision.reason = "no-connection";
+    decision.detail = run.value();
     m_observers.decisions.write(std::move(decision));
 }
 
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -72,7 +72,7 @@
     /// string literal.
     void recordBadStatement(const Announcement &server, RootId root, const char *outcome);
     /// Counts and logs a server that ended without announcing its shutdown.
-    void recordCrash(const Announcement &server);
+    void recordCrash(const Announcement &server, const UpstreamRunName &run);
 
 private:
     void recordState(Decision decision, const GatedCall &call, const GatedOrder &order);
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -81,8 +81,10 @@
     Upstream &upstream = m_upstreams[service];
     const UpstreamInfo before = upstream.announcement.info;
     const bool hasMoved = upstream.announcement.endpoint != announcement.endpoint;
-    const bool isOtherRun = upstream.announcement.instance != announcement.instance
-        || upstream.announcement.start != announcement.start;
+    const bool isOtherRun = upstream.announcement.run != announcement.run;
+    if (isOtherRun && upstream.isEndPlanned && upstream.announcement.run.isNamed()) {
+        m_leavingRuns.add(nameOf(upstream.announcement));
+    }
     upstream.announcement = announcement;
     if (isNew) {
         upstream.statements = std::make_unique<UpstreamStatements>(
@@ -127,10 +129,10 @@
     reportUpstreams();
 }
 
-void GateService::withdraw(const ServiceName &service, const UpstreamId &instance, bool isPlanned)
+void GateService::withdraw(const ServiceName &service, const UpstreamRun &run, bool isPlanned)
 {
     Upstream *upstream = findUpstream(service);
-    if (!upstream || upstream->announcement.instance != instance) {
+    if (!upstream || upstream->announcement.run != run) {
         return;
     }
     upstream->isWithdrawn = true;
@@ -495,7 +497,7 @@
         next = gateOwner->gate->finish(now, id, run.result, serviceTime);
     }
     if (const auto ended = m_calls.find(id); ended != m_calls.end()) {
-        m_recorder.recordRun(ended->second.message, server.instance, run.verdict,
+        m_recorder.recordRun(ended->second.message, server.run.instance, run.verdict,
                              run.response.status, serviceTime);
     }
     endRun(id, std::move(run), serviceTime);
@@ -565,8 +567,7 @@
     }
     const Call &call = found->second;
     const TimePoint now = m_loop.now();
-    const bool isSameRun = upstream->announcement.instance == server.instance;
-    if (call.isCancelled || now >= call.deadline || !isSameRun) {
+    if (call.isCancelled || now >= call.deadline || !isSameRun(upstream->announcement, server)) {
         return false;
     }
     return upstream->retryBudget->tryTake(now, priorityOf(call.message.rank))
@@ -578,7 +579,7 @@
     const auto remaining = std::chrono::duration_cast<Duration>(call.deadline - m_loop.now());
     HttpRequest request = call.message.request;
     m_dialect.prepareRequest(
-        UpstreamSend{ toHex(id.value()), remaining, server.instance, call.message.account },
+        UpstreamSend{ toHex(id.value()), remaining, server.run.instance, call.message.account },
         request);
     // The call may have been removed when the exchange ends.
     const HttpCancellationPtr cancellation = call.cancellation;
@@ -596,15 +597,16 @@
     if (result && isFromRun(m_dialect.classify(*result))) {
         applyResponse(server, { *result, root, sentAt, &tracked });
     }
-    const bool isCrash = m_crashes.hasCrashed(server, result, isEndPlanned(server.info.service));
+    const ServerSend send{ server, sentAt };
+    const bool isCrash = m_crashes.hasCrashed(send, result, isEndPlanned(server));
     RunResult run =
         result ? resultOfResponse(m_dialect, std::move(*result)) : resultOfFailure(result.error());
     if (isCrash) {
         run.verdict.reason = Reason::ServerCrashed;
     }
-    m_crashes.onEnd(server, account, request, run, m_suspects.runOf(id));
+    m_crashes.onEnd(send, account, request, run, m_suspects.runOf(id));
     if (run.isContactFailure) {
-        reportContactFailure(server.instance);
+        reportContactFailure(server.run);
     }
     return run;
 }
@@ -625,10 +627,10 @@
     }
 }
 
-Duration GateService::reserveHealthCheck(const ServiceName &service, const UpstreamId &instance)
+Duration GateService::reserveHealthCheck(const ServiceName &service, const UpstreamRun &run)
 {
     Upstream *upstream = findUpstream(service);
-    if (!upstream || upstream->announcement.instance != instance) {
+    if (!upstream || upstream->announcement.run != run) {
         return Duration::zero();
     }
     const TimePoint now = m_loop.now();
@@ -636,11 +638,11 @@
     return upstream->gate->reserveSend(now);
 }
 
-void GateService::onHealthResponse(const ServiceName &service, const UpstreamId &instance,
+void GateService::onHealthResponse(const ServiceName &service, const UpstreamRun &run,
                                    TimePoint sentAt, const HttpResponse &response)
 {
     const Upstream *upstream = findUpstream(service);
-    if (upstream && upstream->announcement.instance == instance) {
+    if (upstream && upstream->announcement.run == run) {
         const Announcement server = upstream->announcement;
         applyResponse(server, { response, RootId(), sentAt, nullptr });
     }
@@ -669,16 +671,20 @@
     return !upstream.isWithdrawn && !upstream.statements->notice().isLeaving;
 }
 
-bool GateService::isEndPlanned(const ServiceName &service)
+bool GateService::isEndPlanned(const Announcement &server)
 {
-    const Upstream *upstream = findUpstream(service);
-    return !upstream || upstream->isEndPlanned;
+    const Upstream *upstream = findUpstream(server.info.service);
+    if (!upstream) {
+        return true;
+    }
+    return isSameRun(upstream->announcement, server) ? upstream->isEndPlanned
+                                                     : m_leavingRuns.contains(nameOf(server));
 }
 
-void GateService::reportContactFailure(const UpstreamId &instance)
+void GateService::reportContactFailure(const UpstreamRun &run)
 {
-    if (m_onContactFailure && !instance.value().empty()) {
-        m_onContactFailure(instance);
+    if (m_onContactFailure && run.isNamed()) {
+        m_onContactFailure(run);
     }
 }
 
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -59,7 +59,7 @@
 public:
     using GateMaker = std::function<std::unique_ptr<IGate>(const UpstreamInfo &)>;
     using OnUpstreams = std::function<void(std::vector<UpstreamInfo>)>;
-    using OnContactFailure = std::function<void(const UpstreamId &)>;
+    using OnContactFailure = std::function<void(const UpstreamRun &)>;
 
     GateService(IEventLoop &loop, IHttpClient &client, IRandom &random, IOnceService &once,
                 IQuarantine &quarantine, const IUpstreamDialect &dialect, GateMaker makeGate,
@@ -78,12 +78,12 @@
     /// Stops sending calls to that run of the service's server: waiting calls are refused, running
     /// ones continue. Ignored if another run is announced. `isPlanned`: the server itself has
     /// announced its shutdown.
-    void withdraw(const ServiceName &service, const UpstreamId &instance, bool isPlanned);
+    void withdraw(const ServiceName &service, const UpstreamRun &run, bool isPlanned);
     /// Counts a health check of that run against its rate limit. Returns the time to wait before
     /// sending it.
-    Duration reserveHealthCheck(const ServiceName &service, const UpstreamId &instance);
+    Duration reserveHealthCheck(const ServiceName &service, const UpstreamRun &run);
     /// Applies what that run states in its response to a health check that was sent at `sentAt`.
-    void onHealthResponse(const ServiceName &service, const UpstreamId &instance, TimePoint sentAt,
+    void onHealthResponse(const ServiceName &service, const UpstreamRun &run, TimePoint sentAt,
                           const HttpResponse &response);
     /// The daemon stops at `end`: calls with a later deadline are refused from now on.
     void startLeaving(TimePoint end) { m_endsAt = end; }
@@ -159,10 +159,11 @@
     void stopSending(const ServiceName &service, Upstream &upstream);
     /// Whether calls may be sent to the announced run.
     static bool acceptsCalls(const Upstream &upstream);
-    bool isEndPlanned(const ServiceName &service);
+    /// Whether that run of the server has announced its shutdown.
+    bool isEndPlanned(const Announcement &server);
     void recordSend(const ServiceName &service, const RunResult &run);
     bool maySendAgain(const ServiceName &service, const Announcement &server, CallId id);
-    void reportContactFailure(const UpstreamId &instance);
+    void reportContactFailure(const UpstreamRun &run);
     void endCall(CallId id, ResponseMessage answer);
     void refuseCall(CallId id, const Verdict &verdict, const GateOrderBasis &basis = {});
     /// Returns what the decision log shows of the basis.
--- a/src/app/internal/gate/upstreammonitor.cpp
+++ b/src/app/internal/gate/upstreammonitor.cpp
@@ -37,8 +37,8 @@
     , m_registry(makeUpstreamRegistry(UpstreamRegistryOptions()))
     , m_timer(loop, [this] { perform(m_registry->tick(m_loop.now())); })
 {
-    m_gates.setOnContactFailure([this](const UpstreamId &instance) {
-        perform(m_registry->onContactFailure(m_loop.now(), instance));
+    m_gates.setOnContactFailure([this](const UpstreamRun &run) {
+        perform(m_registry->onContactFailure(m_loop.now(), run));
     });
 }
 
@@ -49,9 +49,8 @@
 
 void UpstreamMonitor::onReport(const UpstreamReport &report)
 {
-    if (report.instance.value().empty()) {
-        // A server without a run id is identified by its service alone, and its report is used
-        // without a health check.
+    if (!report.isVerifiable) {
+        // No health check can confirm the run, so the report is used as it is.
         announce(report);
         return;
     }
@@ -67,7 +66,7 @@
             announce(action.report);
             break;
         case UpstreamVerb::Stop:
-            m_gates.withdraw(action.report.service, action.report.instance, action.isPlanned);
+            m_gates.withdraw(action.report.service, action.report.run, action.isPlanned);
             break;
         case UpstreamVerb::Check:
             m_loop.spawn([this, report = action.report] { check(report); });
@@ -87,15 +86,14 @@
     announcement.info.coldLeft = report.coldLeft;
     announcement.info.version = report.version;
     announcement.endpoint = report.endpoint;
-    announcement.instance = report.instance.value().empty() ? report.run : report.instance;
-    announcement.start = report.start;
+    announcement.run = report.run;
     m_gates.announce(announcement);
 }
 
 void UpstreamMonitor::check(const UpstreamReport &report)
 {
     const UpstreamHealth health = fetchHealth(report);
-    perform(m_registry->onHealth(m_loop.now(), report.instance, health));
+    perform(m_registry->onHealth(m_loop.now(), report.run, health));
 }
 
 UpstreamHealth UpstreamMonitor::fetchHealth(const UpstreamReport &report)
@@ -108,7 +106,7 @@
         return health;
     }
     const HttpRequest request{ "GET", service->healthPath, {}, {} };
-    const Duration delay = m_gates.reserveHealthCheck(report.service, report.instance);
+    const Duration delay = m_gates.reserveHealthCheck(report.service, report.run);
     if (delay > Duration::zero()) {
         m_loop.sleepFor(delay);
     }
@@ -120,8 +118,8 @@
     health.isSilent = false;
     health.isHealthy = result->status == OK;
     health.instance = m_dialect.readInstance(*result);
-    if (health.instance == report.instance) {
-        m_gates.onHealthResponse(report.service, report.instance, sentAt, *result);
+    if (health.instance == report.run.instance) {
+        m_gates.onHealthResponse(report.service, report.run, sentAt, *result);
     }
     return health;
 }
@@ -135,7 +133,7 @@
     decision.kind = DecisionKind::Upstream;
     decision.importance = Importance::Essential;
     decision.service = action.report.service;
-    decision.choice = action.report.instance.value();
+    decision.choice = action.report.run.instance.value();
     decision.outcome = toText(action.verb);
     decision.reason = action.reason;
     decision.inputs = { { "sequence", static_cast<double>(action.report.sequence) },
--- a/src/app/internal/gate/upstreamstatements.cpp
+++ b/src/app/internal/gate/upstreamstatements.cpp
@@ -7,7 +7,7 @@
 bool UpstreamStatements::onAnnounced(const Announcement &server)
 {
     const UpstreamNotice before = m_notices.notice();
-    const UpstreamId run = runIdOf(server);
+    const UpstreamRunName run = nameOf(server);
     if (before.run != run) {
         m_load = LoadStatementTracker();
         m_hasReportedMalformedLoad = false;
@@ -104,8 +104,8 @@
 /// A run without an id is not remembered: the next run may have its address.
 void UpstreamStatements::onNoticeChanged(const Announcement &server)
 {
-    if (m_notices.notice().isLeaving && !server.instance.value().empty()) {
-        m_leavingRuns.add(runIdOf(server));
+    if (m_notices.notice().isLeaving && server.run.isNamed()) {
+        m_leavingRuns.add(nameOf(server));
     }
 }
 
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -247,7 +247,7 @@
     CHECK(status.load.speed > SpeedShare(400));
     CHECK(status.load.speed < SpeedShare(700));
     const HttpResponse health{ 200, { { headers::UPSTREAM_LOAD, "0,0,300,100" } }, {} };
-    m_gates.onHealthResponse(ServiceName("cassa"), UpstreamId(), m_loop.now(), health);
+    m_gates.onHealthResponse(ServiceName("cassa"), UpstreamRun(), m_loop.now(), health);
     CHECK(m_gates.load(ServiceName("cassa")).speed == USUAL_SPEED);
     CHECK(m_metrics->text().find("ivyspar_load_statements_total{result=\"read\"} 2")
           != std::string::npos);
--- a/src/app/tests/gatesuspectstest.cpp
+++ b/src/app/tests/gatesuspectstest.cpp
@@ -9,6 +9,7 @@
 #include "app/tests/mocks/inlineeventloop.h"
 #include "app/tests/mocks/silentobservers.h"
 #include "coordination/admission/gatefactory.h"
+#include "protocol/headers.h"
 #include "protocol/owndialects.h"
 #include "state/fingerprint.h"
 #include "state/internal/seededrandom.h"
@@ -22,7 +23,7 @@
 namespace {
 
 const ServiceName SERVICE("catalogo");
-const UpstreamId INSTANCE("i-1");
+const UpstreamRun RUN{ UpstreamId("i-1"), UpstreamStart(1000) };
 
 std::unique_ptr<IGate> makeOpenGate(const UpstreamInfo & /*info*/)
 {
@@ -56,17 +57,21 @@
     std::vector<Verdict> m_verdicts;
 
     void setup() override
+    {
+        makeGates({});
+    }
+    void makeGates(const GateServiceOptions &options)
     {
         m_gates = std::make_unique<GateService>(m_loop, m_client, m_random, m_once, m_quarantine,
                                                 *m_dialect, makeOpenGate, m_observers.observers(),
-                                                GateServiceOptions{});
+                                                options);
         announce(false);
     }
-    void announce(bool isDraining)
+    void announce(bool isDraining, const UpstreamRun &run = RUN)
     {
         UpstreamInfo info{ SERVICE, 50, 400, isDraining };
         info.version = UpstreamVersion("v1");
-        m_gates->announce(Announcement{ info, { "127.0.0.1", 9000 }, INSTANCE });
+        m_gates->announce(Announcement{ info, { "127.0.0.1", 9000 }, run });
     }
     CallId call(const std::string &path)
     {
@@ -94,7 +99,7 @@
     void endServerDuringCall(bool isPlanned)
     {
         m_client.answer = [this, isPlanned](const MockHttpClient::Call &) {
-            m_gates->withdraw(SERVICE, INSTANCE, isPlanned);
+            m_gates->withdraw(SERVICE, RUN, isPlanned);
             m_client.isUp = false;
             return makeCut();
         };
@@ -110,7 +115,7 @@
     CHECK(m_verdicts.back().reason == Reason::ServerCrashed);
     LONGS_EQUAL(1, m_quarantine.crashes.size());
     CHECK(m_quarantine.crashes[0].first == fingerprintOfPath("/a"));
-    CHECK(m_quarantine.crashes[0].second.run == INSTANCE);
+    CHECK(m_quarantine.crashes[0].second.run == nameOf(RUN));
     CHECK_FALSE(m_quarantine.crashes[0].second.wasIsolated);
     CHECK(m_quarantine.crashes[0].second.kind.version == UpstreamVersion("v1"));
 }
@@ -278,3 +283,59 @@
     CHECK(m_quarantine.crashes.at(0).second.wasIsolated);
     CHECK(m_quarantine.crashes.at(0).second.isTrial);
 }
+
+// Guards against a request that is never quarantined because its servers restart under their ids.
+TEST(GateSuspects, CrashesOfRestartedServerAreDistinct)
+{
+    for (std::uint64_t start = 1; start <= 3; ++start) {
+        announce(false, { RUN.instance, UpstreamStart(start) });
+        cutNextAnswer(false);
+        call("/a");
+    }
+    LONGS_EQUAL(3, m_quarantine.crashes.size());
+    CHECK(m_quarantine.crashes[0].second.run != m_quarantine.crashes[1].second.run);
+    CHECK(m_quarantine.crashes[1].second.run != m_quarantine.crashes[2].second.run);
+}
+
+// Guards against a crash that counts as that of the run before, as the server receives requests
+// before it is announced again.
+TEST(GateSuspects, CrashBeforeTheNextRunIsAnnouncedIsDistinct)
+{
+    cutNextAnswer(false);
+    call("/a");
+    m_loop.advance(2s);
+    cutNextAnswer(false);
+    call("/a");
+    LONGS_EQUAL(2, m_quarantine.crashes.size());
+    CHECK(m_quarantine.crashes[0].second.run != m_quarantine.crashes[1].second.run);
+}
+
+// Guards against a call that was rejected by one run of a server and is sent again to the next.
+TEST(GateSuspects, RefusedCallIsNotSentAgainToTheNextRun)
+{
+    GateServiceOptions options;
+    options.retryBudget.ratio = 10;
+    makeGates(options);
+    m_client.answer = [this](const MockHttpClient::Call &) -> HttpResult {
+        announce(false, { RUN.instance, UpstreamStart(2000) });
+        return HttpResponse{ 503, { { headers::UPSTREAM_OUTCOME, "not-run" } }, {} };
+    };
+    call("/a");
+    LONGS_EQUAL(1, m_client.calls.size());
+    CHECK(m_verdicts.back().reason == Reason::UpstreamRefused);
+}
+
+// Guards against requests that become suspects because the server that was replaced as planned had
+// a successor when its last connections were closed.
+TEST(GateSuspects, PlannedEndIsNoCrashAfterTheNextRunIsAnnounced)
+{
+    m_client.answer = [this](const MockHttpClient::Call &) {
+        m_gates->withdraw(SERVICE, RUN, true);
+        announce(false, { RUN.instance, UpstreamStart(2000) });
+        m_client.isUp = false;
+        return makeCut();
+    };
+    call("/a");
+    CHECK(m_verdicts.back().reason == Reason::BrokenAnswer);
+    CHECK(m_quarantine.crashes.empty());
+}
--- a/src/app/tests/mocks/ratelimitedfleet.h
+++ b/src/app/tests/mocks/ratelimitedfleet.h
@@ -138,7 +138,7 @@
         gate.slots = SLOTS;
         gate.connections = SLOTS;
         host.gate = makeGate(gate);
-        host.notices.setRun(UpstreamId(daemonOf(index).value()));
+        host.notices.setRun(UpstreamRunName(daemonOf(index).value()));
         RouterOptions router;
         router.domain = domainOf(index);
         host.router = makeRouter(router);
--- a/src/app/tests/ratelimitedservertest.cpp
+++ b/src/app/tests/ratelimitedservertest.cpp
@@ -111,11 +111,11 @@
     m_server.stateLimit("0");
     sendFor(3s, 3ms);
     const std::size_t before = m_server.arrivals();
-    CHECK(m_gates->reserveHealthCheck(SERVICE, UpstreamId("i-1")) > Duration::zero());
-    CHECK(m_gates->reserveHealthCheck(SERVICE, UpstreamId("i-1")) >= Duration(2s));
+    CHECK(m_gates->reserveHealthCheck(SERVICE, { UpstreamId("i-1") }) > Duration::zero());
+    CHECK(m_gates->reserveHealthCheck(SERVICE, { UpstreamId("i-1") }) >= Duration(2s));
     sendFor(4s, 3ms);
     CHECK_EQUAL(before, m_server.arrivals());
-    CHECK(m_gates->reserveHealthCheck(SERVICE, UpstreamId("i-2")) == Duration::zero());
+    CHECK(m_gates->reserveHealthCheck(SERVICE, { UpstreamId("i-2") }) == Duration::zero());
 }
 
 // Guards against tokens that accumulate while the process is stopped or nobody calls.
@@ -315,7 +315,7 @@
 TEST(RateLimitedServer, NoticeOfAnotherRunIsNotApplied)
 {
     CallMessage call;
-    call.notice = UpstreamNotice{ UpstreamId("i-0"), RequestRate(0), true };
+    call.notice = UpstreamNotice{ UpstreamRunName("i-0"), RequestRate(0), true };
     for (int i = 0; i < 10; ++i) {
         send(call);
     }
--- a/src/coordination/quarantine/suspect.h
+++ b/src/coordination/quarantine/suspect.h
@@ -29,7 +29,7 @@
 struct Crash
 {
     /// Identifies the run of the server; unique over all servers and all time.
-    UpstreamId run;
+    UpstreamRunName run;
     ServerKind kind;
     TimePoint at;
     /// The request was already a suspect when it was sent, and no other suspect ran at the server.
--- a/src/coordination/quarantine/tests/mocks/suspectfleet.h
+++ b/src/coordination/quarantine/tests/mocks/suspectfleet.h
@@ -224,7 +224,7 @@
         if (m_now >= node.crashAt) {
             node.crashAt = TimePoint::max();
             node.upAt = m_now + DOWN_TIME;
-            const UpstreamId run("run-" + std::to_string(++m_crashes));
+            const UpstreamRunName run("run-" + std::to_string(++m_crashes));
             node.table->addCrash(m_now, CRASHING_REQUEST,
                                  Crash{ run, KIND, m_now, node.wasIsolated, false });
             node.gossip->addLocalUpdate(CRASHING_REQUEST);
--- a/src/coordination/quarantine/tests/suspecttabletest.cpp
+++ b/src/coordination/quarantine/tests/suspecttabletest.cpp
@@ -24,7 +24,7 @@
                const ServerKind &kind = KIND, bool isTrial = false)
     {
         return m_table->addCrash(m_now, fingerprint,
-                                 Crash{ UpstreamId(run), kind, m_now, true, isTrial });
+                                 Crash{ UpstreamRunName(run), kind, m_now, true, isTrial });
     }
     Suspicion suspicionAt(const ServerKind &kind, const Fingerprint &fingerprint = REQUEST)
     {
@@ -87,7 +87,7 @@
 TEST(SuspectTable, SimultaneousCrashesCountOnce)
 {
     for (const char *run : { "i-1", "i-2", "i-3", "i-4" }) {
-        m_table->addCrash(m_now, REQUEST, Crash{ UpstreamId(run), KIND, m_now, false, false });
+        m_table->addCrash(m_now, REQUEST, Crash{ UpstreamRunName(run), KIND, m_now, false, false });
     }
     CHECK(suspicionAt(KIND) == Suspicion::Suspect);
     crash(REQUEST, "i-5");
@@ -206,7 +206,7 @@
         crash(REQUEST, "i-" + std::to_string(i));
         other->addCrash(
             m_now, REQUEST,
-            Crash{ UpstreamId("i-" + std::to_string(39 - i)), KIND, m_now, true, false });
+            Crash{ UpstreamRunName("i-" + std::to_string(39 - i)), KIND, m_now, true, false });
     }
     LONGS_EQUAL(SuspectTableOptions().maxCrashesPerRecord, m_table->find(REQUEST)->crashes.size());
     CHECK(other->digest() == m_table->digest());
--- a/src/coordination/upstreams/internal/leavingruns.cpp
+++ b/src/coordination/upstreams/internal/leavingruns.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void LeavingRuns::add(const UpstreamId &run)
+void LeavingRuns::add(const UpstreamRunName &run)
 {
     if (contains(run)) {
         return;
@@ -22,7 +22,7 @@
     }
 }
 
-bool LeavingRuns::contains(const UpstreamId &run) const
+bool LeavingRuns::contains(const UpstreamRunName &run) const
 {
     return std::find(m_runs.begin(), m_runs.end(), run) != m_runs.end();
 }
--- a/src/coordination/upstreams/internal/noticetracker.cpp
+++ b/src/coordination/upstreams/internal/noticetracker.cpp
@@ -4,7 +4,7 @@
 
 namespace ivyspar {
 
-void NoticeTracker::setRun(const UpstreamId &run)
+void NoticeTracker::setRun(const UpstreamRunName &run)
 {
     if (m_notice.run == run) {
         return;
--- a/src/coordination/upstreams/internal/upstreamregistry.cpp
+++ b/src/coordination/upstreams/internal/upstreamregistry.cpp
@@ -28,12 +28,12 @@
     if (report.phase != UpstreamPhase::Ready) {
         return onLeaving(report);
     }
-    const auto found = m_runs.find(report.instance);
+    const auto found = m_runs.find(report.run.instance);
     if (found == m_runs.end()) {
         return addRun(now, report);
     }
     Run &run = found->second;
-    if (run.report.start < report.start) {
+    if (run.report.run.start < report.run.start) {
         // The server restarted under the same instance id, and its sequence numbers start again. If
         // they were considered stale, the server would never receive calls.
         UpstreamActions actions = endRun(found, "started-again");
@@ -41,8 +41,10 @@
         actions.insert(actions.end(), check.begin(), check.end());
         return actions;
     }
-    // A run never changes its service; a report with another service comes from another sender.
-    if (report.sequence <= run.report.sequence || report.service != run.report.service) {
+    // A run never changes its service, nor loses its start time: such a report comes from another
+    // sender.
+    if (report.run != run.report.run || report.service != run.report.service
+        || report.sequence <= run.report.sequence) {
         return {};
     }
     const bool isChanged =
@@ -57,13 +59,13 @@
 /// service by now. A delayed goodbye must not end the run that followed it.
 bool UpstreamRegistry::isStale(const UpstreamReport &report) const
 {
-    const auto ended = m_endedRuns.find(report.instance);
-    if (ended != m_endedRuns.end() && report.start <= ended->second) {
+    const auto ended = m_endedRuns.find(report.run.instance);
+    if (ended != m_endedRuns.end() && report.run.start <= ended->second) {
         return true;
     }
-    const auto found = m_runs.find(report.instance);
-    const bool saysStart = report.start != UpstreamStart();
-    return saysStart && found != m_runs.end() && report.start < found->second.report.start;
+    const auto found = m_runs.find(report.run.instance);
+    const bool saysStart = report.run.start != UpstreamStart();
+    return saysStart && found != m_runs.end() && report.run.start < found->second.report.run.start;
 }
 
 UpstreamActions UpstreamRegistry::addRun(TimePoint now, const UpstreamReport &report)
@@ -71,19 +73,20 @@
     Run run;
     run.report = report;
     run.lastHeardAt = now;
-    Run &added = m_runs.emplace(report.instance, std::move(run)).first->second;
+    Run &added = m_runs.emplace(report.run.instance, std::move(run)).first->second;
     return requestCheck(added, "new");
 }
 
 UpstreamActions UpstreamRegistry::onLeaving(const UpstreamReport &report)
 {
-    const auto found = m_runs.find(report.instance);
+    const auto found = m_runs.find(report.run.instance);
     if (found == m_runs.end()) {
-        recordEnded(report.instance, report.start);
+        recordEnded(report.run);
         return {};
     }
     // A goodbye may lack the start time of its run.
-    recordEnded(report.instance, std::max(report.start, found->second.report.start));
+    recordEnded(report.run);
+    recordEnded(found->second.report.run);
     UpstreamActions actions =
         endRun(found, report.phase == UpstreamPhase::Gone ? "goodbye" : "draining");
     for (UpstreamAction &action : actions) {
@@ -92,19 +95,19 @@
     return actions;
 }
 
-UpstreamActions UpstreamRegistry::onHealth(TimePoint now, const UpstreamId &instance,
+UpstreamActions UpstreamRegistry::onHealth(TimePoint now, const UpstreamRun &checked,
                                            const UpstreamHealth &health)
 {
-    const auto found = m_runs.find(instance);
+    const auto found = findRun(checked);
     if (found == m_runs.end()) {
         return {};
     }
     Run &run = found->second;
     run.isChecking = false;
     run.nextCheck = now + m_options.checkInterval;
-    const bool isOther = !health.instance.value().empty() && health.instance != instance;
+    const bool isOther = !health.instance.value().empty() && health.instance != checked.instance;
     if (isOther) {
-        recordEnded(instance, run.report.start);
+        recordEnded(run.report.run);
         return endRun(found, "other-instance");
     }
     if (health.isHealthy) {
@@ -135,15 +138,22 @@
     return {};
 }
 
-UpstreamActions UpstreamRegistry::onContactFailure(TimePoint /*now*/, const UpstreamId &instance)
+UpstreamActions UpstreamRegistry::onContactFailure(TimePoint /*now*/, const UpstreamRun &contacted)
 {
-    const auto found = m_runs.find(instance);
+    const auto found = findRun(contacted);
     if (found == m_runs.end() || found->second.isChecking) {
         return {};
     }
     return requestCheck(found->second, "doubt");
 }
 
+/// A health check or a call may end when its server has already started again.
+UpstreamRegistry::Runs::iterator UpstreamRegistry::findRun(const UpstreamRun &run)
+{
+    const auto found = m_runs.find(run.instance);
+    return found != m_runs.end() && found->second.report.run == run ? found : m_runs.end();
+}
+
 UpstreamActions UpstreamRegistry::tick(TimePoint now)
 {
     UpstreamActions actions;
@@ -195,10 +205,10 @@
     UpstreamActions actions;
     for (auto run = m_runs.begin(); run != m_runs.end();) {
         const auto current = run++;
-        const bool isOlder =
-            current->first != report.instance && current->second.report.endpoint == report.endpoint;
+        const bool isOlder = current->first != report.run.instance
+            && current->second.report.endpoint == report.endpoint;
         if (isOlder) {
-            recordEnded(current->first, current->second.report.start);
+            recordEnded(current->second.report.run);
             const UpstreamActions ended = endRun(current, "superseded");
             actions.insert(actions.end(), ended.begin(), ended.end());
         }
@@ -206,14 +216,14 @@
     return actions;
 }
 
-void UpstreamRegistry::recordEnded(const UpstreamId &instance, UpstreamStart start)
+void UpstreamRegistry::recordEnded(const UpstreamRun &run)
 {
-    const auto [ended, isNew] = m_endedRuns.emplace(instance, start);
+    const auto [ended, isNew] = m_endedRuns.emplace(run.instance, run.start);
     if (!isNew) {
-        ended->second = std::max(ended->second, start);
+        ended->second = std::max(ended->second, run.start);
         return;
     }
-    m_endedOrder.push_back(instance);
+    m_endedOrder.push_back(run.instance);
     if (m_endedOrder.size() > m_options.maxEndedRuns) {
         m_endedRuns.erase(m_endedOrder.front());
         m_endedOrder.pop_front();
--- a/src/coordination/upstreams/internal/upstreamregistry.h
+++ b/src/coordination/upstreams/internal/upstreamregistry.h
@@ -13,9 +13,9 @@
     explicit UpstreamRegistry(const UpstreamRegistryOptions &options);
 
     UpstreamActions onReport(TimePoint now, const UpstreamReport &report) override;
-    UpstreamActions onHealth(TimePoint now, const UpstreamId &instance,
+    UpstreamActions onHealth(TimePoint now, const UpstreamRun &checked,
                              const UpstreamHealth &health) override;
-    UpstreamActions onContactFailure(TimePoint now, const UpstreamId &instance) override;
+    UpstreamActions onContactFailure(TimePoint now, const UpstreamRun &contacted) override;
     UpstreamActions tick(TimePoint now) override;
     TimePoint nextTick() const override;
 
@@ -31,6 +31,7 @@
         std::uint32_t failedChecks = 0;
         TimePoint nextCheck;
     };
+    /// By instance id: of the runs of an instance, the latest is kept.
     using Runs = std::map<UpstreamId, Run>;
 
     UpstreamActions makeActions(UpstreamVerb verb, const UpstreamReport &report,
@@ -42,8 +43,9 @@
     bool isStale(const UpstreamReport &report) const;
     UpstreamActions addRun(TimePoint now, const UpstreamReport &report);
     UpstreamActions onLeaving(const UpstreamReport &report);
-    /// Records that the run with this start time, and all earlier ones of the instance, have ended.
-    void recordEnded(const UpstreamId &instance, UpstreamStart start);
+    Runs::iterator findRun(const UpstreamRun &run);
+    /// Records that the run, and all earlier ones of its instance, have ended.
+    void recordEnded(const UpstreamRun &run);
 
     UpstreamRegistryOptions m_options;
     Runs m_runs;
--- a/src/coordination/upstreams/iupstreamregistry.h
+++ b/src/coordination/upstreams/iupstreamregistry.h
@@ -49,11 +49,11 @@
 
     /// A server reported its state; stale reports are ignored.
     virtual UpstreamActions onReport(TimePoint now, const UpstreamReport &report) = 0;
-    /// A health check of the run ended.
-    virtual UpstreamActions onHealth(TimePoint now, const UpstreamId &instance,
+    /// A health check of the run ended. Ignored if another run was reported since it began.
+    virtual UpstreamActions onHealth(TimePoint now, const UpstreamRun &checked,
                                      const UpstreamHealth &health) = 0;
     /// A call reached another run or no server at all; requests a health check.
-    virtual UpstreamActions onContactFailure(TimePoint now, const UpstreamId &instance) = 0;
+    virtual UpstreamActions onContactFailure(TimePoint now, const UpstreamRun &contacted) = 0;
     /// Requests the health checks that are due. Call at `nextTick` or later.
     virtual UpstreamActions tick(TimePoint now) = 0;
     /// Time of the next health check; `TimePoint::max()` if none is due.
--- a/src/coordination/upstreams/leavingruns.h
+++ b/src/coordination/upstreams/leavingruns.h
@@ -11,12 +11,12 @@
 class LeavingRuns
 {
 public:
-    void add(const UpstreamId &run);
-    bool contains(const UpstreamId &run) const;
+    void add(const UpstreamRunName &run);
+    bool contains(const UpstreamRunName &run) const;
 
 private:
     /// Oldest first.
-    std::deque<UpstreamId> m_runs;
+    std::deque<UpstreamRunName> m_runs;
 };
 
 } // namespace ivyspar
--- a/src/coordination/upstreams/noticetracker.h
+++ b/src/coordination/upstreams/noticetracker.h
@@ -17,7 +17,7 @@
 {
 public:
     /// Begins without a notice if this is another run than before.
-    void setRun(const UpstreamId &run);
+    void setRun(const UpstreamRunName &run);
     /// Applies a response to a request that was sent at `sentAt`. Returns whether the notice
     /// changed.
     bool onResponse(TimePoint sentAt, TimePoint now, const ResponseNotice &response);
--- a/src/coordination/upstreams/tests/noticestoretest.cpp
+++ b/src/coordination/upstreams/tests/noticestoretest.cpp
@@ -10,7 +10,7 @@
 
 const DaemonId DAEMON("host-1");
 const ServiceName SERVICE("catalogo");
-const UpstreamNotice LEAVING{ UpstreamId("i-1"), std::nullopt, true };
+const UpstreamNotice LEAVING{ UpstreamRunName("i-1"), std::nullopt, true };
 
 } // namespace
 
--- a/src/coordination/upstreams/tests/noticetrackertest.cpp
+++ b/src/coordination/upstreams/tests/noticetrackertest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const UpstreamId RUN("i-1");
+const UpstreamRunName RUN("i-1");
 const RequestRate SLOW(20000);
 const RequestRate FAST(50000);
 
@@ -95,7 +95,7 @@
     CHECK(respond(leaving()));
     CHECK_FALSE(respond({}));
     CHECK(m_tracker.notice().isLeaving);
-    m_tracker.setRun(UpstreamId("i-2"));
+    m_tracker.setRun(UpstreamRunName("i-2"));
     CHECK_FALSE(m_tracker.notice().isLeaving);
 }
 
@@ -105,7 +105,7 @@
     respond(limited(SLOW));
     m_tracker.setRun(RUN);
     CHECK(limit() == SLOW);
-    m_tracker.setRun(UpstreamId("i-2"));
+    m_tracker.setRun(UpstreamRunName("i-2"));
     CHECK(!limit());
     CHECK(!m_tracker.forwardedNotice());
 }
@@ -125,6 +125,6 @@
 
 TEST(NoticeTracker, ForwardedNoticeOfAnotherRunIsIgnored)
 {
-    CHECK_FALSE(m_tracker.onForwarded({ UpstreamId("i-0"), SLOW, true }));
+    CHECK_FALSE(m_tracker.onForwarded({ UpstreamRunName("i-0"), SLOW, true }));
     CHECK(!limit());
 }
--- a/src/coordination/upstreams/tests/upstreamregistrytest.cpp
+++ b/src/coordination/upstreams/tests/upstreamregistrytest.cpp
@@ -12,7 +12,8 @@
                           UpstreamPhase phase = UpstreamPhase::Ready)
 {
     UpstreamReport report;
-    report.instance = UpstreamId(instance);
+    report.isVerifiable = true;
+    report.run.instance = UpstreamId(instance);
     report.service = ServiceName("cassa");
     report.endpoint = ADDRESS;
     report.slots = 10;
@@ -21,9 +22,14 @@
     return report;
 }
 
+UpstreamRun makeRun(const char *instance, std::uint64_t start = 0)
+{
+    return { UpstreamId(instance), UpstreamStart(start) };
+}
+
 UpstreamReport startedAt(std::uint64_t start, UpstreamReport report)
 {
-    report.start = UpstreamStart(start);
+    report.run.start = UpstreamStart(start);
     return report;
 }
 
@@ -43,7 +49,7 @@
     {
         m_registry->onReport(m_now, makeReport(instance, 1));
         const UpstreamActions actions =
-            m_registry->onHealth(m_now, UpstreamId(instance), healthy(instance));
+            m_registry->onHealth(m_now, makeRun(instance), healthy(instance));
         CHECK(!actions.empty());
         CHECK(actions.back().verb == UpstreamVerb::Serve);
     }
@@ -54,7 +60,7 @@
     const UpstreamActions actions = m_registry->onReport(m_now, makeReport("a", 1));
     CHECK_EQUAL(1, actions.size());
     CHECK(actions[0].verb == UpstreamVerb::Check);
-    const UpstreamActions confirmed = m_registry->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    const UpstreamActions confirmed = m_registry->onHealth(m_now, makeRun("a"), healthy("a"));
     CHECK_EQUAL(1, confirmed.size());
     CHECK(confirmed[0].verb == UpstreamVerb::Serve);
 }
@@ -67,7 +73,7 @@
 {
     m_registry->onReport(m_now, makeReport("a", 1));
     const UpstreamHealth leaving{ false, false, UpstreamId("a") };
-    CHECK(m_registry->onHealth(m_now, UpstreamId("a"), leaving).empty());
+    CHECK(m_registry->onHealth(m_now, makeRun("a"), leaving).empty());
     CHECK(m_registry->nextTick() > m_now);
 }
 
@@ -78,7 +84,7 @@
 TEST(UpstreamRegistry, ReportIsRejectedIfAnotherServerHasItsAddress)
 {
     m_registry->onReport(m_now, makeReport("a", 1));
-    CHECK(m_registry->onHealth(m_now, UpstreamId("a"), healthy("b")).empty());
+    CHECK(m_registry->onHealth(m_now, makeRun("a"), healthy("b")).empty());
     CHECK(m_registry->onReport(m_now, makeReport("a", 2)).empty());
 }
 
@@ -118,10 +124,10 @@
 {
     serve("a");
     m_registry->onReport(m_now, makeReport("b", 1));
-    const UpstreamActions actions = m_registry->onHealth(m_now, UpstreamId("b"), healthy("b"));
+    const UpstreamActions actions = m_registry->onHealth(m_now, makeRun("b"), healthy("b"));
     CHECK_EQUAL(2, actions.size());
     CHECK(actions[0].verb == UpstreamVerb::Stop);
-    CHECK(actions[0].report.instance == UpstreamId("a"));
+    CHECK(actions[0].report.run.instance == UpstreamId("a"));
     CHECK(actions[1].verb == UpstreamVerb::Serve);
 }
 
@@ -134,18 +140,18 @@
     const UpstreamActions asked = m_registry->tick(m_now);
     CHECK_EQUAL(1, asked.size());
     CHECK(asked[0].verb == UpstreamVerb::Check);
-    CHECK(m_registry->onHealth(m_now, UpstreamId("a"), healthy("a")).empty());
+    CHECK(m_registry->onHealth(m_now, makeRun("a"), healthy("a")).empty());
     CHECK(m_registry->nextTick() > m_now + std::chrono::seconds(1));
 }
 
 TEST(UpstreamRegistry, ServerThatAnswersNoCheckIsStopped)
 {
     serve("a");
-    CHECK_EQUAL(1, m_registry->onContactFailure(m_now, UpstreamId("a")).size());
+    CHECK_EQUAL(1, m_registry->onContactFailure(m_now, makeRun("a")).size());
     const UpstreamHealth silent{ false, true, {} };
     UpstreamActions actions;
     for (int i = 0; i < 3; ++i) {
-        actions = m_registry->onHealth(m_now, UpstreamId("a"), silent);
+        actions = m_registry->onHealth(m_now, makeRun("a"), silent);
         m_now += std::chrono::seconds(1);
         m_registry->tick(m_now);
     }
@@ -160,20 +166,20 @@
 TEST(UpstreamRegistry, RestartedServerWithTheSameIdReceivesCalls)
 {
     m_registry->onReport(m_now, startedAt(1000, makeReport("a", 100)));
-    m_registry->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    m_registry->onHealth(m_now, makeRun("a", 1000), healthy("a"));
     const UpstreamActions actions =
         m_registry->onReport(m_now, startedAt(2000, makeReport("a", 1)));
     CHECK_EQUAL(2, actions.size());
     CHECK(actions[0].verb == UpstreamVerb::Stop);
     CHECK(actions[1].verb == UpstreamVerb::Check);
-    const UpstreamActions confirmed = m_registry->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    const UpstreamActions confirmed = m_registry->onHealth(m_now, makeRun("a", 2000), healthy("a"));
     CHECK(confirmed.back().verb == UpstreamVerb::Serve);
 }
 
 TEST(UpstreamRegistry, ServerMayRestartWithTheSameIdAfterAGoodbye)
 {
     m_registry->onReport(m_now, startedAt(1000, makeReport("a", 100)));
-    m_registry->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    m_registry->onHealth(m_now, makeRun("a", 1000), healthy("a"));
     m_registry->onReport(m_now, makeReport("a", 0, UpstreamPhase::Gone));
     const UpstreamActions actions =
         m_registry->onReport(m_now, startedAt(2000, makeReport("a", 1)));
@@ -186,7 +192,7 @@
 TEST(UpstreamRegistry, DelayedReportsOfAnEarlierRunAreIgnored)
 {
     m_registry->onReport(m_now, startedAt(2000, makeReport("a", 1)));
-    m_registry->onHealth(m_now, UpstreamId("a"), healthy("a"));
+    m_registry->onHealth(m_now, makeRun("a", 2000), healthy("a"));
     for (const UpstreamPhase phase :
          { UpstreamPhase::Ready, UpstreamPhase::Draining, UpstreamPhase::Gone }) {
         CHECK(m_registry->onReport(m_now, startedAt(1000, makeReport("a", 101, phase))).empty());
@@ -213,3 +219,27 @@
     larger.slots = 12;
     CHECK(m_registry->onReport(m_now, larger).front().verb == UpstreamVerb::Serve);
 }
+
+// Guards against a run that is confirmed, or counted as silent, by a health check of an earlier
+// run.
+TEST(UpstreamRegistry, HealthCheckOfAnEarlierRunIsIgnored)
+{
+    m_registry->onReport(m_now, startedAt(1000, makeReport("a", 100)));
+    m_registry->onReport(m_now, startedAt(2000, makeReport("a", 1)));
+    CHECK(m_registry->onHealth(m_now, makeRun("a", 1000), healthy("a")).empty());
+    CHECK(m_registry->onHealth(m_now, makeRun("a", 1000), healthy("b")).empty());
+    CHECK(m_registry->onContactFailure(m_now, makeRun("a", 1000)).empty());
+    CHECK_EQUAL(1, m_registry->onHealth(m_now, makeRun("a", 2000), healthy("a")).size());
+}
+
+// Guards against a report without a start time that interrupts a run, as the next one with a start
+// time then seems to come from a restarted server.
+TEST(UpstreamRegistry, ReportWithoutStartTimeDoesNotConcernARunThatHasOne)
+{
+    m_registry->onReport(m_now, startedAt(1000, makeReport("a", 1)));
+    m_registry->onHealth(m_now, makeRun("a", 1000), healthy("a"));
+    UpstreamReport foreign = makeReport("a", 2);
+    foreign.slots = 11;
+    CHECK(m_registry->onReport(m_now, foreign).empty());
+    CHECK(m_registry->onReport(m_now, startedAt(1000, makeReport("a", 3))).empty());
+}
--- a/src/coordination/upstreams/upstreamreport.h
+++ b/src/coordination/upstreams/upstreamreport.h
@@ -6,6 +6,7 @@
 #include "state/endpoint.h"
 #include "state/ids.h"
 #include "state/time.h"
+#include "state/upstreamrun.h"
 
 namespace ivyspar {
 
@@ -18,12 +19,9 @@
 /// State that a server reports to the daemon on its host.
 struct UpstreamReport
 {
-    /// Instance id; empty where servers of the deployment do not have one.
-    UpstreamId instance;
-    /// Id of the server's run where it has no instance id; may be empty.
-    UpstreamId run;
-    /// Distinguishes consecutive runs with the same instance id.
-    UpstreamStart start;
+    UpstreamRun run;
+    /// Servers of the deployment state their instance id in responses to health checks.
+    bool isVerifiable = false;
     ServiceName service;
     UpstreamVersion version;
     Endpoint endpoint;
@@ -32,7 +30,7 @@
     /// Maximum number of connections; 0 if not reported.
     std::uint32_t connections = 0;
     UpstreamPhase phase = UpstreamPhase::Ready;
-    /// Increases with each report of a run. Not set if `instance` is empty.
+    /// Increases with each report of a run. Set only if `isVerifiable`.
     std::uint64_t sequence = 0;
     /// Remaining time for which the server is slow after its start; empty if not reported.
     std::optional<Duration> coldLeft;
--- a/src/protocol/internal/announcementreader.cpp
+++ b/src/protocol/internal/announcementreader.cpp
@@ -80,7 +80,7 @@
     if (document.contains("run") && !readName(document, "run", run)) {
         return invalidReport("\"run\" must be a string of 1 to 64 characters");
     }
-    report.run = UpstreamId(run);
+    report.run.instance = UpstreamId(run);
     const auto draining = document.find("draining");
     if (draining != document.end() && !draining->is_boolean()) {
         return invalidReport("\"draining\" must be true or false");
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -146,7 +146,7 @@
 
 TEST(PeerCodec, NoticesAndTheRateLimitedReasonAreKept)
 {
-    const UpstreamNotice notice{ UpstreamId("i-7"), RequestRate(44900), true };
+    const UpstreamNotice notice{ UpstreamRunName("i-7"), RequestRate(44900), true };
     CallMessage call = makeCall();
     call.notice = notice;
     const auto decodedCall = codec.decode(codec.encode(call));
--- a/src/protocol/tests/suspectexchangetest.cpp
+++ b/src/protocol/tests/suspectexchangetest.cpp
@@ -20,8 +20,8 @@
     SuspectRecord record;
     record.fingerprint = Fingerprint("4f00");
     record.epoch = 2;
-    record.crashes = { Crash{ UpstreamId("i-1"), KIND, SENDER_NOW - 7s, false, false },
-                       Crash{ UpstreamId("i-2"), KIND, SENDER_NOW - 1s, true, true } };
+    record.crashes = { Crash{ UpstreamRunName("i-1"), KIND, SENDER_NOW - 7s, false, false },
+                       Crash{ UpstreamRunName("i-2"), KIND, SENDER_NOW - 1s, true, true } };
     record.completed = { KIND };
     record.untried = { { ServiceName("catalogo"), UpstreamVersion("v2") } };
     record.changedAt = SENDER_NOW - 1s;
@@ -45,7 +45,7 @@
     CHECK_FALSE(record.crashes.at(0).wasIsolated);
     CHECK(record.crashes.at(1).wasIsolated);
     CHECK(record.crashes.at(1).isTrial);
-    CHECK(record.crashes.at(1).run == UpstreamId("i-2"));
+    CHECK(record.crashes.at(1).run == UpstreamRunName("i-2"));
     CHECK(record.completed.at(0) == KIND);
     CHECK(record.untried.at(0).version == UpstreamVersion("v2"));
     CHECK(record.changedAt == RECEIVER_NOW - 1s);
@@ -94,7 +94,7 @@
     record.fingerprint = Fingerprint(std::string(32, 'f'));
     record.crashes.pop_back();
     record.untried.clear();
-    record.crashes.front().run = UpstreamId("i-1234567890");
+    record.crashes.front().run = UpstreamRunName("i-1234567890");
     const SuspectUpdate update{ std::vector<SuspectRecord>(8, record) };
     CHECK_COMPARE(encodeSuspectMessage(update, SENDER_NOW).size(), <, 1100);
 }
--- a/src/state/ids.h
+++ b/src/state/ids.h
@@ -13,8 +13,10 @@
 using RegionName = StrongType<std::string, struct RegionNameTag>;
 /// Name of a request class, as the rules define it.
 using ClassName = StrongType<std::string, struct ClassNameTag>;
-/// One run of an upstream's process, as reported by the upstream.
+/// Instance id that an upstream reports. A restarted upstream may keep it; see upstreamrun.h.
 using UpstreamId = StrongType<std::string, struct UpstreamIdTag>;
+/// Identifies one run of an upstream's process; unique over all upstreams and all time.
+using UpstreamRunName = StrongType<std::string, struct UpstreamRunNameTag>;
 /// Version of an upstream's software, as reported by the upstream; empty if it reports none.
 using UpstreamVersion = StrongType<std::string, struct UpstreamVersionTag>;
 /// Identifies requests that are the same to their servers, see fingerprint.h; empty for none.
--- a/src/state/upstreamnotice.h
+++ b/src/state/upstreamnotice.h
@@ -20,7 +20,7 @@
 struct UpstreamNotice
 {
     /// The run that stated it; empty if there is nothing to heed.
-    UpstreamId run;
+    UpstreamRunName run;
     /// Requests that the server accepts from all daemons together; nothing if it states no limit.
     std::optional<RequestRate> rateLimit;
     /// The server is shutting down. Final for this run.
