Records of suspects: crashes that prove something are kept

Callers would see: a request that many servers ran when they crashed for the first time is never quarantined and goes on crashing servers.

Crashes at which the request was not isolated count as one together, but could push out those that count each.

Change: trials and isolated crashes are kept before others, then lower names. The order is total, so daemons still converge on the same record.

SuspectTable CrashesThatProveNothingAreDroppedFirst fails without the change (a suspect after two isolated crashes behind 40 others; quarantined with it).

--- a/src/coordination/quarantine/internal/suspecttable.cpp
+++ b/src/coordination/quarantine/internal/suspecttable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 
 #include <xxhash.h>
 
@@ -69,6 +70,14 @@
                        [&](const Crash &crash) { return crash.kind.service == service; });
 }
 
+/// Orders crashes by what they prove, and then by run: the last one is dropped first. All daemons
+/// drop the same crashes; otherwise their digests would never match.
+bool isKeptBefore(const Crash &a, const Crash &b)
+{
+    return std::make_tuple(!a.isTrial, !a.wasIsolated, a.run)
+        < std::make_tuple(!b.isTrial, !b.wasIsolated, b.run);
+}
+
 std::size_t countTrials(const SuspectRecord &record)
 {
     return static_cast<std::size_t>(
@@ -248,14 +257,14 @@
         place->wasIsolated = place->wasIsolated || crash.wasIsolated;
         return isNew;
     }
-    // All daemons drop the same crashes (those with the highest runs); otherwise their digests
-    // would never match.
-    if (crashes.size() >= m_options.maxCrashesPerRecord && place == crashes.end()) {
-        return false;
-    }
     crashes.insert(place, crash);
     if (crashes.size() > m_options.maxCrashesPerRecord) {
-        crashes.pop_back();
+        const auto dropped = std::max_element(crashes.begin(), crashes.end(), isKeptBefore);
+        const bool isDroppedAtOnce = dropped->run == crash.run;
+        crashes.erase(dropped);
+        if (isDroppedAtOnce) {
+            return false;
+        }
     }
     into.changedAt = std::max(into.changedAt, crash.at);
     return true;
--- a/src/coordination/quarantine/tests/suspecttabletest.cpp
+++ b/src/coordination/quarantine/tests/suspecttabletest.cpp
@@ -211,3 +211,28 @@
     LONGS_EQUAL(SuspectTableOptions().maxCrashesPerRecord, m_table->find(REQUEST)->crashes.size());
     CHECK(other->digest() == m_table->digest());
 }
+
+// Guards against a request that is never quarantined because many servers ran it when they crashed
+// for the first time.
+TEST(SuspectTable, CrashesThatProveNothingAreDroppedFirst)
+{
+    const auto other = makeSuspectTable();
+    const auto add = [&](ISuspectTable &table, const std::string &run, bool wasIsolated) {
+        table.addCrash(m_now, REQUEST,
+                       Crash{ UpstreamRunName(run), KIND, m_now, wasIsolated, false });
+    };
+    for (const char *run : { "j-1", "j-2" }) {
+        add(*other, run, true);
+    }
+    for (int i = 0; i < 40; ++i) {
+        add(*m_table, "i-" + std::to_string(i), false);
+        add(*other, "i-" + std::to_string(39 - i), false);
+    }
+    CHECK(suspicionAt(KIND) == Suspicion::Suspect);
+    for (const char *run : { "j-1", "j-2" }) {
+        add(*m_table, run, true);
+    }
+    CHECK(suspicionAt(KIND) == Suspicion::Quarantined);
+    LONGS_EQUAL(SuspectTableOptions().maxCrashesPerRecord, m_table->find(REQUEST)->crashes.size());
+    CHECK(other->digest() == m_table->digest());
+}
