HTTP client: bytes without end from a server end the exchange early

Callers would see: a server that sends interim responses, or responses to other requests, without end keeps its caller until the timeout and the loop busy for as long; bytes on an idle connection stay in the kernel's buffer until the idle timeout of 30 s, and count as memory of the process.

Change: an exchange skips 64 responses that do not answer its request at most and then fails, as one that may have run.

Already bounded, now tested: a head without end (header limit), a body without end with a length, in chunks, with trailers, without a length, or after an interim response (body limit), other exchanges beside one.

The tests fail without the change: HttpClient ResponseWithoutEndIsAFailure (timeout instead of a failure at once, first at the interim responses) and IdleConnectionWithUnreadBytesIsClosed (not closed after 5 s). OtherExchangesAreServedBesideAResponseWithoutEnd passed before too.

--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -1,11 +1,19 @@
 #include "transport/internal/httpclient.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "transport/transportfactory.h"
 
 namespace ivyspar {
 
+namespace {
+
+/// Bytes that arrive on an idle connection stay in the kernel's buffer for this time at most.
+constexpr Duration MAX_SWEEP_INTERVAL = std::chrono::seconds(1);
+
+} // namespace
+
 HttpClientCore::HttpClientCore(EventLoop &loop, const HttpClientLimits &limits)
     : m_loop(loop)
     , m_limits(limits)
@@ -100,7 +108,8 @@
     if (std::exchange(m_isSweeping, true)) {
         return;
     }
-    m_loop.callLater(m_limits.idleTimeout / 2, [core = HttpClientCorePtr(this)] { core->sweep(); });
+    const Duration interval = std::min<Duration>(m_limits.idleTimeout / 2, MAX_SWEEP_INTERVAL);
+    m_loop.callLater(interval, [core = HttpClientCorePtr(this)] { core->sweep(); });
 }
 
 void HttpClientCore::sweep()
@@ -110,6 +119,7 @@
     const TimePoint oldest = m_loop.now() - m_limits.idleTimeout;
     for (auto pool = m_pools.begin(); pool != m_pools.end();) {
         pool->second->closeIdleSince(oldest);
+        pool->second->closeUnusable();
         hasIdle = hasIdle || pool->second->idleCount() > 0;
         pool = pool->second->isDisposable() ? m_pools.erase(pool) : std::next(pool);
     }
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::uint16_t STATUS_SWITCHING_PROTOCOLS = 101;
 constexpr std::uint16_t FIRST_FINAL_STATUS = 200;
+/// Interim responses and late responses to other requests that may precede a response. A server
+/// that sends them without end would otherwise occupy the loop until the timeout.
+constexpr std::size_t MAX_SKIPPED_RESPONSES = 64;
 
 const char *textFor(HttpParseStatus status)
 {
@@ -148,7 +151,7 @@
     bool isClean = true;
     while (result && originOf(*result) == ResponseOrigin::OtherRequest) {
         isClean = false;
-        result = receiveFinal();
+        result = skipResponse() ? receiveFinal() : failSkipping();
     }
     const bool isIdentified = result && originOf(*result) == ResponseOrigin::ThisRequest;
     m_isReusable = m_isReusable && isClean && isIdentified;
@@ -181,11 +184,22 @@
             return fail(HttpFailureCause::Broken,
                         "the server switched to another protocol (status 101)");
         }
-        result = receiveOne();
+        result = skipResponse() ? receiveOne() : failSkipping();
     }
     return result;
 }
 
+bool HttpClientExchange::skipResponse()
+{
+    return ++m_skippedResponses <= MAX_SKIPPED_RESPONSES;
+}
+
+HttpResult HttpClientExchange::failSkipping()
+{
+    m_isReusable = false;
+    return fail(HttpFailureCause::Broken, "too many responses that do not answer the request");
+}
+
 HttpResult HttpClientExchange::receiveOne()
 {
     m_isReusable = false;
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -40,6 +40,9 @@
     /// `isFirst`: the connection has carried no earlier request.
     HttpResult receive(bool isFirst);
     HttpResult receiveFinal();
+    /// Counts a response that does not answer the request. Returns whether to wait for another one.
+    bool skipResponse();
+    HttpResult failSkipping();
     ResponseOrigin originOf(const HttpResponse &response) const;
     /// One response, which may be an interim (1xx) one. Sets `m_isReusable`.
     HttpResult receiveOne();
@@ -60,6 +63,7 @@
     std::optional<HttpFailureCause> m_abortCause;
     /// Bytes of the request that the kernel accepted.
     std::size_t m_sentBytes = 0;
+    std::size_t m_skippedResponses = 0;
     bool m_isReusable = false;
     bool m_hasConnectionEnded = false;
 };
--- a/src/transport/internal/httppool.cpp
+++ b/src/transport/internal/httppool.cpp
@@ -1,5 +1,6 @@
 #include "transport/internal/httppool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ivyspar {
@@ -66,6 +67,17 @@
     m_idle.erase(m_idle.begin(), end);
 }
 
+void HttpPool::closeUnusable()
+{
+    const auto end = std::stable_partition(m_idle.begin(), m_idle.end(), [](const Idle &idle) {
+        return idle.connection.stream->isIdle();
+    });
+    for (auto idle = end; idle != m_idle.end(); ++idle) {
+        discard(idle->connection.stream);
+    }
+    m_idle.erase(end, m_idle.end());
+}
+
 void HttpPool::setLimit(std::size_t limit)
 {
     m_limit = limit;
--- a/src/transport/internal/httppool.h
+++ b/src/transport/internal/httppool.h
@@ -42,6 +42,8 @@
     void putIdle(HttpPoolConnection connection, TimePoint now);
     /// Closes the connections that have been idle since `time` or earlier.
     void closeIdleSince(TimePoint time);
+    /// Closes the idle connections that the server has closed or on which it has sent bytes.
+    void closeUnusable();
 
     void setLimit(std::size_t limit);
     std::size_t idleCount() const { return m_idle.size(); }
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -634,3 +634,93 @@
     STRCMP_EQUAL("healthy", exchange(makeGet("/health"))->body.c_str());
     m_server.join();
 }
+
+// Guards against a response without end, in its head or its body, that exhausts the memory or is
+// read until the timeout.
+TEST(HttpClient, ResponseWithoutEndIsAFailure)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_limits.acceptsUnframedResponses = true;
+    m_limits.headerBytes = 16 * 1024;
+    m_limits.bodyBytes = 1024 * 1024;
+    const std::string bytes(4000, 'x');
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string other = makeResponseWithId("other", bytes);
+    const std::pair<std::string, std::string> streams[] = {
+        { "", bytes },
+        { ok + "A: ", bytes },
+        { ok, "A: " + bytes + "\r\n" },
+        { ok + "\r\n", bytes },
+        { ok + "Content-Length: 99999999" + HEAD_END, bytes },
+        { ok + "Transfer-Encoding: chunked" + HEAD_END, "fa0\r\n" + bytes + "\r\n" },
+        { ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + bytes + "\r\n" },
+        { "HTTP/1.1 100 Continue\r\n\r\n" + ok + "\r\n", bytes },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "", other },
+    };
+    for (const auto &[head, rest] : streams) {
+        ScriptedServer server;
+        m_endpoint = server.endpoint();
+        server.run([&, &head = head, &rest = rest](RawSocket &listener) {
+            RawSocket peer = listener.accept();
+            peer.readUntil(HEAD_END);
+            peer.send(head);
+            while (peer.send(rest)) { }
+        });
+        const HttpResult result = exchange(makeGetWithId("1"), seconds(10));
+        server.join();
+        checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Broken,
+                     (head + rest.substr(0, 30)).c_str());
+    }
+}
+
+// Guards against calls that wait behind a response without end of another call.
+TEST(HttpClient, OtherExchangesAreServedBesideAResponseWithoutEnd)
+{
+    ScriptedServer endless;
+    endless.run([](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        while (peer.send("1\r\nx\r\n")) { }
+    });
+    m_server.run([](RawSocket &listener) { serveOnConnection(listener.accept(), "other"); });
+    makeClient();
+    const HttpCancellationPtr cancellation(new HttpCancellation);
+    const Endpoint endpoint = endless.endpoint();
+    auto done =
+        m_runner.start([&] { m_client->exchange(endpoint, makeGet("/"), hours(1), cancellation); });
+    int served = 0;
+    for (int i = 0; i < 20; ++i) {
+        served += exchange(makeGet("/"), seconds(5)) ? 1 : 0;
+    }
+    m_runner.run([&] { cancellation->cancel(); });
+    done.wait();
+    m_runner.run([&] { m_client.reset(); });
+    endless.join();
+    m_server.join();
+    CHECK_EQUAL(20, served);
+}
+
+// Guards against bytes on an idle connection that fill the kernel's buffer until the idle timeout.
+TEST(HttpClient, IdleConnectionWithUnreadBytesIsClosed)
+{
+    constexpr int TRIES = 1000;
+    m_limits.idleTimeout = hours(1);
+    std::promise<void> isIdle;
+    bool isClosed = false;
+    m_server.run([&](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.send(makeResponse("first"));
+        isIdle.get_future().wait();
+        for (int i = 0; i < TRIES && !isClosed; ++i) {
+            isClosed = !peer.send("x");
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+    });
+    CHECK(exchange(makeGet("/")).has_value());
+    isIdle.set_value();
+    m_server.join();
+    CHECK(isClosed);
+}
