TCP stream: consumed input is dropped while more is left to be parsed

Callers would see: a daemon that ends because its memory is used up.

Cause: the input buffer was emptied only when all of it had been consumed. A peer that always has a part of a chunk under way, or sends chunks with long extensions, made it grow by every byte received, which no limit on header or body counts. Requests of callers and responses of servers share the buffer.

Change: once enough of the buffer is consumed, the rest is moved to its beginning.

TcpStream ConsumedBytesAreNotKept fails without the change (4 MiB received, more than 64 KiB held). HttpServer, HttpPipeline, HttpClient and PeerNetwork pass.

--- a/src/transport/internal/tcpstream.cpp
+++ b/src/transport/internal/tcpstream.cpp
@@ -110,6 +110,7 @@
 {
     m_consumed += count;
     if (m_consumed < m_input.size()) {
+        dropConsumed();
         return;
     }
     m_consumed = 0;
@@ -119,6 +120,15 @@
     }
 }
 
+/// Moves the rest of the input only after many consumed bytes, as each move copies it.
+void TcpStream::dropConsumed()
+{
+    if (m_consumed >= std::max(READ_BYTES, m_input.size() / 2)) {
+        m_input.erase(0, m_consumed);
+        m_consumed = 0;
+    }
+}
+
 /// Writes synchronously and suspends only if the kernel's buffer is full: an asynchronous write
 /// would cost another loop iteration.
 TcpStream::ErrorCode TcpStream::write(std::string_view head, std::string_view body,
--- a/src/transport/internal/tcpstream.h
+++ b/src/transport/internal/tcpstream.h
@@ -39,6 +39,8 @@
 
     std::string_view input() const { return std::string_view(m_input).substr(m_consumed); }
     void consume(std::size_t count);
+    /// Size of the input buffer, including consumed bytes that it still contains.
+    std::size_t heldBytes() const { return m_input.size(); }
     /// Why nothing more can be read; no error while the connection is readable.
     const ErrorCode &readError() const { return m_readError; }
     /// `observer` is called once, after the next completed read; an empty function removes it.
@@ -68,6 +70,7 @@
     void onReadable(const ErrorCode &error);
     ErrorCode readAvailable();
     ErrorCode waitWritable();
+    void dropConsumed();
 
     boost::asio::ip::tcp::socket m_socket;
     FiberWaiter m_reader;
