HTTP client: a full pool does not hide that a server has ended

Cause: the crash detector asks whether the server still accepts connections. With as many connections as the limit allows no probe was made and the answer was yes, although idle ones, closed by the crash, held the limit.

Change: the probe takes the place of an idle connection.

HttpClient ServerThatHasEndedIsNotListeningAtTheConnectionLimit fails without the change.

--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -83,8 +83,8 @@
     virtual HttpResult exchange(const Endpoint &endpoint, const HttpRequest &request,
                                 Duration timeout, HttpCancellationPtr cancellation) = 0;
     /// Whether a server currently accepts connections at `endpoint`. Suspends the calling fiber for
-    /// the connect timeout at most. The connection is kept for reuse. Also true if the connection
-    /// limit does not allow a probe.
+    /// the connect timeout at most. The connection is kept for reuse. Also true if all
+    /// connections of the limit are in use.
     virtual bool isListening(const Endpoint &endpoint) = 0;
     virtual void setConnectionLimit(const Endpoint &endpoint, std::size_t connections) = 0;
     /// Opens connections in advance, up to `connections` idle ones.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -77,7 +77,7 @@
 {
     const HttpClientCorePtr self(this);
     const HttpPoolPtr pool = poolFor(endpoint);
-    return !pool->reserve() || openIdle(pool, endpoint);
+    return !pool->reserveInsteadOfIdle() || openIdle(pool, endpoint);
 }
 
 bool HttpClientCore::openIdle(const HttpPoolPtr &pool, const Endpoint &endpoint)
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -724,3 +724,20 @@
     m_server.join();
     CHECK(isClosed);
 }
+
+// Guards against a server that counts as running after its crash because its pool is full.
+TEST(HttpClient, ServerThatHasEndedIsNotListeningAtTheConnectionLimit)
+{
+    m_limits.connectionsPerEndpoint = 1;
+    m_server.run([](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        peer.readUntil(HEAD_END);
+        peer.send(makeResponse("first"));
+        listener.close();
+    });
+    CHECK(exchange(makeGet("/")).has_value());
+    m_server.join();
+    bool isListening = true;
+    m_runner.run([&] { isListening = m_client->isListening(m_endpoint); });
+    CHECK_FALSE(isListening);
+}
--- a/src/transport/tests/tcpstreamtest.cpp
+++ b/src/transport/tests/tcpstreamtest.cpp
@@ -21,7 +21,7 @@
     TcpStreamPtr connect()
     {
         auto &loop = static_cast<EventLoop &>(m_runner.loop());
-        const TcpStreamPtr stream(new TcpStream(boost::asio::ip::tcp::socket(loop.ioContext())));
+        TcpStreamPtr stream(new TcpStream(boost::asio::ip::tcp::socket(loop.ioContext())));
         stream->connect(toTcpEndpoint(m_listener.localEndpoint()).value());
         return stream;
     }
