--- a/src/coordination/quarantine/tests/suspectgossiptest.cpp
+++ b/src/coordination/quarantine/tests/suspectgossiptest.cpp
@@ -104,6 +104,26 @@
     LONGS_EQUAL(LARGE, fleet.countQuarantining());
 }
 
+// Guards against a quarantined request that crashes further servers after a restart of all daemons.
+TEST(SuspectGossip, RestartOfAllDaemonsKeepsTheQuarantine)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        SuspectFleet fleet(SMALL, seed, 0);
+        while (fleet.sends() < CRASHES) {
+            fleet.sendCrashingRequest(fleet.sends());
+        }
+        fleet.advance(MAX_SPREAD_TIME);
+        const std::size_t before = fleet.sends();
+        keepSending(fleet, SMALL, 4 * MAX_SPREAD_TIME);
+        for (std::size_t i = 0; i < SMALL; ++i) {
+            fleet.restart(i);
+        }
+        fleet.advance(MAX_SPREAD_TIME);
+        keepSending(fleet, SMALL, 4 * MAX_SPREAD_TIME);
+        CHECK_COMPARE(fleet.sends() - before, <=, MAX_LATE_SENDS);
+    }
+}
+
 // Guards against message traffic without crashes, and against traffic that grows after them.
 TEST(SuspectGossip, NoMessagesWhileTableIsEmpty)
 {
