HTTP client exchange: one place counts responses and tells their origin

The bound on responses that do not answer the request was checked at both places that ask for another one; receiving counts itself now. The origin of a response is told once instead of twice.

--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -146,29 +146,31 @@
 HttpResult HttpClientExchange::receive(bool isFirst)
 {
     HttpResult result = receiveFinal();
+    ResponseOrigin origin = originOf(result);
     // A server may send a late duplicate response to an earlier request. Taken as the response to
     // this one, it would reach the wrong caller. The right one may follow on the same connection.
     bool isClean = true;
-    while (result && originOf(*result) == ResponseOrigin::OtherRequest) {
+    while (origin == ResponseOrigin::OtherRequest) {
         isClean = false;
-        result = skipResponse() ? receiveFinal() : failSkipping();
+        result = receiveFinal();
+        origin = originOf(result);
     }
-    const bool isIdentified = result && originOf(*result) == ResponseOrigin::ThisRequest;
-    m_isReusable = m_isReusable && isClean && isIdentified;
-    if (result && !isIdentified && !m_echo.empty() && !(isFirst && isClean)) {
+    m_isReusable = m_isReusable && isClean && origin == ResponseOrigin::ThisRequest;
+    const bool mayBeLate = !m_echo.empty() && !(isFirst && isClean);
+    if (origin == ResponseOrigin::Unidentified && mayBeLate) {
         return fail(HttpFailureCause::Broken,
                     "the response on a reused connection does not identify its request");
     }
     return result;
 }
 
-HttpClientExchange::ResponseOrigin HttpClientExchange::originOf(const HttpResponse &response) const
+HttpClientExchange::ResponseOrigin HttpClientExchange::originOf(const HttpResult &result) const
 {
     const std::string &name = m_client.limits().echoHeader;
-    if (name.empty()) {
+    if (!result || name.empty()) {
         return ResponseOrigin::ThisRequest;
     }
-    const std::string *echoed = findHeader(response.headers, name);
+    const std::string *echoed = findHeader(result->headers, name);
     if (!echoed) {
         return ResponseOrigin::Unidentified;
     }
@@ -184,25 +186,18 @@
             return fail(HttpFailureCause::Broken,
                         "the server switched to another protocol (status 101)");
         }
-        result = skipResponse() ? receiveOne() : failSkipping();
+        result = receiveOne();
     }
     return result;
 }
 
-bool HttpClientExchange::skipResponse()
-{
-    return ++m_skippedResponses <= MAX_SKIPPED_RESPONSES;
-}
-
-HttpResult HttpClientExchange::failSkipping()
-{
-    m_isReusable = false;
-    return fail(HttpFailureCause::Broken, "too many responses that do not answer the request");
-}
-
 HttpResult HttpClientExchange::receiveOne()
 {
     m_isReusable = false;
+    if (m_receivedResponses > MAX_SKIPPED_RESPONSES) {
+        return fail(HttpFailureCause::Broken, "too many responses that do not answer the request");
+    }
+    ++m_receivedResponses;
     const HttpClientLimits &limits = m_client.limits();
     HttpResponseParser parser({ limits.headerBytes, limits.bodyBytes }, m_request.method != "HEAD",
                               limits.acceptsUnframedResponses);
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -40,10 +40,8 @@
     /// `isFirst`: the connection has carried no earlier request.
     HttpResult receive(bool isFirst);
     HttpResult receiveFinal();
-    /// Counts a response that does not answer the request. Returns whether to wait for another one.
-    bool skipResponse();
-    HttpResult failSkipping();
-    ResponseOrigin originOf(const HttpResponse &response) const;
+    /// A failure counts as of this request.
+    ResponseOrigin originOf(const HttpResult &result) const;
     /// One response, which may be an interim (1xx) one. Sets `m_isReusable`.
     HttpResult receiveOne();
     bool canRetryOnNewConnection(const HttpResult &result) const;
@@ -63,7 +61,7 @@
     std::optional<HttpFailureCause> m_abortCause;
     /// Bytes of the request that the kernel accepted.
     std::size_t m_sentBytes = 0;
-    std::size_t m_skippedResponses = 0;
+    std::size_t m_receivedResponses = 0;
     bool m_isReusable = false;
     bool m_hasConnectionEnded = false;
 };
