--- a/src/transport/internal/httppool.cpp
+++ b/src/transport/internal/httppool.cpp
@@ -59,23 +59,24 @@
 
 void HttpPool::closeIdleSince(TimePoint time)
 {
-    auto end = m_idle.begin();
-    while (end != m_idle.end() && end->since <= time) {
-        discard(end->connection.stream);
-        ++end;
-    }
-    m_idle.erase(m_idle.begin(), end);
+    closeIdleIf([time](const Idle &idle) { return idle.since <= time; });
 }
 
 void HttpPool::closeUnusable()
 {
-    const auto end = std::stable_partition(m_idle.begin(), m_idle.end(), [](const Idle &idle) {
-        return idle.connection.stream->isIdle();
-    });
-    for (auto idle = end; idle != m_idle.end(); ++idle) {
-        discard(idle->connection.stream);
-    }
-    m_idle.erase(end, m_idle.end());
+    closeIdleIf([](const Idle &idle) { return !idle.connection.stream->isIdle(); });
+}
+
+template <typename Condition> void HttpPool::closeIdleIf(const Condition &condition)
+{
+    const auto closed = [&](const Idle &idle) {
+        if (!condition(idle)) {
+            return false;
+        }
+        discard(idle.connection.stream);
+        return true;
+    };
+    m_idle.erase(std::remove_if(m_idle.begin(), m_idle.end(), closed), m_idle.end());
 }
 
 void HttpPool::setLimit(std::size_t limit)
--- a/src/transport/internal/httppool.h
+++ b/src/transport/internal/httppool.h
@@ -58,6 +58,8 @@
         TimePoint since;
     };
 
+    template <typename Condition> void closeIdleIf(const Condition &condition);
+
     std::size_t m_limit;
     bool m_hasOwnLimit = false;
     /// Opening, in use and idle.
