Crash detector: the end of a run is one field

When the end was detected served only to derive from when on requests belong to the next run. Behaviour is as before; the tests pass unchanged.

--- a/src/app/internal/gate/crashdetector.cpp
+++ b/src/app/internal/gate/crashdetector.cpp
@@ -44,17 +44,16 @@
         known.acceptedAt = askedAt;
         return ServerState::Running;
     }
-    if (known.endDetectedAt) {
+    if (known.nextRunFrom) {
         return ServerState::Ended;
     }
-    known.endDetectedAt = m_loop.now();
-    known.nextRunFrom = *known.endDetectedAt + CONNECTION_CLOSE_TIME;
+    known.nextRunFrom = m_loop.now() + CONNECTION_CLOSE_TIME;
     return ServerState::EndDetected;
 }
 
 bool CrashDetector::isKnownEnded(const ServerSend &send)
 {
-    return knownRunOf(send).endDetectedAt.has_value();
+    return knownRunOf(send).nextRunFrom.has_value();
 }
 
 UpstreamRunName CrashDetector::runOf(const ServerSend &send)
@@ -69,8 +68,8 @@
         return;
     }
     for (KnownRun &known : found->second) {
-        if (known.endDetectedAt && isSameRun(known.server, server)) {
-            known.nextRunFrom = std::min(known.nextRunFrom, m_loop.now());
+        if (known.nextRunFrom && isSameRun(known.server, server)) {
+            known.nextRunFrom = std::min(*known.nextRunFrom, m_loop.now());
         }
     }
 }
@@ -83,7 +82,7 @@
         if (!isSameRun(known.server, send.server)) {
             continue;
         }
-        if (send.at < known.nextRunFrom) {
+        if (!known.nextRunFrom || send.at < *known.nextRunFrom) {
             return known;
         }
         isAnnounced = false;
--- a/src/app/internal/gate/crashdetector.h
+++ b/src/app/internal/gate/crashdetector.h
@@ -53,9 +53,9 @@
     {
         Announcement server;
         UpstreamRunName name;
-        std::optional<TimePoint> endDetectedAt;
-        /// Requests that were sent at this time or later belong to the next run.
-        TimePoint nextRunFrom = TimePoint::max();
+        /// Set once the end was detected: requests that were sent at this time or later belong to
+        /// the next run.
+        std::optional<TimePoint> nextRunFrom;
         /// Start of the last connection attempt that the server accepted.
         TimePoint acceptedAt;
     };
