Suspect exchange test: names of runs as long as they are now

Names of runs have a start time, and a random part where that does not tell runs apart. Eight records still fit into a datagram; the bound is as before.

--- a/src/protocol/tests/suspectexchangetest.cpp
+++ b/src/protocol/tests/suspectexchangetest.cpp
@@ -94,7 +94,7 @@
     record.fingerprint = Fingerprint(std::string(32, 'f'));
     record.crashes.pop_back();
     record.untried.clear();
-    record.crashes.front().run = UpstreamRunName("i-1234567890");
+    record.crashes.front().run = UpstreamRunName("i-12345678@1790000000123+0123456789abcdef");
     const SuspectUpdate update{ std::vector<SuspectRecord>(8, record) };
     CHECK_COMPARE(encodeSuspectMessage(update, SENDER_NOW).size(), <, 1100);
 }
