Decision log: a line for each send to a server, and for attempts lost without a word

Cause: a gate wrote one run line for a call, however often it had sent it. Conclusions of an entry from a lost link or a failed connect left no line either.

Change: the HTTP client reports for each exchange its connection, the earlier requests on it, the bytes sent, and the interim and foreign responses before the one that counted. Gates write them as send lines, essential unless the send simply ran; entries write lost lines.

Measured: RefusedCalls.EachSendIsLogged, HttpClient.ReportsConnectionAndDiscardedResponses.

--- a/src/app/internal/entry/entryrecorder.cpp
+++ b/src/app/internal/entry/entryrecorder.cpp
@@ -77,6 +77,21 @@
     m_observers.decisions.write(std::move(decision));
 }
 
+void EntryRecorder::recordLost(const RequestFacts &facts, const LostAttempt &lost)
+{
+    if (m_observers.decisions.wouldDrop(DecisionKind::Lost, Importance::Essential, facts.root)) {
+        return;
+    }
+    Decision decision = makeDecision(facts);
+    decision.kind = DecisionKind::Lost;
+    decision.importance = Importance::Essential;
+    decision.attempt = lost.attempt.value() + 1;
+    decision.choice = lost.target.value();
+    decision.outcome = toText(lost.verdict.outcome);
+    decision.reason = toText(lost.verdict.reason);
+    m_observers.decisions.write(std::move(decision));
+}
+
 void EntryRecorder::recordEnd(const RequestFacts &facts, const RequestResult &result)
 {
     if (facts.depth == Depth(0)) {
--- a/src/app/internal/entry/entryrecorder.h
+++ b/src/app/internal/entry/entryrecorder.h
@@ -54,6 +54,14 @@
     AccountName account;
 };
 
+/// An attempt that ended without a word of the daemon that it was sent to.
+struct LostAttempt
+{
+    AttemptIndex attempt;
+    DaemonId target;
+    Verdict verdict;
+};
+
 /// Writes the decisions of an entry to the decision log and counts them. Traffic thread only.
 class EntryRecorder
 {
@@ -65,6 +73,7 @@
 
     void recordAttempt(const RequestFacts &facts, const EntryAction &action, Duration left);
     void recordCancel(const RequestFacts &facts, const EntryAction &action);
+    void recordLost(const RequestFacts &facts, const LostAttempt &lost);
     void recordEnd(const RequestFacts &facts, const RequestResult &result);
     void recordRejection(const Rejection &rejection);
 
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -577,6 +577,10 @@
             if (answer.message.notice) {
                 m_notices.store(target, active->incoming.service, *answer.message.notice);
             }
+            if (!answer.isFromDaemon) {
+                m_recorder.recordLost(factsOf(active->incoming),
+                                      { attempt, target, answer.message.verdict });
+            }
             onAnswer(active, attempt, std::move(answer));
         });
 }
--- a/src/app/internal/gate/gaterecorder.cpp
+++ b/src/app/internal/gate/gaterecorder.cpp
@@ -57,6 +57,15 @@
     return basis.slack ? "on-time" : "admitted";
 }
 
+/// Whether the server ran the call without an error, at its first send and with a single response.
+bool hasSimplyRun(const EndedSend &send)
+{
+    const bool isOnlyResponse =
+        send.report.interimResponses == 0 && send.report.foreignResponses == 0;
+    return send.verdict.outcome == Outcome::Answered && !isServerError(send.status)
+        && send.number == 1 && isOnlyResponse;
+}
+
 /// Negative without a limit, as 0 is a limit.
 double perSecondOf(const std::optional<RequestRate> &rate)
 {
@@ -125,6 +134,41 @@
     m_observers.decisions.write(std::move(decision));
 }
 
+void GateRecorder::recordSend(const EndedSend &send)
+{
+    m_observers.metrics.add(send.number == 1 ? Counter::ServerSends : Counter::ServerRepeats);
+    m_observers.metrics.add(Counter::ForeignResponses, send.report.foreignResponses);
+    if (send.verdict.reason == Reason::UpstreamRefused) {
+        m_observers.metrics.add(Counter::ServerRejections);
+    }
+    const Importance importance = hasSimplyRun(send) ? Importance::Routine : Importance::Essential;
+    if (wouldDrop(DecisionKind::Send, importance, send.root)) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Send;
+    decision.root = send.root;
+    decision.service = send.server.info.service;
+    decision.rule = send.rule;
+    decision.rank = send.rank;
+    decision.importance = importance;
+    decision.choice = send.server.run.instance.value();
+    decision.outcome = toText(send.verdict.outcome);
+    decision.reason = toText(send.verdict.reason);
+    decision.detail = send.failure;
+    decision.inputs = {
+        { "send", static_cast<double>(send.number) },
+        { "connection", static_cast<double>(send.report.connection) },
+        { "earlier_requests", static_cast<double>(send.report.earlierRequests) },
+        { "sent_bytes", static_cast<double>(send.report.sentBytes) },
+        { "interim_responses", static_cast<double>(send.report.interimResponses) },
+        { "foreign_responses", static_cast<double>(send.report.foreignResponses) },
+        { "status", static_cast<double>(send.status) },
+        { "took_ms", toMillis(send.took) },
+    };
+    m_observers.decisions.write(std::move(decision));
+}
+
 void GateRecorder::recordRun(const CallMessage &message, const UpstreamId &instance,
                              const Verdict &verdict, std::uint16_t status, Duration served)
 {
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "app/internal/gate/announcement.h"
 #include "app/internal/logs/observers.h"
@@ -13,6 +14,7 @@
 #include "state/serverload.h"
 #include "state/time.h"
 #include "state/upstreamnotice.h"
+#include "transport/ihttpclient.h"
 
 namespace ivyspar {
 
@@ -40,6 +42,24 @@
     Priority rivalPriority;
 };
 
+/// One send of a call to a server and what was concluded from it.
+struct EndedSend
+{
+    RootId root;
+    RuleName rule;
+    Rank rank;
+    const Announcement &server;
+    /// Counted from 1 for the call at this gate.
+    std::uint32_t number = 1;
+    HttpSendReport report;
+    Duration took{ 0 };
+    Verdict verdict;
+    /// HTTP status of the server's response; 0 if there is none.
+    std::uint16_t status = 0;
+    /// Why there is no response; empty if there is one.
+    std::string failure;
+};
+
 /// Writes the decisions of a gate to the decision log. Traffic thread only.
 class GateRecorder
 {
@@ -60,6 +80,8 @@
     void countRefusal(const GateOrderBasis &basis);
     /// Counts the answer of a call that has a latency objective.
     void countAnswer(bool isObjectiveMet);
+    /// Counts the send. Logs it as essential if it did not simply run.
+    void recordSend(const EndedSend &send);
     /// Records the end of a run at that server; `status` is the HTTP status, used only if the
     /// server answered.
     void recordRun(const CallMessage &message, const UpstreamId &instance, const Verdict &verdict,
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -17,7 +17,7 @@
 
 /// Maximum number of times that a call is sent to a server that refuses it: if half of all sends
 /// are refused, fewer than 2 in 100 calls fail.
-constexpr int MAX_SENDS = 6;
+constexpr std::uint32_t MAX_SENDS = 6;
 
 /// Time over which the rate of sends to a server is averaged for the metrics.
 constexpr Duration SEND_RATE_TIME = std::chrono::seconds(4);
@@ -535,13 +535,13 @@
 {
     const Call &call = m_calls.at(id);
     findUpstream(service)->retryBudget->onArrival(m_loop.now(), call.message.isRepeat);
-    RunResult run = exchange(server, id, call);
+    RunResult run = exchange(server, id, call, 1);
     recordSend(service, run);
-    for (int sends = 1; sends < MAX_SENDS; ++sends) {
+    for (std::uint32_t number = 2; number <= MAX_SENDS; ++number) {
         if (!isUpstreamRefusal(run.verdict) || !maySendAgain(service, server, id)) {
             break;
         }
-        run = exchange(server, id, m_calls.at(id));
+        run = exchange(server, id, m_calls.at(id), number);
         recordSend(service, run);
     }
     return run;
@@ -574,7 +574,8 @@
         && upstream->gate->tryCountSend(now);
 }
 
-RunResult GateService::exchange(const Announcement &server, CallId id, const Call &call)
+RunResult GateService::exchange(const Announcement &server, CallId id, const Call &call,
+                                std::uint32_t number)
 {
     const auto remaining = std::chrono::duration_cast<Duration>(call.deadline - m_loop.now());
     HttpRequest request = call.message.request;
@@ -586,6 +587,7 @@
     const AccountName account = call.message.account;
     const RootId root = call.message.root;
     const TimePoint sentAt = m_loop.now();
+    EndedSend ended{ root, call.message.rule, call.message.rank, server, number };
     TrackedCall tracked;
     if (Upstream *upstream = findUpstream(server.info.service)) {
         upstream->sends.add(sentAt, 1, SEND_RATE_TIME);
@@ -597,6 +599,9 @@
     if (result && isFromRun(m_dialect.classify(*result))) {
         applyResponse(server, { *result, root, sentAt, &tracked });
     }
+    ended.report = result.send;
+    ended.status = result ? result->status : 0;
+    ended.failure = result ? std::string() : result.error().text;
     const ServerSend send{ server, sentAt };
     const bool isCrash = m_crashes.hasCrashed(send, result, isEndPlanned(server));
     RunResult run =
@@ -604,6 +609,9 @@
     if (isCrash) {
         run.verdict.reason = Reason::ServerCrashed;
     }
+    ended.verdict = run.verdict;
+    ended.took = std::chrono::duration_cast<Duration>(m_loop.now() - sentAt);
+    m_recorder.recordSend(ended);
     m_crashes.onEnd(send, account, request, run, m_suspects.runOf(id));
     if (run.isContactFailure) {
         reportContactFailure(server.run);
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -150,7 +150,9 @@
     void runCall(const ServiceName &service, CallId id);
     /// Sends the call, and again while the server refuses it and the retry budget allows it.
     RunResult sendToServer(const ServiceName &service, const Announcement &server, CallId id);
-    RunResult exchange(const Announcement &server, CallId id, const Call &call);
+    /// `number`: of the send, counted from 1 for the call.
+    RunResult exchange(const Announcement &server, CallId id, const Call &call,
+                       std::uint32_t number);
     /// Applies what the server states in its response.
     void applyResponse(const Announcement &server, const StatedResponse &response);
     /// Makes the gate heed the server's notice.
--- a/src/app/tests/refusedcallstest.cpp
+++ b/src/app/tests/refusedcallstest.cpp
@@ -1,5 +1,7 @@
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "app/internal/gate/gateservice.h"
 #include "app/internal/gate/noonceservice.h"
@@ -11,6 +13,7 @@
 #include "protocol/owndialects.h"
 #include "state/internal/seededrandom.h"
 #include "state/rank.h"
+#include "state/tests/mocks/recordingdecisionlog.h"
 #include "transport/ihttpclient.h"
 
 #include <CppUTest/TestHarness.h>
@@ -71,6 +74,16 @@
     return options;
 }
 
+double inputOf(const Decision &decision, const std::string &name)
+{
+    for (const DecisionInput &input : decision.inputs) {
+        if (name == input.name) {
+            return input.value;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 TEST_GROUP(RefusedCalls)
@@ -81,6 +94,7 @@
     NoOnceService m_once;
     NoQuarantine m_quarantine;
     SilentObservers m_observers;
+    RecordingDecisionLog m_decisions;
     std::unique_ptr<IUpstreamDialect> m_dialect = makeOwnUpstreamDialect();
     std::unique_ptr<GateService> m_gates;
     ResponseMessage m_answer;
@@ -88,11 +102,28 @@
     void start(bool isEnabled)
     {
         m_gates = std::make_unique<GateService>(m_loop, m_server, m_random, m_once, m_quarantine,
-                                                *m_dialect, makeOpenGate, m_observers.observers(),
+                                                *m_dialect, makeOpenGate, observers(),
                                                 makeOptions(isEnabled));
         m_gates->announce(Announcement{ { SERVICE, 49, 400, false }, { "127.0.0.1", 9000 }, {} });
     }
 
+    Observers observers()
+    {
+        const Observers silent = m_observers.observers();
+        return Observers{ silent.log, m_decisions, silent.metrics };
+    }
+
+    std::vector<Decision> sends() const
+    {
+        std::vector<Decision> sends;
+        for (const Decision &decision : m_decisions.decisions()) {
+            if (decision.kind == DecisionKind::Send) {
+                sends.push_back(decision);
+            }
+        }
+        return sends;
+    }
+
     /// Returns whether the server answered the call.
     bool call()
     {
@@ -185,3 +216,25 @@
         CHECK_EQUAL(before + 1, m_server.arrivals());
     }
 }
+
+// Guards against a log in which several sends of a call to a server look like one.
+TEST(RefusedCalls, EachSendIsLogged)
+{
+    start(true);
+    for (int i = 0; i < 1000; ++i, m_loop.advance(1ms)) {
+        call();
+    }
+    m_server.startShedding();
+    const std::size_t before = sends().size();
+    const int arrivals = m_server.arrivals();
+    for (int i = 0; i < 100; ++i, m_loop.advance(1ms)) {
+        call();
+    }
+    const std::vector<Decision> logged = sends();
+    CHECK_EQUAL(m_server.arrivals() - arrivals, logged.size() - before);
+    for (std::size_t i = before; i < logged.size(); ++i) {
+        const bool isRepeat = inputOf(logged[i], "send") > 1;
+        CHECK(!isRepeat || std::string(logged[i - 1].outcome) == "not-run");
+        CHECK(!isRepeat || logged[i].importance == Importance::Essential);
+    }
+}
--- a/src/state/idecisionlog.h
+++ b/src/state/idecisionlog.h
@@ -15,6 +15,8 @@
     Retry,
     Hedge,
     Cancel, ///< An entry daemon cancelled an attempt whose response is no longer needed.
+    Lost, ///< An attempt ended at its entry daemon without an answer of the daemon it was sent to.
+    Send, ///< One send of a call to a server ended.
     Run, ///< A server's run of a call ended.
     Answer, ///< An entry daemon answered a request.
     Configuration, ///< A configuration was accepted, rejected or put in force.
--- a/src/state/internal/decision.cpp
+++ b/src/state/internal/decision.cpp
@@ -17,6 +17,10 @@
         return "hedge";
     case DecisionKind::Cancel:
         return "cancel";
+    case DecisionKind::Lost:
+        return "lost";
+    case DecisionKind::Send:
+        return "send";
     case DecisionKind::Run:
         return "run";
     case DecisionKind::Answer:
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -34,7 +36,29 @@
     bool hasConnectionEnded = false;
 };
 
-using HttpResult = tl::expected<HttpResponse, HttpFailure>;
+/// How a request was sent and what was received for it, for logs. Of the last connection that was
+/// tried.
+struct HttpSendReport
+{
+    /// Number of the connection at this client, from 1; 0 if there was none.
+    std::uint64_t connection = 0;
+    /// Requests that the connection had carried before.
+    std::size_t earlierRequests = 0;
+    /// Bytes of the request that the kernel accepted.
+    std::size_t sentBytes = 0;
+    /// Interim (1xx) responses that preceded the final one.
+    std::size_t interimResponses = 0;
+    /// Responses to other requests, which were discarded.
+    std::size_t foreignResponses = 0;
+};
+
+/// The response, or why there is none.
+struct HttpResult : tl::expected<HttpResponse, HttpFailure>
+{
+    using tl::expected<HttpResponse, HttpFailure>::expected;
+
+    HttpSendReport send;
+};
 
 /// Cancels one exchange: its connection is closed and it fails with `Cancelled`.
 class HttpCancellation
--- a/src/transport/internal/carriedrequests.cpp
+++ b/src/transport/internal/carriedrequests.cpp
@@ -21,7 +21,7 @@
 
 void CarriedRequests::add(TimePoint now, const std::string &echo, TimePoint end)
 {
-    m_isEmpty = false;
+    ++m_count;
     if (echo.empty()) {
         return;
     }
--- a/src/transport/internal/carriedrequests.h
+++ b/src/transport/internal/carriedrequests.h
@@ -19,8 +19,8 @@
     void add(TimePoint now, const std::string &echo, TimePoint end);
     /// Whether the request was carried. Never false for a carried one that may be sent again.
     bool contains(const std::string &echo) const;
-    /// Whether no request was ever carried.
-    bool isEmpty() const { return m_isEmpty; }
+    /// All requests that were ever carried.
+    std::size_t count() const { return m_count; }
     /// Whether the connection must not carry more requests, as their values could not be kept.
     bool isFull() const;
 
@@ -30,7 +30,7 @@
     /// Hash of the value, and the time until which it is kept.
     std::unordered_map<std::size_t, TimePoint> m_ends;
     std::size_t m_sizeToClean = 0;
-    bool m_isEmpty = true;
+    std::size_t m_count = 0;
 };
 
 } // namespace ivyspar
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -43,9 +43,13 @@
     poolFor(endpoint)->setLimit(connections);
 }
 
-TcpStreamPtr HttpClientCore::makeStream()
+HttpPoolConnection HttpClientCore::makeConnection()
 {
-    return TcpStreamPtr(new TcpStream(boost::asio::ip::tcp::socket(m_loop.ioContext())));
+    HttpPoolConnection connection;
+    connection.number = ++m_lastConnection;
+    connection.stream =
+        TcpStreamPtr(new TcpStream(boost::asio::ip::tcp::socket(m_loop.ioContext())));
+    return connection;
 }
 
 Ret HttpClientCore::connect(const TcpStreamPtr &stream, const Endpoint &endpoint)
@@ -82,12 +86,12 @@
 
 bool HttpClientCore::openIdle(const HttpPoolPtr &pool, const Endpoint &endpoint)
 {
-    const TcpStreamPtr stream = makeStream();
-    if (!connect(stream, endpoint)) {
-        pool->discard(stream);
+    HttpPoolConnection connection = makeConnection();
+    if (!connect(connection.stream, endpoint)) {
+        pool->discard(connection.stream);
         return false;
     }
-    putIdle(pool, { stream, {} });
+    putIdle(pool, std::move(connection));
     return true;
 }
 
--- a/src/transport/internal/httpclient.h
+++ b/src/transport/internal/httpclient.h
@@ -34,7 +34,8 @@
 
     /// Connects `stream` within the connect timeout; suspends the calling fiber.
     Ret connect(const TcpStreamPtr &stream, const Endpoint &endpoint);
-    TcpStreamPtr makeStream();
+    /// A connection that is not connected yet.
+    HttpPoolConnection makeConnection();
     void putIdle(const HttpPoolPtr &pool, HttpPoolConnection connection);
 
 private:
@@ -49,6 +50,7 @@
     std::map<Endpoint, HttpPoolPtr> m_pools;
     boost::intrusive::list<HttpClientExchange, boost::intrusive::constant_time_size<false>>
         m_exchanges;
+    std::uint64_t m_lastConnection = 0;
     bool m_isSweeping = false;
     bool m_isAborted = false;
 };
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -46,6 +46,14 @@
 }
 
 HttpResult HttpClientExchange::run(Duration timeout, const HttpCancellationPtr &cancellation)
+{
+    HttpResult result = runUnreported(timeout, cancellation);
+    result.send = m_send;
+    return result;
+}
+
+HttpResult HttpClientExchange::runUnreported(Duration timeout,
+                                             const HttpCancellationPtr &cancellation)
 {
     m_head = formatRequestHead(m_request, m_endpoint.text());
     if (m_head.empty()) {
@@ -101,7 +109,7 @@
 /// True if the server closed an idle connection before any byte of the request was sent on it.
 bool HttpClientExchange::canRetryOnNewConnection(const HttpResult &result) const
 {
-    return !result && !m_abortCause && m_sentBytes == 0;
+    return !result && !m_abortCause && m_send.sentBytes == 0;
 }
 
 HttpResult HttpClientExchange::runOnNewConnection()
@@ -110,7 +118,9 @@
         return fail(HttpFailureCause::NoConnection,
                     "the connection limit of the endpoint is reached");
     }
-    m_connection = { m_client.makeStream(), {} };
+    m_connection = m_client.makeConnection();
+    m_send = {};
+    m_send.connection = m_connection.number;
     const Ret connected = m_client.connect(m_connection.stream, m_endpoint);
     HttpResult result =
         connected ? sendAndReceive() : fail(HttpFailureCause::Connect, connected.error().text);
@@ -130,10 +140,12 @@
 
 HttpResult HttpClientExchange::sendAndReceive()
 {
-    const bool isFirst = m_connection.carried.isEmpty();
+    m_send.connection = m_connection.number;
+    m_send.earlierRequests = m_connection.carried.count();
+    const bool isFirst = m_send.earlierRequests == 0;
     m_connection.carried.add(m_client.loop().now(), m_echo, m_end);
-    const auto error = m_connection.stream->write(m_head, m_request.body, m_sentBytes);
-    if (m_abortCause || (error && m_sentBytes == 0)) {
+    const auto error = m_connection.stream->write(m_head, m_request.body, m_send.sentBytes);
+    if (m_abortCause || (error && m_send.sentBytes == 0)) {
         return fail(HttpFailureCause::Broken, "failed to send the request: " + error.message());
     }
     // A server that rejects a body may respond and close before all of it was sent; its response
@@ -152,6 +164,7 @@
     bool isClean = true;
     while (origin == ResponseOrigin::OtherRequest) {
         isClean = false;
+        ++m_send.foreignResponses;
         result = receiveFinal();
         origin = originOf(result);
     }
@@ -186,6 +199,7 @@
             return fail(HttpFailureCause::Broken,
                         "the server switched to another protocol (status 101)");
         }
+        ++m_send.interimResponses;
         result = receiveOne();
     }
     return result;
@@ -229,7 +243,7 @@
 HttpResult HttpClientExchange::fail(HttpFailureCause cause, std::string text) const
 {
     HttpFailure failure;
-    failure.stage = m_sentBytes == 0 ? HttpFailureStage::NotSent : HttpFailureStage::MaybeSent;
+    failure.stage = m_send.sentBytes == 0 ? HttpFailureStage::NotSent : HttpFailureStage::MaybeSent;
     failure.cause = m_abortCause.value_or(cause);
     failure.text = std::move(text);
     failure.hasConnectionEnded = m_hasConnectionEnded;
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -33,6 +33,7 @@
         Unidentified, ///< Echoes no value.
     };
 
+    HttpResult runUnreported(Duration timeout, const HttpCancellationPtr &cancellation);
     HttpResult runWithTimeout(Duration timeout);
     HttpResult runOnConnection();
     HttpResult runOnNewConnection();
@@ -59,8 +60,7 @@
     TimePoint m_end;
     HttpPoolConnection m_connection;
     std::optional<HttpFailureCause> m_abortCause;
-    /// Bytes of the request that the kernel accepted.
-    std::size_t m_sentBytes = 0;
+    HttpSendReport m_send;
     std::size_t m_receivedResponses = 0;
     bool m_isReusable = false;
     bool m_hasConnectionEnded = false;
--- a/src/transport/internal/httppool.h
+++ b/src/transport/internal/httppool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
 /// A connection to an endpoint and what it was used for.
 struct HttpPoolConnection
 {
+    /// Unique at the client, from 1.
+    std::uint64_t number = 0;
     TcpStreamPtr stream;
     CarriedRequests carried;
 };
--- a/src/transport/tests/carriedrequeststest.cpp
+++ b/src/transport/tests/carriedrequeststest.cpp
@@ -23,20 +23,20 @@
 
 TEST(CarriedRequests, KeepsRequestsThatMayBeSentAgain)
 {
-    CHECK(m_carried.isEmpty());
+    CHECK_EQUAL(0, m_carried.count());
     m_carried.add(m_now, "a", m_now + seconds(5));
     m_now += seconds(5);
     addMany(1000, seconds(1));
     CHECK(m_carried.contains("a"));
     CHECK_FALSE(m_carried.contains("b"));
-    CHECK_FALSE(m_carried.isEmpty());
+    CHECK_EQUAL(1001, m_carried.count());
 }
 
 TEST(CarriedRequests, RequestsWithoutAValueAreNotCompared)
 {
     m_carried.add(m_now, "", m_now + seconds(5));
     CHECK_FALSE(m_carried.contains(""));
-    CHECK_FALSE(m_carried.isEmpty());
+    CHECK_EQUAL(1, m_carried.count());
 }
 
 // Guards against a connection that keeps the values of all requests that it ever carried.
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -577,6 +577,32 @@
     STRCMP_EQUAL("abbaab", connections.c_str());
 }
 
+// Guards against a log that cannot tell a response to another request from the one that decided.
+TEST(HttpClient, ReportsConnectionAndDiscardedResponses)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_server.run([](RawSocket &listener) {
+        RawSocket peer = listener.accept();
+        const std::string copy = makeResponseWithId(idOf(peer.readUntil(HEAD_END)), "first");
+        peer.send(copy);
+        const std::string id = idOf(peer.readUntil(HEAD_END));
+        peer.send(copy + "HTTP/1.1 102 Processing\r\n\r\n" + makeResponseWithId(id, "second"));
+        peer.readToEnd();
+    });
+    const HttpSendReport first = exchange(makeGetWithId("1")).send;
+    const HttpSendReport second = exchange(makeGetWithId("2")).send;
+    m_runner.run([&] { m_client.reset(); });
+    m_server.join();
+    CHECK_EQUAL(1, first.connection);
+    CHECK_EQUAL(0, first.earlierRequests);
+    CHECK(first.sentBytes > 0);
+    CHECK_EQUAL(0, first.foreignResponses + first.interimResponses);
+    CHECK_EQUAL(1, second.connection);
+    CHECK_EQUAL(1, second.earlierRequests);
+    CHECK_EQUAL(1, second.foreignResponses);
+    CHECK_EQUAL(1, second.interimResponses);
+}
+
 // Guards against a copy of a health check's response that is taken for the response to a request.
 TEST(HttpClient, ResponseWithoutIdIsNotTakenOnAReusedConnection)
 {
