Entry call: an answered error counts as a run when a retry is refused

Callers would see: 503 not run of a request that a server had run with an error, if errors are retried and the retry is refused.

Cause: each place in which an attempt ends recorded by itself that it may have run, and the retry of an error did not. Class: a promise concluded from the last attempt instead of from all of them.

Change: one place records it for every attempt that ends with anything but "not run".

Measured: EntryCall.RefusalAfterAnAnsweredErrorIsUnknown fails on the code before.

--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -101,6 +101,7 @@
     }
     recordEnd(now, attempt, result);
     m_upstreamAttempts += result.hasReachedUpstream ? 1 : 0;
+    m_mayHaveRun = m_mayHaveRun || result.verdict.outcome != Outcome::NotRun;
     if (m_isFinished) {
         return {};
     }
@@ -113,7 +114,6 @@
         }
         // The other attempt may still succeed.
         if (isServerError(result.status) && hasOpenAttempt()) {
-            m_mayHaveRun = true;
             return {};
         }
         if (!attempt.isHedge && index.value() == 0 && !isServerError(result.status)) {
@@ -123,9 +123,6 @@
         }
         return finish(now, index, result.verdict);
     }
-    if (result.verdict.outcome == Outcome::Unknown) {
-        m_mayHaveRun = true;
-    }
     return handleFailure(now, index, result);
 }
 
--- a/src/coordination/calls/tests/entrycalltest.cpp
+++ b/src/coordination/calls/tests/entrycalltest.cpp
@@ -75,6 +75,22 @@
     CHECK_EQUAL(1, retries.successes);
 }
 
+// Guards against a caller that is told "not run" of a request that ran with an error before.
+TEST(EntryCall, RefusalAfterAnAnsweredErrorIsUnknown)
+{
+    options.rule.repetition = Repetition::Idempotent;
+    EntryCall call = makeCall();
+    call.start(now);
+    AttemptResult error = makeResult(Outcome::Answered, Reason::None, 0);
+    error.status = 500;
+    const EntryActions retried = call.onEnd(now, AttemptIndex(0), error);
+    CHECK(findAction(retried, EntryActionType::Send) != nullptr);
+    retries.mayRetry = false;
+    const EntryActions ended =
+        call.onEnd(now, AttemptIndex(1), makeResult(Outcome::NotRun, Reason::QueueFull, 0));
+    CHECK(findAction(ended, EntryActionType::Finish)->verdict.outcome == Outcome::Unknown);
+}
+
 // The first gate refuses, so the call did not run and is sent to another server.
 TEST(EntryCall, RefusedAttemptIsSentElsewhere)
 {
