HTTP client: without an echoed id, a connection ends with a 503

Callers would see: 503 not run of a request that runs, or a second run of it, on the product's own interface.

Cause: there responses bear no id, so a late copy of a rejection passes for a rejection of the next request on the connection.

Change: connections to servers that echo no id are closed after a 503, so a copy of it finds no connection. Copies of other responses can still not be told apart (INTERFACES.md).

Measured: HttpClient.LateCopyOfARejectionFindsItsConnectionClosed fails without the setting: the request that runs gets the copy.

--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -25,6 +25,7 @@
     // If the server echoes the request id in each response, a response without framing can be told
     // apart from the remains of another request's response.
     limits.acceptsUnframedResponses = !limits.echoHeader.empty();
+    limits.reusesAfterUnavailable = !limits.echoHeader.empty();
     limits.bodyBytes = settings.limits.bodyBytes;
     return limits;
 }
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -89,6 +89,9 @@
     /// apart. A response without the header is accepted only where it can belong to no other
     /// request; its connection is not reused. Empty: responses are not checked.
     std::string echoHeader;
+    /// Reuses a connection after a 503. Without an echo header a late copy of it would be taken for
+    /// a rejection of the next request.
+    bool reusesAfterUnavailable = true;
     /// Accepts a response without a length that ends when its connection closes. Otherwise such a
     /// response is an error, as the server may have crashed before sending all of it.
     bool acceptsUnframedResponses = false;
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint16_t STATUS_SWITCHING_PROTOCOLS = 101;
 constexpr std::uint16_t FIRST_FINAL_STATUS = 200;
+constexpr std::uint16_t STATUS_UNAVAILABLE = 503;
 /// Interim responses and late responses to other requests that may precede a response. A server
 /// that sends them without end would otherwise occupy the loop until the timeout.
 constexpr std::size_t MAX_SKIPPED_RESPONSES = 64;
@@ -236,7 +237,8 @@
     if (status != HttpParseStatus::Done) {
         return fail(HttpFailureCause::Broken, textFor(status));
     }
-    m_isReusable = parser.isKeepAlive() && m_connection.stream->input().empty();
+    m_isReusable = parser.isKeepAlive() && m_connection.stream->input().empty()
+        && (limits.reusesAfterUnavailable || parser.response().status != STATUS_UNAVAILABLE);
     return std::move(parser.response());
 }
 
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -577,6 +577,28 @@
     STRCMP_EQUAL("abbaab", connections.c_str());
 }
 
+// Guards against a late copy of a rejection that is taken for a rejection of the next request,
+// which runs, if the server echoes no id.
+TEST(HttpClient, LateCopyOfARejectionFindsItsConnectionClosed)
+{
+    m_limits.reusesAfterUnavailable = false;
+    const std::string rejection = "HTTP/1.1 503 Unavailable\r\nContent-Length: 0" + HEAD_END;
+    m_server.run([&rejection](RawSocket &listener) {
+        RawSocket first = listener.accept();
+        first.readUntil(HEAD_END);
+        first.send(rejection);
+        if (!first.readUntil(HEAD_END).empty()) {
+            first.send(rejection + makeResponse("run"));
+            return;
+        }
+        serveOnConnection(listener.accept(), "run");
+    });
+    CHECK_EQUAL(503, exchange(makeGet("/"))->status);
+    STRCMP_EQUAL("run", exchange(makeGet("/"))->body.c_str());
+    m_runner.run([&] { m_client.reset(); });
+    m_server.join();
+}
+
 // Guards against a log that cannot tell a response to another request from the one that decided.
 TEST(HttpClient, ReportsConnectionAndDiscardedResponses)
 {
