Verdict: unknown unless somebody states an outcome

Cause: the default of a verdict was "not run", so a path that forgets to state an outcome would promise callers that their request had not run. No such path was found; all places that conclude "not run" state it. Class: a promise by omission.

Change: the default is "unknown".

Measured: Outcome.IsUnknownUnlessStated fails on the code before; the unit tests pass with the known red ones.

--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -55,7 +55,8 @@
 /// Result of a request, and when the caller may retry.
 struct Verdict
 {
-    Outcome outcome = Outcome::NotRun;
+    /// `NotRun` must be stated, by whoever can prove it.
+    Outcome outcome = Outcome::Unknown;
     Reason reason = Reason::None;
     /// Time to wait before a retry; zero if a retry does not help.
     Duration retryAfter{ 0 };
