--- a/src/app/internal/entry/entryrecorder.h
+++ b/src/app/internal/entry/entryrecorder.h
@@ -54,7 +54,7 @@
     AccountName account;
 };
 
-/// An attempt that ended without a word of the daemon that it was sent to.
+/// An attempt that ended without an answer of the daemon that it was sent to.
 struct LostAttempt
 {
     AttemptIndex attempt;
--- a/src/app/internal/gate/gaterecorder.h
+++ b/src/app/internal/gate/gaterecorder.h
@@ -51,13 +51,13 @@
     const Announcement &server;
     /// Counted from 1 for the call at this gate.
     std::uint32_t number = 1;
-    HttpSendReport report;
+    HttpSendReport report = {};
     Duration took{ 0 };
-    Verdict verdict;
+    Verdict verdict = {};
     /// HTTP status of the server's response; 0 if there is none.
     std::uint16_t status = 0;
     /// Why there is no response; empty if there is one.
-    std::string failure;
+    std::string failure = {};
 };
 
 /// Writes the decisions of a gate to the decision log. Traffic thread only.
--- a/src/state/tests/outcometest.cpp
+++ b/src/state/tests/outcometest.cpp
@@ -6,7 +6,7 @@
 
 TEST_GROUP(Outcome){};
 
-// Guards against a promise by omission: a verdict that nobody states must not say "not run".
+// Guards against requests that are reported as not run because nobody set the outcome.
 TEST(Outcome, IsUnknownUnlessStated)
 {
     CHECK(Verdict().outcome == Outcome::Unknown);
