Read again: one place starts the report of a send, sends a call, and makes the line of an attempt

Change: HttpClientExchange::useConnection, one loop in GateService::sendToServer, one makeDecision for lines of attempts.

--- a/src/app/internal/entry/entryrecorder.cpp
+++ b/src/app/internal/entry/entryrecorder.cpp
@@ -21,6 +21,18 @@
     return decision;
 }
 
+/// An essential line about an attempt.
+Decision makeDecision(const RequestFacts &facts, DecisionKind kind, AttemptIndex attempt,
+                      const DaemonId &target)
+{
+    Decision decision = makeDecision(facts);
+    decision.kind = kind;
+    decision.importance = Importance::Essential;
+    decision.attempt = attempt.value() + 1;
+    decision.choice = target.value();
+    return decision;
+}
+
 } // namespace
 
 void EntryRecorder::recordAttempt(const RequestFacts &facts, const EntryAction &action,
@@ -69,12 +81,8 @@
     if (m_observers.decisions.wouldDrop(DecisionKind::Cancel, Importance::Essential, facts.root)) {
         return;
     }
-    Decision decision = makeDecision(facts);
-    decision.kind = DecisionKind::Cancel;
-    decision.importance = Importance::Essential;
-    decision.attempt = action.attempt.value() + 1;
-    decision.choice = action.target.value();
-    m_observers.decisions.write(std::move(decision));
+    m_observers.decisions.write(
+        makeDecision(facts, DecisionKind::Cancel, action.attempt, action.target));
 }
 
 void EntryRecorder::recordLost(const RequestFacts &facts, const LostAttempt &lost)
@@ -82,11 +90,7 @@
     if (m_observers.decisions.wouldDrop(DecisionKind::Lost, Importance::Essential, facts.root)) {
         return;
     }
-    Decision decision = makeDecision(facts);
-    decision.kind = DecisionKind::Lost;
-    decision.importance = Importance::Essential;
-    decision.attempt = lost.attempt.value() + 1;
-    decision.choice = lost.target.value();
+    Decision decision = makeDecision(facts, DecisionKind::Lost, lost.attempt, lost.target);
     decision.outcome = toText(lost.verdict.outcome);
     decision.reason = toText(lost.verdict.reason);
     m_observers.decisions.write(std::move(decision));
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -533,18 +533,16 @@
 RunResult GateService::sendToServer(const ServiceName &service, const Announcement &server,
                                     CallId id)
 {
-    const Call &call = m_calls.at(id);
-    findUpstream(service)->retryBudget->onArrival(m_loop.now(), call.message.isRepeat);
-    RunResult run = exchange(server, id, call, 1);
-    recordSend(service, run);
-    for (std::uint32_t number = 2; number <= MAX_SENDS; ++number) {
-        if (!isUpstreamRefusal(run.verdict) || !maySendAgain(service, server, id)) {
-            break;
-        }
-        run = exchange(server, id, m_calls.at(id), number);
+    findUpstream(service)->retryBudget->onArrival(m_loop.now(), m_calls.at(id).message.isRepeat);
+    for (std::uint32_t number = 1;; ++number) {
+        RunResult run = exchange(server, id, m_calls.at(id), number);
         recordSend(service, run);
+        const bool isRepeated = number < MAX_SENDS && isUpstreamRefusal(run.verdict)
+            && maySendAgain(service, server, id);
+        if (!isRepeated) {
+            return run;
+        }
     }
-    return run;
 }
 
 void GateService::recordSend(const ServiceName &service, const RunResult &run)
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -97,7 +97,7 @@
 HttpResult HttpClientExchange::runOnConnection()
 {
     while (auto idle = m_pool->takeIdle(m_echo)) {
-        m_connection = std::move(*idle);
+        useConnection(std::move(*idle));
         HttpResult result = sendAndReceive();
         releaseConnection();
         if (!canRetryOnNewConnection(result)) {
@@ -119,9 +119,7 @@
         return fail(HttpFailureCause::NoConnection,
                     "the connection limit of the endpoint is reached");
     }
-    m_connection = m_client.makeConnection();
-    m_send = {};
-    m_send.connection = m_connection.number;
+    useConnection(m_client.makeConnection());
     const Ret connected = m_client.connect(m_connection.stream, m_endpoint);
     HttpResult result =
         connected ? sendAndReceive() : fail(HttpFailureCause::Connect, connected.error().text);
@@ -129,6 +127,14 @@
     return result;
 }
 
+void HttpClientExchange::useConnection(HttpPoolConnection connection)
+{
+    m_connection = std::move(connection);
+    m_send = {};
+    m_send.connection = m_connection.number;
+    m_send.earlierRequests = m_connection.carried.count();
+}
+
 void HttpClientExchange::releaseConnection()
 {
     HttpPoolConnection connection = std::exchange(m_connection, {});
@@ -141,8 +147,6 @@
 
 HttpResult HttpClientExchange::sendAndReceive()
 {
-    m_send.connection = m_connection.number;
-    m_send.earlierRequests = m_connection.carried.count();
     const bool isFirst = m_send.earlierRequests == 0;
     m_connection.carried.add(m_client.loop().now(), m_echo, m_end);
     const auto error = m_connection.stream->write(m_head, m_request.body, m_send.sentBytes);
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -47,6 +47,8 @@
     HttpResult receiveOne();
     bool canRetryOnNewConnection(const HttpResult &result) const;
     HttpResult fail(HttpFailureCause cause, std::string text) const;
+    /// Takes the connection for the next send and starts the report of it.
+    void useConnection(HttpPoolConnection connection);
     void releaseConnection();
 
     HttpClientCore &m_client;
