--- /dev/null
+++ b/tests/process/unansweredrequeststest.cpp
@@ -0,0 +1,139 @@
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform/standins/soakdeployment.h"
+#include "state/idvalue.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace ivyspar;
+using namespace ivyspar::soak;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t MACHINES = 3;
+/// Of them, the one whose server runs the requests.
+constexpr std::size_t SERVER_MACHINE = 2;
+constexpr std::size_t REQUESTS = 6;
+constexpr Duration PATIENCE = seconds(15);
+
+std::string formatRequest(std::uint64_t number)
+{
+    return "GET /view/1 HTTP/1.1\r\nHost: " + std::string(SOAK_HOST)
+        + "\r\nX-Ivyspar-Attempt-Id: " + toHex(number) + "\r\nX-Ivyspar-Deadline-Ms: 12000\r\n\r\n";
+}
+
+} // namespace
+
+/// Real daemons of the users' platform, with requests that their servers do not answer.
+TEST_GROUP(UnansweredRequests)
+{
+    RequestLedger m_ledger;
+    std::string m_folder;
+    std::unique_ptr<SoakDeployment> m_deployment;
+    std::vector<std::unique_ptr<BlockingConnection>> m_connections;
+
+    void setup() override
+    {
+        char folder[] = "/tmp/ivyspar-unanswered-XXXXXX";
+        m_folder = mkdtemp(folder);
+        SoakDeploymentOptions options;
+        options.binary = IVYSPAR_PLATFORM_BINARY;
+        options.folder = m_folder;
+        options.machines = MACHINES;
+        options.viewTimeout = "12000ms";
+        m_deployment = std::make_unique<SoakDeployment>(options, m_ledger);
+        std::string error;
+        CHECK_TEXT(m_deployment->start(error), error.c_str());
+    }
+
+    void teardown() override
+    {
+        m_connections.clear();
+        m_deployment.reset();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    SoakMachine &machine(std::size_t number)
+    {
+        return m_deployment->machines().at(number);
+    }
+
+    /// Opens connections, and has one request answered on each.
+    void keepConnections(const SoakMachine &entry)
+    {
+        const auto endpoint = Endpoint::parse(entry.entry);
+        for (std::size_t i = 0; i < REQUESTS; ++i) {
+            m_connections.push_back(
+                std::make_unique<BlockingConnection>(connectTo(*endpoint, PATIENCE)));
+            TextMessage answer;
+            do {
+                CHECK(m_connections.back()->write(formatRequest(++m_number)));
+                CHECK(m_connections.back()->read(answer, PATIENCE));
+            } while (answer.status() != 200);
+        }
+    }
+
+    /// Sends a request on each connection, and waits until all run.
+    void sendSilent()
+    {
+        ServerFaults silent;
+        silent.silent = 1;
+        machine(SERVER_MACHINE).server->setFaults(silent);
+        const std::size_t before = m_ledger.counts().runs;
+        for (const auto &connection : m_connections) {
+            CHECK(connection->write(formatRequest(++m_number)));
+        }
+        for (int i = 0; i < 500 && m_ledger.counts().runs < before + REQUESTS; ++i) {
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        CHECK(m_ledger.counts().runs >= before + REQUESTS);
+    }
+
+    void checkAllAnswered()
+    {
+        for (const auto &connection : m_connections) {
+            TextMessage answer;
+            CHECK(connection->read(answer, PATIENCE));
+            CHECK(answer.status() > 0);
+        }
+    }
+
+    std::uint64_t m_number = 0x1000;
+};
+
+// Guards against a planned stop that closes the connections of requests whose server, beside the
+// daemon, does not answer in time.
+TEST(UnansweredRequests, AreAnsweredWhenTheDaemonBesideTheServerStops)
+{
+    keepConnections(machine(SERVER_MACHINE));
+    sendSilent();
+    machine(SERVER_MACHINE).daemon.signal(SIGTERM);
+    checkAllAnswered();
+}
+
+// The same with a server beside another daemon.
+TEST(UnansweredRequests, AreAnsweredWhenTheirEntryStops)
+{
+    keepConnections(machine(0));
+    sendSilent();
+    machine(0).daemon.signal(SIGTERM);
+    checkAllAnswered();
+}
+
+// The same when both daemons stop.
+TEST(UnansweredRequests, AreAnsweredWhenAllDaemonsStop)
+{
+    keepConnections(machine(0));
+    sendSilent();
+    for (SoakMachine &each : m_deployment->machines()) {
+        each.daemon.signal(SIGTERM);
+    }
+    checkAllAnswered();
+}
