Planned stop: requests that are still open at its end are answered before their connections close

What callers saw: a kept connection closed without a response, of a request that a server had begun to run.

Cause: the end of a stop waits for open requests until its time is over, closes the links to other daemons and exits. The loss of a link ends the requests at other daemons, so these were answered with 502; nothing ended those at the server beside the stopping daemon. Class: a connection is closed while it owes a response.

Change: after the wait the entry ends all its open requests. Those that may have run are unknown (502 on the platform), the others were not run. A request that still waits for a token of its account is no longer sent then. The listeners close afterwards, with the responses delivered.

--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -34,10 +34,12 @@
 
 /// A request from its arrival to the end of its last attempt, which may come after its answer.
 struct EntryService::ActiveRequest
-    : boost::intrusive_ref_counter<ActiveRequest, boost::thread_unsafe_counter>
+    : boost::intrusive_ref_counter<ActiveRequest, boost::thread_unsafe_counter>,
+      UnansweredRequest
 {
     ActiveRequest(EntryService &service, Incoming request, EntryCallOptions options)
-        : incoming(std::move(request))
+        : service(service)
+        , incoming(std::move(request))
         , call(service.m_policies, incoming.budget->budget,
                withSuspectChecks(service, std::move(options)))
         , done(service.m_loop)
@@ -51,6 +53,12 @@
         return options;
     }
 
+    void endForStop() override
+    {
+        service.perform(ActiveRequestPtr(this), call.onStop(service.m_loop.now()));
+    }
+
+    EntryService &service;
     Incoming incoming;
     EntryCall call;
     std::vector<StreamId> streams;
@@ -99,6 +107,14 @@
     return m_configuration ? m_dialect.findRule(request, *m_configuration) : nullptr;
 }
 
+void EntryService::endRequests()
+{
+    m_hasEndedRequests = true;
+    for (UnansweredRequest &request : m_unanswered) {
+        request.endForStop();
+    }
+}
+
 HttpResponse EntryService::handleCaller(IHttpExchange &exchange)
 {
     return serve(exchange, false);
@@ -502,10 +518,13 @@
     active->startedAt = m_loop.now();
     exchange.onDisconnect(
         [this, active] { perform(active, active->call.onCallerGone(m_loop.now())); });
-    perform(active, active->call.start(m_loop.now()));
+    m_unanswered.push_back(*active);
+    const TimePoint now = m_loop.now();
+    perform(active, m_hasEndedRequests ? active->call.onStop(now) : active->call.start(now));
     const auto left =
         std::chrono::duration_cast<Duration>(active->incoming.deadline - m_loop.now());
     const auto verdict = active->done.wait(std::max(left, Duration::zero()) + WAIT_MARGIN);
+    active->unlink();
     exchange.onDisconnect({});
     if (m_options.infersParents && active->incoming.depth > Depth(0)) {
         m_gates.onInnerAnswer(active->incoming.rule.name);
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -11,6 +11,7 @@
 #include "app/internal/balance/icalldemand.h"
 #include "app/internal/entry/entryrecorder.h"
 #include "app/internal/entry/icallsender.h"
+#include "app/internal/entry/unansweredrequest.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/looplag.h"
@@ -67,6 +68,9 @@
     void setCallDemand(ICallDemand *demand) { m_demand = demand; }
     /// Refuses new requests of callers from now on; calls of upstreams are still accepted.
     void startDraining() { m_isDraining = true; }
+    /// Ends all requests at once, the last step before the exit: those that may have run are
+    /// answered as unknown. Further ones are refused.
+    void endRequests();
     /// Number of requests that are being served, including calls of upstreams.
     std::size_t requestCount() const { return m_requestCount; }
     /// Number of these that are requests of callers.
@@ -194,6 +198,8 @@
     std::size_t m_requestCount = 0;
     std::size_t m_callerCount = 0;
     bool m_isDraining = false;
+    bool m_hasEndedRequests = false;
+    UnansweredRequests m_unanswered;
 };
 
 } // namespace ivyspar
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -313,6 +313,7 @@
         m_loop.sleepFor(DRAIN_POLL_INTERVAL);
     }
     const bool isDone = m_gates->callCount() + m_entry->requestCount() == 0;
+    m_entry->endRequests();
     m_callerServer->drain(timeUntil(end));
     m_upstreamServer->drain(timeUntil(end));
     return isDone;
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -86,9 +86,9 @@
     void refuseCallers();
     /// Suspends until the requests of callers are answered, but no longer than until `end`.
     void waitForCallers(TimePoint end);
-    /// Refuses all new calls, waits for requests and calls in flight and closes the listeners for
-    /// callers and upstreams. Suspends no longer than until `end`; returns false if something was
-    /// still in flight then.
+    /// Refuses all new calls, waits for requests and calls in flight, ends the requests that are
+    /// still unanswered, and closes the listeners for callers and upstreams. Suspends no longer
+    /// than until `end`; returns false if something was still in flight then.
     bool drainCalls(TimePoint end);
     void closeLinks(Duration timeout);
 
--- a/src/coordination/calls/ientrycall.h
+++ b/src/coordination/calls/ientrycall.h
@@ -76,6 +76,8 @@
     virtual EntryActions onTimer(TimePoint now) = 0;
     /// The caller disconnected.
     virtual EntryActions onCallerGone(TimePoint now) = 0;
+    /// The daemon is about to exit, and no later answer could be delivered.
+    virtual EntryActions onStop(TimePoint now) = 0;
     virtual TimePoint nextTimer() const = 0;
     virtual bool isFinished() const = 0;
     /// Number of attempts sent.
--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -235,6 +235,15 @@
                   Verdict{ Outcome::Unknown, Reason::Cancelled, Duration::zero() });
 }
 
+/// `finish` turns the outcome into unknown if an attempt is open or may have run.
+EntryActions EntryCall::onStop(TimePoint now)
+{
+    if (m_isFinished) {
+        return {};
+    }
+    return refuse(now, Reason::ShuttingDown, Duration::zero());
+}
+
 TimePoint EntryCall::nextTimer() const
 {
     if (m_isFinished) {
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -46,6 +46,7 @@
     EntryActions onEnd(TimePoint now, AttemptIndex attempt, const AttemptResult &result) override;
     EntryActions onTimer(TimePoint now) override;
     EntryActions onCallerGone(TimePoint now) override;
+    EntryActions onStop(TimePoint now) override;
     TimePoint nextTimer() const override;
     bool isFinished() const override { return m_isFinished; }
     std::uint32_t attempts() const override;
--- a/src/coordination/calls/tests/entrycalltest.cpp
+++ b/src/coordination/calls/tests/entrycalltest.cpp
@@ -318,6 +318,28 @@
     CHECK_EQUAL(0, call.attempts());
 }
 
+// Guards against a stopping daemon that tells a caller "not run" of a request that may have run.
+TEST(EntryCall, StopWithAnOpenAttemptIsUnknown)
+{
+    EntryCall call = makeCall();
+    call.start(now);
+    const EntryActions actions = call.onStop(now);
+    CHECK(findAction(actions, EntryActionType::Cancel)->attempt == AttemptIndex(0));
+    const Verdict verdict = findAction(actions, EntryActionType::Finish)->verdict;
+    CHECK(verdict.outcome == Outcome::Unknown);
+    CHECK(verdict.reason == Reason::ShuttingDown);
+    CHECK(call.onStop(now).empty());
+}
+
+TEST(EntryCall, StopBeforeAnyAttemptIsNotRun)
+{
+    EntryCall call = makeCall();
+    const Verdict verdict = findAction(call.onStop(now), EntryActionType::Finish)->verdict;
+    CHECK(verdict.outcome == Outcome::NotRun);
+    CHECK(verdict.reason == Reason::ShuttingDown);
+    CHECK(call.start(now).empty());
+}
+
 TEST(EntryCall, CallerThatDisconnectsCancelsOpenAttempts)
 {
     EntryCall call = makeCall();
