Exceptions: one place reports them, and long-lived tasks go on after one

What callers saw: requests on a route of a newer configuration got 404 without end, at a daemon that counted as ready.

Cause: an exception that ended a task was printed to standard error and forgotten, with all that the task was to do next. The followers of the store and of the directory ended for good; timers that arm themselves again at their end, and the heartbeat of links, stopped; the socket of control messages was read no more; a call at a gate kept its slot and its caller waited until the deadline; counts of requests never returned to zero, so a stop took all its time. A fiber of the stop that threw would have left the main thread waiting. Class: a task that ends silently.

Change: IEventLoop::runGuarded is the one place where an exception ends, and what it means: a fault of that task, which is reported (a line lifecycle, outcome exception, and ivyspar_uncaught_exceptions_total), while the others go on. A BackgroundFiber runs its body again after a pause; timers arm the next run first; a call that an exception has ended is answered as unknown and frees its slot.

--- a/src/app/internal/balance/balanceservice.cpp
+++ b/src/app/internal/balance/balanceservice.cpp
@@ -71,6 +71,7 @@
 
 void BalanceService::tick()
 {
+    armTick(m_options.balance.interval);
     measureCapacities();
     m_balance->tick(m_loop.now());
     sendAll();
@@ -79,7 +80,6 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(each).count();
     };
     m_observers.metrics.set(Gauge::BalanceNewsAgeMillis, age ? millis(*age) : NO_NEWS);
-    armTick(m_options.balance.interval);
 }
 
 void BalanceService::measureCapacities()
--- a/src/app/internal/control/backgroundfiber.cpp
+++ b/src/app/internal/control/backgroundfiber.cpp
@@ -8,6 +8,8 @@
 
 /// Far longer than a body takes to return from a cancelled call.
 constexpr Duration STOP_TIMEOUT = std::chrono::seconds(3);
+/// Pause before a body that an exception has ended runs again.
+constexpr Duration RESTART_PAUSE = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -20,7 +22,7 @@
 {
     m_isRunning = true;
     m_loop.spawn([this, body = std::move(body)] {
-        body();
+        runUntilStopped(body);
         m_isRunning = false;
         if (m_ended) {
             m_ended->set(true);
@@ -28,6 +30,13 @@
     });
 }
 
+void BackgroundFiber::runUntilStopped(const std::function<void()> &body)
+{
+    while (!m_loop.runGuarded(body) && !m_isStopped) {
+        pause(RESTART_PAUSE);
+    }
+}
+
 void BackgroundFiber::pause(Duration duration)
 {
     if (m_isStopped) {
--- a/src/app/internal/control/backgroundfiber.h
+++ b/src/app/internal/control/backgroundfiber.h
@@ -14,7 +14,8 @@
 public:
     explicit BackgroundFiber(IEventLoop &loop);
 
-    /// Runs `body` once in a fiber. It must return soon after `isStopped` becomes true.
+    /// Runs `body` in a fiber, again after a pause if an exception has ended it. It must return
+    /// soon after `isStopped` becomes true.
     void start(std::function<void()> body);
     /// Suspends the background fiber; `wake` and `stop` end the pause early. Call it from the body.
     void pause(Duration duration);
@@ -25,6 +26,8 @@
     bool isStopped() const { return m_isStopped; }
 
 private:
+    void runUntilStopped(const std::function<void()> &body);
+
     IEventLoop &m_loop;
     bool m_isRunning = false;
     bool m_isStopped = false;
--- a/src/app/internal/control/documentfollower.cpp
+++ b/src/app/internal/control/documentfollower.cpp
@@ -304,6 +304,7 @@
 /// other failure domains, as a whole domain may lack the version.
 void DocumentFollower::sendPeriodicOffer()
 {
+    m_offerTimer = m_loop.callLater(untilNextOffer(), [this] { sendPeriodicOffer(); });
     if (m_freshness->isStale(m_loop.now())) {
         m_offers.sendToSameDomain(m_settings.staleSameDomainOffers);
         m_offers.sendToOtherDomains(m_settings.staleOtherDomainOffers);
@@ -313,7 +314,6 @@
         m_offers.sendToSameDomain(1);
     }
     m_watch.wakeIfNeeded();
-    m_offerTimer = m_loop.callLater(untilNextOffer(), [this] { sendPeriodicOffer(); });
 }
 
 Duration DocumentFollower::untilNextOffer() const
--- a/src/app/internal/control/documentwatch.cpp
+++ b/src/app/internal/control/documentwatch.cpp
@@ -53,6 +53,8 @@
 
 void DocumentWatch::follow()
 {
+    m_isReading = false;
+    m_isIdle = false;
     while (!m_fiber.isStopped()) {
         // DocumentPoller reads the newest records first and then sets the offset of this cursor.
         if (!m_cursor.next() || !m_isNeeded()) {
--- a/src/app/internal/control/membershipdriver.cpp
+++ b/src/app/internal/control/membershipdriver.cpp
@@ -83,8 +83,8 @@
 
 void MembershipDriver::tick()
 {
-    perform(m_membership->tick(m_loop.now(), m_random));
     m_timer = m_loop.callLater(MembershipOptions().gossipInterval, [this] { tick(); });
+    perform(m_membership->tick(m_loop.now(), m_random));
 }
 
 /// The clock of this host may have been set back since the previous run of this daemon, whose
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -48,6 +48,9 @@
     , m_trafficLoop(makeEventLoop())
     , m_controlLoop(makeEventLoop())
 {
+    for (IEventLoop *loop : { m_trafficLoop.get(), m_controlLoop.get() }) {
+        loop->setFailureHandler([this](const std::string &text) { onUncaughtException(text); });
+    }
 }
 
 Daemon::~Daemon() = default;
@@ -99,6 +102,13 @@
     }
 }
 
+/// Called by both threads.
+void Daemon::onUncaughtException(const std::string &text)
+{
+    m_observers.metrics.add(Counter::UncaughtExceptions);
+    logLifecycle(LogLevel::Error, "exception", text);
+}
+
 /// Writes an event to both the message log and the decision log.
 void Daemon::logLifecycle(LogLevel level, const char *outcome, const std::string &detail)
 {
@@ -284,7 +294,7 @@
     std::promise<void> done;
     loop.post([&] {
         loop.spawn([&] {
-            task();
+            loop.runGuarded(task);
             done.set_value();
         });
     });
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -41,6 +41,7 @@
     /// Handles signals and settings changes until a stop signal arrives.
     void waitForStop();
     void logLifecycle(LogLevel level, const char *outcome, const std::string &detail = {});
+    void onUncaughtException(const std::string &text);
     void reload();
     bool drain();
     void stopThreads();
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -25,6 +25,25 @@
     return verdict.outcome == Outcome::Answered && !isServerError(response.status);
 }
 
+/// Counted until its scope ends, also by an exception.
+class CountedRequest
+{
+public:
+    CountedRequest(std::size_t &count, std::size_t amount)
+        : m_count(count)
+        , m_amount(amount)
+    {
+        m_count += m_amount;
+    }
+    ~CountedRequest() { m_count -= m_amount; }
+    CountedRequest(const CountedRequest &) = delete;
+    CountedRequest &operator=(const CountedRequest &) = delete;
+
+private:
+    std::size_t &m_count;
+    std::size_t m_amount;
+};
+
 Verdict notRun(Reason reason)
 {
     return Verdict{ Outcome::NotRun, reason, Duration::zero() };
@@ -135,12 +154,9 @@
         return refuse(incoming.error(), isFromUpstream);
     }
     const std::size_t callers = isFromCaller(*incoming, isFromUpstream) ? 1 : 0;
-    ++m_requestCount;
-    m_callerCount += callers;
-    HttpResponse response = runRequest(exchange, std::move(*incoming));
-    --m_requestCount;
-    m_callerCount -= callers;
-    return response;
+    const CountedRequest request(m_requestCount, 1);
+    const CountedRequest caller(m_callerCount, callers);
+    return runRequest(exchange, std::move(*incoming));
 }
 
 tl::expected<EntryService::Incoming, Rejection> EntryService::readRequest(IHttpExchange &exchange,
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -462,7 +462,26 @@
         m_recorder.recordAdmitted(stateOf(found->second), orderOf(action.basis));
     }
     m_recorder.countStart(action.basis);
-    m_loop.spawn([this, service, id] { runCall(service, id); });
+    m_loop.spawn([this, service, id] {
+        if (!m_loop.runGuarded([&] { runCall(service, id); })) {
+            endFailedCall(service, id);
+        }
+    });
+}
+
+/// Without this, a call that an exception has ended would keep its slot, and its caller would wait
+/// until the deadline.
+void GateService::endFailedCall(const ServiceName &service, CallId id)
+{
+    GateActions next;
+    if (Upstream *upstream = findUpstream(service)) {
+        next = upstream->gate->finish(m_loop.now(), id, CallResult::Failure, Duration::zero());
+    }
+    RunResult run;
+    run.result = CallResult::Failure;
+    run.verdict = Verdict{ Outcome::Unknown, Reason::BrokenAnswer, Duration::zero() };
+    endRun(id, std::move(run), Duration::zero());
+    perform(service, next);
 }
 
 void GateService::runCall(const ServiceName &service, CallId id)
@@ -802,6 +821,7 @@
 
 void GateService::removeGoneUpstreams()
 {
+    m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { removeGoneUpstreams(); });
     bool isChanged = false;
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
         const bool isDropped = isRemovable(it->second);
@@ -811,7 +831,6 @@
     if (isChanged) {
         reportUpstreams();
     }
-    m_sweepTimer = m_loop.callLater(sweepInterval(), [this] { removeGoneUpstreams(); });
 }
 
 void GateService::reportUpstreams()
--- a/src/app/internal/gate/gateservice.h
+++ b/src/app/internal/gate/gateservice.h
@@ -148,6 +148,7 @@
     void perform(const ServiceName &service, const GateActions &actions);
     void startCall(const ServiceName &service, const GateAction &action);
     void runCall(const ServiceName &service, CallId id);
+    void endFailedCall(const ServiceName &service, CallId id);
     /// Sends the call, and again while the server refuses it and the retry budget allows it.
     RunResult sendToServer(const ServiceName &service, const Announcement &server, CallId id);
     /// `number`: of the send, counted from 1 for the call.
--- a/src/app/tests/gateservicetest.cpp
+++ b/src/app/tests/gateservicetest.cpp
@@ -1,5 +1,6 @@
 #include <map>
 #include <memory>
+#include <stdexcept>
 
 #include "app/internal/gate/gateservice.h"
 #include "app/internal/gate/noonceservice.h"
@@ -60,6 +61,16 @@
     std::vector<HttpHeader> headers;
 };
 
+class ThrowingClient : public LimitRecorder
+{
+public:
+    HttpResult exchange(const Endpoint & /*endpoint*/, const HttpRequest & /*request*/,
+                        Duration /*timeout*/, HttpCancellationPtr /*cancellation*/) override
+    {
+        throw std::runtime_error("expected by the test");
+    }
+};
+
 class NoLog : public ILog
 {
 public:
@@ -129,6 +140,34 @@
     CHECK(verdicts.front().reason == Reason::Draining);
 }
 
+// Guards against an exception that takes a slot and leaves the call without an answer.
+TEST(GateService, CallThatAnExceptionEndsIsAnsweredAsUnknown)
+{
+    ThrowingClient client;
+    GateService gates(*m_loop, client, m_random, m_once, m_quarantine, *m_dialect, makeDefaultGate,
+                      Observers{ m_log, m_decisions, *m_metrics }, GateServiceOptions{});
+    std::vector<std::string> failures;
+    m_loop->setFailureHandler([&](const std::string &text) { failures.push_back(text); });
+    const ServiceName service("cassa");
+    gates.announce(Announcement{ { service, 1, 8, false }, { "127.0.0.1", 9000 }, {} });
+    std::vector<Verdict> verdicts;
+    m_loop->spawn([&] {
+        CallMessage call;
+        call.service = service;
+        call.remaining = std::chrono::seconds(1);
+        gates.handle(std::move(call), CallSource::Link, [&](const ResponseMessage &answer) {
+            verdicts.push_back(answer.verdict);
+            m_loop->stop();
+        });
+    });
+    m_loop->run();
+    CHECK_EQUAL(1, failures.size());
+    CHECK_EQUAL(1, verdicts.size());
+    CHECK(verdicts.front().outcome == Outcome::Unknown);
+    CHECK_EQUAL(0, gates.callCount());
+    CHECK_EQUAL(0, gates.load(service).inFlight);
+}
+
 // Guards against refusals of which operators cannot see in whose favour they were.
 TEST(GateService, RefusalNamesTheCallThatIsKeptInstead)
 {
--- a/src/app/tests/mocks/inlineeventloop.h
+++ b/src/app/tests/mocks/inlineeventloop.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <exception>
 #include <functional>
 #include <map>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "transport/ieventloop.h"
 
@@ -26,6 +29,17 @@
     }
 
     void cancelTimer(TimerId id) override { m_timers.erase(id); }
+    bool runGuarded(const std::function<void()> &task) override
+    {
+        try {
+            task();
+            return true;
+        } catch (const std::exception &error) {
+            failures.emplace_back(error.what());
+            return false;
+        }
+    }
+    void setFailureHandler(std::function<void(const std::string &)> /*handler*/) override { }
     void run() override { }
     void stop() override { }
 
@@ -42,6 +56,9 @@
         m_now = end;
     }
 
+    /// Texts of exceptions that escaped tasks.
+    std::vector<std::string> failures;
+
 private:
     using Timers = std::map<TimerId, std::pair<TimePoint, std::function<void()>>>;
 
--- a/src/state/imetrics.h
+++ b/src/state/imetrics.h
@@ -68,6 +68,7 @@
     ConfigurationsAccepted,
     ConfigurationsRejected,
     LogLinesDropped,
+    UncaughtExceptions,
     Count, ///< Number of values above.
 };
 
--- a/src/state/internal/metricnames.cpp
+++ b/src/state/internal/metricnames.cpp
@@ -79,6 +79,8 @@
       "Records of the configuration stream, by verdict." },
     { "ivyspar_configuration_records_total", "verdict=\"rejected\"", "" },
     { "ivyspar_log_lines_dropped_total", "", "Lines of this daemon's logs that were dropped." },
+    { "ivyspar_uncaught_exceptions_total", "",
+      "Exceptions that ended a task of this daemon; each is a fault of it." },
 };
 
 constexpr MetricDescription GAUGES[] = {
--- a/src/transport/ieventloop.h
+++ b/src/transport/ieventloop.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 #include "state/ids.h"
 #include "state/time.h"
@@ -29,6 +30,12 @@
     virtual TimerId callLater(Duration delay, std::function<void()> task) = 0;
     virtual void cancelTimer(TimerId id) = 0;
 
+    /// Runs `task` on the caller's stack. An exception that escapes is a bug in that task: it is
+    /// reported, the other tasks of the loop continue, and false is returned.
+    virtual bool runGuarded(const std::function<void()> &task) = 0;
+    /// Receives the texts of such exceptions instead of standard error. To be set before `run`.
+    virtual void setFailureHandler(std::function<void(const std::string &)> handler) = 0;
+
     /// Runs until `stop`.
     virtual void run() = 0;
     /// Thread-safe.
--- a/src/transport/internal/datagramsocket.cpp
+++ b/src/transport/internal/datagramsocket.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 DatagramSocket::DatagramSocket(EventLoop &loop)
-    : m_socket(loop.ioContext())
+    : m_loop(loop)
+    , m_socket(loop.ioContext())
 {
 }
 
@@ -105,7 +106,7 @@
         return error == boost::asio::error::connection_refused;
     }
     if (size <= MAX_PAYLOAD_BYTES && m_handler != nullptr) {
-        m_handler->onDatagram(std::string(m_buffer.data(), size));
+        m_loop.runGuarded([&] { m_handler->onDatagram(std::string(m_buffer.data(), size)); });
     }
     return true;
 }
--- a/src/transport/internal/datagramsocket.h
+++ b/src/transport/internal/datagramsocket.h
@@ -26,6 +26,7 @@
     /// False when no more datagrams are pending.
     bool receiveOne();
 
+    EventLoop &m_loop;
     boost::asio::ip::udp::socket m_socket;
     IDatagramHandler *m_handler = nullptr;
     /// One byte larger than the maximum payload: an oversized datagram fills it completely.
--- a/src/transport/internal/eventloop.cpp
+++ b/src/transport/internal/eventloop.cpp
@@ -23,17 +23,6 @@
 constexpr Duration MAX_TIMER_DELAY = std::chrono::hours(24 * 365);
 constexpr int MAX_SHUTDOWN_ROUNDS = 1000;
 
-/// An exception that escapes a task is a bug in that task; the other fibers and connections of the
-/// thread continue.
-void runGuarded(const std::function<void()> &task)
-{
-    try {
-        task();
-    } catch (const std::exception &error) {
-        std::fprintf(stderr, "ivyspar: uncaught exception in a task: %s\n", error.what());
-    }
-}
-
 /// Ends the fibers of the loop at thread exit. Boost.Fiber waits there until all fibers of the
 /// thread have ended; a fiber that sleeps for an hour would block the join of the thread for as
 /// long. Boost.Fiber's own thread-local object is created before this one and so is destroyed after
@@ -119,7 +108,7 @@
 
 void EventLoop::post(std::function<void()> task)
 {
-    boost::asio::post(m_io, [task = std::move(task)] { runGuarded(task); });
+    boost::asio::post(m_io, [this, task = std::move(task)] { runGuarded(task); });
 }
 
 void EventLoop::sleepFor(Duration duration)
@@ -149,6 +138,31 @@
     m_timers.cancel(id);
 }
 
+bool EventLoop::runGuarded(const std::function<void()> &task)
+{
+    try {
+        task();
+        return true;
+    } catch (const std::exception &error) {
+        reportFailure(error);
+        return false;
+    }
+}
+
+void EventLoop::setFailureHandler(std::function<void(const std::string &)> handler)
+{
+    m_failureHandler = std::move(handler);
+}
+
+void EventLoop::reportFailure(const std::exception &error) const
+{
+    if (m_failureHandler) {
+        m_failureHandler(error.what());
+        return;
+    }
+    std::fprintf(stderr, "ivyspar: uncaught exception in a task: %s\n", error.what());
+}
+
 void EventLoop::armTimer()
 {
     const TimePoint next = m_timers.nextTime();
@@ -208,7 +222,7 @@
             m_io.poll_one();
         }
     } catch (const std::exception &error) {
-        std::fprintf(stderr, "ivyspar: uncaught exception in a callback: %s\n", error.what());
+        reportFailure(error);
     }
 }
 
@@ -221,7 +235,7 @@
             m_io.run_one_until(time);
         }
     } catch (const std::exception &error) {
-        std::fprintf(stderr, "ivyspar: uncaught exception in a callback: %s\n", error.what());
+        reportFailure(error);
     }
 }
 
--- a/src/transport/internal/eventloop.h
+++ b/src/transport/internal/eventloop.h
@@ -3,6 +3,9 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
+#include <functional>
+#include <string>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -35,6 +38,8 @@
     TimePoint now() const override;
     TimerId callLater(Duration delay, std::function<void()> task) override;
     void cancelTimer(TimerId id) override;
+    bool runGuarded(const std::function<void()> &task) override;
+    void setFailureHandler(std::function<void(const std::string &)> handler) override;
     void run() override;
     void stop() override;
 
@@ -50,6 +55,7 @@
     void bindToThread();
     void runOnce();
     void runEvent(bool isBlocking);
+    void reportFailure(const std::exception &error) const;
     void armTimer();
     void onTimer();
 
@@ -63,6 +69,7 @@
     boost::intrusive_ptr<FiberScheduler> m_scheduler;
     boost::intrusive_ptr<StackPool> m_stacks;
     std::thread::id m_thread;
+    std::function<void(const std::string &)> m_failureHandler;
     std::size_t m_fiberCount = 0;
     std::uint64_t m_turnCount = 0;
     bool m_isStopped = false;
--- a/src/transport/internal/peernetworkcore.cpp
+++ b/src/transport/internal/peernetworkcore.cpp
@@ -446,7 +446,7 @@
         if (wasPaused) {
             entry.second->lastReceived = now;
         }
-        checkLink(entry.second, now);
+        m_loop.runGuarded([&] { checkLink(entry.second, now); });
     }
     m_hasHeartbeat = false;
     if (!m_connections.empty()) {
--- a/src/transport/tests/eventlooptest.cpp
+++ b/src/transport/tests/eventlooptest.cpp
@@ -125,6 +125,24 @@
     CHECK(hasRun);
 }
 
+// Guards against exceptions of which nobody learns, as standard error may not be kept.
+TEST(EventLoop, ExceptionsAreReportedWhereverTheyEndATask)
+{
+    std::vector<std::string> reports;
+    m_loop->setFailureHandler([&reports](const std::string &text) { reports.push_back(text); });
+    m_loop->spawn([] { throw std::runtime_error("fiber"); });
+    m_loop->post([] { throw std::runtime_error("callback"); });
+    m_loop->callLater(milliseconds(1), [] { throw std::runtime_error("timer"); });
+    bool isWhole = true;
+    runTask([&] {
+        isWhole = m_loop->runGuarded([] { throw std::runtime_error("guarded"); });
+        m_loop->sleepFor(milliseconds(5));
+    });
+    CHECK_FALSE(isWhole);
+    std::sort(reports.begin(), reports.end());
+    CHECK((reports == std::vector<std::string>{ "callback", "fiber", "guarded", "timer" }));
+}
+
 TEST(EventLoop, MainFiberMayWaitOutsideRun)
 {
     OneShot<int> value(*m_loop);
--- a/src/transport/tests/mocks/simulatedeventloop.h
+++ b/src/transport/tests/mocks/simulatedeventloop.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <exception>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -44,9 +47,23 @@
         return m_timers.add(m_now + std::max(delay, Duration::zero()), std::move(task));
     }
     void cancelTimer(TimerId id) override { m_timers.cancel(id); }
+    bool runGuarded(const std::function<void()> &task) override
+    {
+        try {
+            task();
+            return true;
+        } catch (const std::exception &error) {
+            failures.emplace_back(error.what());
+            return false;
+        }
+    }
+    void setFailureHandler(std::function<void(const std::string &)> /*handler*/) override { }
     void run() override { }
     void stop() override { }
 
+    /// Texts of exceptions that escaped tasks.
+    std::vector<std::string> failures;
+
     void runFor(Duration duration)
     {
         const TimePoint end = m_now + duration;
