HTTP server: a failing handler does not close the connection of other requests

What callers saw: with pipelining, an internal error of the daemon closed the connection, and requests behind it that had been passed on to servers got no response.

Cause: the response to a request whose handler threw closed the connection, and requests behind it were cancelled, although the request had been read whole and the connection was in order. An exception in the connection's own fiber left the connection open and counted, its timers and callbacks running. Class: a connection is closed while it owes a response.

Change: the failed request gets its 500, the others their own responses. A connection whose fiber fails is closed and counted down.

--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -1,7 +1,5 @@
 #include "transport/internal/httpconnection.h"
 
-#include <cstdio>
-#include <exception>
 #include <utility>
 
 #include "transport/internal/httpserver.h"
@@ -92,7 +90,17 @@
         return;
     }
     m_lastInputAt = m_server->loop().now();
-    m_server->loop().spawn([self = HttpConnectionPtr(this)] { self->serve(); });
+    startServing();
+}
+
+/// After an exception the connection must not stay open, with its timers and callbacks running.
+void HttpConnection::startServing()
+{
+    m_server->loop().spawn([self = HttpConnectionPtr(this)] {
+        if (!self->m_server->loop().runGuarded([&self] { self->serve(); })) {
+            self->fail();
+        }
+    });
 }
 
 void HttpConnection::serve()
@@ -119,6 +127,16 @@
     m_server->onConnectionDone();
 }
 
+void HttpConnection::fail()
+{
+    stopTimer();
+    m_stream->setReadObserver({});
+    m_exchanges.notifyDisconnect();
+    if (m_state != State::Done) {
+        finish();
+    }
+}
+
 void HttpConnection::refuse()
 {
     m_state = State::Done;
@@ -227,12 +245,11 @@
 void HttpConnection::run(HttpExchange &exchange)
 {
     HttpResponse response;
-    try {
+    const bool isHandled = m_server->loop().runGuarded([&] {
         // After `abort`, the owner of the handler may no longer exist.
         response = m_stream->isOpen() ? m_server->handler()(exchange) : HttpResponse();
-    } catch (const std::exception &error) {
-        std::fprintf(stderr, "ivyspar: uncaught exception in an HTTP handler: %s\n", error.what());
-        exchange.closeConnection();
+    });
+    if (!isHandled) {
         response = makeErrorResponse(STATUS_INTERNAL_ERROR);
     }
     exchange.finish(std::move(response));
--- a/src/transport/internal/httpconnection.h
+++ b/src/transport/internal/httpconnection.h
@@ -63,7 +63,9 @@
 
     void waitForRequest();
     void onReadWhileIdle();
+    void startServing();
     void serve();
+    void fail();
     bool serveOne();
     void letOthersRun();
     void finish();
