Daemon: signals are held from the start of the program

What callers saw: a daemon that got SIGHUP while it started was gone, and its server unreachable until the next start.

Cause: the daemon blocks the signals that it handles once it has read its settings and opened its logs; a signal before that had its default action. Class: the process ends by itself.

A moment stays between the start of the process and its first instruction.

No test of its own: the moment is too short to be met without slowing the program.

--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -57,12 +57,6 @@
 
 int Daemon::run()
 {
-    // Set before any thread starts, so that all threads inherit the mask and only sigtimedwait
-    // receives these signals.
-    const sigset_t signals = handledSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-
     RetVal<ListeningEndpoints> bound = startTraffic();
     RetVal<Endpoint> operators =
         bound ? startControl(*bound) : RetVal<Endpoint>(tl::unexpected<Error>(bound.error()));
@@ -352,8 +346,18 @@
     return writeReadyFile(m_settings.readyFile, bound);
 }
 
+void holdSignals()
+{
+    const sigset_t signals = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 int runDaemon(const DaemonSettings &settings, const IPlatform &platform)
 {
+    // Before any thread starts, so that all threads inherit the mask and only sigtimedwait receives
+    // these signals.
+    holdSignals();
     const auto metrics = makeMetrics();
     LogSettings logSettings;
     logSettings.daemon = settings.id;
