Crash report: a fault of the process leaves a line

A process that ends by a fault left nothing, so that logs could not tell it from a kill by the operator, nor where it was.

Change: on SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT one line of JSON goes to standard error, with the signal and the return addresses relative to the program's start; then the process ends as before. The threads that run fibers have a stack of their own for it, as the fault may be an overflow.

Measured: CrashReport.FaultLeavesALineWithItsStack passes; before, no such line.

--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -9,6 +9,7 @@
 
 #include "app/daemon.h"
 #include "app/daemonlogs.h"
+#include "app/internal/crashreport.h"
 #include "state/metricsfactory.h"
 #include "transport/transportfactory.h"
 
@@ -156,6 +157,7 @@
 
 void Daemon::runTraffic(std::promise<RetVal<ListeningEndpoints>> &started)
 {
+    const CrashReportStack reportStack;
     m_traffic = std::make_unique<TrafficNode>(*m_trafficLoop, m_settings, m_platform, m_self,
                                               makeTrafficEvents(), m_confirmation, m_observers);
     started.set_value(m_traffic->listen());
@@ -165,6 +167,7 @@
 
 void Daemon::runControl(const ListeningEndpoints &bound, std::promise<RetVal<Endpoint>> &started)
 {
+    const CrashReportStack reportStack;
     m_control = std::make_unique<ControlNode>(*m_controlLoop, m_settings, m_platform,
                                               makeOwnMember(bound), makeTrafficPort(), m_observers);
     const auto endpoint = m_control->listen(bound.peer);
@@ -358,6 +361,7 @@
     // Before any thread starts, so that all threads inherit the mask and only sigtimedwait receives
     // these signals.
     holdSignals();
+    installCrashReport(settings.id);
     const auto metrics = makeMetrics();
     LogSettings logSettings;
     logSettings.daemon = settings.id;
