Membership: a daemon supersedes a newer record under its id instead of stopping

What callers saw: nothing so far. A daemon that has run for over 30 s stopped itself when it heard of a record under its id with a larger incarnation, and its server was unreachable until it was started again; requests in flight at the end of the stop could lose their connections.

Cause: such a record was held for that of a second daemon. It is also that of an earlier run if the clock was set back since, brought back by a daemon that was cut off or frozen for longer than 30 s; an incarnation is a time of day. Class: the process ends by its own decision, on the word of another.

Change: the daemon raises its own incarnation above the record in place, once a second at most, and goes on. Later than 30 s after its start it logs an error, as two daemons may run under one id. The table of members is kept; until now a conflict at the start dropped it. The largest incarnation cannot be superseded and is ignored.

--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -9,8 +9,8 @@
 void holdSignals();
 
 /// Runs a daemon until SIGTERM or SIGINT, then drains it. `platform` must outlive the call. Returns
-/// the exit code: 0 after a planned stop, 1 if it could not start, if calls were still running at
-/// the end of the drain, or if another daemon runs under the same id.
+/// the exit code: 0 after a planned stop, 1 if it could not start or if calls were still running at
+/// the end of the drain.
 int runDaemon(const DaemonSettings &settings, const IPlatform &platform);
 
 } // namespace ivyspar
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -139,7 +139,10 @@
     ControlEvents events;
     events.onMembers = [this](std::vector<Member> members) { onMembers(std::move(members)); };
     events.send = makeSend();
-    events.onDuplicate = m_traffic.stopForDuplicate;
+    events.onDuplicate = [this] {
+        m_observers.log.error("membership: a record under the id " + m_settings.id.value()
+                              + " was newer than that of this daemon; does another daemon use it?");
+    };
     return events;
 }
 
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -40,8 +40,6 @@
     std::function<void(TimePoint)> confirm;
     /// The callback runs on the traffic thread, with false if the fingerprint is unknown.
     std::function<void(Fingerprint, std::function<void(bool)>)> liftQuarantine;
-    /// Stops this daemon because another one runs under its id.
-    std::function<void()> stopForDuplicate;
 };
 
 /// The components of the control thread: membership, configuration and the operators' listener.
--- a/src/app/internal/control/membershipdriver.cpp
+++ b/src/app/internal/control/membershipdriver.cpp
@@ -1,5 +1,7 @@
 #include "app/internal/control/membershipdriver.h"
 
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 #include "coordination/membership/membershipfactory.h"
@@ -9,9 +11,12 @@
 
 namespace {
 
-/// After this time since the start, a newer record under this daemon's id is that of another daemon
-/// and not of this daemon's previous run.
+/// After this time since the start, a newer record under this daemon's id is reported: it is rarely
+/// that of a previous run.
 constexpr Duration PREVIOUS_RUN_WINDOW = std::chrono::seconds(30);
+/// Two daemons with the same id must not supersede each other with each message.
+constexpr Duration MIN_SUPERSEDE_INTERVAL = std::chrono::seconds(1);
+constexpr Incarnation LAST_INCARNATION(std::numeric_limits<std::uint64_t>::max());
 
 } // namespace
 
@@ -87,26 +92,22 @@
     perform(m_membership->tick(m_loop.now(), m_random));
 }
 
-/// The clock of this host may have been set back since the previous run of this daemon, whose
-/// record then looks newer. Stopping because of it would stop each new run too, until the clock has
-/// caught up.
+/// The record may be that of a previous run, if the clock was set back since, also long after the
+/// start: daemons that were cut off or frozen meanwhile still hold it. This daemon is the only way
+/// to the server on its host, so it goes on whatever the record is.
 void MembershipDriver::onConflictingIncarnation(Incarnation conflicting)
 {
-    if (m_loop.now() - m_startedAt > PREVIOUS_RUN_WINDOW) {
-        m_events.onDuplicate();
+    const TimePoint now = m_loop.now();
+    const bool isTooSoon = m_supersededAt && now - *m_supersededAt < MIN_SUPERSEDE_INTERVAL;
+    if (isTooSoon || conflicting == LAST_INCARNATION) {
         return;
     }
-    for (const Member &member : m_availableMembers) {
-        m_seeds[member.peerEndpoint] = member.domain;
-    }
+    m_supersededAt = now;
     m_self.incarnation = Incarnation(conflicting.value() + 1);
-    m_membership = makeMembership(m_loop.now(), m_self);
-    const auto seeds = m_seeds;
-    for (const auto &[endpoint, domain] : seeds) {
-        addSeed({ endpoint, domain });
+    if (now - m_startedAt > PREVIOUS_RUN_WINDOW) {
+        m_events.onDuplicate();
     }
-    m_availableMembers = m_membership->availableMembers();
-    m_events.onMembers(m_availableMembers);
+    perform(m_membership->supersede(now, conflicting));
 }
 
 void MembershipDriver::perform(const MembershipActions &actions)
--- a/src/app/internal/control/membershipdriver.h
+++ b/src/app/internal/control/membershipdriver.h
@@ -23,7 +23,8 @@
     std::function<void(std::vector<Member>)> onMembers;
     /// Sends a membership payload to a daemon at an endpoint.
     std::function<void(DaemonId, Endpoint, std::string)> send;
-    /// Another daemon runs under this daemon's id: this one must stop.
+    /// Long after the start, a record under this daemon's id was newer than its own and has been
+    /// superseded: another daemon may run under the same id.
     std::function<void()> onDuplicate;
 };
 
@@ -58,6 +59,7 @@
     Member m_self;
     ControlEvents m_events;
     TimePoint m_startedAt;
+    std::optional<TimePoint> m_supersededAt;
     std::map<Endpoint, DomainName> m_seeds;
     std::unique_ptr<IMembership> m_membership;
     std::vector<Member> m_availableMembers;
--- a/src/app/internal/crashreport.cpp
+++ b/src/app/internal/crashreport.cpp
@@ -125,7 +125,9 @@
     // The first call loads a library, which a signal handler must not do.
     std::array<void *, 1> frame{};
     backtrace(frame.data(), 1);
-    struct sigaction action{};
+    struct sigaction action
+    {
+    };
     action.sa_handler = onFault;
     action.sa_flags = SA_ONSTACK | static_cast<int>(SA_RESETHAND);
     for (const int number : SIGNALS) {
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -1,7 +1,5 @@
 #include "app/internal/daemon.h"
 
-#include <unistd.h>
-
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -79,7 +77,7 @@
     logLifecycle(LogLevel::Info,
                  isDrained ? "drained" : "calls were still running when the time was over");
     stopThreads();
-    return isDrained && !m_isDuplicate ? 0 : EXIT_RUNTIME_ERROR;
+    return isDrained ? 0 : EXIT_RUNTIME_ERROR;
 }
 
 void Daemon::waitForStop()
@@ -259,12 +257,6 @@
         postToTraffic([fingerprint = std::move(fingerprint), callback = std::move(callback)](
                           TrafficNode &traffic) { callback(traffic.liftQuarantine(fingerprint)); });
     };
-    port.stopForDuplicate = [this] {
-        std::fprintf(stderr, "ivyspar: another daemon runs as %s; stopping\n",
-                     m_self.id.value().c_str());
-        m_isDuplicate = true;
-        kill(getpid(), SIGTERM);
-    };
     return port;
 }
 
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <atomic>
 #include <future>
 #include <memory>
 #include <thread>
@@ -60,7 +59,6 @@
     std::unique_ptr<ControlNode> m_control;
     std::thread m_trafficThread;
     std::thread m_controlThread;
-    std::atomic<bool> m_isDuplicate{ false };
 };
 
 } // namespace ivyspar
--- a/src/coordination/membership/imembership.h
+++ b/src/coordination/membership/imembership.h
@@ -39,9 +39,8 @@
     std::vector<MembershipDatagram> send;
     /// The set of available members, or a record of one, changed.
     bool changed = false;
-    /// Another process uses this daemon's id with this larger incarnation. In the first seconds
-    /// after the start it is the previous run of this daemon, started while the clock was ahead:
-    /// restart with a larger incarnation. Later it is a second daemon with the same id: stop.
+    /// A record under this daemon's id has this larger incarnation. It is that of a previous run,
+    /// started while the clock was ahead, or of a second daemon with the same id.
     std::optional<Incarnation> conflictingIncarnation;
 };
 
@@ -56,6 +55,8 @@
     /// Replaces this daemon's own record (upstreams, draining, leaving). The id, incarnation and
     /// counter of `self` are ignored.
     virtual MembershipActions updateSelf(TimePoint now, const Member &self) = 0;
+    /// Announces an incarnation larger than `other`.
+    virtual MembershipActions supersede(TimePoint now, Incarnation other) = 0;
     /// Announces the departure to some members, which gossip it to the others. The process may end
     /// once the messages are sent.
     virtual MembershipActions leave(TimePoint now) = 0;
--- a/src/coordination/membership/internal/membership.cpp
+++ b/src/coordination/membership/internal/membership.cpp
@@ -85,6 +85,21 @@
     return actions;
 }
 
+MembershipActions Membership::supersede(TimePoint now, Incarnation other)
+{
+    MembershipActions actions;
+    MemberEntry entry = self();
+    ++entry.counter;
+    entry.member.counter = entry.counter;
+    entry.member.incarnation = Incarnation(other.value() + 1);
+    entry.since = now;
+    m_table.put(entry);
+    m_queue.push(makeUpdate(entry, true));
+    actions.changed = true;
+    sendGossip(m_options.gossipFanout, actions);
+    return actions;
+}
+
 MembershipActions Membership::leave(TimePoint now)
 {
     MembershipActions actions;
--- a/src/coordination/membership/internal/membership.h
+++ b/src/coordination/membership/internal/membership.h
@@ -22,6 +22,7 @@
     Membership(TimePoint now, const Member &self, const MembershipOptions &options);
 
     MembershipActions updateSelf(TimePoint now, const Member &self) override;
+    MembershipActions supersede(TimePoint now, Incarnation other) override;
     MembershipActions leave(TimePoint now) override;
     MembershipActions addSeed(TimePoint now, const MembershipSeed &seed) override;
     MembershipActions receive(TimePoint now, const DaemonId &from,
