Decision log: a line for each response that does not reach its caller

No line said that a caller's connection ended with a request unanswered, by whom, or why: the line of a response is written before the response is, and the result of the write was dropped.

Change: the HTTP server tells a request's handler once if the connection ends before its response was sent whole: the client left or did not read in time, an earlier response of the connection failed, the server stopped, or an exception ended the connection's fiber. The entry writes a line `undelivered` with the request and the reason, and counts ivyspar_responses_undelivered_total unless the caller left.

Measured: HttpPipeline.EachUndeliveredResponseIsReportedOnce; groups HttpPipeline and Documentation pass.

--- a/src/app/internal/entry/entryrecorder.cpp
+++ b/src/app/internal/entry/entryrecorder.cpp
@@ -134,6 +134,25 @@
     m_observers.decisions.write(std::move(decision));
 }
 
+/// Callers that leave are usual, so their lines may be dropped.
+void EntryRecorder::recordUndelivered(RootId root, DeliveryFailure failure)
+{
+    const bool isCallerGone = failure == DeliveryFailure::ClientGone;
+    if (!isCallerGone) {
+        m_observers.metrics.add(Counter::ResponsesUndelivered);
+    }
+    const Importance importance = isCallerGone ? Importance::Routine : Importance::Essential;
+    if (m_observers.decisions.wouldDrop(DecisionKind::Undelivered, importance, root)) {
+        return;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::Undelivered;
+    decision.importance = importance;
+    decision.root = root;
+    decision.reason = toText(failure);
+    m_observers.decisions.write(std::move(decision));
+}
+
 void EntryRecorder::recordRejection(const Rejection &rejection)
 {
     const EarlyRefusal &refusal = rejection.refusal;
--- a/src/app/internal/entry/entryrecorder.h
+++ b/src/app/internal/entry/entryrecorder.h
@@ -10,6 +10,7 @@
 #include "state/ids.h"
 #include "state/outcome.h"
 #include "state/time.h"
+#include "transport/ihttpserver.h"
 
 namespace ivyspar {
 
@@ -76,6 +77,7 @@
     void recordLost(const RequestFacts &facts, const LostAttempt &lost);
     void recordEnd(const RequestFacts &facts, const RequestResult &result);
     void recordRejection(const Rejection &rejection);
+    void recordUndelivered(RootId root, DeliveryFailure failure);
 
 private:
     /// Counts an attempt that goes to another failure domain.
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -154,6 +154,9 @@
         return refuse(incoming.error(), isFromUpstream);
     }
     const std::size_t callers = isFromCaller(*incoming, isFromUpstream) ? 1 : 0;
+    exchange.onUndelivered([this, root = incoming->root](DeliveryFailure failure) {
+        m_recorder.recordUndelivered(root, failure);
+    });
     const CountedRequest request(m_requestCount, 1);
     const CountedRequest caller(m_callerCount, callers);
     return runRequest(exchange, std::move(*incoming));
--- a/src/app/tests/callobjectivetest.cpp
+++ b/src/app/tests/callobjectivetest.cpp
@@ -99,6 +99,7 @@
     Duration waited() const override { return Duration::zero(); }
     ConnectionTally &tally() override { return m_tally; }
     void onDisconnect(std::function<void()> /*callback*/) override { }
+    void onUndelivered(std::function<void(DeliveryFailure)> /*callback*/) override { }
 
 private:
     HttpRequest m_request;
--- a/src/state/idecisionlog.h
+++ b/src/state/idecisionlog.h
@@ -19,6 +19,7 @@
     Send, ///< One send of a call to a server ended.
     Run, ///< A server's run of a call ended.
     Answer, ///< An entry daemon answered a request.
+    Undelivered, ///< A response did not reach its caller whole.
     Configuration, ///< A configuration was accepted, rejected or put in force.
     Membership, ///< The set of daemons that are considered alive changed.
     Upstream, ///< The known state of a server of this host changed.
--- a/src/state/imetrics.h
+++ b/src/state/imetrics.h
@@ -69,6 +69,7 @@
     ConfigurationsRejected,
     LogLinesDropped,
     UncaughtExceptions,
+    ResponsesUndelivered,
     Count, ///< Number of values above.
 };
 
--- a/src/state/internal/decision.cpp
+++ b/src/state/internal/decision.cpp
@@ -25,6 +25,8 @@
         return "run";
     case DecisionKind::Answer:
         return "answer";
+    case DecisionKind::Undelivered:
+        return "undelivered";
     case DecisionKind::Configuration:
         return "configuration";
     case DecisionKind::Membership:
--- a/src/state/internal/metricnames.cpp
+++ b/src/state/internal/metricnames.cpp
@@ -81,6 +81,8 @@
     { "ivyspar_log_lines_dropped_total", "", "Lines of this daemon's logs that were dropped." },
     { "ivyspar_uncaught_exceptions_total", "",
       "Exceptions that ended a task of this daemon; each is a fault of it." },
+    { "ivyspar_responses_undelivered_total", "",
+      "Responses that did not reach a caller who was still there." },
 };
 
 constexpr MetricDescription GAUGES[] = {
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -50,6 +50,17 @@
     std::uint64_t waitedForLimit = 0;
 };
 
+/// Why a response did not reach its client whole.
+enum class DeliveryFailure {
+    ClientGone,
+    ClientTooSlow, ///< It did not read the response in time.
+    EarlierResponse, ///< One of the same connection could not be sent.
+    ServerStopped,
+    Exception,
+};
+
+const char *toText(DeliveryFailure failure);
+
 /// One request while its handler processes it.
 class IHttpExchange
 {
@@ -64,6 +75,9 @@
     /// Runs `callback` once if the client disconnects before its response is ready.
     /// Each call replaces the previous callback; an empty function removes it.
     virtual void onDisconnect(std::function<void()> callback) = 0;
+    /// Runs `callback` once if the connection ends before the response was sent whole. It may run
+    /// after the handler has returned.
+    virtual void onUndelivered(std::function<void(DeliveryFailure)> callback) = 0;
 };
 
 /// Runs in a fiber and may suspend.
--- a/src/transport/internal/exchangequeue.cpp
+++ b/src/transport/internal/exchangequeue.cpp
@@ -85,10 +85,17 @@
     }
 }
 
+void ExchangeQueue::notifyUndelivered(DeliveryFailure failure)
+{
+    for (Entry &entry : m_entries) {
+        entry.exchange.notifyUndelivered(failure);
+    }
+}
+
 void ExchangeQueue::dropCallbacks()
 {
     for (Entry &entry : m_entries) {
-        entry.exchange.dropCallback();
+        entry.exchange.dropCallbacks();
     }
 }
 
--- a/src/transport/internal/exchangequeue.h
+++ b/src/transport/internal/exchangequeue.h
@@ -38,6 +38,7 @@
 
     /// Notifies the handlers of all exchanges.
     void notifyDisconnect();
+    void notifyUndelivered(DeliveryFailure failure);
     void dropCallbacks();
 
 private:
--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -131,6 +131,7 @@
 {
     stopTimer();
     m_stream->setReadObserver({});
+    m_exchanges.notifyUndelivered(DeliveryFailure::Exception);
     m_exchanges.notifyDisconnect();
     if (m_state != State::Done) {
         finish();
@@ -279,6 +280,9 @@
         exchange.closeConnection();
     }
     const bool isSent = respond(exchange.response(), exchange.framing());
+    if (!isSent) {
+        exchange.notifyUndelivered(m_writeFailure);
+    }
     const bool staysOpen = isSent && exchange.framing().isKeepAlive;
     m_exchanges.popFront();
     if (staysOpen && !m_exchanges.isEmpty()) {
@@ -299,6 +303,8 @@
         return;
     }
     m_stream->shutdownSend();
+    m_exchanges.notifyUndelivered(isDisconnected() ? DeliveryFailure::ClientGone
+                                                   : DeliveryFailure::EarlierResponse);
     m_exchanges.notifyDisconnect();
     while (!m_exchanges.isEmpty()) {
         waitFor(m_exchanges.front());
@@ -422,11 +428,20 @@
     m_isWriting = true;
     const auto error = m_stream->write(head, body, written);
     m_isWriting = false;
+    m_writeFailure = writeFailure();
     stopTimer();
     m_timer = receiveTimer;
     return !error;
 }
 
+DeliveryFailure HttpConnection::writeFailure() const
+{
+    if (m_isTimedOut) {
+        return DeliveryFailure::ClientTooSlow;
+    }
+    return m_stream->isOpen() ? DeliveryFailure::ClientGone : DeliveryFailure::ServerStopped;
+}
+
 /// Closing a socket with unread input resets the connection, and a client that is still sending
 /// would lose the error response. So remaining input is read and discarded first, up to
 /// `LINGER_BYTES` and `LINGER_TIME`.
@@ -457,6 +472,7 @@
 
 void HttpConnection::abort()
 {
+    m_exchanges.notifyUndelivered(DeliveryFailure::ServerStopped);
     m_exchanges.dropCallbacks();
     m_stream->close();
 }
--- a/src/transport/internal/httpconnection.h
+++ b/src/transport/internal/httpconnection.h
@@ -93,6 +93,7 @@
     bool isInputFull() const;
     void startTimer(Duration duration);
     void stopTimer();
+    DeliveryFailure writeFailure() const;
     bool isDisconnected() const { return static_cast<bool>(m_stream->readError()); }
 
     boost::intrusive_ptr<HttpServerCore> m_server;
@@ -107,6 +108,8 @@
     TimePoint m_lastInputAt;
     TimerId m_timer;
     bool m_isTimedOut = false;
+    /// Why the last write failed.
+    DeliveryFailure m_writeFailure = DeliveryFailure::ClientGone;
     bool m_isWriting = false;
 };
 using HttpConnectionPtr = boost::intrusive_ptr<HttpConnection>;
--- a/src/transport/internal/httpexchange.cpp
+++ b/src/transport/internal/httpexchange.cpp
@@ -17,6 +17,23 @@
 
 } // namespace
 
+const char *toText(DeliveryFailure failure)
+{
+    switch (failure) {
+    case DeliveryFailure::ClientGone:
+        return "client-gone";
+    case DeliveryFailure::ClientTooSlow:
+        return "client-too-slow";
+    case DeliveryFailure::EarlierResponse:
+        return "earlier-response";
+    case DeliveryFailure::ServerStopped:
+        return "stopped";
+    case DeliveryFailure::Exception:
+        return "exception";
+    }
+    return "unknown";
+}
+
 HttpExchange::HttpExchange(ReceivedRequest received, ConnectionTally &tally)
     : m_received(std::move(received))
     , m_tally(tally)
@@ -39,6 +56,24 @@
     }
 }
 
+void HttpExchange::onUndelivered(std::function<void(DeliveryFailure)> callback)
+{
+    m_onUndelivered = std::move(callback);
+}
+
+void HttpExchange::notifyUndelivered(DeliveryFailure failure)
+{
+    if (const auto callback = std::exchange(m_onUndelivered, {})) {
+        callback(failure);
+    }
+}
+
+void HttpExchange::dropCallbacks()
+{
+    m_onDisconnect = {};
+    m_onUndelivered = {};
+}
+
 void HttpExchange::finish(HttpResponse response)
 {
     m_response = std::move(response);
--- a/src/transport/internal/httpexchange.h
+++ b/src/transport/internal/httpexchange.h
@@ -20,10 +20,12 @@
     Duration waited() const override { return m_received.waited; }
     ConnectionTally &tally() override { return m_tally; }
     void onDisconnect(std::function<void()> callback) override;
+    void onUndelivered(std::function<void(DeliveryFailure)> callback) override;
 
     /// Runs the callback; later ones run as soon as they are set.
     void notifyDisconnect();
-    void dropCallback() { m_onDisconnect = {}; }
+    void notifyUndelivered(DeliveryFailure failure);
+    void dropCallbacks();
 
     /// Sets the response and releases the request.
     void finish(HttpResponse response);
@@ -41,6 +43,7 @@
     ReceivedRequest m_received;
     ConnectionTally &m_tally;
     std::function<void()> m_onDisconnect;
+    std::function<void(DeliveryFailure)> m_onUndelivered;
     std::optional<HttpResponse> m_response;
     std::optional<bool> m_isConcurrent;
     bool m_isDisconnected = false;
--- a/src/transport/tests/httppipelinetest.cpp
+++ b/src/transport/tests/httppipelinetest.cpp
@@ -257,6 +257,28 @@
     checkNothingHeld();
 }
 
+// Guards against connections that end with requests unanswered without a trace.
+TEST(HttpPipeline, EachUndeliveredResponseIsReportedOnce)
+{
+    std::vector<DeliveryFailure> failures;
+    listen([&](IHttpExchange &exchange) {
+        exchange.onUndelivered([&](DeliveryFailure failure) { failures.push_back(failure); });
+        return handle(exchange);
+    });
+    RawSocket served = connect();
+    served.send(get("/served"));
+    served.readUntil("</served >");
+    RawSocket client = connect();
+    client.send(get("/wait1") + get("/wait2"));
+    CHECK(reachesStarts(3));
+    m_runner.run([&] { m_server.reset(); });
+    client.readToEnd();
+    release("/wait2");
+    release("/wait1");
+    const std::vector<DeliveryFailure> expected(2, DeliveryFailure::ServerStopped);
+    CHECK(failures == expected);
+}
+
 // Guards against requests that continue although their client is gone.
 TEST(HttpPipeline, DisconnectEndsEachRequestOnce)
 {
--- a/standins/log/inprocesshttpclient.cpp
+++ b/standins/log/inprocesshttpclient.cpp
@@ -19,6 +19,7 @@
     const HttpRequest &request() const override { return m_request; }
     Duration waited() const override { return Duration::zero(); }
     ConnectionTally &tally() override { return m_tally; }
+    void onUndelivered(std::function<void(DeliveryFailure)> /*callback*/) override { }
     void onDisconnect(std::function<void()> callback) override
     {
         m_onDisconnect = std::move(callback);
