Odd entries: port 0 and numbers that do not fit are errors

In the directory, port 0 became a seed that no message reaches.

Also tested, without a finding: reports and entries nested 100,000 deep, ports out of range, numbers too large and bytes that are no UTF-8 are errors (InvalidReportsAreRejected, MemberDirectory.OddEntriesNameNoDaemon). A response whose server stopped at any byte of its head, of a framed or chunked body, or behind an interim response, is a failure and not passed on (HttpClient.ResponseThatEndsEarlyIsAFailure).

--- a/src/app/internal/control/memberdirectory.cpp
+++ b/src/app/internal/control/memberdirectory.cpp
@@ -23,6 +23,9 @@
     if (!endpoint) {
         return tl::unexpected<Error>(endpoint.error());
     }
+    if (endpoint->port == 0) {
+        return makeError(ErrorCode::InvalidArgument, '"' + text + "\" has port 0");
+    }
     const std::string domain = space == std::string::npos ? "" : text.substr(space + 1);
     return MembershipSeed{ *endpoint, DomainName(domain) };
 }
--- a/src/app/tests/documentfollowertest.cpp
+++ b/src/app/tests/documentfollowertest.cpp
@@ -453,6 +453,23 @@
     STRCMP_EQUAL("10.0.0.4:7000", m_found[1].c_str());
 }
 
+// Guards against entries of another writer that take the places of daemons or end the directory.
+TEST(MemberDirectory, OddEntriesNameNoDaemon)
+{
+    std::size_t number = 0;
+    for (const std::string &value :
+         { std::string("10.0.0.2:0"), std::string("10.0.0.2:99999"), std::string("10.0.0.2:-1"),
+           std::string("10.0.0.2:1e999"), std::string(100000, '['), std::string("\xff\xfe"),
+           std::string(), std::string(" "), std::string(":7000") }) {
+        m_log.write(STREAM, "odd-" + std::to_string(++number), value);
+    }
+    m_log.write(STREAM, std::string(255, '\xff'), "10.0.0.3:7000");
+    m_log.write(STREAM, "a", "10.0.0.1:0 here");
+    start();
+    CHECK(m_runner.reaches([this] { return m_log.writes(STREAM) == 12; }));
+    CHECK((m_found == std::vector<std::string>{ "10.0.0.3:7000" }));
+}
+
 // Two daemons start together, and one reads before the other is registered. Without a read after
 // the registration, neither would find the other before its next scheduled read.
 TEST(MemberDirectory, ReadsAgainAfterRegistration)
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -683,6 +683,35 @@
     m_server.join();
 }
 
+// Guards against a response whose server stopped halfway, and that is passed on as whole.
+TEST(HttpClient, ResponseThatEndsEarlyIsAFailure)
+{
+    m_limits.echoHeader = ECHO_HEADER;
+    m_limits.acceptsUnframedResponses = true;
+    const std::string head = "HTTP/1.1 200 OK\r\n" + ECHO_HEADER + ": 1\r\n";
+    const std::string unframed = head + "X-Last: b\r\n\r\n";
+    const std::string responses[] = {
+        makeResponseWithId("1", "0123456789"),
+        "HTTP/1.1 102 Processing\r\n\r\n" + makeResponseWithId("1", "0123456789"),
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n",
+        unframed,
+    };
+    for (const std::string &response : responses) {
+        for (std::size_t size = 0; size < response.size(); ++size) {
+            ScriptedServer server;
+            m_endpoint = server.endpoint();
+            server.run([&](RawSocket &listener) {
+                RawSocket peer = listener.accept();
+                peer.readUntil(HEAD_END);
+                peer.send(response.substr(0, size));
+            });
+            const HttpResult result = exchange(makeGetWithId("1"), seconds(10));
+            server.join();
+            CHECK_FALSE(result.has_value());
+        }
+    }
+}
+
 // Guards against a response without end, in its head or its body, that exhausts the memory or is
 // read until the timeout.
 TEST(HttpClient, ResponseWithoutEndIsAFailure)
