Soak: silent servers, and requests that last longer than a stop; a stop beside hanging servers ends in order

The soak's requests ended before a stop does, so it could not see what the end of a stop does to open ones.

UnansweredRequests checks how each daemon exits, also while servers hang and answer no health check.

--- a/tests/process/unansweredrequeststest.cpp
+++ b/tests/process/unansweredrequeststest.cpp
@@ -80,6 +80,13 @@
         }
     }
 
+    void sendAll()
+    {
+        for (const auto &connection : m_connections) {
+            CHECK(connection->write(formatRequest(++m_number)));
+        }
+    }
+
     /// Sends a request on each connection, and waits until all run.
     void sendSilent()
     {
@@ -87,15 +94,20 @@
         silent.silent = 1;
         machine(SERVER_MACHINE).server->setFaults(silent);
         const std::size_t before = m_ledger.counts().runs;
-        for (const auto &connection : m_connections) {
-            CHECK(connection->write(formatRequest(++m_number)));
-        }
+        sendAll();
         for (int i = 0; i < 500 && m_ledger.counts().runs < before + REQUESTS; ++i) {
             std::this_thread::sleep_for(milliseconds(10));
         }
         CHECK(m_ledger.counts().runs >= before + REQUESTS);
     }
 
+    /// A stop that takes all its time exits with 1.
+    void checkExit(SoakMachine & stopped)
+    {
+        const int code = stopped.daemon.wait(PATIENCE);
+        CHECK_TEXT(code == 0 || code == 1, std::to_string(code).c_str());
+    }
+
     void checkAllAnswered()
     {
         for (const auto &connection : m_connections) {
@@ -116,6 +128,7 @@
     sendSilent();
     machine(SERVER_MACHINE).daemon.signal(SIGTERM);
     checkAllAnswered();
+    checkExit(machine(SERVER_MACHINE));
 }
 
 // The same with a server beside another daemon.
@@ -125,6 +138,7 @@
     sendSilent();
     machine(0).daemon.signal(SIGTERM);
     checkAllAnswered();
+    checkExit(machine(0));
 }
 
 // The same when both daemons stop.
@@ -136,4 +150,26 @@
         each.daemon.signal(SIGTERM);
     }
     checkAllAnswered();
+    for (SoakMachine &each : m_deployment->machines()) {
+        checkExit(each);
+    }
+}
+
+// Guards against a fault at the end of a stop, when servers have not answered calls and health
+// checks.
+TEST(UnansweredRequests, StopEndsInOrderWhileServersHang)
+{
+    keepConnections(machine(0));
+    keepConnections(machine(SERVER_MACHINE));
+    for (SoakMachine &each : m_deployment->machines()) {
+        each.server->setHanging(true);
+    }
+    sendAll();
+    for (SoakMachine &each : m_deployment->machines()) {
+        each.daemon.signal(SIGTERM);
+    }
+    checkAllAnswered();
+    for (SoakMachine &each : m_deployment->machines()) {
+        checkExit(each);
+    }
 }
