Exit: fibers end before what they use is destroyed

What callers saw: connections of a stopping daemon that ended all at once without a response, and an exit by SIGSEGV.

Cause: after a stop the traffic thread destroyed its node while fibers of requests and calls were still waiting. They were woken when the thread ended, by their timers, and used what was gone. Class: work that outlives what it uses.

Change: each thread ends the fibers of its loop after the loop has stopped, while its node exists. Since requests are answered at the end of a stop there are few left: health checks, and calls of other daemons.

--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -160,6 +160,7 @@
                                               makeTrafficEvents(), m_confirmation, m_observers);
     started.set_value(m_traffic->listen());
     m_trafficLoop->run();
+    m_trafficLoop->endFibers();
     m_traffic.reset();
 }
 
@@ -172,6 +173,7 @@
     m_control->start();
     started.set_value(endpoint);
     m_controlLoop->run();
+    m_controlLoop->endFibers();
     m_control.reset();
 }
 
--- a/src/app/tests/mocks/inlineeventloop.h
+++ b/src/app/tests/mocks/inlineeventloop.h
@@ -42,6 +42,7 @@
     void setFailureHandler(std::function<void(const std::string &)> /*handler*/) override { }
     void run() override { }
     void stop() override { }
+    void endFibers() override { }
 
     /// Advances the clock and runs the due timers in order of time.
     void advance(Duration duration)
--- a/src/transport/ieventloop.h
+++ b/src/transport/ieventloop.h
@@ -40,6 +40,9 @@
     virtual void run() = 0;
     /// Thread-safe.
     virtual void stop() = 0;
+    /// Ends the fibers that still wait, by firing their timers early. To be called after `run`,
+    /// while all that the fibers use still exists.
+    virtual void endFibers() = 0;
 };
 
 } // namespace ivyspar
--- a/src/transport/internal/eventloop.h
+++ b/src/transport/internal/eventloop.h
@@ -42,12 +42,11 @@
     void setFailureHandler(std::function<void(const std::string &)> handler) override;
     void run() override;
     void stop() override;
+    void endFibers() override;
 
     boost::asio::io_context &ioContext() { return m_io; }
     /// Iterations of `run`: each ran the ready fibers and waited for one event.
     std::uint64_t turnCount() const { return m_turnCount; }
-    /// Ends the fibers that wait for a timeout by firing their timers early.
-    void endFibers();
     /// For FiberScheduler: runs one event, waiting for it until `time` at most.
     void waitForEvent(std::chrono::steady_clock::time_point time) noexcept;
 
--- a/src/transport/tests/eventlooptest.cpp
+++ b/src/transport/tests/eventlooptest.cpp
@@ -143,6 +143,21 @@
     CHECK((reports == std::vector<std::string>{ "callback", "fiber", "guarded", "timer" }));
 }
 
+// Guards against fibers that continue after what they use was destroyed.
+TEST(EventLoop, FibersEndBeforeTheirOwnerIsDestroyed)
+{
+    auto owner = std::make_unique<std::string>("alive");
+    std::string seen;
+    m_loop->spawn([&] {
+        m_loop->sleepFor(std::chrono::hours(1));
+        seen = *owner;
+    });
+    runTask([&] { m_loop->sleepFor(milliseconds(1)); });
+    m_loop->endFibers();
+    owner.reset();
+    STRCMP_EQUAL("alive", seen.c_str());
+}
+
 TEST(EventLoop, MainFiberMayWaitOutsideRun)
 {
     OneShot<int> value(*m_loop);
--- a/src/transport/tests/mocks/simulatedeventloop.h
+++ b/src/transport/tests/mocks/simulatedeventloop.h
@@ -60,6 +60,7 @@
     void setFailureHandler(std::function<void(const std::string &)> /*handler*/) override { }
     void run() override { }
     void stop() override { }
+    void endFibers() override { }
 
     /// Texts of exceptions that escaped tasks.
     std::vector<std::string> failures;
