--- a/tests/process/unansweredrequeststest.cpp
+++ b/tests/process/unansweredrequeststest.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <vector>
 
+#include "platform/standins/clientrequest.h"
 #include "platform/standins/soakdeployment.h"
 #include "state/idvalue.h"
 
@@ -25,8 +26,7 @@
 
 std::string formatRequest(std::uint64_t number)
 {
-    return "GET /view/1 HTTP/1.1\r\nHost: " + std::string(SOAK_HOST)
-        + "\r\nX-Ivyspar-Attempt-Id: " + toHex(number) + "\r\nX-Ivyspar-Deadline-Ms: 12000\r\n\r\n";
+    return format({ "GET", SOAK_HOST, "/view/1", toHex(number), seconds(12), {} });
 }
 
 } // namespace
