Read again: one place announces a daemon's own record; loops of tests share what they do with exceptions

From reading the change: supersede repeated updateSelf, and two loops of tests the same guard. Behaviour is as before.

Measured: groups Membership, MembershipDriver and BackgroundFiber pass.

--- a/src/app/tests/backgroundfibertest.cpp
+++ b/src/app/tests/backgroundfibertest.cpp
@@ -34,7 +34,7 @@
     });
     m_loop.runFor(seconds(5));
     CHECK(m_steps > 4);
-    CHECK_EQUAL(1, m_loop.failures.size());
+    CHECK_EQUAL(1, m_loop.failures.count());
     stop();
 }
 
--- a/src/app/tests/mocks/inlineeventloop.h
+++ b/src/app/tests/mocks/inlineeventloop.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <exception>
 #include <functional>
 #include <map>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "transport/ieventloop.h"
+#include "transport/tests/mocks/taskfailures.h"
 
 namespace ivyspar {
 
@@ -31,13 +30,7 @@
     void cancelTimer(TimerId id) override { m_timers.erase(id); }
     bool runGuarded(const std::function<void()> &task) override
     {
-        try {
-            task();
-            return true;
-        } catch (const std::exception &error) {
-            failures.emplace_back(error.what());
-            return false;
-        }
+        return failures.runGuarded(task);
     }
     void setFailureHandler(std::function<void(const std::string &)> /*handler*/) override { }
     void run() override { }
@@ -57,8 +50,7 @@
         m_now = end;
     }
 
-    /// Texts of exceptions that escaped tasks.
-    std::vector<std::string> failures;
+    TaskFailures failures;
 
 private:
     using Timers = std::map<TimerId, std::pair<TimePoint, std::function<void()>>>;
--- a/src/coordination/membership/internal/membership.cpp
+++ b/src/coordination/membership/internal/membership.cpp
@@ -68,30 +68,27 @@
 
 MembershipActions Membership::updateSelf(TimePoint now, const Member &self)
 {
-    MembershipActions actions;
     MemberEntry entry = this->self();
-    const std::uint64_t counter = entry.counter + 1;
     const Incarnation incarnation = entry.member.incarnation;
     entry.member = self;
     entry.member.id = m_self;
     entry.member.incarnation = incarnation;
-    entry.member.counter = counter;
-    entry.counter = counter;
-    entry.since = now;
-    m_table.put(entry);
-    m_queue.push(makeUpdate(entry, true));
-    actions.changed = true;
-    sendGossip(m_options.gossipFanout, actions);
-    return actions;
+    return announceSelf(now, std::move(entry));
 }
 
 MembershipActions Membership::supersede(TimePoint now, Incarnation other)
 {
-    MembershipActions actions;
     MemberEntry entry = self();
+    entry.member.incarnation = Incarnation(other.value() + 1);
+    return announceSelf(now, std::move(entry));
+}
+
+/// Puts a new record of this daemon into the table and sends it to some members.
+MembershipActions Membership::announceSelf(TimePoint now, MemberEntry entry)
+{
+    MembershipActions actions;
     ++entry.counter;
     entry.member.counter = entry.counter;
-    entry.member.incarnation = Incarnation(other.value() + 1);
     entry.since = now;
     m_table.put(entry);
     m_queue.push(makeUpdate(entry, true));
--- a/src/coordination/membership/internal/membership.h
+++ b/src/coordination/membership/internal/membership.h
@@ -64,6 +64,7 @@
     bool isAcceptable(const MemberUpdate &update, const MemberEntry *known) const;
     void setHealth(TimePoint now, MemberEntry entry, MemberHealth health,
                    MembershipActions &actions);
+    MembershipActions announceSelf(TimePoint now, MemberEntry entry);
     void refute(std::uint64_t counter);
     const MemberEntry &self() const { return *m_table.find(m_self); }
 
--- a/src/transport/tests/mocks/simulatedeventloop.h
+++ b/src/transport/tests/mocks/simulatedeventloop.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <exception>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -13,6 +11,7 @@
 #include "transport/internal/fiberscheduler.h"
 #include "transport/internal/fiberwaiter.h"
 #include "transport/internal/timerqueue.h"
+#include "transport/tests/mocks/taskfailures.h"
 
 namespace ivyspar {
 
@@ -49,21 +48,14 @@
     void cancelTimer(TimerId id) override { m_timers.cancel(id); }
     bool runGuarded(const std::function<void()> &task) override
     {
-        try {
-            task();
-            return true;
-        } catch (const std::exception &error) {
-            failures.emplace_back(error.what());
-            return false;
-        }
+        return failures.runGuarded(task);
     }
     void setFailureHandler(std::function<void(const std::string &)> /*handler*/) override { }
     void run() override { }
     void stop() override { }
     void endFibers() override { }
 
-    /// Texts of exceptions that escaped tasks.
-    std::vector<std::string> failures;
+    TaskFailures failures;
 
     void runFor(Duration duration)
     {
