Read again: the membership driver kept seeds that nothing read any more

Since a daemon supersedes a newer record in place, the driver no longer joins anew, and its own list of seeds was dead state. Behaviour is as before.

--- a/src/app/internal/control/membershipdriver.cpp
+++ b/src/app/internal/control/membershipdriver.cpp
@@ -49,7 +49,6 @@
 void MembershipDriver::addSeed(const MembershipSeed &seed)
 {
     if (seed.endpoint != m_self.peerEndpoint) {
-        m_seeds[seed.endpoint] = seed.domain;
         perform(m_membership->addSeed(m_loop.now(), seed));
     }
 }
--- a/src/app/internal/control/membershipdriver.h
+++ b/src/app/internal/control/membershipdriver.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,7 +60,6 @@
     ControlEvents m_events;
     TimePoint m_startedAt;
     std::optional<TimePoint> m_supersededAt;
-    std::map<Endpoint, DomainName> m_seeds;
     std::unique_ptr<IMembership> m_membership;
     std::vector<Member> m_availableMembers;
     TimerId m_timer;
