--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -21,6 +21,10 @@
 /// The time until all machines know all servers.
 constexpr int SETTLE_MS = 4000;
 constexpr std::size_t MEGABYTE = 1000 * 1000;
+/// The bound `contact` of the settings.
+constexpr int CONTACT_MS = 3000;
+/// The time after which processes that were killed are back and their machines in touch again.
+constexpr int RESTARTED_MS = 8000;
 
 const Route READ{ "read", "read.example", "/read/", "safe", "beta", 5000, 2 };
 const Route BOOK{ "book", "book.example", "/book/", "unsafe", "alpha", 5000, 2 };
@@ -366,6 +370,146 @@
     return verdict;
 }
 
+/// A request that ends each server that begins to run it, and comes again and again.
+class DeadlyRequest
+{
+public:
+    explicit DeadlyRequest(Record &record)
+        : m_record(record)
+    {
+    }
+
+    /// Sends it at `daemon`, in a thread of its own.
+    void send(Daemon &daemon)
+    {
+        const std::string id = makeId();
+        m_sentAt[id] = nowMs();
+        m_threads.emplace_back([this, &daemon, id] {
+            Socket socket = connectTo(daemon.outbound(), 1000);
+            std::string buffer;
+            const ClientResult result = ask(socket, buffer,
+                                            formatRequest("POST", PAY.prefix + DEADLY,
+                                                          { { "Host", PAY.host },
+                                                            { "X-Ivyspar-Attempt-Id", id },
+                                                            { "X-Ivyspar-Deadline-Ms", "5000" } },
+                                                          "one"),
+                                            10'000);
+            m_record.write(
+                concat({ "client of the deadly request at ", daemon.plan().name, ": id ", id, ", ",
+                         toText(result.read), ", status ", std::to_string(result.answer.status) }));
+        });
+    }
+
+    void onCrash() { m_crashedAt.push_back(nowMs()); }
+    std::size_t crashes() const { return m_crashedAt.size(); }
+
+    /// How often it reached a server, sent later than `contact` after it had crashed the third.
+    int lateRuns(const std::string &recordPath)
+    {
+        for (std::thread &thread : m_threads) {
+            thread.join();
+        }
+        constexpr std::size_t THIRD = 2;
+        if (m_crashedAt.size() <= THIRD) {
+            return 0;
+        }
+        std::ifstream lines(recordPath);
+        std::string line;
+        int late = 0;
+        while (std::getline(lines, line)) {
+            const std::size_t at = line.find(" id ");
+            if (line.find("runs POST " + PAY.prefix + DEADLY) == std::string::npos) {
+                continue;
+            }
+            const auto sent = m_sentAt.find(line.substr(at + 4, 16));
+            late += sent != m_sentAt.end() && sent->second > m_crashedAt[THIRD] + CONTACT_MS;
+        }
+        return late;
+    }
+
+private:
+    Record &m_record;
+    std::map<std::string, std::int64_t> m_sentAt;
+    std::vector<std::int64_t> m_crashedAt;
+    std::vector<std::thread> m_threads;
+};
+
+/// Case 8: all daemons are killed at once after a request has been found to crash servers.
+int forgetQuarantine(Record &record, const std::string &recordPath)
+{
+    Deployment deployment(daemonProgram(), record);
+    bool isGood = deployment.startStore(makeManifest(7, { PAY }, { "beta" }, CONNECTIONS));
+    for (const char *zone : { "zone-a", "zone-b", "zone-a" }) {
+        isGood = deployment.add("beta", zone, SLOTS, {}) != nullptr && isGood;
+    }
+    if (!isGood || !deployment.waitReady()) {
+        return EXIT_NOT_RUN;
+    }
+    std::vector<std::unique_ptr<ServerProcess>> servers;
+    for (const auto &machine : deployment.machines()) {
+        const Daemon &daemon = *machine->daemon;
+        servers.push_back(std::make_unique<ServerProcess>("beta", daemon.plan().app,
+                                                          daemon.control(), recordPath, record));
+        servers.back()->start();
+    }
+    deployment.startWatch();
+    sleepMs(SETTLE_MS);
+    DeadlyRequest deadly(record);
+    const auto watchFor = [&](int millis) {
+        for (const std::int64_t end = nowMs() + millis; nowMs() < end; sleepMs(10)) {
+            for (const auto &server : servers) {
+                if (server->watch()) {
+                    deadly.onCrash();
+                }
+            }
+        }
+    };
+    const auto come = [&](int times) {
+        for (const auto &machine : deployment.machines()) {
+            deadly.send(*machine->daemon);
+        }
+        for (int i = 0; i < times; ++i) {
+            watchFor(5000);
+            deadly.send(*deployment.machines()[i % 3]->daemon);
+            deadly.send(*deployment.machines()[(i + 1) % 3]->daemon);
+        }
+        watchFor(5000);
+    };
+    Ledger ledger;
+    KeptClients others;
+    const std::int64_t end = nowMs() + 74'000;
+    for (const auto &machine : deployment.machines()) {
+        others.add(4, *machine->daemon, PAY, end, ledger, record);
+    }
+    watchFor(3000);
+    come(5);
+    record.write("the deadly request has crashed " + std::to_string(deadly.crashes())
+                 + " servers so far");
+    for (const auto &machine : deployment.machines()) {
+        if (hasTrouble()) {
+            record.write("platform: kills " + machine->daemon->plan().name);
+            machine->daemon->signal(SIGKILL);
+        }
+    }
+    watchFor(RESTARTED_MS);
+    come(6);
+    const int late = deadly.lateRuns(recordPath);
+    others.join();
+    servers.clear();
+    deployment.stop();
+    const std::string text = "verdict: the deadly request crashed "
+        + std::to_string(deadly.crashes()) + " servers; sent over 3 s after the third, it reached "
+        + std::to_string(late) + " (bound 3); other requests answered 200: "
+        + std::to_string(ledger.answers(200)) + ", 502: " + std::to_string(ledger.answers(502));
+    record.write(text);
+    std::puts(text.c_str());
+    constexpr int BOUND = 3;
+    if (ledger.answers(200) == 0) {
+        return EXIT_NOT_RUN;
+    }
+    return late > BOUND ? EXIT_BROKEN : EXIT_HELD;
+}
+
 int runCase(const std::string &number, Record &record, const std::string &recordPath)
 {
     if (number == "4") {
@@ -380,6 +524,9 @@
     if (number == "7") {
         return answerLarge(record);
     }
+    if (number == "8") {
+        return forgetQuarantine(record, recordPath);
+    }
     return EXIT_NOT_RUN;
 }
 
--- a/review/standin-2/net.cpp
+++ b/review/standin-2/net.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstring>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -130,6 +131,16 @@
     }
 }
 
+std::uint16_t offeredPort(const std::string &ip)
+{
+    const int descriptor = openBound({ ip, 0 });
+    sockaddr_in native{};
+    socklen_t size = sizeof native;
+    ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&native), &size);
+    ::close(descriptor);
+    return ntohs(native.sin_port);
+}
+
 } // namespace
 
 Socket::Socket(int descriptor)
@@ -221,12 +232,14 @@
 
 std::uint16_t freePort(const std::string &ip)
 {
-    const int descriptor = openBound({ ip, 0 });
-    sockaddr_in native{};
-    socklen_t size = sizeof native;
-    ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&native), &size);
-    ::close(descriptor);
-    return ntohs(native.sin_port);
+    // The kernel may offer the same port twice before somebody listens there.
+    static std::set<std::uint16_t> given;
+    while (true) {
+        const std::uint16_t port = offeredPort(ip);
+        if (given.insert(port).second) {
+            return port;
+        }
+    }
 }
 
 bool isFree(const Address &address)
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 #include <random>
 #include <sstream>
@@ -25,6 +26,8 @@
 /// Where the daemons show their metrics, as in the deploy file.
 constexpr std::uint16_t METRICS_PORT = 9464;
 constexpr char JSON_TYPE[] = "application/json";
+/// When the record began, for the processes that write to the same one.
+constexpr char START_VARIABLE[] = "REVIEW_START_MS";
 
 std::string bigEndian(std::uint64_t value, std::size_t count)
 {
@@ -66,8 +69,17 @@
 } // namespace
 
 Record::Record(const std::string &path, bool isShared)
-    : m_file(path, isShared ? std::ios::app : std::ios::trunc)
 {
+    if (isShared) {
+        const char *start = std::getenv(START_VARIABLE);
+        m_start = start ? std::atoll(start) : m_start;
+    } else {
+        ::setenv(START_VARIABLE, std::to_string(m_start).c_str(), 1);
+        m_file.open(path, std::ios::trunc);
+        m_file.close();
+    }
+    // Servers that are processes of their own append to the same file.
+    m_file.open(path, std::ios::app);
 }
 
 void Record::write(const std::string &line)
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -22,7 +22,7 @@
 class Record
 {
 public:
-    /// Appends if another process writes to it as well.
+    /// `isShared`: another process has begun the file.
     explicit Record(const std::string &path, bool isShared = false);
 
     void write(const std::string &line);
--- a/review/standin-2/serverprocess.cpp
+++ b/review/standin-2/serverprocess.cpp
@@ -18,6 +18,8 @@
 /// One answer in this many has no length.
 constexpr std::uint64_t UNFRAMED_ONE_IN = 20;
 constexpr int WORK_MS = 400;
+/// How long a server that has ended by itself is away.
+constexpr int DOWN_MS = 2000;
 
 Address parseAddress(const std::string &text)
 {
@@ -91,6 +93,21 @@
     }
 }
 
+bool ServerProcess::watch()
+{
+    if (m_process > 0 && ::waitpid(m_process, nullptr, WNOHANG) == m_process) {
+        m_process = 0;
+        m_restartAt = nowMs() + DOWN_MS;
+        m_record.write("server at " + m_app.text() + " has crashed");
+        return true;
+    }
+    if (m_process == 0 && m_restartAt > 0 && nowMs() >= m_restartAt) {
+        m_restartAt = 0;
+        start();
+    }
+    return false;
+}
+
 std::string wholeBody(const std::string &id)
 {
     std::string body;
@@ -110,6 +127,9 @@
     Record record(argv[6], true);
     Server server(argv[2], argv[3], parseAddress(argv[4]), parseAddress(argv[5]), SLOTS, record);
     const auto answer = [&server, &record](ServerRequest &request) {
+        if (request.message.target.find(DEADLY) != std::string::npos) {
+            std::_Exit(1);
+        }
         if (isUnframed(request.id)) {
             record.write("server: answers id " + request.id + " without a length");
             return answerUnframed(request);
