Memory: one bound for all requests and responses in a daemon

Cause: each message had a limit, and nothing bounded their sum. A body was also copied for each attempt, send and answer, and freed blocks stayed resident, as the allocator raises its threshold with each large block.

Change: HttpBody shares its bytes between copies. A response without room makes the largest that is still arriving yield (502); a request without room gets 503 with Retry-After before it is handled. Large blocks are returned to the system when freed.

Why it works: a response without end is the largest before long, so it is the one that is cut, and what is held never exceeds the bound.

Ruled out: waiting for room. A body is handed on whole, so one that waits keeps what it has, and sound responses wait behind those without end.

--- a/bench/transportbench.cpp
+++ b/bench/transportbench.cpp
@@ -190,7 +190,7 @@
         m_pair.client.run([this] { m_client = makeHttpClient(m_pair.client.loop(), {}); });
         m_request.method = "POST";
         m_request.target = "/echo";
-        m_request.body.assign(PAYLOAD_BYTES, 'x');
+        m_request.body = std::string(PAYLOAD_BYTES, 'x');
     }
 
     ~HttpEcho()
--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -318,6 +318,9 @@
     metrics.set(Gauge::PipelinedRequests, static_cast<std::int64_t>(traffic.pipelines.inProgress));
     metrics.set(Gauge::PipelinedBytes, static_cast<std::int64_t>(traffic.pipelines.bytes));
     countPipelines(traffic.pipelines);
+    metrics.set(Gauge::RequestBytes, static_cast<std::int64_t>(traffic.requestBodies.bytes));
+    metrics.set(Gauge::ResponseBytes, static_cast<std::int64_t>(traffic.responseBodies.bytes));
+    countDropped(traffic);
     metrics.set(Gauge::PeerLinks, static_cast<std::int64_t>(traffic.links));
     if (m_configuration) {
         const auto age =
@@ -367,17 +370,28 @@
 
 void ControlNode::countPipelines(const PipelineStats &stats)
 {
-    // The figures are zero if the traffic thread did not answer in time.
-    const auto count = [this](Counter counter, std::uint64_t &counted, std::uint64_t value) {
-        if (value > counted) {
-            m_observers.metrics.add(counter, value - counted);
-            counted = value;
-        }
-    };
-    count(Counter::PipelinedStarts, m_countedPipelines.started, stats.started);
-    count(Counter::PipelinedTurnWaits, m_countedPipelines.waitedForTurn, stats.waitedForTurn);
-    count(Counter::PipelinedOrderWaits, m_countedPipelines.waitedForOrder, stats.waitedForOrder);
-    count(Counter::PipelinedLimitWaits, m_countedPipelines.waitedForLimit, stats.waitedForLimit);
+    countUpTo(Counter::PipelinedStarts, m_countedPipelines.started, stats.started);
+    countUpTo(Counter::PipelinedTurnWaits, m_countedPipelines.waitedForTurn, stats.waitedForTurn);
+    countUpTo(Counter::PipelinedOrderWaits, m_countedPipelines.waitedForOrder,
+              stats.waitedForOrder);
+    countUpTo(Counter::PipelinedLimitWaits, m_countedPipelines.waitedForLimit,
+              stats.waitedForLimit);
+}
+
+void ControlNode::countDropped(const TrafficStatus &traffic)
+{
+    countUpTo(Counter::RequestBodiesDropped, m_countedRequestDrops, traffic.requestBodies.dropped);
+    countUpTo(Counter::ResponseBodiesDropped, m_countedResponseDrops,
+              traffic.responseBodies.dropped);
+}
+
+/// The figures are zero if the traffic thread did not answer in time.
+void ControlNode::countUpTo(Counter counter, std::uint64_t &counted, std::uint64_t value)
+{
+    if (value > counted) {
+        m_observers.metrics.add(counter, value - counted);
+        counted = value;
+    }
 }
 
 HttpResponse ControlNode::answerStatus()
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -90,6 +90,9 @@
     HttpResponse answerLift(const HttpRequest &request);
     TrafficStatus fetchTraffic();
     void countPipelines(const PipelineStats &stats);
+    void countDropped(const TrafficStatus &traffic);
+    /// Adds to the counter what it lacks.
+    void countUpTo(Counter counter, std::uint64_t &counted, std::uint64_t value);
     void onMembers(std::vector<Member> members);
 
     IEventLoop &m_loop;
@@ -118,6 +121,8 @@
     TimePoint m_configuredAt;
     /// The figures that the metrics already contain.
     PipelineStats m_countedPipelines;
+    std::uint64_t m_countedRequestDrops = 0;
+    std::uint64_t m_countedResponseDrops = 0;
     bool m_isUnready = false;
 };
 
--- a/src/app/internal/control/statusdocument.cpp
+++ b/src/app/internal/control/statusdocument.cpp
@@ -218,6 +218,10 @@
     document["caller_connections"] = status.traffic.callerConnections;
     document["pipelined_requests"] = status.traffic.pipelines.inProgress;
     document["pipelined_bytes"] = status.traffic.pipelines.bytes;
+    document["request_bytes"] = status.traffic.requestBodies.bytes;
+    document["response_bytes"] = status.traffic.responseBodies.bytes;
+    document["message_bytes_limit"] =
+        status.traffic.requestBodies.limit + status.traffic.responseBodies.limit;
     // Change ids come from the log: invalid UTF-8 in one must not fail the whole response.
     return document.dump(2, ' ', false, Json::error_handler_t::replace) + '\n';
 }
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <utility>
 
+#include <malloc.h>
+
 #include "app/daemon.h"
 #include "app/daemonlogs.h"
 #include "app/internal/crashreport.h"
@@ -26,6 +28,14 @@
         static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(now).count()));
 }
 
+/// Returns large blocks to the system when they are freed. By default the threshold grows with the
+/// blocks that are freed, and the bodies of one large transfer would stay resident for good.
+void limitRetainedMemory()
+{
+    constexpr int LARGE_BLOCK_BYTES = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+}
+
 sigset_t handledSignals()
 {
     sigset_t signals;
@@ -355,6 +365,7 @@
     // Before any thread starts, so that all threads inherit the mask and only sigtimedwait receives
     // these signals.
     holdSignals();
+    limitRetainedMemory();
     installCrashReport(settings.id);
     const auto metrics = makeMetrics();
     LogSettings logSettings;
--- a/src/app/internal/entry/peercalls.cpp
+++ b/src/app/internal/entry/peercalls.cpp
@@ -4,12 +4,21 @@
 
 namespace ivyspar {
 
+namespace {
+
+/// Time after which a call that had no room may be repeated.
+constexpr Duration NO_ROOM_RETRY_AFTER = std::chrono::seconds(1);
+
+} // namespace
+
 PeerCalls::PeerCalls(IEventLoop &loop, IPeerNetwork &network, const IPeerCodec &codec,
-                     IGateService &gates, Observers observers, DaemonIdentity self)
+                     IGateService &gates, IBodyBudget &bodies, Observers observers,
+                     DaemonIdentity self)
     : m_loop(loop)
     , m_network(network)
     , m_codec(codec)
     , m_gates(gates)
+    , m_bodies(bodies)
     , m_observers(observers)
     , m_self(std::move(self))
 {
@@ -314,6 +323,14 @@
         m_network.close(link);
         return;
     }
+    if (!hold(message.request.body)) {
+        ResponseMessage refusal;
+        refusal.verdict = { Outcome::NotRun, Reason::QueueFull, NO_ROOM_RETRY_AFTER };
+        refusal.unspent = message.granted;
+        refusal.load = m_gates.load(message.service);
+        answerInbound(key, std::move(refusal));
+        return;
+    }
     m_inbound.emplace(key, CallId());
     const CallId call =
         m_gates.handle(std::move(message), CallSource::Link, [this, key](ResponseMessage answer) {
@@ -325,6 +342,17 @@
     }
 }
 
+bool PeerCalls::hold(HttpBody &body)
+{
+    if (body.empty()) {
+        return true;
+    }
+    const BodyChargePtr charge = m_bodies.open(MessageKind::Request, {});
+    const bool hasRoom = charge->resize(body.size());
+    body.setCharge(charge);
+    return hasRoom;
+}
+
 void PeerCalls::answerInbound(const InboundKey &key, ResponseMessage answer)
 {
     m_inbound.erase(key);
@@ -339,6 +367,8 @@
     if (found == m_attempts.end() || found->second.isLocal || found->second.link != link) {
         return;
     }
+    message.response.body.setCharge(
+        m_bodies.adopt(MessageKind::Response, message.response.body.size()));
     const StreamId stream = message.stream;
     endAttempt(stream, AttemptAnswer{ std::move(message), true });
 }
--- a/src/app/internal/entry/peercalls.h
+++ b/src/app/internal/entry/peercalls.h
@@ -10,6 +10,7 @@
 #include "app/internal/entry/icallsender.h"
 #include "app/internal/gate/igateservice.h"
 #include "app/internal/logs/observers.h"
+#include "coordination/memory/ibodybudget.h"
 #include "protocol/ipeercodec.h"
 #include "state/member.h"
 #include "transport/ieventloop.h"
@@ -33,8 +34,9 @@
     using OnControl = std::function<void(ControlMessage)>;
     using OnUnreachable = std::function<void(DaemonId)>;
 
+    /// `bodies` counts the messages that arrive over links.
     PeerCalls(IEventLoop &loop, IPeerNetwork &network, const IPeerCodec &codec, IGateService &gates,
-              Observers observers, DaemonIdentity self);
+              IBodyBudget &bodies, Observers observers, DaemonIdentity self);
     ~PeerCalls() override;
 
     void setMembers(const std::vector<Member> &members);
@@ -95,6 +97,8 @@
     void transmit(StreamId stream, LinkId link, std::string frame);
     void endAttempt(StreamId stream, AttemptAnswer answer);
     void endWithoutAnswer(StreamId stream, Outcome outcome, Reason reason);
+    /// Counts the body of a request; false if there is no room for it.
+    bool hold(HttpBody &body);
     void receive(LinkId link, HelloMessage &message);
     void receive(LinkId link, CallMessage &message);
     void receive(LinkId link, ResponseMessage &message);
@@ -108,6 +112,7 @@
     IPeerNetwork &m_network;
     const IPeerCodec &m_codec;
     IGateService &m_gates;
+    IBodyBudget &m_bodies;
     Observers m_observers;
     DaemonIdentity m_self;
     OnControl m_onControl;
--- a/src/app/internal/gate/runresult.cpp
+++ b/src/app/internal/gate/runresult.cpp
@@ -16,6 +16,7 @@
     case HttpFailureCause::Cancelled:
         return Reason::Cancelled;
     case HttpFailureCause::Broken:
+    case HttpFailureCause::NoRoom:
         return Reason::BrokenAnswer;
     case HttpFailureCause::NoConnection:
         return Reason::QueueFull;
--- a/src/app/internal/settings/daemonsettings.cpp
+++ b/src/app/internal/settings/daemonsettings.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint64_t MAX_BODY_BYTES = 64 * 1024 * 1024;
 constexpr std::uint64_t MAX_PIPELINED_REQUESTS = 100;
 constexpr std::uint64_t MAX_IN_FLIGHT = 1'000'000;
+constexpr std::uint64_t BYTES_PER_MIB = 1024 * 1024;
+constexpr std::uint64_t MIN_MEMORY_MB = 64;
+constexpr std::uint64_t MAX_MEMORY_MB = 1024 * 1024;
 constexpr Duration MAX_LOG_RETENTION = hours(24 * 365);
 
 struct LogLevelName
@@ -108,6 +111,8 @@
         limits.pipelinedRequests = m_values.count(
             "max_pipelined_requests", FLAGS_max_pipelined_requests, 1, MAX_PIPELINED_REQUESTS);
         limits.inFlight = m_values.count("max_in_flight", FLAGS_max_in_flight, 1, MAX_IN_FLIGHT);
+        limits.memoryBytes = BYTES_PER_MIB
+            * m_values.count("max_memory_mb", FLAGS_max_memory_mb, MIN_MEMORY_MB, MAX_MEMORY_MB);
     }
 
     void readAblations()
@@ -271,6 +276,7 @@
         "max_body_bytes",
         "max_pipelined_requests",
         "max_in_flight",
+        "max_memory_mb",
         "balance_domains",
         "log_level",
         "decision_log",
--- a/src/app/internal/settings/flags.cpp
+++ b/src/app/internal/settings/flags.cpp
@@ -38,6 +38,8 @@
 DEFINE_bool(balance_domains, false,
             "Divides calls between failure domains by their demand and capacity.");
 DEFINE_uint64(max_in_flight, 10000, "Maximum number of requests of callers in flight.");
+DEFINE_uint64(max_memory_mb, 512,
+              "Memory that the daemon may use, in MiB; half of it is for requests and responses.");
 DEFINE_string(log_level, "info", "trace, debug, info, warn, error or off.");
 DEFINE_string(decision_log, "",
               "File for the decision log, one JSON object per line; - is standard output.");
--- a/src/app/internal/settings/flags.h
+++ b/src/app/internal/settings/flags.h
@@ -26,6 +26,7 @@
 DECLARE_uint64(max_pipelined_requests);
 DECLARE_bool(balance_domains);
 DECLARE_uint64(max_in_flight);
+DECLARE_uint64(max_memory_mb);
 DECLARE_string(log_level);
 DECLARE_string(decision_log);
 DECLARE_string(ready_file);
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -18,7 +18,11 @@
 /// Part of the drain time that is reserved for closing connections.
 constexpr Duration CLOSING_TIME = std::chrono::milliseconds(200);
 
-HttpClientLimits makeClientLimits(const DaemonSettings &settings, const IUpstreamDialect &dialect)
+/// The rest of the memory is for everything else, and for copies that are made in passing.
+constexpr std::size_t BODY_MEMORY_DIVISOR = 2;
+
+HttpClientLimits makeClientLimits(const DaemonSettings &settings, const IUpstreamDialect &dialect,
+                                  const BodyBudgetPtr &bodies)
 {
     HttpClientLimits limits;
     limits.echoHeader = dialect.echoHeader();
@@ -27,6 +31,7 @@
     limits.acceptsUnframedResponses = !limits.echoHeader.empty();
     limits.reusesAfterUnavailable = !limits.echoHeader.empty();
     limits.bodyBytes = settings.limits.bodyBytes;
+    limits.bodyBudget = bodies;
     return limits;
 }
 
@@ -107,7 +112,8 @@
     , m_reportDialect(platform.makeReportDialect())
     , m_random(makeRandom())
     , m_codec(std::make_unique<PeerCodec>())
-    , m_client(makeHttpClient(loop, makeClientLimits(settings, *m_upstreamDialect)))
+    , m_bodies(makeBodyBudget(settings.limits.memoryBytes / BODY_MEMORY_DIVISOR))
+    , m_client(makeHttpClient(loop, makeClientLimits(settings, *m_upstreamDialect, m_bodies)))
     , m_network(makePeerNetwork(loop))
     , m_router(makeRouter(makeRouterOptions(settings)))
     , m_retries(makeRetryPolicy(makeRetryOptions(settings)))
@@ -152,8 +158,8 @@
 
 void TrafficNode::makePeers(const DaemonIdentity &self, Observers observers)
 {
-    m_peerCalls =
-        std::make_unique<PeerCalls>(m_loop, *m_network, *m_codec, *m_gates, observers, self);
+    m_peerCalls = std::make_unique<PeerCalls>(m_loop, *m_network, *m_codec, *m_gates, *m_bodies,
+                                              observers, self);
     m_peerCalls->setOnControl(m_events.onControlMessage);
     m_peerCalls->setOnUnreachable(m_events.onUnreachable);
     m_entry = std::make_unique<EntryService>(
@@ -173,6 +179,7 @@
     limits.connections = m_settings.limits.connections;
     limits.headerBytes = m_settings.limits.headerBytes;
     limits.bodyBytes = m_settings.limits.bodyBytes;
+    limits.bodyBudget = m_bodies;
     return limits;
 }
 
@@ -277,6 +284,8 @@
     status.links = m_network->linkCount();
     status.callerConnections = m_callerServer->connectionCount();
     status.pipelines = m_callerServer->pipelineStats();
+    status.requestBodies = m_bodies->usage(MessageKind::Request);
+    status.responseBodies = m_bodies->usage(MessageKind::Response);
     status.suspects = m_quarantine->status();
     status.accounts = m_accounts->statuses();
     status.balance = m_balance->overview();
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -16,6 +16,7 @@
 #include "app/iplatform.h"
 #include "app/readyfile.h"
 #include "app/settings.h"
+#include "coordination/memory/ibodybudget.h"
 #include "state/configuration.h"
 #include "state/member.h"
 #include "transport/ieventloop.h"
@@ -44,6 +45,8 @@
     std::size_t links = 0;
     std::size_t callerConnections = 0;
     PipelineStats pipelines;
+    BodyUsage requestBodies;
+    BodyUsage responseBodies;
     std::vector<SuspectStatus> suspects;
     std::vector<AccountStatus> accounts;
     BalanceOverview balance;
@@ -112,6 +115,7 @@
     std::unique_ptr<IReportDialect> m_reportDialect;
     std::unique_ptr<IRandom> m_random;
     std::unique_ptr<IPeerCodec> m_codec;
+    BodyBudgetPtr m_bodies;
     std::unique_ptr<IHttpClient> m_client;
     std::unique_ptr<IPeerNetwork> m_network;
     std::unique_ptr<IRouter> m_router;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -27,6 +27,8 @@
     std::size_t pipelinedRequests = 1;
     /// Requests of callers in flight at a time.
     std::size_t inFlight = 0;
+    /// Memory that the process may use. Half of it is for requests and responses.
+    std::size_t memoryBytes = 0;
 };
 
 /// Limit of retries per service, shared by all daemons.
--- a/src/app/tests/peercallstest.cpp
+++ b/src/app/tests/peercallstest.cpp
@@ -15,6 +15,7 @@
 const DaemonId SELF("self");
 const DaemonId PEER("peer");
 const Endpoint PEER_ENDPOINT{ "127.0.0.1", 9 };
+constexpr std::size_t BODY_BUDGET = 1024 * 1024;
 
 } // namespace
 
@@ -25,6 +26,7 @@
     PeerCodec codec;
     FakeGateService gates;
     SilentObservers silent;
+    BodyBudgetPtr bodies = makeBodyBudget(BODY_BUDGET);
     std::unique_ptr<PeerCalls> calls;
     std::vector<AttemptAnswer> answers;
     std::vector<DaemonId> unreachable;
@@ -32,7 +34,7 @@
     void setup() override
     {
         calls =
-            std::make_unique<PeerCalls>(loop, network, codec, gates, silent.observers(),
+            std::make_unique<PeerCalls>(loop, network, codec, gates, *bodies, silent.observers(),
                                         DaemonIdentity{ SELF, Incarnation(1), DomainName("a") });
         calls->setOnUnreachable(
             [this](DaemonId daemon) { unreachable.push_back(std::move(daemon)); });
--- a/src/app/tests/trafficnodetest.cpp
+++ b/src/app/tests/trafficnodetest.cpp
@@ -53,7 +53,7 @@
         m_settings.peerListen = ownLoopback();
         m_settings.logEndpoints = { { "127.0.0.1", 1 } };
         m_settings.heartbeatTimeout = 3s;
-        m_settings.limits = { 100, 16 * 1024, 16 * 1024, 1, 100 };
+        m_settings.limits = { 100, 16 * 1024, 16 * 1024, 1, 100, 64 * 1024 * 1024 };
     }
     void teardown() override
     {
--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -206,7 +206,7 @@
         .add(message.request.method)
         .add(message.request.target);
     addHeaders(writer, message.request.headers);
-    writer.add(message.request.body);
+    writer.add(message.request.body.text());
     addOnce(writer, message.once);
     writer.add(message.fingerprint).add(message.account);
     addNotice(writer, message.notice);
@@ -236,7 +236,7 @@
     addUsage(writer, message.usage);
     writer.add(message.holder).add(std::uint64_t(message.response.status));
     addHeaders(writer, message.response.headers);
-    writer.add(message.response.body);
+    writer.add(message.response.body.text());
     addNotice(writer, message.notice);
     writer.add(message.verdict.reason == Reason::RateLimited);
     writer.add(message.load.speed);
@@ -296,6 +296,13 @@
     reader.read(once->ticket);
 }
 
+void readBody(FieldReader &reader, HttpBody &body)
+{
+    std::string bytes;
+    reader.read(bytes);
+    body = std::move(bytes);
+}
+
 CallMessage readCall(FieldReader &reader)
 {
     CallMessage message;
@@ -312,7 +319,7 @@
     reader.read(message.request.method);
     reader.read(message.request.target);
     readHeaders(reader, message.request.headers);
-    reader.read(message.request.body);
+    readBody(reader, message.request.body);
     readOnce(reader, message.once);
     if (!reader.isAtEnd()) {
         reader.read(message.fingerprint);
@@ -342,7 +349,7 @@
     reader.read(message.holder);
     reader.read(message.response.status);
     readHeaders(reader, message.response.headers);
-    reader.read(message.response.body);
+    readBody(reader, message.response.body);
     readNotice(reader, message.notice);
     bool isRateLimited = false;
     if (!reader.isAtEnd()) {
--- a/src/state/http.h
+++ b/src/state/http.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "state/httpbody.h"
+
 namespace ivyspar {
 
 struct HttpHeader
@@ -18,14 +20,14 @@
     /// Path and query.
     std::string target;
     std::vector<HttpHeader> headers;
-    std::string body;
+    HttpBody body;
 };
 
 struct HttpResponse
 {
     std::uint16_t status = 200;
     std::vector<HttpHeader> headers;
-    std::string body;
+    HttpBody body;
 };
 
 /// Whether a response of this status reports a failure of the server.
--- a/src/state/imetrics.h
+++ b/src/state/imetrics.h
@@ -51,6 +51,7 @@
     PeerFramesMalformed,
     PeerBytesSent,
     PeerBytesReceived,
+    PeerResponsesUnsent,
     PeerLinksOpened,
     PeerLinksLost,
     DatagramsSent,
@@ -70,6 +71,8 @@
     LogLinesDropped,
     UncaughtExceptions,
     ResponsesUndelivered,
+    RequestBodiesDropped,
+    ResponseBodiesDropped,
     Count, ///< Number of values above.
 };
 
@@ -87,6 +90,8 @@
     CallerConnections,
     PipelinedRequests,
     PipelinedBytes,
+    RequestBytes,
+    ResponseBytes,
     PeerLinks,
     ActiveAccounts,
     SuspectRequests,
--- a/src/state/internal/metricnames.cpp
+++ b/src/state/internal/metricnames.cpp
@@ -58,6 +58,8 @@
     { "ivyspar_peer_bytes_total", "direction=\"sent\"",
       "Bytes on peer links before compression, by direction." },
     { "ivyspar_peer_bytes_total", "direction=\"received\"", "" },
+    { "ivyspar_peer_responses_unsent_total", "",
+      "Responses for other daemons that did not fit into a frame or a link's send buffer." },
     { "ivyspar_peer_links_opened_total", "", "Peer links that this daemon opened." },
     { "ivyspar_peer_links_lost_total", "", "Peer links that ended unplanned." },
     { "ivyspar_datagrams_total", "direction=\"sent\"", "Datagrams between daemons, by direction." },
@@ -83,6 +85,9 @@
       "Exceptions that ended a task of this daemon; each is a fault of it." },
     { "ivyspar_responses_undelivered_total", "",
       "Responses that did not reach a caller who was still there." },
+    { "ivyspar_messages_dropped_total", "kind=\"request\"",
+      "Messages dropped because the memory for requests and responses was used up." },
+    { "ivyspar_messages_dropped_total", "kind=\"response\"", "" },
 };
 
 constexpr MetricDescription GAUGES[] = {
@@ -103,6 +108,9 @@
     { "ivyspar_pipelined_requests", "",
       "Unanswered requests that were started before their turn." },
     { "ivyspar_pipelined_bytes", "", "Bytes held and reserved for these requests." },
+    { "ivyspar_message_bytes", "kind=\"request\"",
+      "Bytes of requests and responses held by this daemon." },
+    { "ivyspar_message_bytes", "kind=\"response\"", "" },
     { "ivyspar_peer_links", "", "Open links to other daemons." },
     { "ivyspar_active_accounts", "",
       "Client accounts that compete for capacity, once for each service and priority." },
--- a/src/state/tests/fingerprinttest.cpp
+++ b/src/state/tests/fingerprinttest.cpp
@@ -37,7 +37,7 @@
     };
     CHECK(isOther([](HttpRequest &request) { request.method = "PUT"; }));
     CHECK(isOther([](HttpRequest &request) { request.target = "/pages/1"; }));
-    CHECK(isOther([](HttpRequest &request) { request.body += ' '; }));
+    CHECK(isOther([](HttpRequest &request) { request.body += " "; }));
     CHECK(isOther([](HttpRequest &request) { request.headers.front().value = "other"; }));
 }
 
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -7,6 +7,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "coordination/memory/ibodybudget.h"
 #include "state/endpoint.h"
 #include "state/http.h"
 #include "state/result.h"
@@ -25,6 +26,7 @@
     Cancelled,
     Broken, ///< The connection closed, or the response was truncated or malformed.
     NoConnection, ///< The connection limit of this endpoint is reached.
+    NoRoom, ///< The response did not fit into the memory for bodies.
 };
 
 struct HttpFailure
@@ -82,6 +84,8 @@
     std::size_t connectionsPerEndpoint = 64;
     std::size_t headerBytes = 64 * 1024;
     std::size_t bodyBytes = 1024 * 1024;
+    /// Counts the responses. May be null.
+    BodyBudgetPtr bodyBudget;
     Duration connectTimeout = std::chrono::seconds(1);
     /// Name of a header that servers echo from the request. A response with a different value
     /// belongs to another request and is discarded. A request that is sent again with the same
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 
+#include "coordination/memory/ibodybudget.h"
 #include "state/connectiontally.h"
 #include "state/endpoint.h"
 #include "state/http.h"
@@ -31,6 +32,8 @@
     /// their responses until those before them are sent. Reaching one delays further requests.
     std::size_t pipelinedConnectionBytes = 1024 * 1024;
     std::size_t pipelinedServerBytes = 16 * 1024 * 1024;
+    /// Counts the requests. A request that has no room gets 503 before it is handled. May be null.
+    BodyBudgetPtr bodyBudget;
 };
 
 /// Figures about requests that clients send before earlier ones of their connection are answered.
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -26,6 +26,8 @@
         return "the response header exceeds the size limit";
     case HttpParseStatus::BodyTooLarge:
         return "the response body exceeds the size limit";
+    case HttpParseStatus::NoRoom:
+        return "the response does not fit into the memory for bodies";
     default:
         return "the response is malformed or has no length";
     }
@@ -149,7 +151,7 @@
 {
     const bool isFirst = m_send.earlierRequests == 0;
     m_connection.carried.add(m_client.loop().now(), m_echo, m_end);
-    const auto error = m_connection.stream->write(m_head, m_request.body, m_send.sentBytes);
+    const auto error = m_connection.stream->write(m_head, m_request.body.text(), m_send.sentBytes);
     if (m_abortCause || (error && m_send.sentBytes == 0)) {
         return fail(HttpFailureCause::Broken, "failed to send the request: " + error.message());
     }
@@ -219,7 +221,7 @@
     ++m_receivedResponses;
     const HttpClientLimits &limits = m_client.limits();
     HttpResponseParser parser({ limits.headerBytes, limits.bodyBytes }, m_request.method != "HEAD",
-                              limits.acceptsUnframedResponses);
+                              limits.acceptsUnframedResponses, openCharge());
     HttpParseStatus status = HttpParseStatus::NeedMore;
     while (true) {
         std::size_t consumed = 0;
@@ -239,19 +241,29 @@
         }
     }
     if (status != HttpParseStatus::Done) {
-        return fail(HttpFailureCause::Broken, textFor(status));
+        const bool hasRoom = status != HttpParseStatus::NoRoom;
+        return fail(hasRoom ? HttpFailureCause::Broken : HttpFailureCause::NoRoom, textFor(status));
     }
     m_isReusable = parser.isKeepAlive() && m_connection.stream->input().empty()
         && (limits.reusesAfterUnavailable || parser.response().status != STATUS_UNAVAILABLE);
     return std::move(parser.response());
 }
 
+/// A response that has grown larger than the others is dropped when there is no room.
+BodyChargePtr HttpClientExchange::openCharge()
+{
+    const BodyBudgetPtr &budget = m_client.limits().bodyBudget;
+    return budget ? budget->open(MessageKind::Response, [this] { abort(HttpFailureCause::NoRoom); })
+                  : nullptr;
+}
+
 HttpResult HttpClientExchange::fail(HttpFailureCause cause, std::string text) const
 {
     HttpFailure failure;
     failure.stage = m_send.sentBytes == 0 ? HttpFailureStage::NotSent : HttpFailureStage::MaybeSent;
     failure.cause = m_abortCause.value_or(cause);
-    failure.text = std::move(text);
+    const bool hasYielded = m_abortCause == HttpFailureCause::NoRoom;
+    failure.text = hasYielded ? textFor(HttpParseStatus::NoRoom) : std::move(text);
     failure.hasConnectionEnded = m_hasConnectionEnded;
     return tl::unexpected<HttpFailure>(std::move(failure));
 }
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -45,6 +45,7 @@
     ResponseOrigin originOf(const HttpResult &result) const;
     /// One response, which may be an interim (1xx) one. Sets `m_isReusable`.
     HttpResult receiveOne();
+    BodyChargePtr openCharge();
     bool canRetryOnNewConnection(const HttpResult &result) const;
     HttpResult fail(HttpFailureCause cause, std::string text) const;
     /// Takes the connection for the next send and starts the report of it.
--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint16_t STATUS_INTERNAL_ERROR = 500;
 constexpr std::uint16_t STATUS_UNAVAILABLE = 503;
 
+/// Time after which a client may repeat a request that had no room.
+constexpr char RETRY_AFTER_SECONDS[] = "1";
+
 constexpr ResponseFraming CLOSING{ false, false, false };
 
 constexpr Duration LINGER_TIME = std::chrono::seconds(1);
@@ -27,6 +30,8 @@
         return STATUS_HEADER_TOO_LARGE;
     case HttpParseStatus::BodyTooLarge:
         return STATUS_PAYLOAD_TOO_LARGE;
+    case HttpParseStatus::NoRoom:
+        return STATUS_UNAVAILABLE;
     default:
         return STATUS_BAD_REQUEST;
     }
@@ -44,7 +49,7 @@
     case STATUS_INTERNAL_ERROR:
         return "Internal error.\n";
     case STATUS_UNAVAILABLE:
-        return "Too many connections.\n";
+        return "Too many connections or request bodies.\n";
     default:
         return "The request is malformed.\n";
     }
@@ -55,6 +60,9 @@
     HttpResponse response;
     response.status = status;
     response.headers.push_back({ "Content-Type", "text/plain" });
+    if (status == STATUS_UNAVAILABLE) {
+        response.headers.push_back({ "Retry-After", RETRY_AFTER_SECONDS });
+    }
     response.body = textFor(status);
     return response;
 }
@@ -217,7 +225,8 @@
     const HttpLimits &limits = m_server->limits();
     std::size_t consumed = 0;
     const HttpParseStatus status =
-        m_reader.read(m_stream->input(), { limits.headerBytes, limits.bodyBytes }, consumed);
+        m_reader.read(m_stream->input(), { limits.headerBytes, limits.bodyBytes },
+                      limits.bodyBudget.get(), consumed);
     m_stream->consume(consumed);
     return status;
 }
@@ -417,7 +426,7 @@
 {
     const std::string head = formatResponseHead(response, framing);
     const bool hasBody = hasResponseBody(response, framing);
-    return write(head, hasBody ? std::string_view(response.body) : std::string_view());
+    return write(head, hasBody ? std::string_view(response.body.text()) : std::string_view());
 }
 
 bool HttpConnection::write(std::string_view head, std::string_view body)
--- a/src/transport/internal/httplogservice.cpp
+++ b/src/transport/internal/httplogservice.cpp
@@ -39,7 +39,7 @@
 {
     switch (response.status) {
     case STATUS_CREATED: {
-        const Json body = Json::parse(response.body, nullptr, false);
+        const Json body = Json::parse(response.body.text(), nullptr, false);
         const auto offset =
             body.is_object() ? unsignedField<std::uint64_t>(body, "offset") : std::nullopt;
         if (!offset) {
--- a/src/transport/internal/httpparser.cpp
+++ b/src/transport/internal/httpparser.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ostream>
 #include <string>
+#include <utility>
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -25,11 +26,12 @@
 template <bool isRequest> class MessageParser : public http::basic_parser<isRequest>
 {
 public:
-    MessageParser(const HttpParseLimits &limits, std::vector<HttpHeader> &headers,
-                  std::string &body)
+    MessageParser(const HttpParseLimits &limits, std::vector<HttpHeader> &headers, HttpBody &body,
+                  BodyChargePtr charge)
         : m_limits(limits)
         , m_headers(headers)
         , m_body(body)
+        , m_charge(std::move(charge))
     {
         this->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         this->body_limit(limits.bodyBytes);
@@ -48,7 +50,7 @@
             consumed += count;
             m_headerBytes += wasInHeader ? count : 0;
         }
-        return status(error, input.size() - consumed);
+        return hold(status(error, input.size() - consumed));
     }
 
     bool expectsContinue() const { return m_expectsContinue && this->is_header_done(); }
@@ -62,10 +64,31 @@
         }
         ErrorCode error;
         this->put_eof(error);
-        return error ? HttpParseStatus::Malformed : HttpParseStatus::Done;
+        return hold(error ? HttpParseStatus::Malformed : HttpParseStatus::Done);
     }
 
 private:
+    /// Counts the bytes of the message so far, and completes its body if it is whole.
+    HttpParseStatus hold(HttpParseStatus status)
+    {
+        const bool isSound = status == HttpParseStatus::NeedMore || status == HttpParseStatus::Done;
+        if (isSound && m_charge && !m_charge->resize(m_headerBytes + m_bytes.size())) {
+            return HttpParseStatus::NoRoom;
+        }
+        if (status == HttpParseStatus::Done) {
+            completeBody();
+        }
+        return status;
+    }
+
+    void completeBody()
+    {
+        if (m_charge) {
+            m_charge->complete();
+        }
+        m_body = HttpBody(std::move(m_bytes), std::exchange(m_charge, {}));
+    }
+
     HttpParseStatus status(const ErrorCode &error, std::size_t leftBytes) const
     {
         if (error == http::error::header_limit) {
@@ -127,12 +150,12 @@
     void on_body_init_impl(const boost::optional<std::uint64_t> &length,
                            ErrorCode & /*error*/) override // NOLINT
     {
-        m_body.reserve(std::min(length.value_or(0), MAX_RESERVED_BYTES));
+        m_bytes.reserve(std::min(length.value_or(0), MAX_RESERVED_BYTES));
     }
 
     std::size_t on_body_impl(string_view body, ErrorCode & /*error*/) override // NOLINT
     {
-        m_body.append(body.data(), body.size());
+        m_bytes.append(body.data(), body.size());
         return body.size();
     }
 
@@ -144,7 +167,7 @@
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view body,
                                    ErrorCode & /*error*/) override // NOLINT
     {
-        m_body.append(body.data(), body.size());
+        m_bytes.append(body.data(), body.size());
         return body.size();
     }
 
@@ -154,7 +177,10 @@
 
     HttpParseLimits m_limits;
     std::vector<HttpHeader> &m_headers;
-    std::string &m_body;
+    HttpBody &m_body;
+    BodyChargePtr m_charge;
+    /// Of the body, until it is complete.
+    std::string m_bytes;
     std::string m_connection;
     std::size_t m_headerBytes = 0;
     bool m_expectsContinue = false;
@@ -177,8 +203,8 @@
 
 struct HttpRequestParser::Private : RequestHolder, MessageParser<true>
 {
-    explicit Private(const HttpParseLimits &limits)
-        : MessageParser<true>(limits, m_request.headers, m_request.body)
+    Private(const HttpParseLimits &limits, BodyChargePtr charge)
+        : MessageParser<true>(limits, m_request.headers, m_request.body, std::move(charge))
     {
     }
 
@@ -198,8 +224,8 @@
     int m_version = 0;
 };
 
-HttpRequestParser::HttpRequestParser(const HttpParseLimits &limits)
-    : m_p(std::make_unique<Private>(limits))
+HttpRequestParser::HttpRequestParser(const HttpParseLimits &limits, BodyChargePtr charge)
+    : m_p(std::make_unique<Private>(limits, std::move(charge)))
 {
 }
 
@@ -233,8 +259,8 @@
 
 struct HttpResponseParser::Private : ResponseHolder, MessageParser<false>
 {
-    Private(const HttpParseLimits &limits, bool hasBody)
-        : MessageParser<false>(limits, m_response.headers, m_response.body)
+    Private(const HttpParseLimits &limits, bool hasBody, BodyChargePtr charge)
+        : MessageParser<false>(limits, m_response.headers, m_response.body, std::move(charge))
     {
         skip(!hasBody);
     }
@@ -245,15 +271,15 @@
     }
 
     void on_response_impl(int status, string_view /*reason*/, int /*version*/,
-                          ErrorCode & /*error*/) override // NOLINT
+                          ErrorCode &error) override // NOLINT
     {
         m_response.status = static_cast<std::uint16_t>(status);
     }
 };
 
 HttpResponseParser::HttpResponseParser(const HttpParseLimits &limits, bool hasBody,
-                                       bool acceptsUnframed)
-    : m_p(std::make_unique<Private>(limits, hasBody))
+                                       bool acceptsUnframed, BodyChargePtr charge)
+    : m_p(std::make_unique<Private>(limits, hasBody, std::move(charge)))
 {
     if (acceptsUnframed) {
         m_p->takeUnframed();
--- a/src/transport/internal/httpparser.h
+++ b/src/transport/internal/httpparser.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string_view>
 
+#include "coordination/memory/ibodybudget.h"
 #include "state/http.h"
 
 namespace ivyspar {
@@ -14,6 +15,7 @@
     HeaderTooLarge,
     BodyTooLarge,
     Malformed, ///< Also a message whose end is indistinguishable from a lost connection.
+    NoRoom, ///< The message does not fit into the memory for bodies.
 };
 
 struct HttpParseLimits
@@ -27,7 +29,8 @@
 class HttpRequestParser
 {
 public:
-    explicit HttpRequestParser(const HttpParseLimits &limits);
+    /// Counts the bytes of the request by `charge`, unless that is null.
+    explicit HttpRequestParser(const HttpParseLimits &limits, BodyChargePtr charge = nullptr);
     ~HttpRequestParser();
     HttpRequestParser(const HttpRequestParser &) = delete;
     HttpRequestParser &operator=(const HttpRequestParser &) = delete;
@@ -52,8 +55,10 @@
 {
 public:
     /// `hasBody` is false for the response to a HEAD request. With `acceptsUnframed` a body without
-    /// length is read until `finish`.
-    HttpResponseParser(const HttpParseLimits &limits, bool hasBody, bool acceptsUnframed = false);
+    /// length is read until `finish`. Counts the bytes of the response by `charge`, unless that is
+    /// null.
+    HttpResponseParser(const HttpParseLimits &limits, bool hasBody, bool acceptsUnframed = false,
+                       BodyChargePtr charge = nullptr);
     ~HttpResponseParser();
     HttpResponseParser(const HttpResponseParser &) = delete;
     HttpResponseParser &operator=(const HttpResponseParser &) = delete;
--- a/src/transport/internal/httprequestreader.cpp
+++ b/src/transport/internal/httprequestreader.cpp
@@ -5,14 +5,15 @@
 namespace ivyspar {
 
 HttpParseStatus HttpRequestReader::read(std::string_view input, const HttpParseLimits &limits,
-                                        std::size_t &consumed)
+                                        IBodyBudget *budget, std::size_t &consumed)
 {
     consumed = 0;
     if (hasEnded()) {
         return m_status;
     }
     if (!m_parser) {
-        m_parser = std::make_unique<HttpRequestParser>(limits);
+        m_parser = std::make_unique<HttpRequestParser>(
+            limits, budget ? budget->open(MessageKind::Request, {}) : nullptr);
     }
     m_status = m_parser->put(input, consumed);
     m_bytes += consumed;
--- a/src/transport/internal/httprequestreader.h
+++ b/src/transport/internal/httprequestreader.h
@@ -29,7 +29,8 @@
     /// Whether the request is complete or has an error: `read` takes no more input.
     bool hasEnded() const { return m_status != HttpParseStatus::NeedMore; }
     /// Sets `consumed` to the number of bytes read. Further input belongs to the next request.
-    HttpParseStatus read(std::string_view input, const HttpParseLimits &limits,
+    /// Requests are counted by `budget`, which may be null.
+    HttpParseStatus read(std::string_view input, const HttpParseLimits &limits, IBodyBudget *budget,
                          std::size_t &consumed);
     bool expectsContinue() const { return m_parser && m_parser->expectsContinue(); }
     /// Bytes read of the current request.
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -405,7 +405,7 @@
     makeClient();
     HttpRequest request = makeGet("/");
     request.method = "POST";
-    request.body.assign(64 * 1024 * 1024, 'x');
+    request.body = std::string(64 * 1024 * 1024, 'x');
     HttpResult result;
     m_runner.run([&] { m_cancellation = HttpCancellationPtr(new HttpCancellation); });
     auto done = m_runner.start(
@@ -522,7 +522,7 @@
     });
     HttpRequest request = makeGet("/");
     request.method = "POST";
-    request.body.assign(1024 * 1024, 'x');
+    request.body = std::string(1024 * 1024, 'x');
     const HttpResult result = exchange(request);
     m_runner.run([&] { server.reset(); });
     CHECK(result.has_value());
@@ -712,6 +712,42 @@
     }
 }
 
+// Guards against responses without end whose sum exhausts the memory, and against one that costs
+// the other exchanges theirs.
+TEST(HttpClient, ResponsesWithoutEndStayWithinTheBudget)
+{
+    constexpr std::size_t BUDGET = 8 * 1024 * 1024;
+    constexpr int ENDLESS = 10;
+    const std::string sound(BUDGET / 64, 's');
+    m_limits.bodyBytes = 4 * BUDGET;
+    m_limits.bodyBudget = makeBodyBudget(BUDGET);
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    makeClient();
+    std::vector<std::future<void>> exchanges;
+    std::vector<HttpResult> results(ENDLESS);
+    for (HttpResult &result : results) {
+        servers.push_back(std::make_unique<ScriptedServer>());
+        servers.back()->run([](RawSocket &listener) {
+            RawSocket peer = listener.accept();
+            peer.readUntil(HEAD_END);
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (peer.send("3e8\r\n" + std::string(1000, 'x') + "\r\n")) { }
+        });
+        exchanges.push_back(m_runner.start([&, endpoint = servers.back()->endpoint()] {
+            result = m_client->exchange(endpoint, makeGet("/"), seconds(20), {});
+        }));
+    }
+    STRCMP_EQUAL(sound.c_str(), resultOf(makeResponse(sound))->body.c_str());
+    for (std::future<void> &each : exchanges) {
+        each.wait();
+    }
+    servers.clear();
+    for (const HttpResult &result : results) {
+        checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::NoRoom);
+    }
+    LONGS_EQUAL(0, m_limits.bodyBudget->usage(MessageKind::Response).bytes);
+}
+
 // Guards against a response without end, in its head or its body, that exhausts the memory or is
 // read until the timeout.
 TEST(HttpClient, ResponseWithoutEndIsAFailure)
--- a/src/transport/tests/httpservertest.cpp
+++ b/src/transport/tests/httpservertest.cpp
@@ -30,7 +30,7 @@
 HttpResponse echo(const HttpRequest &request)
 {
     HttpResponse response;
-    response.body = request.method + ' ' + request.target + ' ' + request.body;
+    response.body = request.method + ' ' + request.target + ' ' + request.body.text();
     for (const auto &header : request.headers) {
         response.body += '|' + header.name + '=' + header.value;
     }
@@ -282,7 +282,7 @@
     m_limits.sendTimeout = milliseconds(20);
     listen([](IHttpExchange &) {
         HttpResponse response;
-        response.body.assign(BODY_BYTES, 'x');
+        response.body = std::string(BODY_BYTES, 'x');
         return response;
     });
     RawSocket client = connect();
--- a/standins/history/trial.cpp
+++ b/standins/history/trial.cpp
@@ -151,7 +151,7 @@
 {
     const auto answer = exchangeBlocking(m_deployment->upstreamControl(),
                                          { "GET", "/arrivals", {}, {} }, CONTROL_TIMEOUT);
-    std::istringstream lines(answer ? answer->body : std::string());
+    std::istringstream lines(answer ? answer->body.text() : std::string());
     std::string name;
     for (std::uint64_t count = 0; lines >> name >> count;) {
         if (name == server) {
@@ -166,7 +166,7 @@
     const auto answer = exchangeBlocking(m_deployment->upstreamControl(),
                                          { "GET", "/starts", {}, {} }, CONTROL_TIMEOUT);
     std::vector<StartedWork> starts;
-    std::istringstream lines(answer ? answer->body : std::string());
+    std::istringstream lines(answer ? answer->body.text() : std::string());
     StartedWork start;
     while (lines >> start.server >> start.service >> start.path >> start.token) {
         starts.push_back(start);
--- a/standins/load/loadgenerator.cpp
+++ b/standins/load/loadgenerator.cpp
@@ -169,7 +169,7 @@
         record.result = isOwn ? LoadResult::Completed : LoadResult::Wrong;
         return true;
     }
-    record.trouble = std::to_string(result->status) + ' ' + result->body;
+    record.trouble = std::to_string(result->status) + ' ' + result->body.text();
     const std::string *outcome = findHeader(result->headers, headers::OUTCOME);
     const bool isNotRun = outcome && *outcome == "not-run";
     record.result = isNotRun ? LoadResult::Refused : LoadResult::Failed;
--- a/standins/upstream/upstreamserver.cpp
+++ b/standins/upstream/upstreamserver.cpp
@@ -231,7 +231,8 @@
         }
         HttpResponse below = callBelow(call, token, current);
         if (below.status != OK) {
-            return makeText(BAD_GATEWAY, "a call to " + call.service + " failed: " + below.body);
+            return makeText(BAD_GATEWAY,
+                            "a call to " + call.service + " failed: " + below.body.text());
         }
         answer += below.body;
     }
--- a/tests/process/atmostoncetest.cpp
+++ b/tests/process/atmostoncetest.cpp
@@ -66,7 +66,7 @@
         const auto answer = exchangeBlocking(m_trial->host(entry).caller,
                                              { "POST", "/tickets", {}, {} }, seconds(5));
         CHECK(answer && answer->status == 201);
-        return answer->body.substr(0, answer->body.find('\n'));
+        return answer->body.text().substr(0, answer->body.text().find('\n'));
     }
 };
 
