Quarantine: records of suspects outlive a restart of all daemons

Cause: what has to outlive all daemons was kept by gossip alone.

Change: SuspectArchive decides what the platform's store has to hold: records of requests that were in progress at two crashes or more and have not completed since. SuspectStore reads a keyed stream at the start, before a configuration is used and so before the first request passes, and before each write.

Ruled out: writing at the first crash. Each crash makes suspects of all requests in progress there, and most of them complete elsewhere.

--- a/src/app/internal/control/controlnode.cpp
+++ b/src/app/internal/control/controlnode.cpp
@@ -67,6 +67,7 @@
     }
     makeConfigurationDriver(platform);
     makeDirectory(platform);
+    makeSuspectStore(platform);
 }
 
 ControlNode::~ControlNode() = default;
@@ -121,6 +122,39 @@
         [this] { return m_membership.availableMembers().size(); });
 }
 
+void ControlNode::makeSuspectStore(const IPlatform &platform)
+{
+    if (m_settings.streams.suspects.value().empty() || m_settings.ablations.quarantine) {
+        return;
+    }
+    m_suspectLog = makeKeyedLog(platform);
+    SuspectStoreSettings store;
+    store.stream = m_settings.streams.suspects;
+    m_suspects = std::make_unique<SuspectStore>(
+        store, m_loop, *m_suspectLog, *m_random, m_observers,
+        [this](std::vector<SuspectRecord> stored, const SuspectStore::OnSynced &onSynced) {
+            m_traffic.syncSuspects(
+                std::move(stored), [this, onSynced](SuspectStoreChanges changes) {
+                    m_loop.post([onSynced, changes = std::move(changes)] { onSynced(changes); });
+                });
+        },
+        [this] { return m_membership.availableMembers().size(); }, [this] { onSuspectsRead(); });
+}
+
+void ControlNode::onSuspectsRead()
+{
+    if (const auto use = std::exchange(m_useHeldConfiguration, {})) {
+        use();
+    }
+}
+
+void ControlNode::onUnsavedSuspects()
+{
+    if (m_suspects) {
+        m_suspects->onUnsaved();
+    }
+}
+
 std::unique_ptr<IKeyedLog> ControlNode::makeKeyedLog(const IPlatform &platform)
 {
     return std::make_unique<InstrumentedLog>(platform.makeKeyedLog(m_loop, m_settings), m_loop,
@@ -189,6 +223,9 @@
     if (m_directory) {
         m_directory->start();
     }
+    if (m_suspects) {
+        m_suspects->start();
+    }
     m_configurationDriver->start();
 }
 
@@ -217,6 +254,9 @@
     if (m_directory) {
         m_directory->stop();
     }
+    if (m_suspects) {
+        m_suspects->stop();
+    }
     m_readinessServer->drain(timeout);
     m_operatorServer->drain(timeout);
 }
@@ -240,9 +280,17 @@
     }
 }
 
+/// No request is passed on before the records of suspects were read: after a restart of all daemons
+/// a request in quarantine would crash servers again.
 void ControlNode::useConfiguration(const ConfigurationPtr &configuration,
                                    const ConfigurationOrigin &origin)
 {
+    if (m_suspects && !m_suspects->wasRead()) {
+        m_useHeldConfiguration = [this, configuration, origin] {
+            useConfiguration(configuration, origin);
+        };
+        return;
+    }
     m_configuration = configuration;
     m_configuredAt = m_loop.now();
     m_recorder.recordConfiguration(configuration->version, origin);
--- a/src/app/internal/control/controlnode.h
+++ b/src/app/internal/control/controlnode.h
@@ -10,6 +10,7 @@
 #include "app/internal/control/iconfigurationdriver.h"
 #include "app/internal/control/memberdirectory.h"
 #include "app/internal/control/membershipdriver.h"
+#include "app/internal/control/suspectstore.h"
 #include "app/internal/logs/observers.h"
 #include "app/internal/trafficnode.h"
 #include "app/iplatform.h"
@@ -34,6 +35,10 @@
     std::function<void(DaemonId, std::string)> receiveSuspects;
     std::function<void(DaemonId, std::string)> receiveAccounts;
     std::function<void(DaemonId, std::string)> receiveBalance;
+    /// Merges the records of suspects in the platform's store. The callback runs on the traffic
+    /// thread, with what is to be written there.
+    std::function<void(std::vector<SuspectRecord>, std::function<void(SuspectStoreChanges)>)>
+        syncSuspects;
     /// Number of daemons that the platform's member directory lists.
     std::function<void(std::size_t)> setDirectorySize;
     /// The configuration in force was confirmed as the newest one as of that time.
@@ -62,6 +67,8 @@
     void receive(const ControlMessage &message);
     /// Sends a payload of the traffic thread to another daemon.
     void send(const DaemonId &to, std::string payload) { m_exchange.send(to, std::move(payload)); }
+    /// There are records of suspects that the platform's store lacks.
+    void onUnsavedSuspects();
     void onUnreachable(const DaemonId &daemon) { m_membership.onUnreachable(daemon); }
     /// From now on health checks are answered with 503.
     void setUnready() { m_isUnready = true; }
@@ -76,6 +83,8 @@
 private:
     void makeConfigurationDriver(const IPlatform &platform);
     void makeDirectory(const IPlatform &platform);
+    void makeSuspectStore(const IPlatform &platform);
+    void onSuspectsRead();
     ControlSend makeSend();
     std::unique_ptr<IKeyedLog> makeKeyedLog(const IPlatform &platform);
     RetVal<Endpoint> listenAt(IHttpServer &server, const Endpoint &endpoint);
@@ -113,8 +122,13 @@
     std::unique_ptr<IKeyedLog> m_configurationLog;
     std::unique_ptr<IKeyedLog> m_configurationWatchLog;
     std::unique_ptr<IKeyedLog> m_directoryLog;
+    std::unique_ptr<IKeyedLog> m_suspectLog;
     std::unique_ptr<IConfigurationDriver> m_configurationDriver;
     std::unique_ptr<MemberDirectory> m_directory;
+    /// Null where the platform has no stream for it.
+    std::unique_ptr<SuspectStore> m_suspects;
+    /// A configuration that is not used before the records of suspects were read.
+    std::function<void()> m_useHeldConfiguration;
     std::unique_ptr<IHttpServer> m_operatorServer;
     std::unique_ptr<IHttpServer> m_readinessServer;
     ConfigurationPtr m_configuration;
--- a/src/app/internal/control/instrumentedlog.cpp
+++ b/src/app/internal/control/instrumentedlog.cpp
@@ -24,10 +24,10 @@
     return recordRead(startedAt, m_log->read(stream, from, wait));
 }
 
-Ret InstrumentedLog::put(const StreamName &stream, const KeyedRecord &record)
+Ret InstrumentedLog::put(const StreamName &stream, const std::vector<KeyedRecord> &records)
 {
     const TimePoint startedAt = m_loop.now();
-    Ret written = m_log->put(stream, record);
+    Ret written = m_log->put(stream, records);
     m_metrics.observe(Timing::LogAppend, elapsedSince(startedAt));
     m_metrics.add(written ? Counter::LogAppends : Counter::LogAppendFailures);
     return written;
--- a/src/app/internal/control/instrumentedlog.h
+++ b/src/app/internal/control/instrumentedlog.h
@@ -16,7 +16,7 @@
 
     RetVal<KeyedPage> newest(const StreamName &stream) override;
     RetVal<KeyedPage> read(const StreamName &stream, LogOffset from, Duration wait) override;
-    Ret put(const StreamName &stream, const KeyedRecord &record) override;
+    Ret put(const StreamName &stream, const std::vector<KeyedRecord> &records) override;
     void cancel() override { m_log->cancel(); }
 
 private:
--- a/src/app/internal/control/memberdirectory.cpp
+++ b/src/app/internal/control/memberdirectory.cpp
@@ -119,8 +119,8 @@
 
 Ret MemberDirectory::registerSelf()
 {
-    Ret written = m_log.put(
-        m_settings.stream, KeyedRecord{ m_settings.self.value(), formatSeed(m_settings.selfSeed) });
+    Ret written = m_log.put(m_settings.stream,
+                            { { m_settings.self.value(), formatSeed(m_settings.selfSeed) } });
     if (written) {
         m_isRegistered = true;
     }
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -221,6 +221,9 @@
             control.send(to, payload);
         });
     };
+    events.onUnsavedSuspects = [this] {
+        postToControl([](ControlNode &control) { control.onUnsavedSuspects(); });
+    };
     return events;
 }
 
@@ -261,6 +264,11 @@
             traffic.receiveBalance(from, payload);
         });
     };
+    port.syncSuspects = [this](std::vector<SuspectRecord> stored,
+                               std::function<void(SuspectStoreChanges)> callback) {
+        postToTraffic([stored = std::move(stored), callback = std::move(callback)](
+                          TrafficNode &traffic) { callback(traffic.syncSuspects(stored)); });
+    };
     port.setDirectorySize = [this](std::size_t daemons) {
         postToTraffic([daemons](TrafficNode &traffic) { traffic.setDirectorySize(daemons); });
     };
--- a/src/app/internal/quarantine/quarantineservice.cpp
+++ b/src/app/internal/quarantine/quarantineservice.cpp
@@ -28,6 +28,7 @@
     , m_options(options)
     , m_table(makeSuspectTable(options.table))
     , m_gossip(*m_table, random)
+    , m_archive(*m_table)
 {
 }
 
@@ -58,6 +59,7 @@
     std::vector<Fingerprint> changed;
     const OutgoingSuspectMessages sends = m_gossip.receive(m_loop.now(), from, *message, changed);
     for (const Fingerprint &fingerprint : changed) {
+        m_mayBeUnsaved = m_mayBeUnsaved || m_crashedHere.count(fingerprint) > 0;
         onChanged(fingerprint);
     }
     sendAll(sends);
@@ -65,6 +67,18 @@
     armCompare();
 }
 
+SuspectStoreChanges QuarantineService::syncStore(const std::vector<SuspectRecord> &stored)
+{
+    if (!m_options.isOn) {
+        return {};
+    }
+    for (const Fingerprint &fingerprint : m_archive.load(m_loop.now(), stored)) {
+        onChanged(fingerprint);
+    }
+    armCompare();
+    return m_archive.changes();
+}
+
 bool QuarantineService::lift(const Fingerprint &fingerprint)
 {
     const bool isKnown = m_table->lift(m_loop.now(), fingerprint);
@@ -117,6 +131,7 @@
 void QuarantineService::recordCrash(const Fingerprint &fingerprint, const Crash &crash)
 {
     if (m_options.isOn && m_table->addCrash(m_loop.now(), fingerprint, crash)) {
+        m_crashedHere.insert(fingerprint);
         onLocalUpdate(fingerprint);
     }
 }
@@ -141,11 +156,22 @@
 void QuarantineService::onLocalUpdate(const Fingerprint &fingerprint)
 {
     m_gossip.addLocalUpdate(fingerprint);
+    m_mayBeUnsaved = true;
     onChanged(fingerprint);
     armFlush();
     armCompare();
 }
 
+/// The daemons whose servers crashed write the records at once; all others check the store from
+/// time to time.
+void QuarantineService::reportUnsaved()
+{
+    const bool mayBeUnsaved = std::exchange(m_mayBeUnsaved, false);
+    if (mayBeUnsaved && m_onUnsaved && !m_archive.changes().isEmpty()) {
+        m_onUnsaved();
+    }
+}
+
 void QuarantineService::onChanged(const Fingerprint &fingerprint)
 {
     addUntriedKinds(fingerprint);
@@ -204,6 +230,7 @@
     m_flushTimer = m_loop.callLater(m_options.flushDelay, [this] {
         m_isFlushArmed = false;
         sendAll(m_gossip.flush());
+        reportUnsaved();
     });
 }
 
@@ -220,6 +247,9 @@
 {
     m_isCompareArmed = false;
     m_table->expire(m_loop.now());
+    for (auto it = m_crashedHere.begin(); it != m_crashedHere.end();) {
+        it = m_table->find(*it) ? std::next(it) : m_crashedHere.erase(it);
+    }
     for (auto it = m_quarantined.begin(); it != m_quarantined.end();) {
         it = m_table->find(*it) ? std::next(it) : m_quarantined.erase(it);
     }
--- a/src/app/internal/quarantine/quarantineservice.h
+++ b/src/app/internal/quarantine/quarantineservice.h
@@ -9,6 +9,7 @@
 #include "app/internal/logs/observers.h"
 #include "app/internal/quarantine/iquarantine.h"
 #include "coordination/quarantine/isuspecttable.h"
+#include "coordination/quarantine/suspectarchive.h"
 #include "coordination/quarantine/suspectgossip.h"
 #include "state/irandom.h"
 #include "state/member.h"
@@ -53,6 +54,10 @@
     void receive(const DaemonId &from, const std::string &payload);
     /// Lifts the quarantine of the fingerprint. False if there is no record of it.
     bool lift(const Fingerprint &fingerprint);
+    /// Called when there are records that the store lacks, after a crash of a server of this host.
+    void setOnUnsaved(std::function<void()> onUnsaved) { m_onUnsaved = std::move(onUnsaved); }
+    /// Merges all records of the store. Returns what is to be written there.
+    SuspectStoreChanges syncStore(const std::vector<SuspectRecord> &stored);
     /// Records of requests that are still suspects, the most severe first.
     std::vector<SuspectStatus> status() const;
 
@@ -68,6 +73,7 @@
     void onLocalUpdate(const Fingerprint &fingerprint);
     void onChanged(const Fingerprint &fingerprint);
     void addUntriedKinds(const Fingerprint &fingerprint);
+    void reportUnsaved();
     void logQuarantineChange(const Fingerprint &fingerprint);
     void armFlush();
     void armCompare();
@@ -80,6 +86,11 @@
     QuarantineOptions m_options;
     std::unique_ptr<ISuspectTable> m_table;
     SuspectGossip m_gossip;
+    SuspectArchive m_archive;
+    std::function<void()> m_onUnsaved;
+    /// Requests that were in progress when a server of this host crashed.
+    std::set<Fingerprint> m_crashedHere;
+    bool m_mayBeUnsaved = false;
     ISuspectListener *m_listener = nullptr;
     std::set<ServerKind> m_servers;
     /// Requests whose quarantine has been logged, and whose end has not.
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -135,6 +135,7 @@
     }
     m_quarantine = std::make_unique<QuarantineService>(
         loop, *m_random, observers, m_events.onOutgoingPayload, makeQuarantineOptions(settings));
+    m_quarantine->setOnUnsaved(m_events.onUnsavedSuspects);
     m_accounts =
         std::make_unique<AccountService>(loop, *m_random, confirmation, observers,
                                          m_events.onOutgoingPayload, makeAccountOptions(settings));
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -34,6 +34,8 @@
     std::function<void(DaemonId)> onUnreachable;
     /// A control payload to send to another daemon.
     std::function<void(DaemonId, std::string)> onOutgoingPayload;
+    /// There are records of suspects that the platform's store lacks.
+    std::function<void()> onUnsavedSuspects;
 };
 
 /// Figures of the traffic thread for `/status`.
@@ -73,6 +75,11 @@
     void sendControl(const DaemonId &target, const Endpoint &endpoint, std::string payload);
     /// Handles a control payload of another daemon about suspect requests.
     void receiveSuspects(const DaemonId &from, const std::string &payload);
+    /// Merges the records of suspects in the platform's store. Returns what is to be written there.
+    SuspectStoreChanges syncSuspects(const std::vector<SuspectRecord> &stored)
+    {
+        return m_quarantine->syncStore(stored);
+    }
     void setDirectorySize(std::size_t daemons) { m_accounts->setDirectorySize(daemons); }
     /// Handles a control payload of another daemon about limits of client accounts.
     void receiveAccounts(const DaemonId &from, const std::string &payload);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -50,6 +50,8 @@
     std::string configurationKey;
     /// Directory in which daemons register to be discovered by others.
     StreamName members;
+    /// Records of requests that crash servers.
+    StreamName suspects;
 };
 
 /// Policies that are disabled to measure their effect. Not for production.
--- a/src/app/tests/controlchanneltest.cpp
+++ b/src/app/tests/controlchanneltest.cpp
@@ -106,7 +106,7 @@
     FakeKeyedLog &inner = *fake;
     InstrumentedLog log(std::move(fake), loop, observers.metrics());
     const StreamName stream("s");
-    CHECK(log.put(stream, { "k", "v" }).has_value());
+    CHECK(log.put(stream, { { "k", "v" } }).has_value());
     CHECK_EQUAL(1, log.newest(stream)->records.size());
     CHECK_EQUAL(1, log.read(stream, LogOffset(0), Duration::zero())->records.size());
     inner.isDown = true;
--- a/src/app/tests/mocks/fakekeyedlog.h
+++ b/src/app/tests/mocks/fakekeyedlog.h
@@ -89,9 +89,14 @@
         return page;
     }
 
-    Ret put(const StreamName &stream, const KeyedRecord &record) override
+    Ret put(const StreamName &stream, const std::vector<KeyedRecord> &records) override
     {
-        write(stream, record.key, record.value);
+        if (isDown) {
+            return makeError(ErrorCode::Unavailable, "down");
+        }
+        for (const KeyedRecord &record : records) {
+            write(stream, record.key, record.value);
+        }
         if (onPut) {
             onPut();
         }
--- a/src/app/tests/mocks/simulatedlog.h
+++ b/src/app/tests/mocks/simulatedlog.h
@@ -50,9 +50,9 @@
     {
         return call(from, wait);
     }
-    Ret put(const StreamName & /*stream*/, const KeyedRecord &record) override
+    Ret put(const StreamName & /*stream*/, const std::vector<KeyedRecord> &records) override
     {
-        m_stream.records.push_back(record);
+        m_stream.records.insert(m_stream.records.end(), records.begin(), records.end());
         return {};
     }
     void cancel() override
--- a/src/coordination/quarantine/internal/suspecttable.cpp
+++ b/src/coordination/quarantine/internal/suspecttable.cpp
@@ -1,22 +1,14 @@
 #include "coordination/quarantine/internal/suspecttable.h"
 
 #include <algorithm>
-#include <string>
 #include <tuple>
 
-#include <xxhash.h>
-
 namespace ivyspar {
 
 namespace {
 
 using Kinds = std::vector<ServerKind>;
 
-bool hasCompleted(const SuspectRecord &record, const ServerKind &kind)
-{
-    return std::binary_search(record.completed.begin(), record.completed.end(), kind);
-}
-
 /// Keeps the kinds sorted. False if the kind is present already.
 bool addKind(Kinds &kinds, const ServerKind &kind)
 {
@@ -85,27 +77,6 @@
                       [](const Crash &crash) { return crash.isTrial; }));
 }
 
-std::string textOf(const ServerKind &kind)
-{
-    return kind.service.value() + '/' + kind.version.value();
-}
-
-std::uint64_t hashOf(const SuspectRecord &record)
-{
-    std::string text = record.fingerprint.value() + '\n' + std::to_string(record.epoch);
-    for (const Crash &crash : record.crashes) {
-        text += '\n' + crash.run.value() + (crash.wasIsolated ? '+' : '-')
-            + (crash.isTrial ? '+' : '-') + textOf(crash.kind);
-    }
-    for (const ServerKind &kind : record.completed) {
-        text += '\r' + textOf(kind);
-    }
-    for (const ServerKind &kind : record.untried) {
-        text += '\t' + textOf(kind);
-    }
-    return XXH3_64bits(text.data(), text.size());
-}
-
 } // namespace
 
 std::unique_ptr<ISuspectTable> makeSuspectTable(const SuspectTableOptions &options)
@@ -306,12 +277,6 @@
     });
 }
 
-bool SuspectTable::isCleared(const SuspectRecord &record) const
-{
-    return std::all_of(record.crashes.begin(), record.crashes.end(),
-                       [&](const Crash &crash) { return hasCompleted(record, crash.kind); });
-}
-
 /// Evicts the oldest record that is not quarantined: a flood of suspects must not release a request
 /// from quarantine.
 bool SuspectTable::evictOldest()
@@ -354,7 +319,7 @@
 {
     std::uint64_t digest = 0;
     for (const auto &[key, record] : m_records) {
-        digest ^= hashOf(record);
+        digest ^= digestOf(record);
     }
     return digest;
 }
--- a/src/coordination/quarantine/internal/suspecttable.h
+++ b/src/coordination/quarantine/internal/suspecttable.h
@@ -31,7 +31,6 @@
     Assessment assessRecord(TimePoint now, const SuspectRecord &record,
                             const ServerKind &kind) const;
     bool reachesCrashThreshold(const SuspectRecord &record) const;
-    bool isCleared(const SuspectRecord &record) const;
     bool isExpired(TimePoint now, const SuspectRecord &record) const;
     bool mergeInto(const SuspectRecord &from, SuspectRecord &into) const;
     bool insertCrash(const Crash &crash, SuspectRecord &into) const;
--- a/src/coordination/quarantine/suspect.h
+++ b/src/coordination/quarantine/suspect.h
@@ -56,6 +56,13 @@
     TimePoint changedAt;
 };
 
+/// Whether such a request has completed at a server of that kind.
+bool hasCompleted(const SuspectRecord &record, const ServerKind &kind);
+/// Whether such a request has completed at every kind of server that it may have crashed.
+bool isCleared(const SuspectRecord &record);
+/// Hash of the record without its times.
+std::uint64_t digestOf(const SuspectRecord &record);
+
 enum class Suspicion {
     None,
     Suspect, ///< May have crashed a server; runs at servers one suspect at a time.
--- a/src/coordination/quarantine/tests/mocks/suspectfleet.h
+++ b/src/coordination/quarantine/tests/mocks/suspectfleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/quarantine/isuspecttable.h"
+#include "coordination/quarantine/suspectarchive.h"
 #include "coordination/quarantine/suspectgossip.h"
 #include "state/internal/seededrandom.h"
 
@@ -16,7 +17,7 @@
 
 /// Simulates the suspect tables of many daemons under a fake clock, with message delay, message
 /// loss and network partitions. Each daemon has a server, which crashes when it runs a certain
-/// request and restarts some time later.
+/// request and restarts some time later. The daemons share a store that outlives them.
 class SuspectFleet
 {
 public:
@@ -25,6 +26,9 @@
     static constexpr Duration COMPARE_INTERVAL = std::chrono::milliseconds(300);
     static constexpr Duration RUN_TIME = std::chrono::milliseconds(60);
     static constexpr Duration DOWN_TIME = std::chrono::seconds(2);
+    /// Time from a change at a daemon to its write to the store.
+    static constexpr Duration WRITE_DELAY = std::chrono::milliseconds(60);
+    static constexpr Duration STORE_INTERVAL = std::chrono::seconds(2);
 
     SuspectFleet(std::size_t daemons, std::uint64_t seed, double lossShare)
         : m_random(seed)
@@ -59,6 +63,13 @@
         }
     }
 
+    /// While the store is away, daemons neither read nor write it.
+    void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
+    /// The store loses what was written since `saveStore`.
+    void restoreStore() { m_store = m_savedStore; }
+    void saveStore() { m_savedStore = m_store; }
+    std::size_t storedRecords() const { return m_store.size(); }
+
     /// The crashing request arrives at the daemon, which sends it to a server unless its table
     /// forbids this. True if a server began to run it.
     bool sendCrashingRequest(std::size_t entry)
@@ -107,6 +118,10 @@
         std::unique_ptr<SeededRandom> random;
         std::unique_ptr<ISuspectTable> table;
         std::unique_ptr<SuspectGossip> gossip;
+        std::unique_ptr<SuspectArchive> archive;
+        TimePoint syncAt;
+        /// A request at this daemon crashed a server.
+        bool hasCrashed = false;
         TimePoint compareAt;
         TimePoint crashAt = TimePoint::max();
         /// The running request was a suspect when it was sent.
@@ -136,6 +151,8 @@
         node->random = std::make_unique<SeededRandom>(m_random.next() + index);
         node->table = makeSuspectTable();
         node->gossip = std::make_unique<SuspectGossip>(*node->table, *node->random);
+        node->archive = std::make_unique<SuspectArchive>(*node->table);
+        node->syncAt = m_now;
         node->compareAt = m_now + Duration(m_random.below(COMPARE_INTERVAL.count()));
         return node;
     }
@@ -216,6 +233,35 @@
         post(message.to,
              m_nodes[message.to]->gossip->receive(m_now, idOf(message.from), message.message,
                                                   changed));
+        requestWrite(*m_nodes[message.to]);
+    }
+
+    /// A daemon writes at once what concerns crashes that it has seen itself.
+    void requestWrite(Node &node)
+    {
+        if (node.hasCrashed && !node.archive->changes().isEmpty()) {
+            node.syncAt = std::min(node.syncAt, m_now + WRITE_DELAY);
+        }
+    }
+
+    void syncStore(Node &node)
+    {
+        node.syncAt = m_now + STORE_INTERVAL * static_cast<int>(m_nodes.size());
+        if (m_isStoreDown) {
+            return;
+        }
+        std::vector<SuspectRecord> stored;
+        for (const auto &[fingerprint, record] : m_store) {
+            stored.push_back(record);
+        }
+        node.archive->load(m_now, stored);
+        const SuspectStoreChanges changes = node.archive->changes();
+        for (const SuspectRecord &record : changes.written) {
+            m_store[record.fingerprint] = record;
+        }
+        for (const Fingerprint &fingerprint : changes.removed) {
+            m_store.erase(fingerprint);
+        }
     }
 
     void stepNode(std::size_t index)
@@ -228,6 +274,11 @@
             node.table->addCrash(m_now, CRASHING_REQUEST,
                                  Crash{ run, KIND, m_now, node.wasIsolated, false });
             node.gossip->addLocalUpdate(CRASHING_REQUEST);
+            node.hasCrashed = true;
+            requestWrite(node);
+        }
+        if (m_now >= node.syncAt) {
+            syncStore(node);
         }
         if (node.gossip->hasUpdates()) {
             post(index, node.gossip->flush());
@@ -244,6 +295,9 @@
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::set<std::size_t> m_partitioned;
     std::map<TimePoint, std::vector<Message>> m_inFlight;
+    std::map<Fingerprint, SuspectRecord> m_store;
+    std::map<Fingerprint, SuspectRecord> m_savedStore;
+    bool m_isStoreDown = false;
     std::size_t m_crashes = 0;
     std::size_t m_sends = 0;
     std::size_t m_messages = 0;
--- a/src/coordination/quarantine/tests/suspectgossiptest.cpp
+++ b/src/coordination/quarantine/tests/suspectgossiptest.cpp
@@ -124,6 +124,49 @@
     }
 }
 
+// Guards against a restart right after the third crash, before the quarantine.
+TEST(SuspectGossip, RestartOfAllDaemonsKeepsTheCrashesBeforeTheQuarantine)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        SuspectFleet fleet(SMALL, seed, 0);
+        while (fleet.crashes() < CRASHES) {
+            keepSending(fleet, SMALL, INTERVAL);
+        }
+        fleet.advance(2 * SuspectFleet::WRITE_DELAY);
+        for (std::size_t i = 0; i < SMALL; ++i) {
+            fleet.restart(i);
+        }
+        fleet.advance(MAX_SPREAD_TIME);
+        const std::size_t before = fleet.sends();
+        keepSending(fleet, SMALL, 4 * MAX_SPREAD_TIME);
+        CHECK_COMPARE(fleet.sends() - before, <=, MAX_LATE_SENDS);
+    }
+}
+
+// Guards against a quarantine that ends with the restart because the store was away or had lost the
+// record before.
+TEST(SuspectGossip, AStoreThatLostTheQuarantineGetsItAgain)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        SuspectFleet fleet(SMALL, seed, 0);
+        fleet.saveStore();
+        fleet.setStoreDown(true);
+        crashThreeServers(fleet, SMALL);
+        LONGS_EQUAL(0, fleet.storedRecords());
+        fleet.setStoreDown(false);
+        fleet.advance(SuspectFleet::STORE_INTERVAL * SMALL + 1ms);
+        LONGS_EQUAL(1, fleet.storedRecords());
+        fleet.restoreStore();
+        LONGS_EQUAL(0, fleet.storedRecords());
+        fleet.advance(SuspectFleet::STORE_INTERVAL * SMALL + 1ms);
+        for (std::size_t i = 0; i < SMALL; ++i) {
+            fleet.restart(i);
+        }
+        fleet.advance(1ms);
+        LONGS_EQUAL(SMALL, fleet.countQuarantining());
+    }
+}
+
 // Guards against message traffic without crashes, and against traffic that grows after them.
 TEST(SuspectGossip, NoMessagesWhileTableIsEmpty)
 {
--- a/src/protocol/internal/suspectexchange.cpp
+++ b/src/protocol/internal/suspectexchange.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t MAX_ITEMS = 64;
 constexpr std::size_t MAX_TEXT_BYTES = 256;
 
+/// First field of a record in a store.
+constexpr char STORED_RECORD[] = "suspect";
+constexpr std::uint64_t MICROS_PER_MILLI = 1000;
+
 enum class MessageKind : std::uint8_t { Digest = 1, Update, Snapshot };
 
 FieldWriter startMessage(MessageKind kind)
@@ -199,6 +203,40 @@
     return std::visit([now](const auto &each) { return encodeOne(each, now); }, message);
 }
 
+std::string encodeStoredSuspect(const SuspectRecord &record, TimePoint now,
+                                std::uint64_t unixMillis)
+{
+    FieldWriter writer;
+    writer.add(std::string(STORED_RECORD)).add(unixMillis).add(writeRecord(record, now));
+    return writer.take().bytes;
+}
+
+RetVal<SuspectRecord> decodeStoredSuspect(const std::string &value, TimePoint now,
+                                          std::uint64_t unixMillis)
+{
+    auto fields = FieldReader::open(value);
+    std::string kind;
+    std::uint64_t writtenAt = 0;
+    SuspectRecord record;
+    if (fields) {
+        fields->read(kind);
+        fields->read(writtenAt);
+        FieldReader content = fields->readArray();
+        // The clocks of two daemons differ: a record from the future is as old as a new one.
+        const std::uint64_t age = unixMillis - std::min(writtenAt, unixMillis);
+        const std::uint64_t micros =
+            std::min(age, MAX_AGE_MICROS / MICROS_PER_MILLI) * MICROS_PER_MILLI;
+        readRecord(content, now - Duration(static_cast<Duration::rep>(micros)), record);
+        if (!content.isGood()) {
+            fields->fail();
+        }
+    }
+    if (!fields || !fields->isGood() || kind != STORED_RECORD) {
+        return makeError(ErrorCode::InvalidArgument, "malformed record of a suspect");
+    }
+    return record;
+}
+
 bool isSuspectMessage(const std::string &payload)
 {
     auto fields = FieldReader::open(payload);
--- a/src/protocol/tests/suspectexchangetest.cpp
+++ b/src/protocol/tests/suspectexchangetest.cpp
@@ -51,6 +51,30 @@
     CHECK(record.changedAt == RECEIVER_NOW - 1s);
 }
 
+// Guards against a process that reads its predecessor's times by its own steady clock.
+TEST(SuspectExchange, StoredRecordKeepsItsAges)
+{
+    constexpr std::uint64_t WRITTEN_AT = 1'700'000'000'000;
+    const std::string value = encodeStoredSuspect(makeRecord(), SENDER_NOW, WRITTEN_AT);
+    const auto read = decodeStoredSuspect(value, RECEIVER_NOW, WRITTEN_AT + 2000);
+    CHECK(read.has_value());
+    CHECK(read->fingerprint == Fingerprint("4f00"));
+    CHECK(digestOf(*read) == digestOf(makeRecord()));
+    CHECK(read->changedAt == RECEIVER_NOW - 3s);
+    CHECK(decodeStoredSuspect(value, RECEIVER_NOW, WRITTEN_AT - 5000)->changedAt
+          == RECEIVER_NOW - 1s);
+}
+
+TEST(SuspectExchange, MalformedStoredRecordsAreErrors)
+{
+    const std::string value = encodeStoredSuspect(makeRecord(), SENDER_NOW, 1);
+    for (std::size_t size = 0; size < value.size(); ++size) {
+        CHECK_FALSE(decodeStoredSuspect(value.substr(0, size), RECEIVER_NOW, 1).has_value());
+    }
+    const std::string message = encodeSuspectMessage(SuspectUpdate{ { makeRecord() } }, SENDER_NOW);
+    CHECK_FALSE(decodeStoredSuspect(message, RECEIVER_NOW, 1).has_value());
+}
+
 TEST(SuspectExchange, SnapshotsAndDigestsKeepTheirFields)
 {
     const SuspectSnapshot snapshot{ 77, true, { makeRecord(), makeRecord() } };
--- a/src/transport/ikeyedlog.h
+++ b/src/transport/ikeyedlog.h
@@ -41,8 +41,8 @@
     /// The records written from offset `from` on; waits up to `wait` for one. `NotFound` if that
     /// offset is no longer retained or does not exist: read the state with `newest` instead.
     virtual RetVal<KeyedPage> read(const StreamName &stream, LogOffset from, Duration wait) = 0;
-    /// After `Unknown` the record may have been written.
-    virtual Ret put(const StreamName &stream, const KeyedRecord &record) = 0;
+    /// Writes all records or none. After `Unknown` they may have been written.
+    virtual Ret put(const StreamName &stream, const std::vector<KeyedRecord> &records) = 0;
     /// Ends the pending calls with the error `Cancelled`.
     virtual void cancel() = 0;
 };
