Calls: a gate's refusal of a request that crashes servers holds everywhere

Cause: a request that waited behind the crashing one was refused as quarantined, and the entry, whose own table is behind by the time of the gossip, sent it to the next server of the same kind.

Change: a refusal as quarantined or held is final if the entry knows the request as a suspect and does not try it at servers of another kind. A suspect that only found no turn at a gate is retried as before.

The test failed before: a call refused by the gate was sent again.

--- a/src/coordination/calls/internal/entrycall.cpp
+++ b/src/coordination/calls/internal/entrycall.cpp
@@ -20,6 +20,14 @@
     return verdict.outcome == Outcome::Unknown && verdict.reason == Reason::ServerCrashed;
 }
 
+/// Whether a gate keeps the call from its server because of what it did to others.
+bool isKeptFromServer(const Verdict &verdict)
+{
+    const bool isHeld =
+        verdict.reason == Reason::Suspected && verdict.retryAfter > Duration::zero();
+    return verdict.outcome == Outcome::NotRun && (verdict.reason == Reason::Quarantined || isHeld);
+}
+
 RouteFeedback feedbackOfLoss(Reason reason)
 {
     switch (reason) {
@@ -136,7 +144,7 @@
     if (isCrash && postponeRetry(now, index, result)) {
         return {};
     }
-    if (!isCrash && mayRetry(now, result, false)) {
+    if (!isCrash && !isKeptEverywhere(result.verdict) && mayRetry(now, result, false)) {
         Verdict failure;
         if (auto action = sendNext(now, failure)) {
             return { *action };
@@ -148,6 +156,17 @@
     return finish(now, index, result.verdict);
 }
 
+/// A gate knows of a crash at its server before the other daemons do: another server of that kind
+/// would crash as well. A trial at servers of another kind is decided here.
+bool EntryCall::isKeptEverywhere(const Verdict &verdict) const
+{
+    if (!isKeptFromServer(verdict)) {
+        return false;
+    }
+    const Assessment assessment = assess();
+    return assessment.suspicion != Suspicion::None && !assessment.isTrial;
+}
+
 /// Retried at once, a request that crashes servers would crash one after the other within a second.
 /// The other requests that were in flight at the server lose only this delay.
 bool EntryCall::postponeRetry(TimePoint now, AttemptIndex index, const AttemptResult &result)
--- a/src/coordination/calls/internal/entrycall.h
+++ b/src/coordination/calls/internal/entrycall.h
@@ -71,6 +71,8 @@
     /// After a crash of the server, postpones the decision on a retry. False if none is possible.
     bool postponeRetry(TimePoint now, AttemptIndex attempt, const AttemptResult &result);
     EntryActions resumeRetry(TimePoint now);
+    /// Whether a gate's refusal holds for the servers of all gates.
+    bool isKeptEverywhere(const Verdict &verdict) const;
     Assessment assess() const;
     std::optional<EntryAction> sendTo(TimePoint now, const DaemonId &target, const char *why);
     /// `isUpstreamError`: the upstream answered with an error of its own or of an inner call.
--- a/src/coordination/calls/tests/suspectcalltest.cpp
+++ b/src/coordination/calls/tests/suspectcalltest.cpp
@@ -134,6 +134,36 @@
     CHECK(finish->verdict.retryAfter == Duration::zero());
 }
 
+// Guards against a further crash by a call that a gate refuses before the other daemons know of the
+// last one.
+TEST(SuspectCall, CallThatAGateKeepsFromItsServerIsNotSentToAnother)
+{
+    const Verdict refusals[] = { { Outcome::NotRun, Reason::Quarantined, Duration::zero() },
+                                 { Outcome::NotRun, Reason::Suspected, 2s } };
+    for (const Verdict &refusal : refusals) {
+        markSuspect(2);
+        EntryCall call = makeCall();
+        call.start(m_now);
+        AttemptResult result;
+        result.verdict = refusal;
+        const EntryActions ended = call.onEnd(m_now, AttemptIndex(0), result);
+        CHECK(findAction(ended, EntryActionType::Send) == nullptr);
+        CHECK(findAction(ended, EntryActionType::Finish)->verdict.outcome == Outcome::NotRun);
+        CHECK(findAction(ended, EntryActionType::Finish)->verdict.reason == refusal.reason);
+    }
+}
+
+// Guards against refusing a suspect for good because another one was running at the server.
+TEST(SuspectCall, SuspectThatFoundNoTurnIsRetried)
+{
+    markSuspect(1);
+    EntryCall call = makeCall();
+    call.start(m_now);
+    AttemptResult result;
+    result.verdict = Verdict{ Outcome::NotRun, Reason::Suspected, Duration::zero() };
+    CHECK(findAction(call.onEnd(m_now, AttemptIndex(0), result), EntryActionType::Send) != nullptr);
+}
+
 // Guards against refusing a request for good that a gate of an old version refuses, although a
 // fixed version could run it.
 TEST(SuspectCall, CallRefusedByAGateOfAnotherVersionIsRetried)
