Transport: an end of stream after an error of the connection is no orderly end

The client got that part as a complete response.

Cause: a socket reports its error once. The write took it, and the read after it saw the end of the stream, which ends a response without a length.

Change: TcpStream keeps the first error that any operation has reported, and returns it in place of a later end of stream. A response without a length counts only if the request was sent whole.

Why it works: after an error no read can see an orderly end any more; and a server that ends the connection before it has read the request did not end its response in good order, whatever arrives first.

The test failed before: 20 MB, reset and closed, at once and 100 ms later, as HTTP/1.1 and HTTP/1.0; the first gave a response.

--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -155,6 +155,7 @@
     if (m_abortCause || (error && m_send.sentBytes == 0)) {
         return fail(HttpFailureCause::Broken, "failed to send the request: " + error.message());
     }
+    m_isSentWhole = !error;
     // A server that rejects a body may respond and close before all of it was sent; its response
     // may still be readable.
     HttpResult result = receive(isFirst);
@@ -231,7 +232,7 @@
             break;
         }
         const auto error = m_connection.stream->read();
-        if (error == boost::asio::error::eof && !m_abortCause
+        if (error == boost::asio::error::eof && !m_abortCause && m_isSentWhole
             && parser.finish() == HttpParseStatus::Done) {
             return std::move(parser.response());
         }
--- a/src/transport/internal/httpclientexchange.h
+++ b/src/transport/internal/httpclientexchange.h
@@ -65,6 +65,8 @@
     std::optional<HttpFailureCause> m_abortCause;
     HttpSendReport m_send;
     std::size_t m_receivedResponses = 0;
+    /// The kernel has accepted the whole request.
+    bool m_isSentWhole = false;
     bool m_isReusable = false;
     bool m_hasConnectionEnded = false;
 };
--- a/src/transport/internal/tcpstream.cpp
+++ b/src/transport/internal/tcpstream.cpp
@@ -89,6 +89,9 @@
         startRead();
         return;
     }
+    if (m_lastReadError == asio::error::eof && m_failure) {
+        m_lastReadError = m_failure;
+    }
     if (m_lastReadError != asio::error::operation_aborted) {
         m_readError = m_lastReadError;
     }
@@ -144,6 +147,7 @@
             error = waitWritable();
         }
         if (error) {
+            keepFailure(error);
             return error;
         }
         written += count;
@@ -176,7 +180,14 @@
 void TcpStream::detectPeerClose()
 {
     if (!m_readError && m_socket.is_open() && peek() == Pending::End) {
-        m_readError = asio::error::eof;
+        m_readError = m_failure ? m_failure : asio::error::eof;
+    }
+}
+
+void TcpStream::keepFailure(const ErrorCode &error)
+{
+    if (!m_failure && error != asio::error::operation_aborted) {
+        m_failure = error;
     }
 }
 
@@ -187,8 +198,14 @@
     if (result > 0) {
         return Pending::Bytes;
     }
-    const bool isEmpty = result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    return isEmpty ? Pending::Nothing : Pending::End;
+    if (result == 0) {
+        return Pending::End;
+    }
+    if (errno == EAGAIN || errno == EWOULDBLOCK) {
+        return Pending::Nothing;
+    }
+    keepFailure(ErrorCode(errno, boost::system::system_category()));
+    return Pending::End;
 }
 
 void TcpStream::cancel()
--- a/src/transport/internal/tcpstream.h
+++ b/src/transport/internal/tcpstream.h
@@ -29,7 +29,9 @@
 
     /// Suspends the calling fiber.
     ErrorCode connect(const boost::asio::ip::tcp::endpoint &endpoint);
-    /// Suspends the calling fiber until more input has arrived.
+    /// Suspends the calling fiber until more input has arrived. `eof` means that the peer ended the
+    /// connection in order: an error that another operation has reported before is returned in
+    /// place of it.
     ErrorCode read();
     /// Makes sure that a read is pending, unless one has failed.
     void startRead();
@@ -70,6 +72,7 @@
     void onReadable(const ErrorCode &error);
     ErrorCode readAvailable();
     ErrorCode waitWritable();
+    void keepFailure(const ErrorCode &error);
     void dropConsumed();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -80,6 +83,9 @@
     ErrorCode m_readError;
     ErrorCode m_lastReadError;
     ErrorCode m_writeError;
+    /// The first error of the connection. A socket reports an error once: after a write has
+    /// returned it, a read sees the end of the stream.
+    ErrorCode m_failure;
     bool m_isReading = false;
     std::function<void()> m_onRead;
 };
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -712,6 +712,38 @@
     }
 }
 
+// Guards against a part of a response that is passed on as whole because the write of the request
+// took the error of the connection, so that the read after it saw an orderly end.
+TEST(HttpClient, UnframedResponseToARequestThatWasNotSentWholeIsAFailure)
+{
+    constexpr std::size_t UPLOAD_BYTES = 20'000'000;
+    m_limits.echoHeader = ECHO_HEADER;
+    m_limits.acceptsUnframedResponses = true;
+    const std::string rest =
+        " 200 OK\r\n" + ECHO_HEADER + ": 1" + HEAD_END + std::string(2000, 'x');
+    for (const char *version : { "HTTP/1.1", "HTTP/1.0" }) {
+        for (const bool isReset : { true, false }) {
+            for (const milliseconds delay : { milliseconds(0), milliseconds(100) }) {
+                ScriptedServer server;
+                m_endpoint = server.endpoint();
+                server.run([&](RawSocket &listener) {
+                    RawSocket peer = listener.accept();
+                    peer.readUntil(HEAD_END);
+                    peer.send(version + rest);
+                    std::this_thread::sleep_for(delay);
+                    isReset ? peer.reset() : peer.close();
+                });
+                HttpRequest request = makeGetWithId("1");
+                request.method = "POST";
+                request.body = std::string(UPLOAD_BYTES, 'u');
+                const HttpResult result = exchange(request);
+                server.join();
+                checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Broken);
+            }
+        }
+    }
+}
+
 // Guards against responses without end whose sum exhausts the memory, and against one that costs
 // the other exchanges theirs.
 TEST(HttpClient, ResponsesWithoutEndStayWithinTheBudget)
