Responses: a head with a continuation line or a status below 100 is malformed

With the status 000, 001 or 099 it got 504 at its deadline.

Cause: the parser unfolds continuation lines, and each status below 200 was taken for that of an interim response.

Change: both make the response malformed, which is 502 at once (RFC 9112, 5.2, for the first). All that read responses use this parser: gate, health checks, the store's client, operator commands and stand-ins. An answer in a frame of a peer whose status is none is malformed as well.

Both tests failed before: the first got a response, the second waited for its timeout. That field names with blanks, control bytes or bytes beyond ASCII fail was so before; a test keeps it. A status of 000 that was passed on, as reported of other systems, was not seen here.

--- a/src/protocol/internal/peercodec.cpp
+++ b/src/protocol/internal/peercodec.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// Range of the status of a final response; a three-digit number.
+constexpr std::uint16_t FIRST_STATUS = 200;
+constexpr std::uint16_t LAST_STATUS = 999;
+
 enum class FrameKind : std::uint8_t { Hello = 1, Call, Response, Cancel, Probe, Load, Control };
 
 FieldWriter startFrame(FrameKind kind)
@@ -348,6 +352,11 @@
     readUsage(reader, message.usage);
     reader.read(message.holder);
     reader.read(message.response.status);
+    const std::uint16_t status = message.response.status;
+    const bool isFinal = status >= FIRST_STATUS && status <= LAST_STATUS;
+    if (message.verdict.outcome == Outcome::Answered && !isFinal) {
+        reader.fail();
+    }
     readHeaders(reader, message.response.headers);
     readBody(reader, message.response.body);
     readNotice(reader, message.notice);
--- a/src/transport/internal/httpparser.cpp
+++ b/src/transport/internal/httpparser.cpp
@@ -21,8 +21,25 @@
 
 /// Memory reserved in advance for a declared body length; beyond it the body grows as data arrives.
 constexpr std::uint64_t MAX_RESERVED_BYTES = 64 * 1024;
+constexpr int FIRST_STATUS = 100;
+constexpr std::string_view HEADER_END = "\r\n\r\n";
 
-/// Common part of the request and response parsers. Writes into `headers` and `body`.
+/// Whether a line of the header begins with a blank. Such a line would be taken for a part of the
+/// value before it. `input` begins at the start of a line.
+bool hasContinuationLine(std::string_view input)
+{
+    const std::string_view header = input.substr(0, input.find(HEADER_END));
+    for (auto end = header.find('\n'); end < header.size(); end = header.find('\n', end + 1)) {
+        const char next = end + 1 < header.size() ? header[end + 1] : '\0';
+        if (next == ' ' || next == '\t') {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Common part of the request and response parsers. Writes into `headers`, and into `body` once the
+/// message is complete.
 template <bool isRequest> class MessageParser : public http::basic_parser<isRequest>
 {
 public:
@@ -45,6 +62,10 @@
         while (!error && !this->is_done() && consumed < input.size()) {
             const bool wasInHeader = !this->is_header_done();
             const auto rest = input.substr(consumed);
+            // A proxy may answer 502 to a response with such a line (RFC 9112, 5.2).
+            if (!isRequest && wasInHeader && hasContinuationLine(rest)) {
+                return HttpParseStatus::Malformed;
+            }
             const std::size_t count =
                 this->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
             consumed += count;
@@ -273,6 +294,9 @@
     void on_response_impl(int status, string_view /*reason*/, int /*version*/,
                           ErrorCode &error) override // NOLINT
     {
+        if (status < FIRST_STATUS) {
+            error = http::error::bad_status;
+        }
         m_response.status = static_cast<std::uint16_t>(status);
     }
 };
--- a/src/transport/tests/httpclienttest.cpp
+++ b/src/transport/tests/httpclienttest.cpp
@@ -744,6 +744,51 @@
     }
 }
 
+// Guards against a status that is none and is taken for that of an interim response, after which
+// the caller waits until its deadline.
+TEST(HttpClient, ResponseWithAStatusBelow100FailsAtOnce)
+{
+    for (const char *status : { "000", "001", "099" }) {
+        ScriptedServer server;
+        m_endpoint = server.endpoint();
+        server.run([&](RawSocket &listener) {
+            RawSocket peer = listener.accept();
+            peer.readUntil(HEAD_END);
+            peer.send(std::string("HTTP/1.1 ") + status + " Oops\r\nContent-Length: 2\r\n\r\nok");
+            peer.readToEnd();
+        });
+        const HttpResult result = exchange(makeGet("/"), hours(1));
+        server.join();
+        checkFailure(result, HttpFailureStage::MaybeSent, HttpFailureCause::Broken, status);
+    }
+}
+
+// Guards against a line that is no field and changes the value of the field before it.
+TEST(HttpClient, ResponseWithAContinuationLineIsAFailure)
+{
+    for (const std::string line : { " X-First: v", "\tX-First: v", " ", " Content-Length: 2" }) {
+        for (const std::string before :
+             { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nStamp: s\r\n" }) {
+            const std::string bytes = before + line + "\r\nContent-Length: 2\r\n\r\nok";
+            checkFailure(resultOf(bytes), HttpFailureStage::MaybeSent, HttpFailureCause::Broken,
+                         bytes.c_str());
+        }
+    }
+}
+
+// Guards against a field name that holds a blank or a control byte.
+TEST(HttpClient, ResponseWithAnInvalidFieldNameIsAFailure)
+{
+    using namespace std::string_literals;
+    for (const std::string &name :
+         { "X Y"s, "X\tY"s, "X\0Y"s, "X\x01Y"s, "X\x7fY"s, "X\xe9Y"s, "X(Y"s, "X "s, ""s }) {
+        const std::string bytes =
+            "HTTP/1.1 200 OK\r\n" + name + ": v\r\nContent-Length: 2\r\n\r\nok";
+        checkFailure(resultOf(bytes), HttpFailureStage::MaybeSent, HttpFailureCause::Broken,
+                     name.c_str());
+    }
+}
+
 // Guards against responses without end whose sum exhausts the memory, and against one that costs
 // the other exchanges theirs.
 TEST(HttpClient, ResponsesWithoutEndStayWithinTheBudget)
