Gate: a response that ends as its server crashes is not whole

Cause: the system ends the connections of a process in order, and only failed exchanges were checked for a crash.

Change: the transport reports that a response ended with its connection; the gate then asks, as after a cut, whether the server still accepts connections. If not, the exchange has failed and the crash is recorded. A server that has announced that it leaves may have closed its listener.

--- a/src/app/internal/gate/crashreporter.cpp
+++ b/src/app/internal/gate/crashreporter.cpp
@@ -38,7 +38,8 @@
 {
     const bool isCut = !result && result.error().hasConnectionEnded
         && result.error().stage == HttpFailureStage::MaybeSent;
-    if (!isCut || isEndPlanned) {
+    const bool isEndedByClose = result && result.send.hasEndedByClose;
+    if ((!isCut && !isEndedByClose) || isEndPlanned) {
         return false;
     }
     const ServerState state = m_detector.check(send);
--- a/src/app/internal/gate/crashreporter.h
+++ b/src/app/internal/gate/crashreporter.h
@@ -21,8 +21,9 @@
 
     /// Called when the server has announced itself.
     void onAnnounced(const Announcement &server);
-    /// Returns whether the exchange failed because its server crashed. Suspends the calling fiber
-    /// until that is known. `isEndPlanned`: the server has announced its shutdown.
+    /// Returns whether the exchange ended because its server crashed. A response without a length
+    /// that ended so is not whole. Suspends the calling fiber until that is known. `isEndPlanned`:
+    /// the server has announced its shutdown.
     bool hasCrashed(const ServerSend &send, const HttpResult &result, bool isEndPlanned);
     /// Called with the end of a run of the request that the account sent.
     void onEnd(const ServerSend &send, const AccountName &account, const HttpRequest &request,
--- a/src/app/internal/gate/gateservice.cpp
+++ b/src/app/internal/gate/gateservice.cpp
@@ -33,6 +33,15 @@
     return kind == UpstreamResponseKind::Ran || kind == UpstreamResponseKind::Refused;
 }
 
+/// Of an exchange whose response ended as the server did.
+HttpFailure makeCrashFailure()
+{
+    HttpFailure failure;
+    failure.text = "the server ended before its response was complete";
+    failure.hasConnectionEnded = true;
+    return failure;
+}
+
 std::optional<CallId> fromToken(const std::string &token)
 {
     constexpr std::size_t TOKEN_SIZE = 16;
@@ -621,6 +630,10 @@
     ended.failure = result ? std::string() : result.error().text;
     const ServerSend send{ server, sentAt };
     const bool isCrash = m_crashes.hasCrashed(send, result, isEndPlanned(server));
+    if (isCrash && result) {
+        result = tl::unexpected<HttpFailure>(makeCrashFailure());
+        ended.failure = result.error().text;
+    }
     RunResult run =
         result ? resultOfResponse(m_dialect, std::move(*result)) : resultOfFailure(result.error());
     if (isCrash) {
--- a/src/app/tests/gatesuspectstest.cpp
+++ b/src/app/tests/gatesuspectstest.cpp
@@ -120,6 +120,29 @@
     CHECK(m_quarantine.crashes[0].second.kind.version == UpstreamVersion("v1"));
 }
 
+// Guards against a part of a response that is passed on as whole because its server crashed: the
+// system ends the connections of a process in order.
+TEST(GateSuspects, UnframedResponseThatEndsWithItsServerIsNotWhole)
+{
+    HttpResult unframed = HttpResponse();
+    unframed.send.hasEndedByClose = true;
+    m_client.isUp = false;
+    m_client.results.push_back(unframed);
+    call("/a");
+    CHECK(m_verdicts.back().outcome == Outcome::Unknown);
+    CHECK(m_verdicts.back().reason == Reason::ServerCrashed);
+    LONGS_EQUAL(1, m_quarantine.crashes.size());
+}
+
+TEST(GateSuspects, UnframedResponseOfARunningServerIsWhole)
+{
+    HttpResult unframed = HttpResponse();
+    unframed.send.hasEndedByClose = true;
+    m_client.results.push_back(unframed);
+    call("/a");
+    CHECK(m_verdicts.back().outcome == Outcome::Answered);
+}
+
 // Guards against requests that become suspects because of a reset connection or a broken answer.
 TEST(GateSuspects, BrokenAnswerOfRunningServerIsNoCrash)
 {
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -52,6 +52,8 @@
     std::size_t interimResponses = 0;
     /// Responses to other requests, which were discarded.
     std::size_t foreignResponses = 0;
+    /// The response had no length and ended with its connection.
+    bool hasEndedByClose = false;
 };
 
 /// The response, or why there is none.
@@ -96,8 +98,9 @@
     /// Reuses a connection after a 503. Without an echo header a late copy of it would be taken for
     /// a rejection of the next request.
     bool reusesAfterUnavailable = true;
-    /// Accepts a response without a length that ends when its connection closes. Otherwise such a
-    /// response is an error, as the server may have crashed before sending all of it.
+    /// Accepts a response without a length if the server has received the whole request and has
+    /// ended the connection in order. Otherwise such a response is an error. A server that crashes
+    /// ends its connections in the same way, see `HttpSendReport::hasEndedByClose`.
     bool acceptsUnframedResponses = false;
     /// An idle connection is closed after this time.
     Duration idleTimeout = std::chrono::seconds(30);
--- a/src/transport/internal/httpclientexchange.cpp
+++ b/src/transport/internal/httpclientexchange.cpp
@@ -234,6 +234,7 @@
         const auto error = m_connection.stream->read();
         if (error == boost::asio::error::eof && !m_abortCause && m_isSentWhole
             && parser.finish() == HttpParseStatus::Done) {
+            m_send.hasEndedByClose = true;
             return std::move(parser.response());
         }
         if (error || m_abortCause) {
