Planned stop: a request that no call of the server explains is not started

Callers saw (LOST): in a planned stop, in calm, requests that came late were taken and passed on, and cut when the stop ended, among them some that may not be repeated.

Cause: a stopping daemon refuses callers and takes calls of the server beside it. Both use one listener, and a kept connection of a caller is taken for the server's while a call with a later deadline runs.

Evidence: a POST 4.5 s after SIGTERM, on a connection that had carried 30 requests beside a running call of 12 s, ran at a server of another host; its client got 502 half a second later.

Change: while the daemon stops, such a request counts as a call of the server only if one of its running calls explains it, and is refused if calls of its rule usually last beyond the end of the stop.

--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -322,7 +322,7 @@
     runAndWait(*m_trafficLoop, [this, end] {
         m_traffic->startLeaving(end);
         m_trafficLoop->sleepFor(m_settings.leaveTime);
-        m_traffic->refuseCallers();
+        m_traffic->refuseCallers(end);
         m_traffic->waitForCallers(end);
     });
     // Other daemons are told before calls are refused; calls that they sent before that are refused
--- a/src/app/internal/entry/entryservice.cpp
+++ b/src/app/internal/entry/entryservice.cpp
@@ -179,11 +179,11 @@
     if (incoming.objective) {
         *incoming.objective -= lag + exchange.waited();
     }
+    // Where a key is required, callers send one; calls of servers never have one.
+    const bool isFromServer = isFromUpstream || (!key && m_accounts.needsKey(incoming.rule));
     if (isFromUpstream) {
         applyContext(context, incoming);
     } else if (m_options.infersParents && !key) {
-        // Where a key is required, callers send one; calls of servers never have one.
-        const bool isFromServer = m_accounts.needsKey(incoming.rule);
         inferContext(exchange.tally(),
                      isFromServer ? RequestSender::Server : RequestSender::Unknown, incoming);
     } else if (m_options.hasSharedBudget && incoming.callerAttempt > incoming.rule.callerAttempts) {
@@ -193,10 +193,10 @@
     }
     // Only now is it known whether a caller sent the request. Calls of the local server are still
     // accepted while draining: refusing them would fail the requests that it is working on.
-    if (m_isDraining && isFromCaller(incoming, isFromUpstream)) {
+    const bool isCallerRequest = isFromCaller(incoming, isFromUpstream);
+    if (m_isDraining && (isCallerRequest || !mayStartWhileDraining(incoming, isFromServer))) {
         return Refusal(reject(EarlyRefusal{ incoming.root, notRun(Reason::ShuttingDown) }));
     }
-    const bool isCallerRequest = isFromCaller(incoming, isFromUpstream);
     if (isCallerRequest) {
         if (const auto verdict = identify(key, incoming)) {
             return Refusal(rejectAccount(incoming, *verdict));
@@ -316,6 +316,24 @@
     return *parent.objective - std::max(above, Duration::zero());
 }
 
+void EntryService::startDraining(TimePoint end)
+{
+    m_isDraining = true;
+    m_endsAt = end;
+}
+
+/// A request that was taken for a call of the local server, but that none of its calls explains,
+/// may come from a caller. A call that usually lasts beyond the end would be cut off there and
+/// lost, although it may have run.
+bool EntryService::mayStartWhileDraining(const Incoming &incoming, bool isFromServer) const
+{
+    if (!isFromServer && !incoming.tree) {
+        return false;
+    }
+    const std::optional<Duration> usual = m_innerTimes.of(incoming.rule.name);
+    return incoming.deadline <= m_endsAt || !usual || m_loop.now() + *usual <= m_endsAt;
+}
+
 std::optional<Verdict> EntryService::identify(const std::optional<AccountKey> &key,
                                               Incoming &incoming)
 {
--- a/src/app/internal/entry/entryservice.h
+++ b/src/app/internal/entry/entryservice.h
@@ -66,8 +66,9 @@
     void setHostService(ServiceName service) { m_origin.hostService = std::move(service); }
     /// Sets who learns of calls; null for nobody.
     void setCallDemand(ICallDemand *demand) { m_demand = demand; }
-    /// Refuses new requests of callers from now on; calls of upstreams are still accepted.
-    void startDraining() { m_isDraining = true; }
+    /// Refuses new requests of callers from now on. Calls of upstreams are still accepted, unless
+    /// they usually last beyond `end`.
+    void startDraining(TimePoint end);
     /// Ends all requests at once, the last step before the exit: those that may have run are
     /// answered as unknown. Further ones are refused.
     void endRequests();
@@ -144,6 +145,8 @@
     /// Returns the objective of an inner call: the parent's, less what the parent is expected to do
     /// after it.
     std::optional<TimePoint> innerObjective(const CallContext &parent, const RuleName &rule) const;
+    /// `isFromServer`: the request is known to come from the server of this host.
+    bool mayStartWhileDraining(const Incoming &incoming, bool isFromServer) const;
     bool admit(Incoming &incoming);
     /// Returns how long a refused caller should wait before it retries.
     Duration retryAfterOf(const Incoming &incoming);
@@ -198,6 +201,8 @@
     std::size_t m_requestCount = 0;
     std::size_t m_callerCount = 0;
     bool m_isDraining = false;
+    /// End of all requests, once draining.
+    TimePoint m_endsAt = TimePoint::max();
     bool m_hasEndedRequests = false;
     UnansweredRequests m_unanswered;
 };
--- a/src/app/internal/trafficnode.cpp
+++ b/src/app/internal/trafficnode.cpp
@@ -301,9 +301,9 @@
     m_callerServer->disableKeepAlive();
 }
 
-void TrafficNode::refuseCallers()
+void TrafficNode::refuseCallers(TimePoint end)
 {
-    m_entry->startDraining();
+    m_entry->startDraining(end - CLOSING_TIME);
 }
 
 void TrafficNode::waitForCallers(TimePoint end)
--- a/src/app/internal/trafficnode.h
+++ b/src/app/internal/trafficnode.h
@@ -92,8 +92,9 @@
     /// request, and calls of other daemons that may last longer than `end` are refused. Other calls
     /// are still accepted, as the server on this host keeps working.
     void startLeaving(TimePoint end);
-    /// Refuses new requests of callers; those in flight continue.
-    void refuseCallers();
+    /// Refuses new requests of callers, and calls of the local server that may last longer than
+    /// `end`; those in flight continue.
+    void refuseCallers(TimePoint end);
     /// Suspends until the requests of callers are answered, but no longer than until `end`.
     void waitForCallers(TimePoint end);
     /// Refuses all new calls, waits for requests and calls in flight, ends the requests that are
--- a/tests/process/unansweredrequeststest.cpp
+++ b/tests/process/unansweredrequeststest.cpp
@@ -173,3 +173,32 @@
         checkExit(each);
     }
 }
+
+// Guards against a request that comes late in a planned stop on a connection that looks like one of
+// the server beside the daemon: it was passed on, and cut off by the end of the stop.
+TEST(UnansweredRequests, ARequestThatCannotEndBeforeTheStopIsNotStarted)
+{
+    constexpr int REQUESTS_TO_LOOK_LIKE_A_SERVER = 30;
+    SoakMachine &stopped = machine(SERVER_MACHINE);
+    const auto entry = Endpoint::parse(stopped.entry);
+    keepConnections(stopped);
+    sendSilent();
+    BlockingConnection kept(connectTo(*entry, PATIENCE));
+    TextMessage answer;
+    for (int i = 0; i < REQUESTS_TO_LOOK_LIKE_A_SERVER; ++i) {
+        CHECK(kept.write(
+            format({ "POST", SOAK_HOST, "/order/1", toHex(++m_number), milliseconds(1500), {} })));
+        CHECK(kept.read(answer, PATIENCE));
+    }
+    stopped.daemon.signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(4500));
+    for (SoakMachine &other : m_deployment->machines()) {
+        other.server->setSilent(true);
+    }
+    const std::size_t runsBefore = m_ledger.counts().runs;
+    CHECK(kept.write(
+        format({ "POST", SOAK_HOST, "/order/1", toHex(++m_number), milliseconds(3000), {} })));
+    (void)kept.read(answer, PATIENCE);
+    LONGS_EQUAL(runsBefore, m_ledger.counts().runs);
+    checkExit(stopped);
+}
