Links: a response that cannot be sent ends its request at once

Cause: the error of the send was ignored, as if a link could only be lost. A frame of over 2 MiB or a full send buffer fails too, and the link lives.

Change: the entry is told that the response is lost (unknown, 502 at once). Small frames may exceed the limit of the send buffer; if even such an answer does not fit, the link is closed.

--- a/src/app/internal/entry/peercalls.cpp
+++ b/src/app/internal/entry/peercalls.cpp
@@ -357,8 +357,26 @@
 {
     m_inbound.erase(key);
     answer.stream = key.second;
+    PeerMessage message(std::move(answer));
+    const Ret sent = sendFrame(key.first, m_codec.encode(message));
     // If the link is lost, the entry has already been notified.
-    (void)sendFrame(key.first, m_codec.encode(PeerMessage(std::move(answer))));
+    if (!sent && sent.error().code != ErrorCode::Unavailable) {
+        answerWithoutResponse(key.first, std::get<ResponseMessage>(std::move(message)));
+    }
+}
+
+/// The response is too large for a frame, or the link's send buffer is full. Without an answer the
+/// entry would keep the request, and its caller would wait until the deadline.
+void PeerCalls::answerWithoutResponse(LinkId link, ResponseMessage answer)
+{
+    m_observers.metrics.add(Counter::PeerResponsesUnsent);
+    answer.response = {};
+    if (answer.verdict.outcome == Outcome::Answered) {
+        answer.verdict = { Outcome::Unknown, Reason::BrokenAnswer, Duration::zero() };
+    }
+    if (!sendFrame(link, m_codec.encode(PeerMessage(std::move(answer))))) {
+        m_network.close(link);
+    }
 }
 
 void PeerCalls::receive(LinkId link, ResponseMessage &message)
--- a/src/app/internal/entry/peercalls.h
+++ b/src/app/internal/entry/peercalls.h
@@ -107,6 +107,7 @@
     void receive(LinkId link, LoadMessage &message);
     void receive(LinkId link, ControlMessage &message);
     void answerInbound(const InboundKey &key, ResponseMessage answer);
+    void answerWithoutResponse(LinkId link, ResponseMessage answer);
 
     IEventLoop &m_loop;
     IPeerNetwork &m_network;
--- a/src/app/tests/peercallstest.cpp
+++ b/src/app/tests/peercallstest.cpp
@@ -187,6 +187,55 @@
     STRCMP_EQUAL("for 3", answers.at(1).message.response.body.c_str());
 }
 
+// Guards against an entry that keeps a request, and its caller waiting, because the response was
+// too large for the link and the failure of the send was ignored.
+TEST(PeerCalls, ResponseThatTheLinkDoesNotTakeIsAnsweredAsUnknown)
+{
+    network.maxFrameBytes = 1000;
+    const StreamId stream(7);
+    const LinkId incoming = incomingCall(stream);
+    ResponseMessage answer;
+    answer.verdict.outcome = Outcome::Answered;
+    answer.response.body = std::string(2000, 'x');
+    gates.answer(CallId(1), answer);
+    LONGS_EQUAL(1, network.framesOn(incoming).size());
+    const auto sent = codec.decode(network.framesOn(incoming).front());
+    const auto &told = std::get<ResponseMessage>(*sent);
+    CHECK(told.stream == stream);
+    CHECK(told.verdict.outcome == Outcome::Unknown);
+    CHECK(told.verdict.reason == Reason::BrokenAnswer);
+}
+
+// Guards against the same where not even that answer can be sent.
+TEST(PeerCalls, LinkThatTakesNoAnswerIsClosed)
+{
+    const LinkId incoming = incomingCall(StreamId(7));
+    network.isCongested = true;
+    gates.answer(CallId(1), {});
+    CHECK_FALSE(network.isOpen(incoming));
+}
+
+// Guards against requests over links whose sum exhausts the memory.
+TEST(PeerCalls, CallWithoutRoomForItsBodyIsRefused)
+{
+    const LinkId incoming = network.addIncoming();
+    CallMessage call;
+    call.stream = StreamId(1);
+    call.request.body = std::string(BODY_BUDGET / 2, 'x');
+    network.receive(incoming, codec.encode(PeerMessage(call)));
+    LONGS_EQUAL(1, gates.calls.size());
+    call.stream = StreamId(2);
+    network.receive(incoming, codec.encode(PeerMessage(call)));
+    LONGS_EQUAL(1, gates.calls.size());
+    const auto sent = codec.decode(network.framesOn(incoming).back());
+    const auto &told = std::get<ResponseMessage>(*sent);
+    CHECK(told.stream == StreamId(2));
+    CHECK(told.verdict.outcome == Outcome::NotRun);
+    CHECK(told.verdict.retryAfter > Duration::zero());
+    gates.calls.clear();
+    LONGS_EQUAL(0, bodies->usage(MessageKind::Request).bytes);
+}
+
 // A peer sends a malformed frame. Its link is closed and the open attempts on it end as unknown
 // instead of waiting for an answer that may have been in that frame.
 TEST(PeerCalls, MalformedFrameClosesTheLink)
--- a/src/transport/internal/peernetworkcore.cpp
+++ b/src/transport/internal/peernetworkcore.cpp
@@ -18,6 +18,9 @@
 constexpr char COMPRESSED = '\1';
 /// The first byte plus the expansion of incompressible data by deflate.
 constexpr std::size_t MESSAGE_OVERHEAD = 4096;
+constexpr std::size_t SMALL_FRAME_BYTES = 4 * 1024;
+/// Limit of the send buffer for small frames, as a multiple of that for others.
+constexpr std::size_t SMALL_FRAME_FACTOR = 2;
 constexpr Duration ACCEPT_RETRY_DELAY = std::chrono::milliseconds(50);
 
 long toMilliseconds(Duration duration)
@@ -355,6 +358,13 @@
     return isOpen ? found->second : ConnectionPtr();
 }
 
+/// Small frames may use a reserve, so that cancels and refusals get past large responses.
+std::size_t PeerNetworkCore::sendLimit(const std::string &frame) const
+{
+    return frame.size() <= SMALL_FRAME_BYTES ? SMALL_FRAME_FACTOR * m_limits.sendBufferBytes
+                                             : m_limits.sendBufferBytes;
+}
+
 Ret PeerNetworkCore::send(LinkId link, const std::string &frame)
 {
     const ConnectionPtr connection = findOpen(link);
@@ -364,7 +374,7 @@
     if (frame.size() > m_limits.frameBytes) {
         return makeError(ErrorCode::InvalidArgument, "the frame exceeds the size limit");
     }
-    if (connection->get_buffered_amount() + frame.size() > m_limits.sendBufferBytes) {
+    if (connection->get_buffered_amount() + frame.size() > sendLimit(frame)) {
         return makeError(ErrorCode::Throttled, "the send buffer of the link is full");
     }
     const std::string message = encodeMessage(connection, frame);
--- a/src/transport/internal/peernetworkcore.h
+++ b/src/transport/internal/peernetworkcore.h
@@ -53,6 +53,7 @@
     void close(LinkId link, Duration timeout);
     static ConnectionPtr fromHdl(const Hdl &hdl);
     ConnectionPtr findOpen(LinkId link) const;
+    std::size_t sendLimit(const std::string &frame) const;
 
     void startAccept();
     void onAccept(const boost::system::error_code &error, boost::asio::ip::tcp::socket socket);
--- a/src/transport/ipeernetwork.h
+++ b/src/transport/ipeernetwork.h
@@ -14,7 +14,8 @@
 {
     std::size_t frameBytes = 2 * 1024 * 1024;
     std::size_t links = 2000;
-    /// Bytes that may be queued for sending on one link before `send` fails with `Throttled`.
+    /// Bytes that may be queued for sending on one link before `send` fails with `Throttled`; small
+    /// frames may exceed it.
     std::size_t sendBufferBytes = 8 * 1024 * 1024;
     Duration connectTimeout = std::chrono::seconds(1);
     /// A link without traffic is probed with a ping after this time and closed after twice this
--- a/src/transport/tests/mocks/mockpeernetwork.h
+++ b/src/transport/tests/mocks/mockpeernetwork.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -24,6 +25,8 @@
     bool isUnreachable = false;
     /// `send` fails with `Throttled` while set.
     bool isCongested = false;
+    /// `send` fails with `InvalidArgument` for larger frames.
+    std::size_t maxFrameBytes = SIZE_MAX;
     std::vector<Sent> sent;
     std::set<LinkId> compressed;
     std::map<Endpoint, LinkId> links;
@@ -106,6 +109,9 @@
         if (isCongested) {
             return makeError(ErrorCode::Throttled, "mock: the send buffer of the link is full");
         }
+        if (frame.size() > maxFrameBytes) {
+            return makeError(ErrorCode::InvalidArgument, "mock: the frame exceeds the size limit");
+        }
         sent.push_back({ link, std::move(frame) });
         return {};
     }
