Gate: a listener that closes late does not make a crashed server look alive

Cause: a process that ends releases its sockets one by one, the listener last. On a busy host that takes longer than the 5 ms after which the gate asks whether the server still accepts connections.

Change: after a response without a length it asks 50 ms later. Other ends are checked as before, as their responses are errors either way.

The unit test failed before: a listener that closes after 20 ms counted as that of a running server.

--- a/src/app/internal/gate/crashdetector.cpp
+++ b/src/app/internal/gate/crashdetector.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Time between the end of a connection and the check of the listener: a process that ends may
-/// close its connections before its listener.
-constexpr Duration LISTENER_CLOSE_DELAY = std::chrono::milliseconds(5);
 /// Time for which a process that has closed its listener may keep other connections open.
 constexpr Duration CONNECTION_CLOSE_TIME = std::chrono::milliseconds(5);
 /// Exchanges that end late may belong to an earlier run.
@@ -25,16 +22,17 @@
 {
 }
 
-ServerState CrashDetector::check(const ServerSend &send)
+ServerState CrashDetector::check(const ServerSend &send, Duration closeTime)
 {
-    const TimePoint cutAt = m_loop.now();
+    // A server that accepts connections after this time has not ended.
+    const TimePoint aliveFrom = m_loop.now() + closeTime - USUAL_CLOSE_TIME;
     if (!isKnownEnded(send)) {
-        m_loop.sleepFor(LISTENER_CLOSE_DELAY);
+        m_loop.sleepFor(closeTime);
     }
     if (isKnownEnded(send)) {
         return ServerState::Ended;
     }
-    if (knownRunOf(send).acceptedAt >= cutAt) {
+    if (knownRunOf(send).acceptedAt >= aliveFrom) {
         return ServerState::Running;
     }
     const TimePoint askedAt = m_loop.now();
--- a/src/app/internal/gate/crashdetector.h
+++ b/src/app/internal/gate/crashdetector.h
@@ -37,9 +37,15 @@
     /// All references outlive the detector.
     CrashDetector(IEventLoop &loop, IHttpClient &client, IRandom &random);
 
+    /// Time from the end of a connection to the check of the listener: a process that ends may
+    /// close its connections before its listener, …
+    static constexpr Duration USUAL_CLOSE_TIME = std::chrono::milliseconds(5);
+    /// … on a busy host much earlier.
+    static constexpr Duration LONG_CLOSE_TIME = std::chrono::milliseconds(50);
+
     /// To be called as soon as the server has closed a connection during an exchange. Suspends the
     /// calling fiber until it is known whether the server has ended.
-    ServerState check(const ServerSend &send);
+    ServerState check(const ServerSend &send, Duration closeTime = USUAL_CLOSE_TIME);
     /// Returns whether an earlier check found that the run that received the request has ended.
     bool isKnownEnded(const ServerSend &send);
     /// Returns the name of the run that received the request.
--- a/src/app/internal/gate/crashreporter.cpp
+++ b/src/app/internal/gate/crashreporter.cpp
@@ -42,7 +42,9 @@
     if ((!isCut && !isEndedByClose) || isEndPlanned) {
         return false;
     }
-    const ServerState state = m_detector.check(send);
+    // A broken response is an error either way, but this one would be passed on as whole.
+    const ServerState state = m_detector.check(
+        send, isEndedByClose ? CrashDetector::LONG_CLOSE_TIME : CrashDetector::USUAL_CLOSE_TIME);
     if (state == ServerState::EndDetected) {
         m_recorder.recordCrash(send.server, m_detector.runOf(send));
         reportAbandoned(send);
--- a/src/app/tests/crashdetectortest.cpp
+++ b/src/app/tests/crashdetectortest.cpp
@@ -57,6 +57,28 @@
     CHECK_EQUAL(1, m_client.probed.size());
 }
 
+// Guards against a server on a busy host that counts as running because a process that ends closes
+// its listener last.
+TEST(CrashDetector, ListenerThatClosesLateIsWaitedFor)
+{
+    struct DyingServer : MockHttpClient
+    {
+        bool isListening(const Endpoint & /*endpoint*/) override
+        {
+            return m_loop->now() < m_closesAt;
+        }
+        const IEventLoop *m_loop = nullptr;
+        TimePoint m_closesAt;
+    } client;
+    client.m_loop = &m_loop;
+    client.m_closesAt = m_loop.now() + 20ms;
+    CrashDetector detector(m_loop, client, m_random);
+    const Announcement dying = server();
+    const ServerSend send{ dying, m_loop.now() };
+    CHECK(detector.check(send) == ServerState::Running);
+    CHECK(detector.check(send, CrashDetector::LONG_CLOSE_TIME) == ServerState::EndDetected);
+}
+
 // Guards against treating a run as ended because the previous run has ended.
 TEST(CrashDetector, NextRunIsCheckedAgain)
 {
